--- /dev/null
+++ b/choice/iface.go
@@ -0,0 +1,271 @@
+package choice
+
+// Time is a moment or a span in tenths of a millisecond.
+type Time int64
+
+// Second is one second of Time.
+const Second Time = 10000
+
+// Effect says whether a txn of a product may run again.
+type Effect uint8
+
+// Effects, from the most to the least forgiving.
+const (
+	Inquiry Effect = iota
+	Referenced
+	OnceOnly
+)
+
+// Scope names the backends that drop repeats of a referenced txn.
+type Scope uint8
+
+// Scopes of repeat dropping.
+const (
+	ScopeAll Scope = iota
+	ScopeZone
+	ScopeCell
+)
+
+// LevelKind says what a level is at this deployment.
+type LevelKind uint8
+
+// Kinds of level.
+const (
+	LevelRate LevelKind = iota
+	LevelShare
+	LevelNone
+)
+
+// Gauge is one value of a load report.
+type Gauge uint8
+
+// Gauges that a report may hold; GaugeOther is read past.
+const (
+	GaugeOther Gauge = iota
+	GaugeHeld
+	GaugeQueued
+	GaugeBusy
+	GaugeTook
+)
+
+// Product is a class of txns.
+type Product struct {
+	Revenue   float64
+	SLA       Time
+	Expiry    Time
+	Effect    Effect
+	Scope     Scope
+	Window    Time
+	OnlyZones []int
+	OnlyKinds []int
+	OwnZone   bool
+}
+
+// Deployment holds the launch settings that the decisions read.
+type Deployment struct {
+	Products     []Product
+	Zones        int
+	Zone         int
+	Me           int
+	Controllers  int
+	Proxies      int
+	Asked        bool
+	AskEvery     Time
+	Probes       bool
+	Notes        bool
+	Gauges       []Gauge
+	Levels       LevelKind
+	UsualTries   int
+	Slices       int
+	DrainGrace   Time
+	GoneBinds    bool
+	Cold         Time
+	ColdCapacity float64
+	LinesPerS    float64
+	LinesMost    float64
+	LinesHead    float64
+	MessagesMost int
+	MessagesOver Time
+}
+
+// Event is one of the structs below, in the order in which they happened.
+type Event any
+
+// Status of a backend on the list.
+type Status uint8
+
+// Statuses of a backend.
+const (
+	Gone Status = iota
+	Ready
+	Draining
+)
+
+// ListKind says how a list relates to the one before.
+type ListKind uint8
+
+// Kinds of list.
+const (
+	ListChange ListKind = iota
+	ListFull
+	ListCached
+	ListFailed
+)
+
+// Entry is a backend as the list shows it.
+type Entry struct {
+	Backend, Zone, Cell, Kind int
+	Status                    Status
+	Up                        Time
+	Weight                    float64
+}
+
+// Listed brings the list or changes of it.
+type Listed struct {
+	Kind    ListKind
+	Entries []Entry
+}
+
+// Woken is the answer to a Wake.
+type Woken struct{ Name uint32 }
+
+// Probed is the answer to a Probe.
+type Probed struct {
+	Backend int
+	Good    bool
+	Took    Time
+	Load    []float64
+}
+
+// Noted is a note from another controller.
+type Noted struct {
+	From int
+	Data []byte
+}
+
+// Joined says that a proxy's stream is up.
+type Joined struct {
+	Proxy, Zone int
+	Fresh       bool
+	Rate        float64
+}
+
+// Left says that a proxy's stream broke.
+type Left struct{ Proxy int }
+
+// Heard sums what the proxies of a zone met at a backend.
+type Heard struct {
+	Zone, Backend  int
+	Tries, Voided  float64
+	Took, Counting Time
+	Load           []float64
+}
+
+// Used sums the txns of a product that came to a proxy.
+type Used struct {
+	Proxy, Product int
+	Txns, Voided   float64
+	Counting       Time
+}
+
+// SliceUsed sums the txns of a product that came for a slice.
+type SliceUsed struct {
+	Slice, Product int
+	Txns, Voided   float64
+	Counting       Time
+}
+
+// SliceGiven gives a slice into this controller's charge or takes it away.
+type SliceGiven struct {
+	Slice int
+	Mine  bool
+}
+
+// SliceLine is a line of a slice's table as the store has it.
+type SliceLine struct {
+	Slice, Backend int
+	Weight         float64
+}
+
+// Settled answers a Fence from one proxy.
+type Settled struct {
+	Proxy  int
+	Number int
+	Took   Time
+}
+
+// Order is one of the structs below; they are carried out in the order given.
+type Order any
+
+// Line sets a line of a table; weight 0 takes it out.
+type Line struct {
+	Table, Backend int
+	Weight         float64
+}
+
+// Clear empties a table.
+type Clear struct{ Table int }
+
+// Use puts a proxy on a table for the products of the mask.
+type Use struct {
+	Proxy, Table int
+	Products     uint16
+}
+
+// Withdraw shuts a backend out of all tables, or lets it in again.
+type Withdraw struct {
+	Backend int
+	Out     bool
+}
+
+// Tries says when a proxy tries another backend.
+type Tries uint8
+
+// Ways of trying again.
+const (
+	TryOnce Tries = iota
+	TryUnrun
+	TryTwice
+	TryThrice
+)
+
+// Gate sets the level and the further tries of the products of the mask.
+type Gate struct {
+	Table    int
+	Level    float64
+	Tries    Tries
+	Products uint16
+}
+
+// Fence asks every proxy reached by this reply for a Settled.
+type Fence struct {
+	Number int
+	All    bool
+}
+
+// Wake asks for a Woken.
+type Wake struct {
+	After Time
+	Name  uint32
+}
+
+// Probe checks a backend.
+type Probe struct{ Backend int }
+
+// Note goes to another controller, or to all of them.
+type Note struct {
+	To   int
+	Data []byte
+}
+
+// ToAll is the Note.To that means every other controller.
+const ToAll = -1
+
+// Follow asks for list changes from now on, or no longer.
+type Follow struct{ On bool }
+
+// Reload asks for the whole list once.
+type Reload struct{}
+
+// Log is a line for people.
+type Log struct{ Text string }
--- /dev/null
+++ b/cmd/wirehost/main.go
@@ -0,0 +1,74 @@
+// Wirehost hosts instances of the decision module on the simulator's wire: batches on standard input, replies
+// on standard output. The instances share nothing.
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"os"
+
+	"elmfold/choice"
+	"elmfold/wire"
+)
+
+func main() {
+	if err := serve(bufio.NewReaderSize(os.Stdin, 1<<16), os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "wirehost:", err)
+		os.Exit(1)
+	}
+}
+
+func serve(in io.Reader, out io.Writer) error {
+	dec := wire.NewDecoder(in)
+	hosted := map[uint16]*choice.Assigner{}
+	for {
+		batch, err := dec.Next()
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		reply := wire.NewReply(dec)
+		events := map[uint16][]choice.Event{}
+		var order []uint16
+		for _, rec := range batch.Records {
+			if _, ok := events[rec.Inst]; !ok {
+				order = append(order, rec.Inst)
+				events[rec.Inst] = nil
+			}
+			switch e := rec.Event.(type) {
+			case nil:
+			case wire.Launch:
+				hosted[rec.Inst] = choice.New(e.Seed, e.Deployment)
+				events[rec.Inst] = nil
+			case wire.Stop:
+				delete(hosted, rec.Inst)
+				events[rec.Inst] = nil
+			default:
+				events[rec.Inst] = append(events[rec.Inst], e)
+			}
+		}
+		for _, inst := range order {
+			if a := hosted[inst]; a != nil {
+				step(reply, inst, a, batch.Now, events[inst])
+			}
+		}
+		if _, err := reply.WriteTo(out); err != nil {
+			return fmt.Errorf("writing a reply: %w", err)
+		}
+	}
+}
+
+// step lets an instance decide; a panic becomes its last word.
+func step(reply *wire.Reply, inst uint16, a *choice.Assigner, now choice.Time, events []choice.Event) {
+	before := *reply
+	defer func() {
+		if p := recover(); p != nil {
+			*reply = before
+			reply.Bail(inst, fmt.Sprint("panic: ", p))
+		}
+	}()
+	reply.Add(inst, a.Step(now, events))
+}
--- /dev/null
+++ b/wire/settings.go
@@ -0,0 +1,162 @@
+package wire
+
+import (
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+
+	"elmfold/choice"
+)
+
+// pairs reads the launch text; the first value that does not parse is kept in err.
+type pairs struct {
+	text map[string]string
+	err  error
+}
+
+func (p *pairs) bad(key string) {
+	if p.err == nil {
+		p.err = fmt.Errorf("launch settings: %s: cannot read %.40q", key, p.text[key])
+	}
+}
+
+func (p *pairs) number(key string, otherwise float64) float64 {
+	s, ok := p.text[key]
+	if !ok || s == "" {
+		return otherwise
+	}
+	v, err := strconv.ParseFloat(s, 64)
+	if err != nil && !math.IsInf(v, 0) {
+		p.bad(key)
+	}
+	if math.IsNaN(v) || math.IsInf(v, 0) {
+		return otherwise
+	}
+	return v
+}
+
+func (p *pairs) count(key string, otherwise, most int) int {
+	v := p.number(key, float64(otherwise))
+	return int(math.Min(math.Max(v, 0), float64(most)))
+}
+
+// span reads microseconds; up says to which side a rest is rounded.
+func (p *pairs) span(key string, up bool) choice.Time {
+	v := math.Min(math.Max(p.number(key, 0), 0), 1e15) / 100
+	if up {
+		return choice.Time(math.Ceil(v))
+	}
+	return choice.Time(v)
+}
+
+func (p *pairs) flag(key string) bool {
+	switch strings.ToLower(p.text[key]) {
+	case "true", "1":
+		return true
+	case "", "false", "0":
+		return false
+	}
+	p.bad(key)
+	return false
+}
+
+func (p *pairs) list(key string) []string {
+	if p.text[key] == "" {
+		return nil
+	}
+	return strings.Split(p.text[key], ",")
+}
+
+// places reads a list of places; nil means that any place will do.
+func (p *pairs) places(key string) []int {
+	var at []int
+	for _, s := range p.list(key) {
+		v, err := strconv.Atoi(s)
+		if err != nil {
+			p.bad(key)
+			return nil
+		}
+		at = append(at, v)
+	}
+	return at
+}
+
+const mostProducts = 16 // the width of a mask of products
+
+func readDeployment(text string) (choice.Deployment, error) {
+	p := &pairs{text: map[string]string{}}
+	for _, line := range strings.Split(text, "\n") {
+		line = strings.TrimRight(line, "\r")
+		if line == "" {
+			continue
+		}
+		key, value, ok := strings.Cut(line, "=")
+		if !ok {
+			return choice.Deployment{}, fmt.Errorf("launch settings: no '=' in %.40q", line)
+		}
+		p.text[key] = value
+	}
+	d := choice.Deployment{
+		Zones:        max(len(p.list("Zones")), 1),
+		Zone:         p.count("Zone", 0, 255),
+		Me:           p.count("Me", 0, 1<<16),
+		Controllers:  p.count("PeersTotal", 1, 1<<16),
+		Proxies:      p.count("Specifics.ProxyCount", 0, 1<<16),
+		Asked:        p.text["Discovery"] == "subscribe",
+		AskEvery:     p.span("Guarantees.AskEvery", false),
+		Probes:       p.flag("Ceilings.Probes"),
+		Notes:        p.flag("Ceilings.Peers"),
+		UsualTries:   p.count("Specifics.UsualHow", 0, 3),
+		Slices:       p.count("Specifics.Shards", 0, 1<<16),
+		DrainGrace:   p.span("Guarantees.DrainGrace", false),
+		GoneBinds:    !p.flag("Guarantees.DrainBindsAlone"),
+		Cold:         p.span("Guarantees.Cold", true),
+		ColdCapacity: p.number("Guarantees.StartCapacity", 0),
+		LinesPerS:    p.number("Specifics.LinesPerS", 0),
+		LinesMost:    p.number("Specifics.PendingMax", 0),
+		LinesHead:    p.number("Specifics.Overhead", 0),
+		MessagesMost: p.count("Specifics.PushesAllowed", 0, 1<<20),
+		MessagesOver: p.span("Specifics.MessagesOver", true),
+	}
+	switch p.text["Specifics.ThrottleBy"] {
+	case "ratio":
+		d.Levels = choice.LevelShare
+	case "none":
+		d.Levels = choice.LevelNone
+	}
+	for _, f := range p.list("Report.Fields") {
+		gauge := map[string]choice.Gauge{"active": choice.GaugeHeld, "waiting": choice.GaugeQueued,
+			"cpu": choice.GaugeBusy, "avg_ms": choice.GaugeTook}[f]
+		d.Gauges = append(d.Gauges, gauge)
+	}
+	own := p.list("Specifics.ClassOwnZone")
+	for i := range p.count("Classes.count", 0, mostProducts) {
+		at := fmt.Sprintf("Classes.%d.", i)
+		pr := choice.Product{
+			Revenue:   p.number(at+"Credit", 0),
+			SLA:       p.span(at+"Promise", false),
+			Expiry:    p.span(at+"HardLimit", true),
+			Window:    p.span(at+"DedupWindow", false),
+			OnlyZones: p.places(at + "OnlyZones"),
+			OnlyKinds: p.places(at + "OnlyKinds"),
+			OwnZone:   i < len(own) && own[i] == "true",
+		}
+		switch p.text[at+"Effect"] {
+		case "pure":
+			pr.Effect = choice.Inquiry
+		case "token":
+			pr.Effect = choice.Referenced
+		default:
+			pr.Effect = choice.OnceOnly
+		}
+		switch p.text[at+"KeyScope"] {
+		case "zone":
+			pr.Scope = choice.ScopeZone
+		case "cell":
+			pr.Scope = choice.ScopeCell
+		}
+		d.Products = append(d.Products, pr)
+	}
+	return d, p.err
+}
