Floor the total at 0.6 of the best served rate; nobody ill while the median fails

Cause: under overload the served rate collapses (late answers, work for nobody), so a total of 0.9 of it spiralled to nothing, and backends were taken out as ill by turns.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -25,9 +25,14 @@
 	overSLAMax = 0.7  // ... and from this part on without a calm value to compare with
 	overTicks  = 2    // ticks in a row with news before the total is set
 	cutTo      = 0.9  // the total is this part of the served rate, so that queues drain
+	cutLeast   = 0.6  // ... but not under this part of the best rate served of late: late answers and work done
+	// for nobody make the served rate fall far below what the backends can do
 	cutAgain   = 4 * Second
 	riseEvery  = 5 * Second // design
+	riseFast   = 1 * Second // ... while the total is under the best rate served of late
 	riseBy     = 1.1        // design
+	bestKeep   = 0.995      // a second, of the best rate served
+	servedSpan = 3.0        // ticks over which the served rate is smoothed
 	loosenAt   = 1.5        // total over demand from which it is unbounded (design)
 	noLevel    = 1e6        // txns/s: a rate that binds nobody
 
@@ -43,6 +48,7 @@
 	illFails   = 0.5        // share of voided tries from which a backend is ill, if it also stands out
 	illApart   = 0.25       // ... from the median backend by this much
 	illTries   = 4.0        // ... over at least so many tries
+	illNobody  = 0.25       // ... and nobody is once the median backend voids this much
 	illMost    = 0.3        // part of the fleet's listed weight that may be out as ill at once
 	illFor     = 6 * Second // how long the first time; doubles with each strike
 	illStrikes = 3          // doublings at most
@@ -133,6 +139,9 @@
 	cutAt     Time
 	riseAt    Time
 	calm      float64 // median time of calm ticks
+	served    float64 // txns/s with an answer, smoothed
+	best      float64 // ... the most of late, for each unit of usable strength
+	fails     float64 // share voided at the median backend
 	reset     bool    // levels go back to equal shares
 	spill     [][][]float64
 	urgent    bool // something happened that cannot wait for the tick
@@ -460,6 +469,7 @@
 		}
 	}
 	midFails, midTook := median(fails), median(took)
+	a.fails = midFails
 	news := false
 	for b := range be.zone {
 		news = news || be.fresh[b]
@@ -472,7 +482,7 @@
 		f, n := a.failing(b)
 		// Ill: it voids most tries while the median backend does not. Answers hangs, dead machines that are
 		// still listed, broken hosts. When all fail alike nobody stands out, and nobody is taken out.
-		if a.usable(b) && be.fresh[b] && n >= illTries && f > illFails && f > midFails+illApart &&
+		if a.usable(b) && be.fresh[b] && n >= illTries && f > illFails && f > midFails+illApart && midFails < illNobody &&
 			out+be.weight[b] <= illMost*weight && a.spared(b) {
 			be.outTill[b] = a.now + illFor<<min(be.strikes[b], illStrikes)
 			be.strikes[b]++
@@ -528,7 +538,7 @@
 
 // setTotal bounds the total of all levels under overload and lets go of it afterwards.
 func (a *Assigner) setTotal() {
-	all, served := 0.0, 0.0
+	all, served, strength := 0.0, 0.0, 0.0
 	for i := range a.px {
 		p := &a.px[i]
 		if !p.joined {
@@ -542,14 +552,28 @@
 			served += max(u-p.voided[k], 0)
 		}
 	}
+	for b := range a.be.zone {
+		if a.usable(b) {
+			strength += a.strength(b)
+		}
+	}
+	if a.served == 0 {
+		a.served = served
+	}
+	a.served += (served - a.served) / servedSpan
+	a.best = max(a.best*bestKeep, a.served/max(strength, 1e-9))
+	best := a.best * strength
 	switch {
 	case a.d.Levels == LevelNone || all <= 0:
 	case a.over >= overTicks && (a.total == 0 || a.now-a.cutAt >= cutAgain):
+		to := max(min(a.served, best)*cutTo, best*cutLeast, levelFloor)
 		if a.total == 0 {
-			a.log("total bounded to %.0f/s: demand %.0f/s, served %.0f/s", served*cutTo, all, served)
+			a.log("total bounded to %.0f/s: demand %.0f/s, served %.0f/s, best %.0f/s, median voids %.0f%%",
+				to, all, a.served, best, 100*a.fails)
 		}
-		a.total, a.cutAt, a.riseAt, a.over = max(served*cutTo, levelFloor), a.now, a.now, 0
-	case a.total > 0 && a.over == 0 && a.now-a.riseAt >= riseEvery:
+		a.total, a.cutAt, a.riseAt, a.over = to, a.now, a.now, 0
+	case a.total > 0 && a.over == 0 && (a.now-a.riseAt >= riseEvery ||
+		a.now-a.riseAt >= riseFast && a.total*riseBy < best*cutTo):
 		a.total, a.riseAt = a.total*riseBy, a.now
 		if a.total > loosenAt*all {
 			a.log("total unbounded: %.0f/s is over demand %.0f/s by half", a.total, all)
@@ -916,7 +940,13 @@
 // triesOf says how a product may be tried again. After proof that the first try never ran, any may. An
 // inquiry-like txn may after any failure, unless that feeds an overload.
 func (a *Assigner) triesOf(k int) Tries {
-	if a.d.Products[k].Effect == Inquiry && a.total == 0 && a.over == 0 {
+	if a.total > 0 || a.over > 0 {
+		if a.fails > overFails {
+			return TryOnce
+		}
+		return TryUnrun
+	}
+	if a.d.Products[k].Effect == Inquiry {
 		return TryTwice
 	}
 	return TryUnrun
