--- a/choice/choice.go
+++ b/choice/choice.go
@@ -45,7 +45,7 @@
 	lineChange  = 0.12 // relative change of a weight that is worth a line
 	levelChange = 0.08 // ... of a level
 
-	illFails   = 0.5        // share of voided tries from which a backend is ill, if it also stands out
+	illFails   = 0.85       // share of voided tries from which a backend is ill, if it also stands out
 	illApart   = 0.25       // ... from the median backend by this much
 	illTries   = 4.0        // ... over at least so many tries
 	illNobody  = 0.25       // ... and nobody is once the median backend voids this much
@@ -58,6 +58,8 @@
 	hotSLA    = 0.35 // ... if it is also this part of the SLA time
 	coolRatio = 1.15 // ... under which it gets its weight back
 	reliefBy  = 0.85 // a step of relief
+	failsRel  = 0.1  // share of voided tries over the median's from which a backend is relieved too
+	reliefBig = 0.7  // ... by such a step
 	reliefEnd = 0.2  // ... which stops here
 	returnBy  = 1.05 // a step back
 
@@ -492,6 +494,8 @@
 		// Hot: slower than the others by far and near the SLA time. Answers slow machines and wrong listed weights.
 		if a.usable(b) && be.fresh[b] && be.took[b] > 0 {
 			switch {
+			case f > midFails+failsRel && n >= illTries:
+				be.relief[b] = max(reliefEnd, be.relief[b]*reliefBig)
 			case be.took[b] > hotRatio*midTook && be.took[b] > hotSLA*a.sla():
 				be.relief[b] = max(reliefEnd, be.relief[b]*reliefBy)
 			case be.took[b] < coolRatio*midTook:
