--- a/choice/choice.go
+++ b/choice/choice.go
@@ -941,17 +941,13 @@
 	return sum >= a.demand(k)
 }
 
-// triesOf says how a product may be tried again. After proof that the first try never ran, any may. An
-// inquiry-like txn may after any failure, unless that feeds an overload.
+// triesOf says how any product may be tried again: only after proof that the first try never ran, which takes
+// effect once for all of them. A second try after any failure cuts the first short while it still runs, so that
+// slow backends get their work twice: it cost more on every day it was tried. While the median backend voids
+// tries, being turned away is no reason to ask the next.
 func (a *Assigner) triesOf(k int) Tries {
-	if a.total > 0 || a.over > 0 {
-		if a.fails > overFails {
-			return TryOnce
-		}
-		return TryUnrun
-	}
-	if a.d.Products[k].Effect == Inquiry {
-		return TryTwice
+	if (a.total > 0 || a.over > 0) && a.fails > overFails {
+		return TryOnce
 	}
 	return TryUnrun
 }
