--- a/choice/choice.go
+++ b/choice/choice.go
@@ -29,7 +29,8 @@
 	// for nobody make the served rate fall far below what the backends can do
 	cutAgain   = 4 * Second
 	riseEvery  = 5 * Second // design
-	riseFast   = 1 * Second // ... while the total is under the best rate served of late
+	riseFast   = 1 * Second // ... while answers are quick: those turned away ask again, and make demand look high
+	lightSLA   = 0.3        // part of the SLA time under which they are
 	riseBy     = 1.1        // design
 	bestKeep   = 0.995      // a second, of the best rate served
 	servedSpan = 3.0        // ticks over which the served rate is smoothed
@@ -144,6 +145,7 @@
 	served    float64 // txns/s with an answer, smoothed
 	best      float64 // ... the most of late, for each unit of usable strength
 	fails     float64 // share voided at the median backend
+	light     bool    // answers are quick and few tries voided
 	reset     bool    // levels go back to equal shares
 	spill     [][][]float64
 	urgent    bool // something happened that cannot wait for the tick
@@ -510,9 +512,11 @@
 	slow := midTook > overSLA*a.sla() && (a.calm > 0 && midTook > overSlow*a.calm || midTook > overSLAMax*a.sla())
 	if midFails > overFails || slow {
 		a.over++
+		a.light = false
 		return
 	}
 	a.over = 0
+	a.light = midTook < lightSLA*a.sla()
 	if midTook > 0 && a.total == 0 {
 		if a.calm == 0 {
 			a.calm = midTook
@@ -576,8 +580,7 @@
 				to, all, a.served, best, 100*a.fails)
 		}
 		a.total, a.cutAt, a.riseAt, a.over = to, a.now, a.now, 0
-	case a.total > 0 && a.over == 0 && (a.now-a.riseAt >= riseEvery ||
-		a.now-a.riseAt >= riseFast && a.total*riseBy < best*cutTo):
+	case a.total > 0 && a.over == 0 && (a.now-a.riseAt >= riseEvery || a.now-a.riseAt >= riseFast && a.light):
 		a.total, a.riseAt = a.total*riseBy, a.now
 		if a.total > loosenAt*all {
 			a.log("total unbounded: %.0f/s is over demand %.0f/s by half", a.total, all)
