Mean times by good answers; 6 s between two cuts of the total

Cause: the mean time of a backend lagged behind by seconds when most tries were voided, and time-outs of before a cut led to a second one.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -27,7 +27,7 @@
 	cutTo      = 0.9  // the total is this part of the served rate, so that queues drain
 	cutLeast   = 0.6  // ... but not under this part of the best rate served of late: late answers and work done
 	// for nobody make the served rate fall far below what the backends can do
-	cutAgain   = 4 * Second
+	cutAgain   = 6 * Second // time-outs of before the cut are still heard of for some seconds
 	riseEvery  = 5 * Second // design
 	riseFast   = 1 * Second // ... while answers are quick: those turned away ask again, and make demand look high
 	lightSLA   = 0.3        // part of the SLA time under which they are
@@ -114,7 +114,7 @@
 	strikes          []int
 	relief           []float64
 	tries, voided    [][]float64 // by zone of the proxies, fading
-	took             []float64   // mean time of good tries, fading
+	took, good       []float64   // mean time of good tries, and their number, fading
 	fresh            []bool      // heard of since the last tick
 }
 
@@ -293,7 +293,7 @@
 		be.strikes, be.relief = append(be.strikes, 0), append(be.relief, 1)
 		be.tries = append(be.tries, make([]float64, a.d.Zones))
 		be.voided = append(be.voided, make([]float64, a.d.Zones))
-		be.took, be.fresh = append(be.took, 0), append(be.fresh, false)
+		be.took, be.good, be.fresh = append(be.took, 0), append(be.good, 0), append(be.fresh, false)
 	}
 }
 
@@ -339,7 +339,7 @@
 	for z := range a.be.tries[b] {
 		a.be.tries[b][z], a.be.voided[b][z] = 0, 0
 	}
-	a.be.took[b] = 0
+	a.be.took[b], a.be.good[b] = 0, 0
 }
 
 func (a *Assigner) hearTries(e Heard) {
@@ -351,15 +351,8 @@
 	be.tries[b][z] = be.tries[b][z]*keep + e.Tries
 	be.voided[b][z] = be.voided[b][z]*keep + min(e.Voided, e.Tries)
 	if good := e.Tries - e.Voided; good > 0 && e.Took > 0 {
-		all := 0.0
-		for _, t := range be.tries[b] {
-			all += t
-		}
-		part := min(1, good/max(all, 1))
-		if be.took[b] == 0 {
-			part = 1
-		}
-		be.took[b] += part * (float64(e.Took) - be.took[b])
+		be.good[b] = be.good[b]*keep + good
+		be.took[b] += (float64(e.Took) - be.took[b]) * good / be.good[b]
 	}
 	be.fresh[b] = true
 }
