Shut the way between two zones when nearly all tries on it fail

Kept as a defence against a zone unseen from one side; might hurt if a whole zone is slow for one minute of bad luck, so it is shut for 6 s and tried again.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -53,6 +53,8 @@
 	illMost    = 0.3        // part of the fleet's listed weight that may be out as ill at once
 	illFor     = 6 * Second // how long the first time; doubles with each strike
 	illStrikes = 3          // doublings at most
+	wayFails   = 0.7        // share of voided tries from a zone to another's backends from which the way is shut
+	wayFine    = 0.35       // ... if this zone's tries go under this somewhere else
 	newsHalf   = 1 * Second // half-life of a backend's tries, in the time that they were counted over
 
 	hotRatio  = 1.5  // a backend's time over the median from which it is relieved
@@ -148,7 +150,9 @@
 	light     bool    // answers are quick and few tries voided
 	reset     bool    // levels go back to equal shares
 	spill     [][][]float64
-	urgent    bool // something happened that cannot wait for the tick
+	shut      [][]Time // by zone of the proxies and of the backends: no tries on that way until then
+	shuts     [][]int  // how often in a row
+	urgent    bool     // something happened that cannot wait for the tick
 	sliceSaid bool
 
 	fence    int       // number of the last fence
@@ -164,6 +168,9 @@
 // New makes an Assigner that knows nothing yet but its deployment.
 func New(seed uint64, d Deployment) *Assigner {
 	a := &Assigner{d: d, seed: seed, peers: map[int]peerNote{}, fenceAt: make([]float64, fences)}
+	for range d.Zones {
+		a.shut, a.shuts = append(a.shut, make([]Time, d.Zones)), append(a.shuts, make([]int, d.Zones))
+	}
 	for k, p := range d.Products {
 		at := -1
 		for g := range a.groups {
@@ -415,7 +422,7 @@
 func (a *Assigner) failing(b int) (share, tries float64) {
 	share = 1
 	for z, n := range a.be.tries[b] {
-		if n >= illTries/2 {
+		if n >= illTries/2 && a.shut[z][a.be.zone[b]] == 0 {
 			share = min(share, a.be.voided[b][z]/n)
 			tries += n
 		}
@@ -445,8 +452,46 @@
 	return d
 }
 
+// judgeWays shuts the way from a zone's proxies to a zone's backends when nearly all tries on it are voided
+// while those proxies do well elsewhere. Answers zones cut off or lost, whole or as seen from one side, before
+// the list shows it; one ill backend does not shut a way. A zone where everything fails keeps all its ways.
+func (a *Assigner) judgeWays() {
+	for z := range a.shut {
+		voided, tries, fine := make([]float64, a.d.Zones), make([]float64, a.d.Zones), false
+		fresh := make([]bool, a.d.Zones)
+		for b, y := range a.be.zone {
+			if a.usable(b) {
+				voided[y], tries[y] = voided[y]+a.be.voided[b][z], tries[y]+a.be.tries[b][z]
+				fresh[y] = fresh[y] || a.be.fresh[b]
+			}
+		}
+		for y := range tries {
+			fine = fine || a.shut[z][y] == 0 && tries[y] >= illTries && voided[y] < wayFine*tries[y]
+		}
+		for y := range tries {
+			switch {
+			case a.shut[z][y] != 0 && a.now >= a.shut[z][y]:
+				a.shut[z][y] = 0
+				for b := range a.be.zone {
+					if a.be.zone[b] == y {
+						a.be.tries[b][z], a.be.voided[b][z] = 0, 0
+					}
+				}
+				a.log("way from zone %d to zone %d open on trial", z, y)
+			case a.shut[z][y] == 0 && fine && fresh[y] && tries[y] >= illTries && voided[y] > wayFails*tries[y]:
+				a.shut[z][y] = a.now + illFor<<min(a.shuts[z][y], illStrikes)
+				a.shuts[z][y]++
+				a.log("way from zone %d to zone %d shut: %.0f of %.0f tries voided", z, y, voided[y], tries[y])
+			case fresh[y] && voided[y] < wayFine*tries[y]:
+				a.shuts[z][y] = 0
+			}
+		}
+	}
+}
+
 // judge looks at what was heard since the last tick: who is ill, who is hot, and whether all are.
 func (a *Assigner) judge() {
+	a.judgeWays()
 	be := &a.be
 	var fails, took []float64
 	weight, out := 0.0, 0.0
@@ -878,7 +923,7 @@
 	t := tbl{weight: make([]float64, len(a.be.zone))}
 	can := make([]float64, a.d.Zones)
 	for b := range t.weight {
-		if a.usable(b) && a.open(rule, p.zone, b) {
+		if a.usable(b) && a.open(rule, p.zone, b) && a.shut[p.zone][a.be.zone[b]] == 0 {
 			can[a.be.zone[b]] += a.strength(b)
 		}
 	}
