Keep the demand of departed proxies in their zone for 20 s

Kept: also guards against proxies that lose their controller and go on. Might hurt when a zone's clients really leave with their proxies: 20 s at most.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -72,8 +72,9 @@
 	sendsRest  = 0.6 // part of the allowed messages that orders which can wait may use
 	sendsMost  = 0.9 // ... that any may
 
-	noteAge = 5 * Second // how long another controller's note counts
-	useKeep = 0.5        // weight of the old value in a proxy's use
+	awayFor = 20 * Second // how long a proxy whose stream broke is held to go on with what it had
+	noteAge = 5 * Second  // how long another controller's note counts
+	useKeep = 0.5         // weight of the old value in a proxy's use
 )
 
 // group is a set of products that may go to the same backends, and so share a table.
@@ -102,6 +103,7 @@
 	use, voided   []float64 // txns/s by product
 	level         []float64 // max-rate by product
 	heard         bool      // it has reported since it joined
+	left          Time      // when its stream broke
 	held          []tbl     // by group: what was ordered
 	sent          []Time    // messages within the counting span
 }
@@ -236,7 +238,7 @@
 			a.hearJoin(e)
 		case Left:
 			if p := a.proxyAt(e.Proxy); p.joined {
-				p.joined, p.bound, a.reset = false, false, true
+				p.joined, p.bound, p.left, a.reset = false, false, now, true
 			}
 		case Heard:
 			a.hearTries(e)
@@ -777,15 +779,19 @@
 			continue
 		}
 		proxies++
-		for g := range a.groups {
-			for _, k := range a.groups[g].products {
-				d[g][p.zone] += p.use[k]
-			}
-		}
+		a.addDemand(d, p)
 	}
 	return d, proxies
 }
 
+func (a *Assigner) addDemand(d [][]float64, p *proxy) {
+	for g := range a.groups {
+		for _, k := range a.groups[g].products {
+			d[g][p.zone] += p.use[k]
+		}
+	}
+}
+
 // setSpill works out which part of each group's txns leaves its zone. The design's tables are zone-first, and
 // other zones join when under half the zone is usable. That leaves a zone that is asked for more than its part
 // of the fleet alone with it, so others also join for the excess: every zone is to carry the same demand for
@@ -803,6 +809,13 @@
 			}
 		}
 	}
+	// A proxy that left goes on forwarding or its zone's others get its txns: a zone does not fall idle with it.
+	for i := range a.px {
+		if p := &a.px[i]; !p.joined && known < a.d.Proxies && a.now-p.left < awayFor {
+			a.addDemand(demand, p)
+			known++
+		}
+	}
 	strength, all := make([]float64, zones), 0.0
 	for b := range a.be.zone {
 		if a.usable(b) {
