--- a/choice/choice.go
+++ b/choice/choice.go
@@ -524,9 +524,10 @@
 			out -= be.weight[b]
 		}
 		f, n := a.failing(b)
-		// Ill: it voids most tries while the median backend does not. Answers hangs, dead machines that are
-		// still listed, broken hosts. When all fail alike nobody stands out, and nobody is taken out.
-		if a.usable(b) && be.fresh[b] && n >= illTries && f > illFails && f > midFails+illApart && midFails < illNobody &&
+		// Ill: it voids most tries while the median backend, of the fleet and of its zone, does not. Answers hangs,
+		// dead machines that are still listed, broken hosts. When all fail alike, nobody is taken out.
+		mid := max(midFails, a.zoneFails(be.zone[b], b))
+		if a.usable(b) && be.fresh[b] && n >= illTries && f > illFails && f > mid+illApart && mid < illNobody &&
 			out+be.weight[b] <= illMost*weight && a.spared(b) {
 			be.outTill[b] = a.now + illFor<<min(be.strikes[b], illStrikes)
 			be.strikes[b]++
@@ -565,6 +566,19 @@
 	}
 }
 
+// zoneFails is the share voided at the median of the other backends in a zone.
+func (a *Assigner) zoneFails(z, but int) float64 {
+	var fails []float64
+	for b, y := range a.be.zone {
+		if y == z && b != but && a.usable(b) {
+			if f, n := a.failing(b); n > 0 {
+				fails = append(fails, f)
+			}
+		}
+	}
+	return median(fails)
+}
+
 // spared says whether every product in every zone keeps a usable backend when b is out.
 func (a *Assigner) spared(b int) bool {
 	for _, g := range a.groups {
