--- a/choice/choice.go
+++ b/choice/choice.go
@@ -46,15 +46,13 @@
 	lineChange  = 0.12 // relative change of a weight that is worth a line
 	levelChange = 0.08 // ... of a level
 
-	illFails   = 0.85       // share of voided tries from which a backend is ill, if it also stands out
-	illApart   = 0.25       // ... from the median backend by this much
-	illTries   = 4.0        // ... over at least so many tries
-	illNobody  = 0.25       // ... and nobody is once the median backend voids this much
+	illDry     = 6.0        // tries in a row without one good answer from which a backend is ill
+	illNobody  = 0.25       // ... and nobody is once the median backend voids this share
+	illTries   = 4.0        // tries under which a share of voided ones says nothing
 	illMost    = 0.3        // part of the fleet's listed weight that may be out as ill at once
 	illFor     = 6 * Second // how long the first time; doubles with each strike
 	illStrikes = 3          // doublings at most
-	wayFails   = 0.7        // share of voided tries from a zone to another's backends from which the way is shut
-	wayFine    = 0.35       // ... if this zone's tries go under this somewhere else
+	wayDry     = 12.0       // tries in a row without one good answer from which a way between zones is shut
 	newsHalf   = 1 * Second // half-life of a backend's tries, in the time that they were counted over
 
 	hotRatio  = 1.5  // a backend's time over the median from which it is relieved
@@ -116,7 +114,7 @@
 	weight           []float64 // listed
 	outTill          []Time    // ill until then; 0 when in
 	strikes          []int
-	relief           []float64
+	relief, dry      []float64   // dry: tries since the last good answer
 	tries, voided    [][]float64 // by zone of the proxies, fading
 	took, good       []float64   // mean time of good tries, and their number, fading
 	fresh            []bool      // heard of since the last tick
@@ -152,9 +150,10 @@
 	light     bool    // answers are quick and few tries voided
 	reset     bool    // levels go back to equal shares
 	spill     [][][]float64
-	shut      [][]Time // by zone of the proxies and of the backends: no tries on that way until then
-	shuts     [][]int  // how often in a row
-	urgent    bool     // something happened that cannot wait for the tick
+	shut      [][]Time    // by zone of the proxies and of the backends: no tries on that way until then
+	shuts     [][]int     // how often in a row
+	dry       [][]float64 // tries on that way since the last good answer
+	urgent    bool        // something happened that cannot wait for the tick
 	sliceSaid bool
 
 	fence    int       // number of the last fence
@@ -172,6 +171,7 @@
 	a := &Assigner{d: d, seed: seed, peers: map[int]peerNote{}, fenceAt: make([]float64, fences)}
 	for range d.Zones {
 		a.shut, a.shuts = append(a.shut, make([]Time, d.Zones)), append(a.shuts, make([]int, d.Zones))
+		a.dry = append(a.dry, make([]float64, d.Zones))
 	}
 	for k, p := range d.Products {
 		at := -1
@@ -299,7 +299,7 @@
 		be.zone, be.cell, be.kind = append(be.zone, 0), append(be.cell, 0), append(be.kind, 0)
 		be.status, be.rampAt = append(be.status, Gone), append(be.rampAt, math.MinInt64/2)
 		be.weight, be.outTill = append(be.weight, 1), append(be.outTill, 0)
-		be.strikes, be.relief = append(be.strikes, 0), append(be.relief, 1)
+		be.strikes, be.relief, be.dry = append(be.strikes, 0), append(be.relief, 1), append(be.dry, 0)
 		be.tries = append(be.tries, make([]float64, a.d.Zones))
 		be.voided = append(be.voided, make([]float64, a.d.Zones))
 		be.took, be.good, be.fresh = append(be.took, 0), append(be.good, 0), append(be.fresh, false)
@@ -348,7 +348,7 @@
 	for z := range a.be.tries[b] {
 		a.be.tries[b][z], a.be.voided[b][z] = 0, 0
 	}
-	a.be.took[b], a.be.good[b] = 0, 0
+	a.be.took[b], a.be.good[b], a.be.dry[b] = 0, 0, 0
 }
 
 func (a *Assigner) hearTries(e Heard) {
@@ -362,6 +362,12 @@
 	if good := e.Tries - e.Voided; good > 0 && e.Took > 0 {
 		be.good[b] = be.good[b]*keep + good
 		be.took[b] += (float64(e.Took) - be.took[b]) * good / be.good[b]
+		be.dry[b], a.dry[z][be.zone[b]] = 0, 0
+	} else {
+		a.dry[z][be.zone[b]] += e.Tries
+		if a.shut[z][be.zone[b]] == 0 {
+			be.dry[b] += e.Tries
+		}
 	}
 	be.fresh[b] = true
 }
@@ -454,37 +460,36 @@
 	return d
 }
 
-// judgeWays shuts the way from a zone's proxies to a zone's backends when nearly all tries on it are voided
-// while those proxies do well elsewhere. Answers zones cut off or lost, whole or as seen from one side, before
-// the list shows it; one ill backend does not shut a way. A zone where everything fails keeps all its ways.
+// judgeWays shuts the way from a zone's proxies to a zone's backends when no try on it is answered any more
+// while those proxies are answered elsewhere. Answers zones cut off or lost, whole or as seen from one side,
+// before the list shows it; an overloaded zone still answers some, and stays open.
 func (a *Assigner) judgeWays() {
 	for z := range a.shut {
-		voided, tries, fine := make([]float64, a.d.Zones), make([]float64, a.d.Zones), false
-		fresh := make([]bool, a.d.Zones)
-		for b, y := range a.be.zone {
-			if a.usable(b) {
-				voided[y], tries[y] = voided[y]+a.be.voided[b][z], tries[y]+a.be.tries[b][z]
-				fresh[y] = fresh[y] || a.be.fresh[b]
+		fine := false
+		for y := range a.shut {
+			tries := 0.0
+			for b := range a.be.zone {
+				if a.be.zone[b] == y && a.usable(b) {
+					tries += a.be.tries[b][z]
+				}
 			}
+			fine = fine || a.shut[z][y] == 0 && a.dry[z][y] == 0 && tries >= illTries
 		}
-		for y := range tries {
-			fine = fine || a.shut[z][y] == 0 && tries[y] >= illTries && voided[y] < wayFine*tries[y]
-		}
-		for y := range tries {
+		for y := range a.shut {
 			switch {
 			case a.shut[z][y] != 0 && a.now >= a.shut[z][y]:
-				a.shut[z][y] = 0
+				a.shut[z][y], a.dry[z][y] = 0, 0
 				for b := range a.be.zone {
 					if a.be.zone[b] == y {
 						a.be.tries[b][z], a.be.voided[b][z] = 0, 0
 					}
 				}
 				a.log("way from zone %d to zone %d open on trial", z, y)
-			case a.shut[z][y] == 0 && fine && fresh[y] && tries[y] >= illTries && voided[y] > wayFails*tries[y]:
+			case a.shut[z][y] == 0 && fine && a.dry[z][y] >= wayDry:
 				a.shut[z][y] = a.now + illFor<<min(a.shuts[z][y], illStrikes)
 				a.shuts[z][y]++
-				a.log("way from zone %d to zone %d shut: %.0f of %.0f tries voided", z, y, voided[y], tries[y])
-			case fresh[y] && voided[y] < wayFine*tries[y]:
+				a.log("way from zone %d to zone %d shut: %.0f tries without an answer", z, y, a.dry[z][y])
+			case a.dry[z][y] == 0:
 				a.shuts[z][y] = 0
 			}
 		}
@@ -524,15 +529,16 @@
 			out -= be.weight[b]
 		}
 		f, n := a.failing(b)
-		// Ill: it voids most tries while the median backend, of the fleet and of its zone, does not. Answers hangs,
-		// dead machines that are still listed, broken hosts. When all fail alike, nobody is taken out.
+		// Ill: it answers nothing any more while the median backend, of the fleet and of its zone, does. Answers
+		// hangs, dead machines that are still listed, broken hosts. An overloaded backend still answers some:
+		// taking it out would only push its load on. When all fail alike, nobody is taken out.
 		mid := max(midFails, a.zoneFails(be.zone[b], b))
-		if a.usable(b) && be.fresh[b] && n >= illTries && f > illFails && f > mid+illApart && mid < illNobody &&
+		if a.usable(b) && be.fresh[b] && be.dry[b] >= illDry && mid < illNobody &&
 			out+be.weight[b] <= illMost*weight && a.spared(b) {
 			be.outTill[b] = a.now + illFor<<min(be.strikes[b], illStrikes)
 			be.strikes[b]++
 			out += be.weight[b]
-			a.log("backend %d out: %.0f%% of %.0f tries voided, median %.0f%%", b, 100*f, n, 100*midFails)
+			a.log("backend %d out: %.0f tries without an answer, median voids %.0f%%", b, be.dry[b], 100*mid)
 		}
 		// Hot: slower than the others by far and near the SLA time. Answers slow machines and wrong listed weights.
 		if a.usable(b) && be.fresh[b] && be.took[b] > 0 {
