Cut the total by how late answers are, return to nine tenths of the knee

Cause: a cut to 0.9 of the served rate never drained what had queued, and the total then rose past what the backends can do. Ways between zones are shut only when more than one backend there is dry.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -21,16 +21,21 @@
 	shareTurns = 4    // rounds of sharing in a tick whose levels were just reset: use is known by then
 	overFails  = 0.05 // share of voided tries at the median backend that is fleet-wide failure (design)
 	overSlow   = 2.0  // median time over its calm value that is overload (design)
-	overSLA    = 0.5  // ... if it is also this part of the SLA time: below it, slow answers still earn in full
-	overSLAMax = 0.7  // ... and from this part on without a calm value to compare with
-	overTicks  = 2    // ticks in a row with news before the total is set
-	cutTo      = 0.9  // the total is this part of the served rate, so that queues drain
-	cutLeast   = 0.6  // ... but not under this part of the best rate served of late: late answers and work done
-	// for nobody make the served rate fall far below what the backends can do
+	overSLA    = 0.55 // ... if it is also this part of the SLA time: below it, slow answers still earn in full
+
+	calmRise  = 1.005 // a tick: the calm time is the least of late
+	overTicks = 2     // ticks in a row with news before the total is set
+	cutLight  = 0.9   // the total is at most this part of the served rate, so that queues drain
+	cutDeep   = 0.45  // ... and at least this
+	cutBase   = 1.1   // ... in between it is this, less
+	cutSlope  = 0.5   // ... so much for each SLA time that answers take
+	cutFails  = 0.2   // share voided at the median backend from which the cut is deep
+	kneeLeast = 0.75  // the served rate counts as this part of the best of late at least: late answers and work
+	// done for nobody make it fall far below what the backends can do
+	kneeDown   = 0.9        // ... and so much less when the cut did not help
 	cutAgain   = 6 * Second // time-outs of before the cut are still heard of for some seconds
 	riseEvery  = 5 * Second // design
-	riseFast   = 1 * Second // ... while answers are quick: those turned away ask again, and make demand look high
-	lightSLA   = 0.3        // part of the SLA time under which they are
+	lightSLA   = 0.38       // part of the SLA time under which they are
 	riseBy     = 1.1        // design
 	bestKeep   = 0.995      // a second, of the best rate served
 	servedSpan = 3.0        // ticks over which the served rate is smoothed
@@ -47,7 +52,7 @@
 	levelChange = 0.08 // ... of a level
 
 	illDry     = 6.0        // tries in a row without one good answer from which a backend is ill
-	illNobody  = 0.25       // ... and nobody is once the median backend voids this share
+	illNobody  = 0.15       // ... and nobody is once the median backend voids this share
 	illTries   = 4.0        // tries under which a share of voided ones says nothing
 	illMost    = 0.3        // part of the fleet's listed weight that may be out as ill at once
 	illFor     = 6 * Second // how long the first time; doubles with each strike
@@ -143,7 +148,8 @@
 	over      int     // ticks of overload in a row
 	cutAt     Time
 	riseAt    Time
-	calm      float64 // median time of calm ticks
+	calm, mid float64 // median time of answers, the least of late and now
+	knee      float64 // txns/s that the backends are held to manage
 	served    float64 // txns/s with an answer, smoothed
 	best      float64 // ... the most of late, for each unit of usable strength
 	fails     float64 // share voided at the median backend
@@ -485,7 +491,7 @@
 					}
 				}
 				a.log("way from zone %d to zone %d open on trial", z, y)
-			case a.shut[z][y] == 0 && fine && a.dry[z][y] >= wayDry:
+			case a.shut[z][y] == 0 && fine && a.dry[z][y] >= wayDry && a.fails < illNobody && a.dryMany(z, y):
 				a.shut[z][y] = a.now + illFor<<min(a.shuts[z][y], illStrikes)
 				a.shuts[z][y]++
 				a.log("way from zone %d to zone %d shut: %.0f tries without an answer", z, y, a.dry[z][y])
@@ -496,6 +502,18 @@
 	}
 }
 
+// dryMany says whether more than one backend of a zone voids what comes from another: one alone is ill, or takes
+// all tries of proxies that choose the one with the least work out.
+func (a *Assigner) dryMany(z, y int) bool {
+	n := 0
+	for b := range a.be.zone {
+		if a.be.zone[b] == y && a.usable(b) && a.be.tries[b][z] > 0 && a.be.voided[b][z] > 0.9*a.be.tries[b][z] {
+			n++
+		}
+	}
+	return n > 1
+}
+
 // judge looks at what was heard since the last tick: who is ill, who is hot, and whether all are.
 func (a *Assigner) judge() {
 	a.judgeWays()
@@ -518,7 +536,7 @@
 		}
 	}
 	midFails, midTook := median(fails), median(took)
-	a.fails = midFails
+	a.fails, a.mid = midFails, midTook
 	news := false
 	for b := range be.zone {
 		news = news || be.fresh[b]
@@ -556,7 +574,7 @@
 	if !news {
 		return
 	}
-	slow := midTook > overSLA*a.sla() && (a.calm > 0 && midTook > overSlow*a.calm || midTook > overSLAMax*a.sla())
+	slow := midTook > overSLA*a.sla() && midTook > overSlow*a.calm
 	if midFails > overFails || slow {
 		a.over++
 		a.light = false
@@ -564,11 +582,11 @@
 	}
 	a.over = 0
 	a.light = midTook < lightSLA*a.sla()
-	if midTook > 0 && a.total == 0 {
+	if midTook > 0 {
 		if a.calm == 0 {
 			a.calm = midTook
 		}
-		a.calm += (midTook - a.calm) * 0.1
+		a.calm = min(a.calm*calmRise, midTook)
 	}
 }
 
@@ -631,17 +649,27 @@
 	a.served += (served - a.served) / servedSpan
 	a.best = max(a.best*bestKeep, a.served/max(strength, 1e-9))
 	best := a.best * strength
+	late := a.mid / a.sla()
+	depth := min(max(cutBase-cutSlope*late, cutDeep), cutLight)
+	severe := a.fails > cutFails
+	if severe {
+		depth = cutDeep
+	}
 	switch {
 	case a.d.Levels == LevelNone || all <= 0:
-	case a.over >= overTicks && (a.total == 0 || a.now-a.cutAt >= cutAgain):
-		to := max(min(a.served, best)*cutTo, best*cutLeast, levelFloor)
-		if a.total == 0 {
-			a.log("total bounded to %.0f/s: demand %.0f/s, served %.0f/s, best %.0f/s, median voids %.0f%%",
-				to, all, a.served, best, 100*a.fails)
-		}
-		a.total, a.cutAt, a.riseAt, a.over = to, a.now, a.now, 0
-	case a.total > 0 && a.over == 0 && (a.now-a.riseAt >= riseEvery || a.now-a.riseAt >= riseFast && a.light):
+	case a.total == 0 && (a.over >= overTicks || a.over > 0 && severe):
+		a.knee = max(a.served, kneeLeast*best, levelFloor)
+		a.total, a.cutAt, a.riseAt = a.knee*depth, a.now, a.now
+		a.log("total bounded to %.0f/s: demand %.0f/s, served %.0f/s, answers take %.2f SLA times, median voids %.0f%%",
+			a.total, all, a.served, late, 100*a.fails)
+	case a.total > 0 && a.over > 0 && a.now-a.cutAt >= cutAgain:
+		a.knee = max(min(a.knee, a.total/cutLight)*kneeDown, levelFloor)
+		a.total, a.cutAt, a.riseAt = a.knee*depth, a.now, a.now
+	case a.total > 0 && a.light && a.total < a.knee*cutLight:
+		a.total, a.riseAt = a.knee*cutLight, a.now
+	case a.total > 0 && a.over == 0 && a.now-a.riseAt >= riseEvery:
 		a.total, a.riseAt = a.total*riseBy, a.now
+		a.knee = max(a.knee, a.total)
 		if a.total > loosenAt*all {
 			a.log("total unbounded: %.0f/s is over demand %.0f/s by half", a.total, all)
 			a.total = 0
