--- a/choice/choice.go
+++ b/choice/choice.go
@@ -35,6 +35,8 @@
 	kneeDown   = 0.9        // ... and so much less when the cut did not help
 	cutAgain   = 6 * Second // time-outs of before the cut are still heard of for some seconds
 	riseEvery  = 5 * Second // design
+	riseFast   = 2 * Second // ... while answers take less than
+	quickSLA   = 0.2        // ... this part of the SLA time: the knee is higher than it was held to be
 	lightSLA   = 0.38       // part of the SLA time under which they are
 	riseBy     = 1.1        // design
 	bestKeep   = 0.995      // a second, of the best rate served
@@ -574,14 +576,13 @@
 	if !news {
 		return
 	}
+	a.light = midTook > 0 && midTook < lightSLA*a.sla()
 	slow := midTook > overSLA*a.sla() && midTook > overSlow*a.calm
-	if midFails > overFails || slow {
+	if slow || midFails > overFails && !a.light {
 		a.over++
-		a.light = false
 		return
 	}
 	a.over = 0
-	a.light = midTook < lightSLA*a.sla()
 	if midTook > 0 {
 		if a.calm == 0 {
 			a.calm = midTook
@@ -663,11 +664,11 @@
 		a.log("total bounded to %.0f/s: demand %.0f/s, served %.0f/s, answers take %.2f SLA times, median voids %.0f%%",
 			a.total, all, a.served, late, 100*a.fails)
 	case a.total > 0 && a.over > 0 && a.now-a.cutAt >= cutAgain:
-		a.knee = max(min(a.knee, a.total/cutLight)*kneeDown, levelFloor)
+		a.knee = max(a.knee*kneeDown, levelFloor)
 		a.total, a.cutAt, a.riseAt = a.knee*depth, a.now, a.now
 	case a.total > 0 && a.light && a.total < a.knee*cutLight:
 		a.total, a.riseAt = a.knee*cutLight, a.now
-	case a.total > 0 && a.over == 0 && a.now-a.riseAt >= riseEvery:
+	case a.total > 0 && a.over == 0 && (a.now-a.riseAt >= riseEvery || late < quickSLA && a.now-a.riseAt >= riseFast):
 		a.total, a.riseAt = a.total*riseBy, a.now
 		a.knee = max(a.knee, a.total)
 		if a.total > loosenAt*all {
