Relieve a hot backend at most every 3 s

Cause: reports are up to 3 s late, so one hot second cut a weight in tick after tick to a fifth; its zone then looked weak and sent its txns into the next one.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -62,14 +62,14 @@
 	wayDry     = 12.0       // tries in a row without one good answer from which a way between zones is shut
 	newsHalf   = 1 * Second // half-life of a backend's tries, in the time that they were counted over
 
-	hotRatio  = 1.5  // a backend's time over the median from which it is relieved
-	hotSLA    = 0.35 // ... if it is also this part of the SLA time
-	coolRatio = 1.15 // ... under which it gets its weight back
-	reliefBy  = 0.85 // a step of relief
-	failsRel  = 0.1  // share of voided tries over the median's from which a backend is relieved too
-	reliefBig = 0.7  // ... by such a step
-	reliefEnd = 0.2  // ... which stops here
-	returnBy  = 1.05 // a step back
+	hotRatio    = 1.5        // a backend's time over the median from which it is relieved
+	hotSLA      = 0.35       // ... if it is also this part of the SLA time
+	coolRatio   = 1.15       // ... under which it gets its weight back
+	failsRel    = 0.1        // share of voided tries over the median's from which a backend is relieved too
+	reliefBy    = 0.7        // a step of relief
+	reliefEnd   = 0.25       // ... which stops here
+	reliefEvery = 3 * Second // ... and comes this often at most
+	returnBy    = 1.05       // a step back
 
 	roomUrgent = 0.8 // part of the channel's limit that urgent orders may fill
 	roomRest   = 0.4 // ... that the others may
@@ -123,8 +123,9 @@
 	strikes          []int
 	relief, dry      []float64   // dry: tries since the last good answer
 	tries, voided    [][]float64 // by zone of the proxies, fading
-	took, good       []float64   // mean time of good tries, and their number, fading
-	fresh            []bool      // heard of since the last tick
+	easedAt          []Time
+	took, good       []float64 // mean time of good tries, and their number, fading
+	fresh            []bool    // heard of since the last tick
 }
 
 // peerNote is what another controller said of its own proxies.
@@ -308,6 +309,7 @@
 		be.status, be.rampAt = append(be.status, Gone), append(be.rampAt, math.MinInt64/2)
 		be.weight, be.outTill = append(be.weight, 1), append(be.outTill, 0)
 		be.strikes, be.relief, be.dry = append(be.strikes, 0), append(be.relief, 1), append(be.dry, 0)
+		be.easedAt = append(be.easedAt, math.MinInt64/2)
 		be.tries = append(be.tries, make([]float64, a.d.Zones))
 		be.voided = append(be.voided, make([]float64, a.d.Zones))
 		be.took, be.good, be.fresh = append(be.took, 0), append(be.good, 0), append(be.fresh, false)
@@ -562,11 +564,13 @@
 		}
 		// Hot: slower than the others by far and near the SLA time. Answers slow machines and wrong listed weights.
 		if a.usable(b) && be.fresh[b] && be.took[b] > 0 {
+			hot := be.took[b] > hotRatio*midTook && be.took[b] > hotSLA*a.sla()
 			switch {
-			case f > midFails+failsRel && n >= illTries:
-				be.relief[b] = max(reliefEnd, be.relief[b]*reliefBig)
-			case be.took[b] > hotRatio*midTook && be.took[b] > hotSLA*a.sla():
-				be.relief[b] = max(reliefEnd, be.relief[b]*reliefBy)
+			case hot || f > midFails+failsRel && n >= illTries:
+				// What is heard now was done before the last step: wait until that one shows.
+				if a.now >= be.easedAt[b]+reliefEvery {
+					be.relief[b], be.easedAt[b] = max(reliefEnd, be.relief[b]*reliefBy), a.now
+				}
 			case be.took[b] < coolRatio*midTook:
 				be.relief[b] = min(1, be.relief[b]*returnBy)
 			}
