--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1,101 +1,104 @@
-// Package choice holds every decision of elmfold. New makes one controller's Assigner from its seed and the
-// Deployment; Step gives it the events of one moment and returns its orders. The types of events, orders and
-// launch settings are in iface.go. Nothing here reads a clock, a file or a network.
+// Package choice holds every decision of elmfold. New makes one controller's Assigner from its seed and its
+// Deployment; Step takes the events of one moment and returns the orders to carry out. The types of events,
+// orders and launch settings are in iface.go. Nothing here reads a clock, a file or a network.
 package choice
 
 import (
+	"cmp"
 	"encoding/binary"
 	"fmt"
 	"hash/fnv"
 	"math"
-	"sort"
+	"slices"
 )
 
-// Tuned values. Times are Time, the rest are plain ratios unless a unit is given.
+// Tuned values. Spans are Time; the rest are plain parts or ratios unless a unit is given.
 const (
-	tickEvery = Second // the design's tick
-
-	busyAbove  = 0.9  // rate over level from which a proxy is busy (design)
-	idleMargin = 0.2  // an idle proxy keeps its use and this much more (design)
-	levelFloor = 1.0  // txns/s that a level is not cut below, while the total has that much for all (design)
-	shareTurns = 4    // rounds of sharing in a tick whose levels were just reset: use is known by then
-	overFails  = 0.05 // share of voided tries at the median backend that is fleet-wide failure (design)
-	overSlow   = 2.0  // median time over its calm value that is overload (design)
-	overSLA    = 0.55 // ... if it is also this part of the SLA time: below it, slow answers still earn in full
-
-	calmRise  = 1.005 // a tick: the calm time is the least of late
-	overTicks = 2     // ticks in a row with news before the total is set
-	cutLight  = 0.9   // the total is at most this part of the served rate, so that queues drain
-	cutDeep   = 0.45  // ... and at least this
-	cutBase   = 1.1   // ... in between it is this, less
-	cutSlope  = 0.5   // ... so much for each SLA time that answers take
-	cutFails  = 0.2   // share voided at the median backend from which the cut is deep
-	kneeLeast = 0.75  // the served rate counts as this part of the best of late at least: late answers and work
-	// done for nobody make it fall far below what the backends can do
-	kneeDown   = 0.9        // ... and so much less when the cut did not help
-	cutAgain   = 6 * Second // time-outs of before the cut are still heard of for some seconds
-	riseEvery  = 5 * Second // design
-	riseFast   = 2 * Second // ... while answers take less than
+	tickEvery  = Second // (design)
+	busyAbove  = 0.9    // use over level from which a proxy is busy (design)
+	idleMargin = 0.2    // an idle proxy keeps its use and this much more (design)
+	levelFloor = 1.0    // txns/s: the least level, while the total has that much for all (design)
+	shareTurns = 4      // rounds of sharing in the tick of a reset: use is known by then
+	noLevel    = 1e6    // txns/s: a rate that binds nobody
+
+	overFails  = 0.05       // voided at the median backend: fleet-wide failure (design)
+	overSlow   = 2.0        // median time of answers over its calm value: overload (design)
+	overSLA    = 0.55       // ... if it is this part of the SLA time too: quicker ones earn in full
+	overTicks  = 2          // ticks with news in a row before the total is bounded
+	calmRise   = 1.005      // a tick: the calm time is the least of late
+	servedOver = 3.0        // ticks that the served rate is smoothed over
+	bestKeep   = 0.995      // a tick, of the best rate served for each unit of strength
+	kneeLeast  = 0.75       // of the best rate: late answers and work for nobody make the served rate fall too far
+	kneeDown   = 0.9        // the knee when a cut did not help
+	cutLight   = 0.9        // the total is at most this part of the knee, so that queues drain,
+	cutDeep    = 0.45       // ... at least this, and in between
+	cutBase    = 1.1        // ... this,
+	cutSlope   = 0.5        // ... less so much for each SLA time that answers take
+	cutFails   = 0.2        // voided at the median backend: cut deep, and at once
+	cutAgain   = 6 * Second // time-outs of before a cut are heard of for some seconds
+	lightSLA   = 0.38       // answers within this part of the SLA time are no overload, whatever timed out before
+	riseBy     = 1.1        // (design)
+	riseEvery  = 5 * Second // (design)
+	riseFast   = 2 * Second // ... while answers come within
 	quickSLA   = 0.2        // ... this part of the SLA time: the knee is higher than it was held to be
-	lightSLA   = 0.38       // part of the SLA time under which they are
-	riseBy     = 1.1        // design
-	bestKeep   = 0.995      // a second, of the best rate served
-	servedSpan = 3.0        // ticks over which the served rate is smoothed
 	loosenAt   = 1.5        // total over demand from which it is unbounded (design)
-	noLevel    = 1e6        // txns/s: a rate that binds nobody
 
 	rampStart = 0.1        // part of its weight that a new backend starts with (design)
-	rampTurn  = 5 * Second // ... which doubles this often (design)
-
-	usableZone  = 0.5  // part of a zone's listed weight under which other zones join (design)
-	spillFrom   = 0.10 // excess of a zone's demand over its fair part, below which it stays at home
-	spillStep   = 0.05 // spill goes out in steps of this share, so that small swings order nothing
-	lineChange  = 0.12 // relative change of a weight that is worth a line
-	levelChange = 0.08 // ... of a level
-
-	illDry     = 6.0        // tries in a row without one good answer from which a backend is ill
-	illNobody  = 0.15       // ... and nobody is once the median backend voids this share
-	illTries   = 4.0        // tries under which a share of voided ones says nothing
+	rampTurn  = 5 * Second // ... and doubles after (design)
+
+	spillFrom   = 0.1          // a smaller excess of a zone's demand over its fair part stays at home
+	spillChange = 0.1          // a change of the spill that is worth lines
+	spillLeast  = 0.0125       // a smaller part of a zone's txns opens no lines to another zone
+	lineChange  = 0.12         // relative change of a weight that is worth a line
+	levelChange = 0.08         // ... of a level
+	awayFor     = 20 * Second  // a proxy whose stream broke is held to go on for so long
+	noteAge     = 5 * Second   // another controller's note counts for so long
+	useKeep     = 0.5          // a second, of a proxy's old use
+	newsHalf    = 1.0 * Second // half-life of tries at a backend, in the time that they were counted over
+
+	illDry     = 6.0        // tries in a row without one answer from which a backend is ill
+	illNobody  = 0.15       // voided at the median backend: all fail, nobody is ill
 	illMost    = 0.3        // part of the fleet's listed weight that may be out as ill at once
-	illFor     = 6 * Second // how long the first time; doubles with each strike
+	illFor     = 6 * Second // how long; up to half more by chance, doubles with each strike
 	illStrikes = 3          // doublings at most
-	wayDry     = 12.0       // tries in a row without one good answer from which a way between zones is shut
-	newsHalf   = 1 * Second // half-life of a backend's tries, in the time that they were counted over
-
-	hotRatio    = 1.5        // a backend's time over the median from which it is relieved
-	hotSLA      = 0.35       // ... if it is also this part of the SLA time
-	coolRatio   = 1.15       // ... under which it gets its weight back
-	failsRel    = 0.1        // share of voided tries over the median's from which a backend is relieved too
-	reliefBy    = 0.7        // a step of relief
-	reliefEnd   = 0.25       // ... which stops here
-	reliefEvery = 3 * Second // ... and comes this often at most
-	returnBy    = 1.05       // a step back
+	fewTries   = 4.0        // fewer say nothing
+	wayDry     = 12.0       // tries in a row without one answer from which a way between zones is shut
+	deadShare  = 0.9        // voided: a backend that counts as dry on a way
+
+	hotRatio  = 1.5        // a backend's time over the median from which it is relieved
+	hotSLA    = 0.35       // ... if it is this part of the SLA time too
+	hotFails  = 0.1        // voided over the median's from which it is relieved too
+	coolRatio = 1.15       // time over the median under which weight comes back
+	easeBy    = 0.7        // a step of relief
+	easeLeast = 0.25       // ... down to this
+	easeEvery = 3 * Second // ... once in so long: what is heard now was done before the last step
+	returnBy  = 1.05       // a tick, back
 
 	roomUrgent = 0.8 // part of the channel's limit that urgent orders may fill
 	roomRest   = 0.4 // ... that the others may
-	slowChan   = 0.3 // part of the stated pace that a slowed channel is held to keep
-	sendsRest  = 0.6 // part of the allowed messages that orders which can wait may use
-	sendsMost  = 0.9 // ... that any may
+	slowChan   = 0.3 // part of its pace that a slowed channel is held to keep
+	sendsMost  = 0.9 // part of the messages allowed to a proxy that urgent orders may use
+	sendsRest  = 0.6 // ... that the others may
+)
 
-	awayFor = 20 * Second // how long a proxy whose stream broke is held to go on with what it had
-	noteAge = 5 * Second  // how long another controller's note counts
-	useKeep = 0.5         // weight of the old value in a proxy's use
+const (
+	never  = Time(math.MinInt64 / 2)
+	fences = 1 << 16
 )
 
-// group is a set of products that may go to the same backends, and so share a table.
+// group is the products that may go to the same backends: they share a table.
 type group struct {
 	products []int
 	mask     uint16
 	rule     Product
 }
 
-// gate is what a table says of one product.
 type gate struct {
 	level float64
 	tries Tries
 }
 
-// tbl is a table: weights by backend, gates by product.
+// tbl is a table: weights by backend, gates by place in the group.
 type tbl struct {
 	weight []float64
 	gates  []gate
@@ -103,140 +106,108 @@
 
 type proxy struct {
 	joined, bound bool
+	heard         []bool // by product: it reported since it joined
 	zone          int
-	rate          float64   // txns/s it was said to get
 	use, voided   []float64 // txns/s by product
 	level         []float64 // max-rate by product
-	heard         bool      // it has reported since it joined
-	left          Time      // when its stream broke
-	held          []tbl     // by group: what was ordered
-	sent          []Time    // messages within the counting span
+	left          Time
+	held          []tbl  // by group: what was ordered
+	sent          []Time // messages within the counting span
+}
+
+// fleet is parallel arrays under the door's index of backends.
+type fleet struct {
+	zone, kind      []int
+	status          []Status
+	weight          []float64 // listed
+	rampAt, outTill []Time    // when its ramp began; ill until then, 0 when in
+	strikes         []int
+	relief          []float64 // part of its weight that a hot one keeps
+	easedAt         []Time
+	tries, voided   [][]float64 // by zone of the proxies, fading
+	took, good, dry []float64   // time of answers and their number, fading; tries since the last answer
+	fresh, shutOut  []bool      // heard of since the last tick; withdrawn (slices only)
 }
 
-// backends are parallel arrays under the door's index.
-type backends struct {
-	zone, cell, kind []int
-	status           []Status
-	rampAt           []Time    // when its ramp began
-	weight           []float64 // listed
-	outTill          []Time    // ill until then; 0 when in
-	strikes          []int
-	relief, dry      []float64   // dry: tries since the last good answer
-	tries, voided    [][]float64 // by zone of the proxies, fading
-	easedAt          []Time
-	took, good       []float64 // mean time of good tries, and their number, fading
-	fresh            []bool    // heard of since the last tick
+// way is what is known of the tries of one zone's proxies at another's backends.
+type way struct {
+	till    Time // shut until then; 0 when open
+	strikes int
+	dry     float64 // tries since the last answer
 }
 
-// peerNote is what another controller said of its own proxies.
-type peerNote struct {
+// peer is what another controller said of its own proxies.
+type peer struct {
 	at      Time
 	proxies int
-	demand  [][]float64 // by group and zone
+	demand  [][]float64
 }
 
 // Assigner decides for one controller.
 type Assigner struct {
-	d      Deployment
-	now    Time
-	seed   uint64
-	draws  uint64
-	began  bool
-	groups []group
-	be     backends
-	px     []proxy
-	peers  map[int]peerNote
-
-	total     float64 // txns/s; 0 is unbounded
-	over      int     // ticks of overload in a row
-	cutAt     Time
-	riseAt    Time
-	calm, mid float64 // median time of answers, the least of late and now
-	knee      float64 // txns/s that the backends are held to manage
-	served    float64 // txns/s with an answer, smoothed
-	best      float64 // ... the most of late, for each unit of usable strength
-	fails     float64 // share voided at the median backend
-	light     bool    // answers are quick and few tries voided
-	reset     bool    // levels go back to equal shares
-	spill     [][][]float64
-	shut      [][]Time    // by zone of the proxies and of the backends: no tries on that way until then
-	shuts     [][]int     // how often in a row
-	dry       [][]float64 // tries on that way since the last good answer
-	urgent    bool        // something happened that cannot wait for the tick
-	sliceSaid bool
-
-	fence    int       // number of the last fence
-	lines    float64   // lines ordered so far
-	fenceAt  []float64 // lines ordered up to a fence, by number
-	passed   float64   // ... up to the newest fence that was answered
-	passedAt Time
-	orders   []Order
+	d             Deployment
+	now           Time
+	seed, draws   uint64
+	began, urgent bool // urgent: something happened that cannot wait for the tick
+	refollow      bool // ask for the list again at the tick
+	sliced        bool
+	groups        []group
+	px            []proxy
+	be            fleet
+	ways          [][]way       // by zone of the proxies and of the backends
+	spill         [][][]float64 // by group, zone of the proxies, zone of the backends: part of their txns
+	peers         map[int]peer
+
+	total, knee     float64 // txns/s; total 0 is unbounded; the knee is what the backends are held to manage
+	served, best    float64 // txns/s answered, smoothed; the most of late for each unit of strength
+	over            int     // ticks of overload in a row
+	light, reset    bool    // answers are quick; levels go back to equal shares
+	cutAt, riseAt   Time
+	calm, took, bad float64 // median time of answers, the least of late and now; voided at the median backend
+	lines, passed   float64 // lines ordered, and those known to have left the channel
+	passedAt        Time
+	fence           int
+	fenceAt         []float64 // lines ordered up to a fence
+	orders          []Order
 }
 
-const fences = 1 << 16
-
-// New makes an Assigner that knows nothing yet but its deployment.
+// New makes an Assigner that knows its deployment and nothing else.
 func New(seed uint64, d Deployment) *Assigner {
-	a := &Assigner{d: d, seed: seed, peers: map[int]peerNote{}, fenceAt: make([]float64, fences)}
-	for range d.Zones {
-		a.shut, a.shuts = append(a.shut, make([]Time, d.Zones)), append(a.shuts, make([]int, d.Zones))
-		a.dry = append(a.dry, make([]float64, d.Zones))
-	}
+	a := &Assigner{d: d, seed: seed, peers: map[int]peer{}, fenceAt: make([]float64, fences)}
+	places := func(p Product) string { return fmt.Sprint(p.OwnZone, p.OnlyZones, p.OnlyKinds) }
 	for k, p := range d.Products {
-		at := -1
-		for g := range a.groups {
-			if samePlaces(a.groups[g].rule, p) {
-				at = g
-			}
+		g := slices.IndexFunc(a.groups, func(g group) bool { return places(g.rule) == places(p) })
+		if g < 0 {
+			g, a.groups = len(a.groups), append(a.groups, group{rule: p})
 		}
-		if at < 0 {
-			at = len(a.groups)
-			a.groups = append(a.groups, group{rule: p})
+		a.groups[g].products, a.groups[g].mask = append(a.groups[g].products, k), a.groups[g].mask|1<<k
+	}
+	// The most confined products are placed first; the others take the room that is left.
+	confined := func(g group) int {
+		switch {
+		case g.rule.OwnZone:
+			return 0
+		case g.rule.OnlyZones != nil || g.rule.OnlyKinds != nil:
+			return 1
 		}
-		a.groups[at].products = append(a.groups[at].products, k)
-		a.groups[at].mask |= 1 << k
+		return 2
 	}
-	// The most confined products choose first; the others take the room that is left.
-	sort.SliceStable(a.groups, func(i, j int) bool { return confined(a.groups[i].rule) > confined(a.groups[j].rule) })
-	return a
-}
-
-func confined(p Product) int {
-	n := 0
-	if p.OwnZone {
-		n += 2
+	slices.SortStableFunc(a.groups, func(g, h group) int { return confined(g) - confined(h) })
+	for range d.Zones {
+		a.ways = append(a.ways, make([]way, d.Zones))
 	}
-	if p.OnlyZones != nil || p.OnlyKinds != nil {
-		n++
+	for range a.groups {
+		a.spill = append(a.spill, make([][]float64, d.Zones))
 	}
-	return n
-}
-
-func samePlaces(p, q Product) bool {
-	return p.OwnZone == q.OwnZone && fmt.Sprint(p.OnlyZones, p.OnlyKinds) == fmt.Sprint(q.OnlyZones, q.OnlyKinds)
-}
-
-// chance draws a number from 0 to 1.
-func (a *Assigner) chance() float64 {
-	h := fnv.New64a()
-	a.draws++
-	h.Write(binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint64(nil, a.seed), a.draws))
-	return float64(h.Sum64()>>11) / (1 << 53)
+	return a
 }
 
-func (a *Assigner) order(o Order) { a.orders = append(a.orders, o) }
-
-func (a *Assigner) log(format string, args ...any) { a.order(Log{Text: fmt.Sprintf(format, args...)}) }
-
 // Step takes the events of one moment and returns the orders.
 func (a *Assigner) Step(now Time, events []Event) []Order {
 	a.now, a.orders = now, nil
 	if !a.began {
-		a.began = true
-		a.order(Wake{After: tickEvery, Name: 1})
-		if a.d.Asked {
-			a.order(Follow{On: true})
-		}
+		a.began, a.refollow = true, a.d.Asked
+		a.order(Wake{After: tickEvery})
 	}
 	tick := false
 	for _, e := range events {
@@ -246,7 +217,7 @@
 		case Joined:
 			a.hearJoin(e)
 		case Left:
-			if p := a.proxyAt(e.Proxy); p.joined {
+			if p := a.proxy(e.Proxy); p.joined {
 				p.joined, p.bound, p.left, a.reset = false, false, now, true
 			}
 		case Heard:
@@ -262,14 +233,19 @@
 		case Woken:
 			tick = true
 		case SliceGiven:
-			if !a.sliceSaid {
-				a.sliceSaid = true
-				a.log("slices are not served here: tables stay as they are, drains are still kept")
+			if !a.sliced {
+				a.log("slices: tables stay as the store has them, only drains are kept")
 			}
+			a.sliced = true
 		}
 	}
+	if a.refollow && (tick || len(a.be.zone) == 0) {
+		a.refollow = false
+		a.order(Follow{On: true})
+	}
 	if tick {
-		a.order(Wake{After: tickEvery, Name: 1})
+		a.order(Wake{After: tickEvery})
+		a.judgeWays()
 		a.judge()
 		a.setTotal()
 		a.setLevels()
@@ -283,172 +259,197 @@
 	return a.orders
 }
 
-func (a *Assigner) proxyAt(i int) *proxy {
-	for len(a.px) <= i {
-		n := len(a.d.Products)
+func (a *Assigner) order(o Order) { a.orders = append(a.orders, o) }
+
+func (a *Assigner) log(format string, v ...any) { a.order(Log{Text: fmt.Sprintf(format, v...)}) }
+
+// chance draws a number from 0 to 1.
+func (a *Assigner) chance() float64 {
+	a.draws++
+	h := fnv.New64a()
+	h.Write(binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint64(nil, a.seed), a.draws))
+	return float64(h.Sum64()>>11) / (1 << 53)
+}
+
+// ownZone is a zone as it came, kept within those that the deployment has.
+func (a *Assigner) ownZone(z int) int { return min(max(z, 0), a.d.Zones-1) }
+
+func (a *Assigner) proxy(i int) *proxy {
+	for n := len(a.d.Products); len(a.px) <= i; {
 		a.px = append(a.px, proxy{use: make([]float64, n), voided: make([]float64, n), level: make([]float64, n),
-			held: make([]tbl, len(a.groups))})
+			heard: make([]bool, n), held: make([]tbl, len(a.groups)), left: never})
 	}
 	return &a.px[i]
 }
 
 func (a *Assigner) hearJoin(e Joined) {
-	p := a.proxyAt(e.Proxy)
-	p.joined, p.bound, p.heard, p.zone, p.sent = true, false, false, min(e.Zone, a.d.Zones-1), nil
-	p.rate = e.Rate
+	p := a.proxy(e.Proxy)
+	p.joined, p.bound, p.zone, p.sent = true, false, a.ownZone(e.Zone), nil
 	for k := range p.use {
-		p.use[k], p.voided[k] = e.Rate/float64(len(p.use)), 0
+		p.use[k], p.voided[k], p.heard[k] = e.Rate/float64(len(p.use)), 0, false
 	}
 	a.reset, a.urgent = true, true
 }
 
-func (a *Assigner) growTo(n int) {
-	be := &a.be
-	for len(be.zone) < n {
-		be.zone, be.cell, be.kind = append(be.zone, 0), append(be.cell, 0), append(be.kind, 0)
-		be.status, be.rampAt = append(be.status, Gone), append(be.rampAt, math.MinInt64/2)
-		be.weight, be.outTill = append(be.weight, 1), append(be.outTill, 0)
-		be.strikes, be.relief, be.dry = append(be.strikes, 0), append(be.relief, 1), append(be.dry, 0)
-		be.easedAt = append(be.easedAt, math.MinInt64/2)
+func (a *Assigner) hearUse(e Used) {
+	p, s, k := a.proxy(e.Proxy), float64(e.Counting)/float64(Second), e.Product
+	if k >= len(p.use) || s <= 0 {
+		return
+	}
+	keep := math.Pow(useKeep, max(s, 0.2))
+	if !slices.Contains(p.heard, true) {
+		clear(p.use) // the rate it was said to get gives way to what it gets
+	}
+	if !p.heard[k] {
+		p.heard[k], keep = true, 0
+	}
+	p.use[k] = p.use[k]*keep + e.Txns/s*(1-keep)
+	p.voided[k] = p.voided[k]*keep + e.Voided/s*(1-keep)
+}
+
+func (a *Assigner) grow(n int) {
+	for be := &a.be; len(be.zone) < n; {
+		be.zone, be.kind, be.status = append(be.zone, 0), append(be.kind, 0), append(be.status, Gone)
+		be.weight, be.rampAt, be.outTill = append(be.weight, 1), append(be.rampAt, never), append(be.outTill, 0)
+		be.strikes, be.relief = append(be.strikes, 0), append(be.relief, 1)
+		be.easedAt, be.fresh = append(be.easedAt, never), append(be.fresh, false)
 		be.tries = append(be.tries, make([]float64, a.d.Zones))
 		be.voided = append(be.voided, make([]float64, a.d.Zones))
-		be.took, be.good, be.fresh = append(be.took, 0), append(be.good, 0), append(be.fresh, false)
+		be.took, be.good, be.dry = append(be.took, 0), append(be.good, 0), append(be.dry, 0)
+		be.shutOut = append(be.shutOut, false)
 	}
 }
 
 func (a *Assigner) hearList(e Listed) {
+	be := &a.be
 	if e.Kind == ListFailed {
-		if a.d.Asked {
-			a.order(Follow{On: true})
-		}
+		a.refollow = a.d.Asked
 		return
 	}
-	be := &a.be
 	seen := map[int]bool{}
 	for _, en := range e.Entries {
-		a.growTo(en.Backend + 1)
 		b := en.Backend
+		a.grow(b + 1)
 		seen[b] = true
 		if en.Status != Gone {
-			be.zone[b], be.cell[b], be.kind[b], be.weight[b] = min(en.Zone, a.d.Zones-1), en.Cell, en.Kind, 1
+			be.zone[b], be.kind[b], be.weight[b] = a.ownZone(en.Zone), en.Kind, 1
 			if en.Weight > 0 {
 				be.weight[b] = en.Weight
 			}
 		}
-		// A new start, also one met while the backend still stands in tables: it is cold, and nothing that
-		// was heard of it before holds.
-		if en.Status == Ready && en.Up > be.rampAt[b] && en.Up > 0 {
-			be.rampAt[b] = en.Up
+		// A new start, also one met while the backend still stands in tables: it is cold, and what was heard
+		// of it before holds no longer.
+		if en.Status == Ready && en.Up > 0 && en.Up > be.rampAt[b] {
+			be.rampAt[b], be.strikes[b], be.outTill[b], be.relief[b] = en.Up, 0, 0, 1
 			a.forget(b)
-			be.strikes[b], be.outTill[b], be.relief[b] = 0, 0, 1
 		}
-		be.status[b] = en.Status
+		a.setStatus(b, en.Status)
 	}
-	if e.Kind == ListFull || e.Kind == ListCached {
+	if e.Kind != ListChange {
 		for b := range be.status {
 			if !seen[b] {
-				be.status[b] = Gone
+				a.setStatus(b, Gone)
 			}
 		}
 	}
 	a.urgent = true
 }
 
-func (a *Assigner) forget(b int) {
-	for z := range a.be.tries[b] {
-		a.be.tries[b][z], a.be.voided[b][z] = 0, 0
+// setStatus follows the list; where gone does not bind, a backend merely dropped from it stays in use.
+func (a *Assigner) setStatus(b int, s Status) {
+	if s != Gone || a.d.GoneBinds || a.be.status[b] != Ready {
+		a.be.status[b] = s
 	}
+}
+
+func (a *Assigner) forget(b int) {
+	clear(a.be.tries[b])
+	clear(a.be.voided[b])
 	a.be.took[b], a.be.good[b], a.be.dry[b] = 0, 0, 0
 }
 
 func (a *Assigner) hearTries(e Heard) {
-	be, b, z := &a.be, e.Backend, min(e.Zone, a.d.Zones-1)
+	be, b, z := &a.be, e.Backend, a.ownZone(e.Zone)
 	if b >= len(be.zone) {
 		return
 	}
-	keep := math.Exp2(-float64(max(e.Counting, 0)) / float64(newsHalf))
+	voided, w := min(e.Voided, e.Tries), &a.ways[z][be.zone[b]]
+	keep := math.Exp2(-float64(e.Counting) / float64(newsHalf))
 	be.tries[b][z] = be.tries[b][z]*keep + e.Tries
-	be.voided[b][z] = be.voided[b][z]*keep + min(e.Voided, e.Tries)
-	if good := e.Tries - e.Voided; good > 0 && e.Took > 0 {
+	be.voided[b][z] = be.voided[b][z]*keep + voided
+	if good := e.Tries - voided; good > 0 && e.Took > 0 {
 		be.good[b] = be.good[b]*keep + good
 		be.took[b] += (float64(e.Took) - be.took[b]) * good / be.good[b]
-		be.dry[b], a.dry[z][be.zone[b]] = 0, 0
+		be.dry[b], w.dry = 0, 0
 	} else {
-		a.dry[z][be.zone[b]] += e.Tries
-		if a.shut[z][be.zone[b]] == 0 {
+		w.dry += e.Tries
+		if w.till == 0 {
 			be.dry[b] += e.Tries
 		}
 	}
 	be.fresh[b] = true
 }
 
-func (a *Assigner) hearUse(e Used) {
-	p := a.proxyAt(e.Proxy)
-	if e.Product >= len(p.use) || e.Counting <= 0 {
-		return
-	}
-	s := float64(e.Counting) / float64(Second)
-	keep := math.Pow(useKeep, max(s, 0.2))
-	if !p.heard {
-		keep = 0
-		p.heard = true
-		for k := range p.use {
-			p.use[k] = 0
-		}
-	}
-	p.use[e.Product] = p.use[e.Product]*keep + e.Txns/s*(1-keep)
-	p.voided[e.Product] = p.voided[e.Product]*keep + e.Voided/s*(1-keep)
-}
-
 // ramp is the part of its weight that a backend may have now.
 func (a *Assigner) ramp(b int) float64 {
-	turns := float64((a.now - a.be.rampAt[b]) / rampTurn)
-	return min(1, rampStart*math.Exp2(min(max(turns, 0), 10)))
+	turns := max((a.now-a.be.rampAt[b])/rampTurn, 0)
+	return min(1, rampStart*math.Exp2(float64(min(turns, 10))))
 }
 
-// usable says whether a backend may stand in tables: it is listed as ready and not out as ill.
-func (a *Assigner) usable(b int) bool { return a.be.status[b] == Ready && a.be.outTill[b] == 0 }
-
-// worth of a backend's line: its listed weight, eased while it is cold or hot.
+// strength is what a backend counts for in tables: its listed weight, less while it is cold or hot.
 func (a *Assigner) strength(b int) float64 { return a.be.weight[b] * a.ramp(b) * a.be.relief[b] }
 
+// usable says whether a backend may stand in tables.
+func (a *Assigner) usable(b int) bool { return a.be.status[b] == Ready && a.be.outTill[b] == 0 }
+
 // open says whether products under the rule may go from a zone to a backend.
 func (a *Assigner) open(rule Product, zone, b int) bool {
-	return (!rule.OwnZone || a.be.zone[b] == zone) && (rule.OnlyZones == nil || has(rule.OnlyZones, a.be.zone[b])) &&
-		(rule.OnlyKinds == nil || has(rule.OnlyKinds, a.be.kind[b]))
+	return (!rule.OwnZone || a.be.zone[b] == zone) &&
+		(rule.OnlyZones == nil || slices.Contains(rule.OnlyZones, a.be.zone[b])) &&
+		(rule.OnlyKinds == nil || slices.Contains(rule.OnlyKinds, a.be.kind[b]))
 }
 
-func has(list []int, v int) bool {
-	for _, x := range list {
-		if x == v {
-			return true
+// failing is the share voided at a backend as the best of the zones met it: where one zone's proxies fail
+// everywhere, the way is broken and not the backend. Nothing heard is -1.
+func (a *Assigner) failing(b int) float64 {
+	share := -1.0
+	for z, n := range a.be.tries[b] {
+		if f := a.be.voided[b][z] / n; n >= fewTries/2 && a.ways[z][a.be.zone[b]].till == 0 && (share < 0 || f < share) {
+			share = f
 		}
 	}
-	return false
+	return share
 }
 
-func median(v []float64) float64 {
-	if len(v) == 0 {
-		return 0
+// medians are the share voided and the time of answers at the median of the backends that pass.
+func (a *Assigner) medians(pass func(b int) bool) (fails, took float64) {
+	var fs, ts []float64
+	for b := range a.be.zone {
+		if f := a.failing(b); a.usable(b) && f >= 0 && pass(b) {
+			fs = append(fs, f)
+			if a.be.took[b] > 0 {
+				ts = append(ts, a.be.took[b])
+			}
+		}
+	}
+	mid := func(v []float64) float64 {
+		if len(v) == 0 {
+			return 0
+		}
+		slices.Sort(v)
+		return v[len(v)/2]
 	}
-	sort.Float64s(v)
-	return v[len(v)/2]
+	return mid(fs), mid(ts)
 }
 
-// failing is the share of voided tries at a backend as the best of the zones met it: when one zone's proxies
-// fail everywhere, the way is broken and not the backend.
-func (a *Assigner) failing(b int) (share, tries float64) {
-	share = 1
-	for z, n := range a.be.tries[b] {
-		if n >= illTries/2 && a.shut[z][a.be.zone[b]] == 0 {
-			share = min(share, a.be.voided[b][z]/n)
-			tries += n
+// demand is what the joined proxies are asked for of a product.
+func (a *Assigner) demand(k int) (d float64) {
+	for i := range a.px {
+		if a.px[i].joined {
+			d += a.px[i].use[k]
 		}
 	}
-	if tries == 0 {
-		return 0, 0
-	}
-	return share, tries
+	return d
 }
 
 // sla is the SLA time of the mean txn that comes.
@@ -458,120 +459,93 @@
 		d := a.demand(k) + 1e-9
 		sum, n = sum+d*float64(pr.SLA), n+d
 	}
-	return sum / max(n, 1e-9)
-}
-
-func (a *Assigner) demand(k int) (d float64) {
-	for i := range a.px {
-		if a.px[i].joined {
-			d += a.px[i].use[k]
-		}
-	}
-	return d
+	return max(sum/max(n, 1e-9), 1)
 }
 
 // judgeWays shuts the way from a zone's proxies to a zone's backends when no try on it is answered any more
 // while those proxies are answered elsewhere. Answers zones cut off or lost, whole or as seen from one side,
-// before the list shows it; an overloaded zone still answers some, and stays open.
+// before the list shows it. An overloaded zone still answers some, and stays open; a lone dry backend is ill,
+// and draws all tries of proxies that choose the one with the least work out: it shuts no way.
 func (a *Assigner) judgeWays() {
-	for z := range a.shut {
-		fine := false
-		for y := range a.shut {
-			tries := 0.0
-			for b := range a.be.zone {
-				if a.be.zone[b] == y && a.usable(b) {
-					tries += a.be.tries[b][z]
+	for z := range a.ways {
+		tries, dry := make([]float64, a.d.Zones), make([]int, a.d.Zones)
+		for b, y := range a.be.zone {
+			if n := a.be.tries[b][z]; a.usable(b) && n > 0 {
+				tries[y] += n
+				if a.be.voided[b][z] > deadShare*n {
+					dry[y]++
 				}
 			}
-			fine = fine || a.shut[z][y] == 0 && a.dry[z][y] == 0 && tries >= illTries
 		}
-		for y := range a.shut {
-			switch {
-			case a.shut[z][y] != 0 && a.now >= a.shut[z][y]:
-				a.shut[z][y], a.dry[z][y] = 0, 0
+		fine := false
+		for y, w := range a.ways[z] {
+			fine = fine || w.till == 0 && w.dry == 0 && tries[y] >= fewTries
+		}
+		for y := range a.ways[z] {
+			switch w := &a.ways[z][y]; {
+			case w.till != 0 && a.now >= w.till:
+				w.till, w.dry = 0, 0
 				for b := range a.be.zone {
 					if a.be.zone[b] == y {
 						a.be.tries[b][z], a.be.voided[b][z] = 0, 0
 					}
 				}
 				a.log("way from zone %d to zone %d open on trial", z, y)
-			case a.shut[z][y] == 0 && fine && a.dry[z][y] >= wayDry && a.fails < illNobody && a.dryMany(z, y):
-				a.shut[z][y] = a.now + illFor<<min(a.shuts[z][y], illStrikes)
-				a.shuts[z][y]++
-				a.log("way from zone %d to zone %d shut: %.0f tries without an answer", z, y, a.dry[z][y])
-			case a.dry[z][y] == 0:
-				a.shuts[z][y] = 0
+			case w.till == 0 && fine && w.dry >= wayDry && dry[y] > 1 && a.bad < illNobody:
+				w.till = a.now + a.outFor(w.strikes)
+				w.strikes++
+				a.log("way from zone %d to zone %d shut: %.0f tries without an answer", z, y, w.dry)
+			case w.dry == 0:
+				w.strikes = 0
 			}
 		}
 	}
 }
 
-// dryMany says whether more than one backend of a zone voids what comes from another: one alone is ill, or takes
-// all tries of proxies that choose the one with the least work out.
-func (a *Assigner) dryMany(z, y int) bool {
-	n := 0
-	for b := range a.be.zone {
-		if a.be.zone[b] == y && a.usable(b) && a.be.tries[b][z] > 0 && a.be.voided[b][z] > 0.9*a.be.tries[b][z] {
-			n++
-		}
-	}
-	return n > 1
+// outFor is how long something stays out; by chance, so that what went out together comes back one by one.
+func (a *Assigner) outFor(strikes int) Time {
+	return Time(float64(illFor)*(1+a.chance()/2)) << min(strikes, illStrikes)
 }
 
 // judge looks at what was heard since the last tick: who is ill, who is hot, and whether all are.
 func (a *Assigner) judge() {
-	a.judgeWays()
 	be := &a.be
-	var fails, took []float64
-	weight, out := 0.0, 0.0
-	for b := range be.zone {
-		if be.status[b] != Ready {
-			continue
-		}
-		weight += be.weight[b]
-		if be.outTill[b] != 0 {
-			out += be.weight[b]
-		}
-		if f, n := a.failing(b); n > 0 && be.outTill[b] == 0 {
-			fails = append(fails, f)
-			if be.took[b] > 0 {
-				took = append(took, be.took[b])
+	a.bad, a.took = a.medians(func(int) bool { return true })
+	all, out, news := 0.0, 0.0, false
+	for b, w := range be.weight {
+		if be.status[b] == Ready {
+			all += w
+			if be.outTill[b] != 0 {
+				out += w
 			}
 		}
 	}
-	midFails, midTook := median(fails), median(took)
-	a.fails, a.mid = midFails, midTook
-	news := false
-	for b := range be.zone {
+	for b, w := range be.weight {
 		news = news || be.fresh[b]
 		if be.outTill[b] != 0 && a.now >= be.outTill[b] {
 			be.outTill[b], be.rampAt[b] = 0, a.now
 			a.forget(b)
+			out -= w
 			a.log("backend %d back on trial", b)
-			out -= be.weight[b]
 		}
-		f, n := a.failing(b)
-		// Ill: it answers nothing any more while the median backend, of the fleet and of its zone, does. Answers
-		// hangs, dead machines that are still listed, broken hosts. An overloaded backend still answers some:
-		// taking it out would only push its load on. When all fail alike, nobody is taken out.
-		mid := max(midFails, a.zoneFails(be.zone[b], b))
-		if a.usable(b) && be.fresh[b] && be.dry[b] >= illDry && mid < illNobody &&
-			out+be.weight[b] <= illMost*weight && a.spared(b) {
-			be.outTill[b] = a.now + illFor<<min(be.strikes[b], illStrikes)
-			be.strikes[b]++
-			out += be.weight[b]
-			a.log("backend %d out: %.0f tries without an answer, median voids %.0f%%", b, be.dry[b], 100*mid)
-		}
-		// Hot: slower than the others by far and near the SLA time. Answers slow machines and wrong listed weights.
-		if a.usable(b) && be.fresh[b] && be.took[b] > 0 {
-			hot := be.took[b] > hotRatio*midTook && be.took[b] > hotSLA*a.sla()
+		if be.fresh[b] && a.usable(b) {
+			// Ill: it answers nothing any more while the median backend, of the fleet and of its zone, does.
+			// Answers hangs, dead machines that are still listed, broken hosts. An overloaded backend still
+			// answers some: taking it out would only push its load on. When all fail alike, nobody is ill.
+			zone, _ := a.medians(func(c int) bool { return c != b && be.zone[c] == be.zone[b] })
+			if be.dry[b] >= illDry && max(a.bad, zone) < illNobody && out+w <= illMost*all && a.spared(b) {
+				be.outTill[b] = a.now + a.outFor(be.strikes[b])
+				be.strikes[b]++
+				out += w
+				a.log("backend %d out: %.0f tries without an answer, median voids %.0f%%", b, be.dry[b], 100*a.bad)
+			}
+			// Hot: far slower than the others and near the SLA time, or voiding more. Answers slow machines,
+			// neighbours on the machine and wrong listed weights.
+			hot := be.took[b] > max(hotRatio*a.took, hotSLA*a.sla()) || a.failing(b) > a.bad+hotFails
 			switch {
-			case hot || f > midFails+failsRel && n >= illTries:
-				// What is heard now was done before the last step: wait until that one shows.
-				if a.now >= be.easedAt[b]+reliefEvery {
-					be.relief[b], be.easedAt[b] = max(reliefEnd, be.relief[b]*reliefBy), a.now
-				}
-			case be.took[b] < coolRatio*midTook:
+			case hot && a.now >= be.easedAt[b]+easeEvery:
+				be.relief[b], be.easedAt[b] = max(easeLeast, be.relief[b]*easeBy), a.now
+			case !hot && be.took[b] < coolRatio*a.took:
 				be.relief[b] = min(1, be.relief[b]*returnBy)
 			}
 		}
@@ -580,42 +554,22 @@
 	if !news {
 		return
 	}
-	a.light = midTook > 0 && midTook < lightSLA*a.sla()
-	slow := midTook > overSLA*a.sla() && midTook > overSlow*a.calm
-	if slow || midFails > overFails && !a.light {
+	if a.calm == 0 {
+		a.calm = a.took
+	}
+	a.light = a.took > 0 && a.took < lightSLA*a.sla()
+	if a.took > max(overSLA*a.sla(), overSlow*a.calm) || a.bad > overFails && !a.light {
 		a.over++
 		return
 	}
-	a.over = 0
-	if midTook > 0 {
-		if a.calm == 0 {
-			a.calm = midTook
-		}
-		a.calm = min(a.calm*calmRise, midTook)
-	}
-}
-
-// zoneFails is the share voided at the median of the other backends in a zone.
-func (a *Assigner) zoneFails(z, but int) float64 {
-	var fails []float64
-	for b, y := range a.be.zone {
-		if y == z && b != but && a.usable(b) {
-			if f, n := a.failing(b); n > 0 {
-				fails = append(fails, f)
-			}
-		}
-	}
-	return median(fails)
+	a.over, a.calm = 0, min(a.calm*calmRise, a.took)
 }
 
 // spared says whether every product in every zone keeps a usable backend when b is out.
 func (a *Assigner) spared(b int) bool {
 	for _, g := range a.groups {
 		for z := range a.d.Zones {
-			if !a.open(g.rule, z, b) {
-				continue
-			}
-			left := false
+			left := !a.open(g.rule, z, b)
 			for c := range a.be.zone {
 				left = left || c != b && a.usable(c) && a.open(g.rule, z, c)
 			}
@@ -629,18 +583,16 @@
 
 // setTotal bounds the total of all levels under overload and lets go of it afterwards.
 func (a *Assigner) setTotal() {
-	all, served, strength := 0.0, 0.0, 0.0
+	all, served, strength := 0.0, 0.0, 1e-9
 	for i := range a.px {
-		p := &a.px[i]
-		if !p.joined {
-			continue
-		}
-		for k, u := range p.use {
-			all += u
-			if a.total > 0 {
-				u = min(u, p.level[k])
+		for k, u := range a.px[i].use {
+			if p := &a.px[i]; p.joined {
+				all += u
+				if a.total > 0 {
+					u = min(u, p.level[k])
+				}
+				served += max(u-p.voided[k], 0)
 			}
-			served += max(u-p.voided[k], 0)
 		}
 	}
 	for b := range a.be.zone {
@@ -651,28 +603,26 @@
 	if a.served == 0 {
 		a.served = served
 	}
-	a.served += (served - a.served) / servedSpan
-	a.best = max(a.best*bestKeep, a.served/max(strength, 1e-9))
-	best := a.best * strength
-	late := a.mid / a.sla()
+	a.served += (served - a.served) / servedOver
+	a.best = max(a.best*bestKeep, a.served/strength)
+	late, deep := a.took/a.sla(), a.bad > cutFails
 	depth := min(max(cutBase-cutSlope*late, cutDeep), cutLight)
-	severe := a.fails > cutFails
-	if severe {
+	if deep {
 		depth = cutDeep
 	}
-	switch {
+	switch since := a.now - a.riseAt; {
 	case a.d.Levels == LevelNone || all <= 0:
-	case a.total == 0 && (a.over >= overTicks || a.over > 0 && severe):
-		a.knee = max(a.served, kneeLeast*best, levelFloor)
+	case a.total == 0 && (a.over >= overTicks || a.over > 0 && deep):
+		a.knee = max(a.served, kneeLeast*a.best*strength, levelFloor)
 		a.total, a.cutAt, a.riseAt = a.knee*depth, a.now, a.now
 		a.log("total bounded to %.0f/s: demand %.0f/s, served %.0f/s, answers take %.2f SLA times, median voids %.0f%%",
-			a.total, all, a.served, late, 100*a.fails)
+			a.total, all, a.served, late, 100*a.bad)
 	case a.total > 0 && a.over > 0 && a.now-a.cutAt >= cutAgain:
 		a.knee = max(a.knee*kneeDown, levelFloor)
 		a.total, a.cutAt, a.riseAt = a.knee*depth, a.now, a.now
 	case a.total > 0 && a.light && a.total < a.knee*cutLight:
 		a.total, a.riseAt = a.knee*cutLight, a.now
-	case a.total > 0 && a.over == 0 && (a.now-a.riseAt >= riseEvery || late < quickSLA && a.now-a.riseAt >= riseFast):
+	case a.total > 0 && a.over == 0 && (since >= riseEvery || since >= riseFast && late < quickSLA):
 		a.total, a.riseAt = a.total*riseBy, a.now
 		a.knee = max(a.knee, a.total)
 		if a.total > loosenAt*all {
@@ -682,12 +632,13 @@
 	}
 }
 
-// setLevels splits the total: by revenue among the products, then by max-rate sharing among the proxies.
+// setLevels splits the total: among the products, the most revenue first, and then by max-rate sharing among
+// the proxies, each product like a subscription of the source.
 func (a *Assigner) setLevels() {
-	var in []int
+	var in []*proxy
 	for i := range a.px {
 		if a.px[i].joined {
-			in = append(in, i)
+			in = append(in, &a.px[i])
 		}
 	}
 	if len(in) == 0 {
@@ -697,9 +648,9 @@
 	for k := range byRev {
 		byRev[k] = k
 	}
-	sort.SliceStable(byRev, func(i, j int) bool {
-		p, q := a.d.Products[byRev[i]], a.d.Products[byRev[j]]
-		return p.Revenue > q.Revenue || p.Revenue == q.Revenue && p.SLA < q.SLA
+	slices.SortStableFunc(byRev, func(j, k int) int {
+		p, q := a.d.Products[j], a.d.Products[k]
+		return cmp.Or(cmp.Compare(q.Revenue, p.Revenue), cmp.Compare(p.SLA, q.SLA))
 	})
 	left := a.total
 	for _, k := range byRev {
@@ -710,97 +661,89 @@
 			left -= min(part, d)
 		}
 		use, level, silent := make([]float64, len(in)), make([]float64, len(in)), make([]bool, len(in))
-		for j, i := range in {
-			use[j], level[j], silent[j] = a.px[i].use[k], a.px[i].level[k], !a.px[i].heard
+		for i, p := range in {
+			use[i], silent[i] = p.use[k], !slices.Contains(p.heard, true)
+			if !a.reset {
+				level[i] = p.level[k]
+			}
 		}
 		turns := 1
 		if a.reset {
-			clear(level)
 			turns = shareTurns
 		}
 		shareRate(level, use, silent, part, turns)
-		for j, i := range in {
-			a.px[i].level[k] = level[j]
+		for i, p := range in {
+			p.level[k] = level[i]
 		}
 	}
 	a.reset = false
 }
 
-// shareRate is max-rate sharing: the levels of the proxies sum to total, idle ones give what they do not use,
-// busy ones are evened out and get what is free. Where the total is below the floors of all, the floor gives
-// way: each gets an equal part, and never less than nothing.
+// shareRate is max-rate sharing: levels sum to total, idle proxies give what they do not use, busy ones are
+// evened out and get what is free, silent ones keep theirs. Where the total is under the floors of all, the
+// floor gives way: the source's bug made such levels negative.
 func shareRate(level, use []float64, silent []bool, total float64, turns int) {
-	n := float64(len(level))
+	n, sum := float64(len(level)), 0.0
 	floor := min(levelFloor, total/n)
-	sum := 0.0
 	for _, l := range level {
 		sum += l
 	}
-	for j := range level {
+	for i := range level {
 		if sum > 0 {
-			level[j] *= total / sum
+			level[i] *= total / sum // a change of our own total scales all levels
 		} else {
-			level[j] = total / n
+			level[i] = total / n
 		}
 	}
+	isBusy := make([]bool, len(level))
 	for ; turns > 0; turns-- {
-		busy, busySum, freed := 0.0, 0.0, 0.0
-		for j := range level {
-			if !silent[j] && use[j] > busyAbove*level[j] {
-				busy, busySum = busy+1, busySum+level[j]
+		busy, held, freed := 0.0, 0.0, 0.0
+		for i := range level {
+			if isBusy[i] = !silent[i] && use[i] > busyAbove*level[i]; isBusy[i] {
+				busy, held = busy+1, held+level[i]
 			}
 		}
 		if busy == 0 {
 			break
 		}
-		average := busySum / busy
-		isBusy := make([]bool, len(level))
-		for j := range level {
-			isBusy[j] = !silent[j] && use[j] > busyAbove*level[j]
-			keep := level[j]
+		for i, l := range level {
 			switch {
-			case isBusy[j]:
-				keep = min(keep, average)
-			case !silent[j]:
-				keep = min(keep, max(use[j]*(1+idleMargin), floor))
+			case isBusy[i]:
+				level[i] = min(l, held/busy)
+			case !silent[i]:
+				level[i] = min(l, max(use[i]*(1+idleMargin), floor))
 			}
-			freed += level[j] - keep
-			level[j] = keep
+			freed += l - level[i]
 		}
-		for j := range level {
-			if isBusy[j] {
-				level[j] += freed / busy
+		for i := range level {
+			if isBusy[i] {
+				level[i] += freed / busy
 			}
 		}
 	}
-	// The floor is lifted last and paid for by those above it.
-	lack, above := 0.0, 0.0
-	for j := range level {
-		lack += max(floor-level[j], 0)
-		above += max(level[j]-floor, 0)
-	}
-	for j := range level {
-		if level[j] <= floor {
-			level[j] = floor
-		} else if above > 0 {
-			level[j] -= (level[j] - floor) * min(1, lack/above)
+	above := 0.0
+	for i := range level {
+		level[i] = max(level[i]-floor, 0)
+		above += level[i]
+	}
+	for i := range level {
+		if above > 0 {
+			level[i] *= (total - n*floor) / above
 		}
+		level[i] += floor
 	}
 }
 
-// tell sends the other controllers what this one's proxies ask for, by group and zone.
+// tell sends the other controllers what this one's proxies are asked for, by group and zone.
 func (a *Assigner) tell() {
-	if !a.d.Notes || a.d.Controllers < 2 {
-		return
-	}
-	d, n := a.ownDemand()
+	d, n := a.zoneDemand()
 	data := binary.BigEndian.AppendUint16(nil, uint16(n))
 	for _, row := range d {
 		for _, v := range row {
-			data = binary.BigEndian.AppendUint16(data, uint16(min(v*10, 65535)))
+			data = binary.BigEndian.AppendUint16(data, uint16(min(v*10, math.MaxUint16)))
 		}
 	}
-	if len(data) <= 256 {
+	if a.d.Notes && a.d.Controllers > 1 && len(data) <= 256 {
 		a.order(Note{To: ToAll, Data: data})
 	}
 }
@@ -809,70 +752,67 @@
 	if len(e.Data) != 2+2*len(a.groups)*a.d.Zones {
 		return
 	}
-	n := peerNote{at: a.now, proxies: int(binary.BigEndian.Uint16(e.Data)), demand: a.matrix()}
-	for i := range len(a.groups) * a.d.Zones {
-		n.demand[i/a.d.Zones][i%a.d.Zones] = float64(binary.BigEndian.Uint16(e.Data[2+2*i:])) / 10
-	}
-	a.peers[e.From] = n
-}
-
-func (a *Assigner) matrix() [][]float64 {
-	m := make([][]float64, len(a.groups))
-	for g := range m {
-		m[g] = make([]float64, a.d.Zones)
+	p := peer{at: a.now, proxies: int(binary.BigEndian.Uint16(e.Data))}
+	for g := range a.groups {
+		p.demand = append(p.demand, make([]float64, a.d.Zones))
+		for z := range p.demand[g] {
+			p.demand[g][z] = float64(binary.BigEndian.Uint16(e.Data[2+2*(g*a.d.Zones+z):])) / 10
+		}
 	}
-	return m
+	a.peers[e.From] = p
 }
 
-func (a *Assigner) ownDemand() (d [][]float64, proxies int) {
-	d = a.matrix()
-	for i := range a.px {
-		p := &a.px[i]
-		if !p.joined {
-			continue
+// zoneDemand is what the joined proxies are asked for, by group and zone, and how many they are.
+func (a *Assigner) zoneDemand() (d [][]float64, proxies int) {
+	for g := range a.groups {
+		d = append(d, make([]float64, a.d.Zones))
+		proxies = 0
+		for i := range a.px {
+			if p := &a.px[i]; p.joined {
+				d[g][p.zone] += a.groupUse(p, g)
+				proxies++
+			}
 		}
-		proxies++
-		a.addDemand(d, p)
 	}
 	return d, proxies
 }
 
-func (a *Assigner) addDemand(d [][]float64, p *proxy) {
-	for g := range a.groups {
-		for _, k := range a.groups[g].products {
-			d[g][p.zone] += p.use[k]
-		}
+func (a *Assigner) groupUse(p *proxy, g int) (u float64) {
+	for _, k := range a.groups[g].products {
+		u += p.use[k]
 	}
+	return u
 }
 
-// setSpill works out which part of each group's txns leaves its zone. The design's tables are zone-first, and
-// other zones join when under half the zone is usable. That leaves a zone that is asked for more than its part
-// of the fleet alone with it, so others also join for the excess: every zone is to carry the same demand for
-// its usable strength, and only what is over that goes elsewhere.
+// setSpill works out which part of each group's txns leaves its zone. Tables are zone-first, and the design
+// lets other zones join when under half the zone is usable. That leaves a zone asked for more than its part of
+// the fleet alone with it, so here they join for the excess: every zone is to carry the same demand for its
+// usable strength, and only what is over that goes elsewhere.
 func (a *Assigner) setSpill() {
-	zones := a.d.Zones
-	demand, known := a.ownDemand()
+	demand, known := a.zoneDemand()
 	for from := range a.d.Controllers {
 		if n, ok := a.peers[from]; ok && a.now-n.at <= noteAge {
 			known += n.proxies
-			for g := range demand {
-				for z := range demand[g] {
-					demand[g][z] += n.demand[g][z]
+			for g, row := range n.demand {
+				for z, v := range row {
+					demand[g][z] += v
 				}
 			}
 		}
 	}
-	// A proxy that left goes on forwarding or its zone's others get its txns: a zone does not fall idle with it.
+	// A proxy whose stream broke goes on, or others of its zone get its txns: a zone does not fall idle with it.
 	for i := range a.px {
 		if p := &a.px[i]; !p.joined && known < a.d.Proxies && a.now-p.left < awayFor {
-			a.addDemand(demand, p)
 			known++
+			for g := range demand {
+				demand[g][p.zone] += a.groupUse(p, g)
+			}
 		}
 	}
-	strength, all := make([]float64, zones), 0.0
-	for b := range a.be.zone {
+	room, all := make([]float64, a.d.Zones), 0.0
+	for b, z := range a.be.zone {
 		if a.usable(b) {
-			strength[a.be.zone[b]] += a.strength(b)
+			room[z] += a.strength(b)
 			all += a.strength(b)
 		}
 	}
@@ -880,259 +820,252 @@
 		return
 	}
 	// Proxies that nobody spoke of are taken to ask evenly: they must not make a zone look idle.
-	missing := max(float64(a.d.Proxies)/float64(known), 1) - 1
-	sum := 0.0
-	for g := range demand {
-		inGroup := 0.0
-		for _, v := range demand[g] {
-			inGroup += v
+	missing, sum := max(float64(a.d.Proxies)/float64(known), 1)-1, 0.0
+	for g, row := range demand {
+		part := 0.0
+		for _, v := range row {
+			part += v
 		}
-		for z := range demand[g] {
-			demand[g][z] += missing * inGroup * strength[z] / all
+		for z := range row {
+			demand[g][z] += missing * part * room[z] / all
 		}
-		sum += inGroup * (1 + missing)
+		sum += part * (1 + missing)
 	}
-	room := make([]float64, zones)
 	for z := range room {
-		room[z] = sum * strength[z] / all
-	}
-	if a.spill == nil {
-		a.spill = make([][][]float64, len(a.groups))
-		for g := range a.spill {
-			a.spill[g] = make([][]float64, zones)
-		}
+		room[z] *= sum / all
 	}
 	for g := range a.groups {
 		a.spillGroup(g, demand[g], room)
 	}
 }
 
+// spillGroup places a group's demand in the room that the zones have, and takes it off the room.
 func (a *Assigner) spillGroup(g int, demand, room []float64) {
 	rule, zones := a.groups[g].rule, a.d.Zones
-	can := make([]float64, zones) // strength open to the group, by zone
-	for b := range a.be.zone {
-		if a.usable(b) && a.open(rule, a.be.zone[b], b) {
-			can[a.be.zone[b]] += a.strength(b)
+	can, canAll := make([]float64, zones), 0.0
+	for b, z := range a.be.zone {
+		if a.usable(b) && a.open(rule, z, b) {
+			can[z] += a.strength(b)
+			canAll += a.strength(b)
 		}
 	}
-	excess := make([]float64, zones)
+	away, excess, free := make([]float64, zones), 0.0, 0.0
 	for z, d := range demand {
-		stay := d
-		if !rule.OwnZone {
-			stay = 0
-			if can[z] > 0 {
-				stay = min(d, max(room[z], 0))
-			}
-			if can[z] > 0 && d-stay < spillFrom*d {
-				stay = d
-			}
-		}
-		room[z] -= stay
-		excess[z] = d - stay
-	}
-	free, canAll := 0.0, 0.0
-	for y := range zones {
-		if can[y] > 0 {
-			free += max(room[y], 0)
-			canAll += can[y]
+		switch over := d - max(room[z], 0); {
+		case rule.OwnZone:
+		case can[z] == 0:
+			away[z] = 1
+		case over > spillFrom*d:
+			away[z] = over / d
 		}
+		room[z] -= d * (1 - away[z])
+		excess += d * away[z]
 	}
-	for z, d := range demand {
-		row := make([]float64, zones)
-		away := 0.0
-		if d > 0 {
-			away = excess[z] / d
-		} else if can[z] == 0 {
-			away = 1
-		}
-		if rule.OwnZone {
-			away = 0
+	for z := range room {
+		if can[z] > 0 {
+			free += max(room[z], 0)
 		}
-		row[z] = 1 - away
+	}
+	for z := range demand {
+		row, old := make([]float64, zones), a.spill[g][z]
+		row[z] = 1 - away[z]
 		for y := range row {
-			switch {
-			case away == 0 || can[y] == 0:
-			case free > 0:
-				row[y] += away * max(room[y], 0) / free
-			default:
-				row[y] += away * can[y] / canAll
+			if can[y] > 0 && free > 0 {
+				row[y] += away[z] * max(room[y], 0) / free
+			} else if can[y] > 0 {
+				row[y] += away[z] * can[y] / canAll
 			}
 		}
-		old := a.spill[g][z]
-		if old == nil || differ(old, row) || (can[z] == 0) != (old[z] == 0) {
+		changed := old == nil || (row[z] == 0) != (old[z] == 0)
+		for y := range row {
+			changed = changed || math.Abs(row[y]-old[y]) >= spillChange
+		}
+		if changed {
 			a.spill[g][z] = row
 		}
 	}
 	for y := range room {
 		if can[y] > 0 && free > 0 {
-			moved := 0.0
-			for z := range excess {
-				moved += excess[z]
-			}
-			room[y] -= moved * max(room[y], 0) / free
-		}
-	}
-}
-
-func differ(a, b []float64) bool {
-	for i := range a {
-		if math.Abs(a[i]-b[i]) >= 2*spillStep {
-			return true
+			room[y] -= excess * max(room[y], 0) / free
 		}
 	}
-	return false
 }
 
-// plan is the table that a proxy should hold for a group.
+// plan is the table that a proxy should hold for a group: lines at home carry their listed weights.
 func (a *Assigner) plan(p *proxy, g int) tbl {
-	rule := a.groups[g].rule
-	t := tbl{weight: make([]float64, len(a.be.zone))}
-	can := make([]float64, a.d.Zones)
-	for b := range t.weight {
-		if a.usable(b) && a.open(rule, p.zone, b) && a.shut[p.zone][a.be.zone[b]] == 0 {
-			can[a.be.zone[b]] += a.strength(b)
-		}
+	rule, be := a.groups[g].rule, &a.be
+	t := tbl{weight: make([]float64, len(be.zone))}
+	can, row := make([]float64, a.d.Zones), a.spill[g][p.zone]
+	if row == nil {
+		row = make([]float64, a.d.Zones)
+		row[p.zone] = 1
 	}
-	row := make([]float64, a.d.Zones)
-	row[p.zone] = 1
-	if a.spill != nil && a.spill[g][p.zone] != nil {
-		row = a.spill[g][p.zone]
+	fits := func(b int) bool {
+		return a.usable(b) && a.open(rule, p.zone, b) && a.ways[p.zone][be.zone[b]].till == 0
+	}
+	for b, y := range be.zone {
+		if fits(b) {
+			can[y] += a.strength(b)
+		}
 	}
-	home := 1.0
+	home, none := 1.0, true
 	if can[p.zone] > 0 && row[p.zone] > 0 {
-		home = can[p.zone] / row[p.zone] // lines at home carry their listed weights
+		home = can[p.zone] / row[p.zone]
 	}
-	lines := 0
-	for b := range t.weight {
-		if y := a.be.zone[b]; a.usable(b) && a.open(rule, p.zone, b) && can[y] > 0 && row[y] > spillStep/4 {
-			t.weight[b] = a.strength(b) / can[y] * row[y] * home
-			lines++
+	for b, y := range be.zone {
+		if fits(b) && row[y] > spillLeast {
+			t.weight[b], none = a.strength(b)/can[y]*row[y]*home, false
 		}
 	}
-	if lines == 0 {
-		// Better any ready backend, ill or not, than none.
-		for b := range t.weight {
-			if a.be.status[b] == Ready && a.open(rule, p.zone, b) {
-				t.weight[b] = a.be.weight[b] * a.ramp(b)
-			}
+	for b := range be.zone {
+		if none && be.status[b] == Ready && a.open(rule, p.zone, b) {
+			t.weight[b] = be.weight[b] * a.ramp(b) // any ready backend, ill or not, is better than none
 		}
 	}
 	for _, k := range a.groups[g].products {
-		t.gates = append(t.gates, gate{level: a.levelOf(p, k), tries: a.triesOf(k)})
+		t.gates = append(t.gates, gate{level: a.levelOf(p, k), tries: a.triesOf()})
 	}
 	return t
 }
 
+// levelOf is the level to order: none while the levels of all proxies sum to what is asked for.
 func (a *Assigner) levelOf(p *proxy, k int) float64 {
-	free := noLevel
-	if a.d.Levels == LevelShare {
-		free = 1
-	}
-	if a.total == 0 || a.d.Levels == LevelNone || a.demandMet(k) {
-		return free
-	}
-	if a.d.Levels == LevelShare {
-		return min(1, p.level[k]/max(p.use[k], levelFloor))
-	}
-	return p.level[k]
-}
-
-// demandMet says whether the levels of a product sum to its demand: then it is not held back.
-func (a *Assigner) demandMet(k int) bool {
-	sum := 0.0
+	sum, share := 0.0, a.d.Levels == LevelShare
 	for i := range a.px {
 		if a.px[i].joined {
 			sum += a.px[i].level[k]
 		}
 	}
-	return sum >= a.demand(k)
+	switch free := a.total == 0 || a.d.Levels == LevelNone || sum >= a.demand(k); {
+	case free && share:
+		return 1
+	case free:
+		return noLevel
+	case share:
+		return min(1, p.level[k]/max(p.use[k], levelFloor))
+	}
+	return p.level[k]
 }
 
-// triesOf says how any product may be tried again: only after proof that the first try never ran, which takes
-// effect once for all of them. A second try after any failure cuts the first short while it still runs, so that
-// slow backends get their work twice: it cost more on every day it was tried. While the median backend voids
-// tries, being turned away is no reason to ask the next.
-func (a *Assigner) triesOf(k int) Tries {
-	if (a.total > 0 || a.over > 0) && a.fails > overFails {
+// triesOf says how products may be tried again: after proof that the first try never ran, which takes effect
+// once for all of them. A second try after any failure gives slow backends their work twice: it cost more on
+// every day it was tried. While the median backend voids tries, being turned away is no reason to ask the next.
+func (a *Assigner) triesOf() Tries {
+	if (a.total > 0 || a.over > 0) && a.bad > overFails {
 		return TryOnce
 	}
 	return TryUnrun
 }
 
-// diff is what a proxy lacks.
-type diff struct {
-	proxy   int
-	urgency int
-	lines   []Line
-	gates   []Gate
-	cost    float64
-}
-
 // Urgencies, the most urgent first.
 const (
 	mustLeave = iota // drains and withdrawals
-	mustHave         // lines for a proxy that has none of ours, or none at all
+	mustHave         // lines for a proxy that holds none of ours, or none at all
 	mustEase         // weights of cold backends
 	mayLevel
 	mayRest
+	nothing
 )
 
+// diff is what a proxy lacks, and what it will hold then.
+type diff struct {
+	proxy, urgency int
+	orders         []Order
+	next           []tbl
+	cost           float64
+}
+
+func (a *Assigner) diff(i int) diff {
+	p, groups := &a.px[i], len(a.groups)
+	d := diff{proxy: i, urgency: nothing, cost: a.d.LinesHead + 1}
+	need := func(o Order, urgency int) {
+		d.orders, d.urgency = append(d.orders, o), min(d.urgency, urgency)
+	}
+	for g := range a.groups {
+		next, held, id, bare := a.plan(p, g), p.held[g], i*groups+g, true
+		for _, w := range held.weight {
+			bare = bare && w == 0
+		}
+		for b, w := range next.weight {
+			h := 0.0
+			if b < len(held.weight) {
+				h = held.weight[b]
+			}
+			urgency := mayRest
+			switch {
+			case w == h || w > 0 && h > 0 && math.Abs(w-h) < lineChange*h:
+				next.weight[b] = h
+				continue
+			case w == 0 && !a.usable(b):
+				urgency = mustLeave
+			case w > 0 && bare:
+				urgency = mustHave
+			case w < h && a.ramp(b) < 1:
+				urgency = mustEase
+			}
+			need(Line{Table: id, Backend: b, Weight: w}, urgency)
+		}
+		for j, k := range a.groups[g].products {
+			w := next.gates[j]
+			if held.gates != nil && held.gates[j].tries == w.tries &&
+				math.Abs(held.gates[j].level-w.level) <= levelChange*held.gates[j].level {
+				next.gates[j] = held.gates[j]
+				continue
+			}
+			need(Gate{Table: id, Level: w.level, Tries: w.tries, Products: 1 << k}, mayLevel)
+		}
+		d.next = append(d.next, next)
+		if !p.bound {
+			d.cost += float64(len(next.weight) + len(next.gates))
+		}
+	}
+	for g := range a.groups {
+		if !p.bound {
+			need(Use{Proxy: i, Table: i*groups + g, Products: a.groups[g].mask}, mustHave)
+		}
+	}
+	d.cost += float64(len(d.orders))
+	return d
+}
+
 // reconcile emits what the proxies lack, the most urgent and the busiest first, as far as the channel has room.
+// A proxy gets its whole difference or nothing: what it holds was ordered with all that was known.
 func (a *Assigner) reconcile(tick bool) {
 	if a.d.Slices > 0 {
+		a.keepDrains()
 		return
 	}
 	var todo []diff
+	var busy []float64
 	for i := range a.px {
-		if p := &a.px[i]; p.joined {
-			if d := a.diffOf(i, p); d.urgency <= mayRest {
+		use := 0.0
+		for _, u := range a.px[i].use {
+			use += u
+		}
+		busy = append(busy, use)
+		if a.px[i].joined {
+			if d := a.diff(i); d.urgency <= mustEase || tick && d.urgency < nothing {
 				todo = append(todo, d)
 			}
 		}
 	}
-	busy := func(i int) (v float64) {
-		for _, u := range a.px[i].use {
-			v += u
-		}
-		return v
-	}
-	sort.SliceStable(todo, func(i, j int) bool {
-		if todo[i].urgency != todo[j].urgency {
-			return todo[i].urgency < todo[j].urgency
-		}
-		return busy(todo[i].proxy) > busy(todo[j].proxy)
+	slices.SortStableFunc(todo, func(d, e diff) int {
+		return cmp.Or(cmp.Compare(d.urgency, e.urgency), cmp.Compare(busy[e.proxy], busy[d.proxy]))
 	})
-	waiting := a.lines - a.passed
-	waiting = max(0, waiting-slowChan*a.d.LinesPerS*float64(a.now-a.passedAt)/float64(Second))
+	waiting := a.lines - a.passed - slowChan*a.d.LinesPerS*float64(a.now-a.passedAt)/float64(Second)
+	waiting = max(waiting, 0)
 	sent := false
 	for _, d := range todo {
-		p := &a.px[d.proxy]
-		room, sends := roomRest, sendsRest
-		if d.urgency <= mustEase {
-			room, sends = roomUrgent, sendsMost
-		} else if !tick {
-			continue
+		p, room, sends := &a.px[d.proxy], roomUrgent, sendsMost
+		if d.urgency > mustEase {
+			room, sends = roomRest, sendsRest
 		}
 		if a.d.LinesMost > 0 && waiting+d.cost > room*a.d.LinesMost || !a.maySend(p, sends) {
 			continue
 		}
-		waiting += d.cost
-		a.lines += d.cost
-		for _, l := range d.lines {
-			a.order(l)
-		}
-		for _, g := range d.gates {
-			a.order(g)
-		}
-		if !p.bound {
-			for g := range a.groups {
-				a.order(Use{Proxy: d.proxy, Table: d.proxy*len(a.groups) + g, Products: a.groups[g].mask})
-			}
-			p.bound = true
-		}
-		a.hold(d, p)
-		p.sent = append(p.sent, a.now)
-		sent = true
+		a.orders = append(a.orders, d.orders...)
+		p.held, p.bound, p.sent, sent = d.next, true, append(p.sent, a.now), true
+		waiting, a.lines = waiting+d.cost, a.lines+d.cost
 	}
 	if sent {
 		a.fence = (a.fence + 1) % fences
@@ -1143,84 +1076,16 @@
 
 // maySend counts the messages that a proxy was sent within the counting span.
 func (a *Assigner) maySend(p *proxy, part float64) bool {
-	if a.d.MessagesMost <= 0 {
-		p.sent = nil
-		return true
-	}
-	for len(p.sent) > 0 && a.now-p.sent[0] > a.d.MessagesOver+Second {
-		p.sent = p.sent[1:]
-	}
-	return float64(len(p.sent)+1) <= part*float64(a.d.MessagesMost)
+	p.sent = slices.DeleteFunc(p.sent, func(t Time) bool { return a.now-t > a.d.MessagesOver+Second })
+	return a.d.MessagesMost <= 0 || float64(len(p.sent)+1) <= part*float64(a.d.MessagesMost)
 }
 
-func (a *Assigner) diffOf(i int, p *proxy) diff {
-	d := diff{proxy: i, urgency: mayRest + 1}
-	if !p.bound {
-		d.urgency = mustHave
-	}
-	for g := range a.groups {
-		want, held := a.plan(p, g), &p.held[g]
-		for len(held.weight) < len(want.weight) {
-			held.weight = append(held.weight, 0)
-		}
-		had := 0
-		for _, w := range held.weight {
-			if w > 0 {
-				had++
-			}
-		}
-		id := i*len(a.groups) + g
-		for b, w := range want.weight {
-			h := held.weight[b]
-			if w == h || w > 0 && h > 0 && math.Abs(w-h) < lineChange*h {
-				continue
-			}
-			d.lines = append(d.lines, Line{Table: id, Backend: b, Weight: w})
-			switch {
-			case w == 0 && (a.be.status[b] != Ready || a.be.outTill[b] != 0):
-				d.urgency = mustLeave
-			case w > 0 && had == 0:
-				d.urgency = min(d.urgency, mustHave)
-			case w < h && a.ramp(b) < 1:
-				d.urgency = min(d.urgency, mustEase)
-			default:
-				d.urgency = min(d.urgency, mayRest)
-			}
-		}
-		for j, k := range a.groups[g].products {
-			w := want.gates[j]
-			if j < len(held.gates) {
-				h := held.gates[j]
-				if h == w || h.tries == w.tries && math.Abs(h.level-w.level) < levelChange*h.level {
-					continue
-				}
-			}
-			d.gates = append(d.gates, Gate{Table: id, Level: w.level, Tries: w.tries, Products: 1 << k})
-			d.urgency = min(d.urgency, mayLevel)
-		}
-		if !p.bound {
-			d.cost += 1 + float64(len(want.weight)+len(want.gates))
-		}
-	}
-	d.cost += a.d.LinesHead + 1 + float64(len(d.lines)+len(d.gates))
-	return d
-}
-
-// hold notes what a proxy holds once the orders of a diff have reached it.
-func (a *Assigner) hold(d diff, p *proxy) {
-	for _, l := range d.lines {
-		p.held[l.Table-d.proxy*len(a.groups)].weight[l.Backend] = l.Weight
-	}
-	for _, g := range d.gates {
-		at := g.Table - d.proxy*len(a.groups)
-		held := &p.held[at]
-		for j, k := range a.groups[at].products {
-			for len(held.gates) <= j {
-				held.gates = append(held.gates, gate{})
-			}
-			if g.Products == 1<<k {
-				held.gates[j] = gate{level: g.Level, tries: g.Tries}
-			}
+// keepDrains withdraws what drains or is gone, where tables belong to slices and are not ours to lay.
+func (a *Assigner) keepDrains() {
+	for b, s := range a.be.status {
+		if out := s != Ready; out != a.be.shutOut[b] {
+			a.be.shutOut[b] = out
+			a.order(Withdraw{Backend: b, Out: out})
 		}
 	}
 }
