--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1,13 +1,11 @@
-// Package choice holds every decision of elmfold. New makes one controller's Assigner from its seed and its
-// Deployment; Step takes the events of one moment and returns the orders to carry out. The types of events,
+// Package choice holds every decision of elmfold. New makes one controller's Assigner from its Deployment; Step takes the events of one moment and returns the orders to carry out. The types of events,
 // orders and launch settings are in iface.go. Nothing here reads a clock, a file or a network.
 package choice
 
 import (
 	"cmp"
-	"encoding/binary"
 	"fmt"
-	"hash/fnv"
+
 	"math"
 	"slices"
 )
@@ -51,20 +49,10 @@
 	spillLeast  = 0.0125       // a smaller part of a zone's txns opens no lines to another zone
 	lineChange  = 0.12         // relative change of a weight that is worth a line
 	levelChange = 0.08         // ... of a level
-	awayFor     = 20 * Second  // a proxy whose stream broke is held to go on for so long
-	noteAge     = 5 * Second   // another controller's note counts for so long
 	useKeep     = 0.5          // a second, of a proxy's old use
 	newsHalf    = 1.0 * Second // half-life of tries at a backend, in the time that they were counted over
 
-	illDry     = 6.0        // tries in a row without one answer from which a backend is ill
-	illNobody  = 0.15       // voided at the median backend: all fail, nobody is ill
-	illMost    = 0.3        // part of the fleet's listed weight that may be out as ill at once
-	illFor     = 6 * Second // how long; up to half more by chance, doubles with each strike
-	illStrikes = 3          // doublings at most
-	fewTries   = 4.0        // fewer say nothing
-	wayDry     = 12.0       // tries in a row without one answer from which a way between zones is shut
-	deadShare  = 0.9        // voided: a backend that counts as dry on a way
-
+	fewTries  = 4.0        // tries under which a share of voided ones says nothing
 	hotRatio  = 1.5        // a backend's time over the median from which it is relieved
 	hotSLA    = 0.35       // ... if it is this part of the SLA time too
 	hotFails  = 0.1        // voided over the median's from which it is relieved too
@@ -110,53 +98,36 @@
 	zone          int
 	use, voided   []float64 // txns/s by product
 	level         []float64 // max-rate by product
-	left          Time
-	held          []tbl  // by group: what was ordered
-	sent          []Time // messages within the counting span
+	held          []tbl     // by group: what was ordered
+	sent          []Time    // messages within the counting span
 }
 
 // fleet is parallel arrays under the door's index of backends.
 type fleet struct {
-	zone, kind      []int
-	status          []Status
-	weight          []float64 // listed
-	rampAt, outTill []Time    // when its ramp began; ill until then, 0 when in
-	strikes         []int
-	relief          []float64 // part of its weight that a hot one keeps
-	easedAt         []Time
-	tries, voided   [][]float64 // by zone of the proxies, fading
-	took, good, dry []float64   // time of answers and their number, fading; tries since the last answer
-	fresh, shutOut  []bool      // heard of since the last tick; withdrawn (slices only)
-}
-
-// way is what is known of the tries of one zone's proxies at another's backends.
-type way struct {
-	till    Time // shut until then; 0 when open
-	strikes int
-	dry     float64 // tries since the last answer
-}
-
-// peer is what another controller said of its own proxies.
-type peer struct {
-	at      Time
-	proxies int
-	demand  [][]float64
+	zone, kind     []int
+	status         []Status
+	weight         []float64 // listed
+	rampAt         []Time    // when its ramp began
+	relief         []float64 // part of its weight that a hot one keeps
+	easedAt        []Time
+	tries, voided  [][]float64 // by zone of the proxies, fading
+	took, good     []float64   // time of answers and their number, fading
+	fresh, shutOut []bool      // heard of since the last tick; withdrawn (slices only)
 }
 
 // Assigner decides for one controller.
 type Assigner struct {
-	d             Deployment
-	now           Time
-	seed, draws   uint64
+	d   Deployment
+	now Time
+
 	began, urgent bool // urgent: something happened that cannot wait for the tick
 	refollow      bool // ask for the list again at the tick
 	sliced        bool
 	groups        []group
 	px            []proxy
 	be            fleet
-	ways          [][]way       // by zone of the proxies and of the backends
-	spill         [][][]float64 // by group, zone of the proxies, zone of the backends: part of their txns
-	peers         map[int]peer
+
+	spill [][][]float64 // by group, zone of the proxies, zone of the backends: part of their txns
 
 	total, knee     float64 // txns/s; total 0 is unbounded; the knee is what the backends are held to manage
 	served, best    float64 // txns/s answered, smoothed; the most of late for each unit of strength
@@ -172,8 +143,8 @@
 }
 
 // New makes an Assigner that knows its deployment and nothing else.
-func New(seed uint64, d Deployment) *Assigner {
-	a := &Assigner{d: d, seed: seed, peers: map[int]peer{}, fenceAt: make([]float64, fences)}
+func New(d Deployment) *Assigner {
+	a := &Assigner{d: d, fenceAt: make([]float64, fences)}
 	places := func(p Product) string { return fmt.Sprint(p.OwnZone, p.OnlyZones, p.OnlyKinds) }
 	for k, p := range d.Products {
 		g := slices.IndexFunc(a.groups, func(g group) bool { return places(g.rule) == places(p) })
@@ -193,9 +164,7 @@
 		return 2
 	}
 	slices.SortStableFunc(a.groups, func(g, h group) int { return confined(g) - confined(h) })
-	for range d.Zones {
-		a.ways = append(a.ways, make([]way, d.Zones))
-	}
+
 	for range a.groups {
 		a.spill = append(a.spill, make([][]float64, d.Zones))
 	}
@@ -218,7 +187,7 @@
 			a.hearJoin(e)
 		case Left:
 			if p := a.proxy(e.Proxy); p.joined {
-				p.joined, p.bound, p.left, a.reset = false, false, now, true
+				p.joined, p.bound, a.reset = false, false, true
 			}
 		case Heard:
 			a.hearTries(e)
@@ -228,8 +197,7 @@
 			if a.fenceAt[e.Number] > a.passed {
 				a.passed, a.passedAt = a.fenceAt[e.Number], now
 			}
-		case Noted:
-			a.hearNote(e)
+
 		case Woken:
 			tick = true
 		case SliceGiven:
@@ -245,11 +213,11 @@
 	}
 	if tick {
 		a.order(Wake{After: tickEvery})
-		a.judgeWays()
+
 		a.judge()
 		a.setTotal()
 		a.setLevels()
-		a.tell()
+
 	}
 	if tick || a.urgent {
 		a.setSpill()
@@ -263,21 +231,13 @@
 
 func (a *Assigner) log(format string, v ...any) { a.order(Log{Text: fmt.Sprintf(format, v...)}) }
 
-// chance draws a number from 0 to 1.
-func (a *Assigner) chance() float64 {
-	a.draws++
-	h := fnv.New64a()
-	h.Write(binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint64(nil, a.seed), a.draws))
-	return float64(h.Sum64()>>11) / (1 << 53)
-}
-
 // ownZone is a zone as it came, kept within those that the deployment has.
 func (a *Assigner) ownZone(z int) int { return min(max(z, 0), a.d.Zones-1) }
 
 func (a *Assigner) proxy(i int) *proxy {
 	for n := len(a.d.Products); len(a.px) <= i; {
 		a.px = append(a.px, proxy{use: make([]float64, n), voided: make([]float64, n), level: make([]float64, n),
-			heard: make([]bool, n), held: make([]tbl, len(a.groups)), left: never})
+			heard: make([]bool, n), held: make([]tbl, len(a.groups))})
 	}
 	return &a.px[i]
 }
@@ -310,12 +270,11 @@
 func (a *Assigner) grow(n int) {
 	for be := &a.be; len(be.zone) < n; {
 		be.zone, be.kind, be.status = append(be.zone, 0), append(be.kind, 0), append(be.status, Gone)
-		be.weight, be.rampAt, be.outTill = append(be.weight, 1), append(be.rampAt, never), append(be.outTill, 0)
-		be.strikes, be.relief = append(be.strikes, 0), append(be.relief, 1)
+		be.weight, be.rampAt, be.relief = append(be.weight, 1), append(be.rampAt, never), append(be.relief, 1)
 		be.easedAt, be.fresh = append(be.easedAt, never), append(be.fresh, false)
 		be.tries = append(be.tries, make([]float64, a.d.Zones))
 		be.voided = append(be.voided, make([]float64, a.d.Zones))
-		be.took, be.good, be.dry = append(be.took, 0), append(be.good, 0), append(be.dry, 0)
+		be.took, be.good = append(be.took, 0), append(be.good, 0)
 		be.shutOut = append(be.shutOut, false)
 	}
 }
@@ -340,7 +299,7 @@
 		// A new start, also one met while the backend still stands in tables: it is cold, and what was heard
 		// of it before holds no longer.
 		if en.Status == Ready && en.Up > 0 && en.Up > be.rampAt[b] {
-			be.rampAt[b], be.strikes[b], be.outTill[b], be.relief[b] = en.Up, 0, 0, 1
+			be.rampAt[b], be.relief[b] = en.Up, 1
 			a.forget(b)
 		}
 		a.setStatus(b, en.Status)
@@ -365,7 +324,7 @@
 func (a *Assigner) forget(b int) {
 	clear(a.be.tries[b])
 	clear(a.be.voided[b])
-	a.be.took[b], a.be.good[b], a.be.dry[b] = 0, 0, 0
+	a.be.took[b], a.be.good[b] = 0, 0
 }
 
 func (a *Assigner) hearTries(e Heard) {
@@ -373,19 +332,13 @@
 	if b >= len(be.zone) {
 		return
 	}
-	voided, w := min(e.Voided, e.Tries), &a.ways[z][be.zone[b]]
+	voided := min(e.Voided, e.Tries)
 	keep := math.Exp2(-float64(e.Counting) / float64(newsHalf))
 	be.tries[b][z] = be.tries[b][z]*keep + e.Tries
 	be.voided[b][z] = be.voided[b][z]*keep + voided
 	if good := e.Tries - voided; good > 0 && e.Took > 0 {
 		be.good[b] = be.good[b]*keep + good
 		be.took[b] += (float64(e.Took) - be.took[b]) * good / be.good[b]
-		be.dry[b], w.dry = 0, 0
-	} else {
-		w.dry += e.Tries
-		if w.till == 0 {
-			be.dry[b] += e.Tries
-		}
 	}
 	be.fresh[b] = true
 }
@@ -400,7 +353,7 @@
 func (a *Assigner) strength(b int) float64 { return a.be.weight[b] * a.ramp(b) * a.be.relief[b] }
 
 // usable says whether a backend may stand in tables.
-func (a *Assigner) usable(b int) bool { return a.be.status[b] == Ready && a.be.outTill[b] == 0 }
+func (a *Assigner) usable(b int) bool { return a.be.status[b] == Ready }
 
 // open says whether products under the rule may go from a zone to a backend.
 func (a *Assigner) open(rule Product, zone, b int) bool {
@@ -414,7 +367,7 @@
 func (a *Assigner) failing(b int) float64 {
 	share := -1.0
 	for z, n := range a.be.tries[b] {
-		if f := a.be.voided[b][z] / n; n >= fewTries/2 && a.ways[z][a.be.zone[b]].till == 0 && (share < 0 || f < share) {
+		if f := a.be.voided[b][z] / n; n >= fewTries/2 && (share < 0 || f < share) {
 			share = f
 		}
 	}
@@ -462,83 +415,14 @@
 	return max(sum/max(n, 1e-9), 1)
 }
 
-// judgeWays shuts the way from a zone's proxies to a zone's backends when no try on it is answered any more
-// while those proxies are answered elsewhere. Answers zones cut off or lost, whole or as seen from one side,
-// before the list shows it. An overloaded zone still answers some, and stays open; a lone dry backend is ill,
-// and draws all tries of proxies that choose the one with the least work out: it shuts no way.
-func (a *Assigner) judgeWays() {
-	for z := range a.ways {
-		tries, dry := make([]float64, a.d.Zones), make([]int, a.d.Zones)
-		for b, y := range a.be.zone {
-			if n := a.be.tries[b][z]; a.usable(b) && n > 0 {
-				tries[y] += n
-				if a.be.voided[b][z] > deadShare*n {
-					dry[y]++
-				}
-			}
-		}
-		fine := false
-		for y, w := range a.ways[z] {
-			fine = fine || w.till == 0 && w.dry == 0 && tries[y] >= fewTries
-		}
-		for y := range a.ways[z] {
-			switch w := &a.ways[z][y]; {
-			case w.till != 0 && a.now >= w.till:
-				w.till, w.dry = 0, 0
-				for b := range a.be.zone {
-					if a.be.zone[b] == y {
-						a.be.tries[b][z], a.be.voided[b][z] = 0, 0
-					}
-				}
-				a.log("way from zone %d to zone %d open on trial", z, y)
-			case w.till == 0 && fine && w.dry >= wayDry && dry[y] > 1 && a.bad < illNobody:
-				w.till = a.now + a.outFor(w.strikes)
-				w.strikes++
-				a.log("way from zone %d to zone %d shut: %.0f tries without an answer", z, y, w.dry)
-			case w.dry == 0:
-				w.strikes = 0
-			}
-		}
-	}
-}
-
-// outFor is how long something stays out; by chance, so that what went out together comes back one by one.
-func (a *Assigner) outFor(strikes int) Time {
-	return Time(float64(illFor)*(1+a.chance()/2)) << min(strikes, illStrikes)
-}
-
 // judge looks at what was heard since the last tick: who is ill, who is hot, and whether all are.
 func (a *Assigner) judge() {
 	be := &a.be
 	a.bad, a.took = a.medians(func(int) bool { return true })
-	all, out, news := 0.0, 0.0, false
-	for b, w := range be.weight {
-		if be.status[b] == Ready {
-			all += w
-			if be.outTill[b] != 0 {
-				out += w
-			}
-		}
-	}
-	for b, w := range be.weight {
+	news := false
+	for b := range be.weight {
 		news = news || be.fresh[b]
-		if be.outTill[b] != 0 && a.now >= be.outTill[b] {
-			be.outTill[b], be.rampAt[b] = 0, a.now
-			a.forget(b)
-			out -= w
-			a.log("backend %d back on trial", b)
-		}
 		if be.fresh[b] && a.usable(b) {
-			// Ill: it answers nothing any more while the median backend, of the fleet and of its zone, does.
-			// Answers hangs, dead machines that are still listed, broken hosts. An overloaded backend still
-			// answers some: taking it out would only push its load on. When all fail alike, nobody is ill.
-			zone, _ := a.medians(func(c int) bool { return c != b && be.zone[c] == be.zone[b] })
-			if be.dry[b] >= illDry && max(a.bad, zone) < illNobody && out+w <= illMost*all && a.spared(b) {
-				be.outTill[b] = a.now + a.outFor(be.strikes[b])
-				be.strikes[b]++
-				out += w
-				a.log("backend %d out: %.0f tries without an answer, median voids %.0f%%", b, be.dry[b], 100*a.bad)
-			}
 			// Hot: far slower than the others and near the SLA time, or voiding more. Answers slow machines,
 			// neighbours on the machine and wrong listed weights.
 			hot := be.took[b] > max(hotRatio*a.took, hotSLA*a.sla()) || a.failing(b) > a.bad+hotFails
@@ -565,22 +449,6 @@
 	a.over, a.calm = 0, min(a.calm*calmRise, a.took)
 }
 
-// spared says whether every product in every zone keeps a usable backend when b is out.
-func (a *Assigner) spared(b int) bool {
-	for _, g := range a.groups {
-		for z := range a.d.Zones {
-			left := !a.open(g.rule, z, b)
-			for c := range a.be.zone {
-				left = left || c != b && a.usable(c) && a.open(g.rule, z, c)
-			}
-			if !left {
-				return false
-			}
-		}
-	}
-	return true
-}
-
 // setTotal bounds the total of all levels under overload and lets go of it afterwards.
 func (a *Assigner) setTotal() {
 	all, served, strength := 0.0, 0.0, 1e-9
@@ -734,34 +602,6 @@
 	}
 }
 
-// tell sends the other controllers what this one's proxies are asked for, by group and zone.
-func (a *Assigner) tell() {
-	d, n := a.zoneDemand()
-	data := binary.BigEndian.AppendUint16(nil, uint16(n))
-	for _, row := range d {
-		for _, v := range row {
-			data = binary.BigEndian.AppendUint16(data, uint16(min(v*10, math.MaxUint16)))
-		}
-	}
-	if a.d.Notes && a.d.Controllers > 1 && len(data) <= 256 {
-		a.order(Note{To: ToAll, Data: data})
-	}
-}
-
-func (a *Assigner) hearNote(e Noted) {
-	if len(e.Data) != 2+2*len(a.groups)*a.d.Zones {
-		return
-	}
-	p := peer{at: a.now, proxies: int(binary.BigEndian.Uint16(e.Data))}
-	for g := range a.groups {
-		p.demand = append(p.demand, make([]float64, a.d.Zones))
-		for z := range p.demand[g] {
-			p.demand[g][z] = float64(binary.BigEndian.Uint16(e.Data[2+2*(g*a.d.Zones+z):])) / 10
-		}
-	}
-	a.peers[e.From] = p
-}
-
 // zoneDemand is what the joined proxies are asked for, by group and zone, and how many they are.
 func (a *Assigner) zoneDemand() (d [][]float64, proxies int) {
 	for g := range a.groups {
@@ -790,25 +630,6 @@
 // usable strength, and only what is over that goes elsewhere.
 func (a *Assigner) setSpill() {
 	demand, known := a.zoneDemand()
-	for from := range a.d.Controllers {
-		if n, ok := a.peers[from]; ok && a.now-n.at <= noteAge {
-			known += n.proxies
-			for g, row := range n.demand {
-				for z, v := range row {
-					demand[g][z] += v
-				}
-			}
-		}
-	}
-	// A proxy whose stream broke goes on, or others of its zone get its txns: a zone does not fall idle with it.
-	for i := range a.px {
-		if p := &a.px[i]; !p.joined && known < a.d.Proxies && a.now-p.left < awayFor {
-			known++
-			for g := range demand {
-				demand[g][p.zone] += a.groupUse(p, g)
-			}
-		}
-	}
 	room, all := make([]float64, a.d.Zones), 0.0
 	for b, z := range a.be.zone {
 		if a.usable(b) {
@@ -900,26 +721,19 @@
 		row = make([]float64, a.d.Zones)
 		row[p.zone] = 1
 	}
-	fits := func(b int) bool {
-		return a.usable(b) && a.open(rule, p.zone, b) && a.ways[p.zone][be.zone[b]].till == 0
-	}
+	fits := func(b int) bool { return a.usable(b) && a.open(rule, p.zone, b) }
 	for b, y := range be.zone {
 		if fits(b) {
 			can[y] += a.strength(b)
 		}
 	}
-	home, none := 1.0, true
+	home := 1.0
 	if can[p.zone] > 0 && row[p.zone] > 0 {
 		home = can[p.zone] / row[p.zone]
 	}
 	for b, y := range be.zone {
 		if fits(b) && row[y] > spillLeast {
-			t.weight[b], none = a.strength(b)/can[y]*row[y]*home, false
-		}
-	}
-	for b := range be.zone {
-		if none && be.status[b] == Ready && a.open(rule, p.zone, b) {
-			t.weight[b] = be.weight[b] * a.ramp(b) // any ready backend, ill or not, is better than none
+			t.weight[b] = a.strength(b) / can[y] * row[y] * home
 		}
 	}
 	for _, k := range a.groups[g].products {
--- a/cmd/wirehost/main.go
+++ b/cmd/wirehost/main.go
@@ -41,7 +41,7 @@
 			switch e := rec.Event.(type) {
 			case nil:
 			case wire.Launch:
-				hosted[rec.Inst] = choice.New(e.Seed, e.Deployment)
+				hosted[rec.Inst] = choice.New(e.Deployment)
 				events[rec.Inst] = nil
 			case wire.Stop:
 				delete(hosted, rec.Inst)
