Bound the total at the first tick from 0.45 of the SLA time; try again only while quick

Cause: two ticks of overload are two seconds of queue more, on reports that are already late; tries after proof on full backends feed an overload.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -21,8 +21,8 @@
 
 	overFails  = 0.05       // voided at the median backend: fleet-wide failure (design)
 	overSlow   = 2.0        // median time of answers over its calm value: overload (design)
-	overSLA    = 0.55       // ... if it is this part of the SLA time too: quicker ones earn in full
-	overTicks  = 2          // ticks with news in a row before the total is bounded
+	overSLA    = 0.45       // ... if it is this part of the SLA time too: quicker ones earn in full
+	overTicks  = 1          // ticks with news in a row before the total is bounded
 	calmRise   = 1.005      // a tick: the calm time is the least of late
 	servedOver = 3.0        // ticks that the served rate is smoothed over
 	bestKeep   = 0.995      // a tick, of the best rate served for each unit of strength
@@ -765,7 +765,7 @@
 // once for all of them. A second try after any failure gives slow backends their work twice: it cost more on
 // every day it was tried. While the median backend voids tries, being turned away is no reason to ask the next.
 func (a *Assigner) triesOf() Tries {
-	if (a.total > 0 || a.over > 0) && a.bad > overFails {
+	if !a.light {
 		return TryOnce
 	}
 	return TryUnrun
