--- a/choice/choice.go
+++ b/choice/choice.go
@@ -19,18 +19,18 @@
 	shareTurns = 4      // rounds of sharing in the tick of a reset: use is known by then
 	noLevel    = 1e6    // txns/s: a rate that binds nobody
 
-	overFails  = 0.05       // voided at the median backend: fleet-wide failure (design)
-	overSlow   = 2.0        // median time of answers over its calm value: overload (design)
-	overSLA    = 0.45       // ... if it is this part of the SLA time too: quicker ones earn in full
-	overTicks  = 1          // ticks with news in a row before the total is bounded
+	overFails = 0.05 // voided at the median backend: fleet-wide failure (design)
+	overSlow  = 2.0  // median time of answers over its calm value: overload (design)
+	overSLA   = 0.4  // ... if it is this part of the SLA time too: quicker ones earn in full
+
 	calmRise   = 1.005      // a tick: the calm time is the least of late
 	servedOver = 3.0        // ticks that the served rate is smoothed over
 	bestKeep   = 0.995      // a tick, of the best rate served for each unit of strength
 	kneeLeast  = 0.75       // of the best rate: late answers and work for nobody make the served rate fall too far
 	kneeDown   = 0.9        // the knee when a cut did not help
-	cutLight   = 0.9        // the total is at most this part of the knee, so that queues drain,
+	cutLight   = 0.95       // the total is at most this part of the knee, so that queues drain,
 	cutDeep    = 0.45       // ... at least this, and in between
-	cutBase    = 1.1        // ... this,
+	cutBase    = 1.15       // ... this,
 	cutSlope   = 0.5        // ... less so much for each SLA time that answers take
 	cutFails   = 0.2        // voided at the median backend: cut deep, and at once
 	cutAgain   = 6 * Second // time-outs of before a cut are heard of for some seconds
@@ -44,18 +44,18 @@
 	rampStart = 0.1        // part of its weight that a new backend starts with (design)
 	rampTurn  = 5 * Second // ... and doubles after (design)
 
-	spillFrom   = 0.1          // a smaller excess of a zone's demand over its fair part stays at home
-	spillChange = 0.1          // a change of the spill that is worth lines
-	spillLeast  = 0.0125       // a smaller part of a zone's txns opens no lines to another zone
-	lineChange  = 0.12         // relative change of a weight that is worth a line
-	levelChange = 0.08         // ... of a level
-	useKeep     = 0.5          // a second, of a proxy's old use
-	newsHalf    = 1.0 * Second // half-life of tries at a backend, in the time that they were counted over
+	spillFrom   = 0.1    // a smaller excess of a zone's demand over its fair part stays at home
+	spillChange = 0.1    // a change of the spill that is worth lines
+	spillLeast  = 0.0125 // a smaller part of a zone's txns opens no lines to another zone
+	lineChange  = 0.12   // relative change of a weight that is worth a line
+	levelChange = 0.08   // ... of a level
+	useKeep     = 0.5    // a second, of a proxy's old use
+	newsKeep    = 0.2    // a tick with news, of the tries at a backend
 
-	fewTries  = 4.0        // tries under which a share of voided ones says nothing
+	fewTries  = 4.0        // fewer tries say nothing of a backend
 	hotRatio  = 1.5        // a backend's time over the median from which it is relieved
 	hotSLA    = 0.35       // ... if it is this part of the SLA time too
-	hotFails  = 0.1        // voided over the median's from which it is relieved too
+	hotFails  = 0.2        // voided over the median's from which it is relieved too
 	coolRatio = 1.15       // time over the median under which weight comes back
 	easeBy    = 0.7        // a step of relief
 	easeLeast = 0.25       // ... down to this
@@ -71,7 +71,7 @@
 
 const (
 	never  = Time(math.MinInt64 / 2)
-	fences = 1 << 16
+	fences = 1 << 8 // numbers in turn; far more than are ever on the way
 )
 
 // group is the products that may go to the same backends: they share a table.
@@ -94,7 +94,7 @@
 
 type proxy struct {
 	joined, bound bool
-	heard         []bool // by product: it reported since it joined
+	heard         bool // it reported since it joined
 	zone          int
 	use, voided   []float64 // txns/s by product
 	level         []float64 // max-rate by product
@@ -110,9 +110,9 @@
 	rampAt         []Time    // when its ramp began
 	relief         []float64 // part of its weight that a hot one keeps
 	easedAt        []Time
-	tries, voided  [][]float64 // by zone of the proxies, fading
-	took, good     []float64   // time of answers and their number, fading
-	fresh, shutOut []bool      // heard of since the last tick; withdrawn (slices only)
+	tries, voided  []float64 // fading
+	good, spent    []float64 // answers and the time that they took, fading
+	fresh, shutOut []bool    // heard of since the last tick; withdrawn (slices only)
 }
 
 // Assigner decides for one controller.
@@ -122,29 +122,30 @@
 
 	began, urgent bool // urgent: something happened that cannot wait for the tick
 	refollow      bool // ask for the list again at the tick
-	sliced        bool
-	groups        []group
-	px            []proxy
-	be            fleet
+
+	groups []group
+	px     []proxy
+	be     fleet
 
 	spill [][][]float64 // by group, zone of the proxies, zone of the backends: part of their txns
 
 	total, knee     float64 // txns/s; total 0 is unbounded; the knee is what the backends are held to manage
 	served, best    float64 // txns/s answered, smoothed; the most of late for each unit of strength
-	over            int     // ticks of overload in a row
-	light, reset    bool    // answers are quick; levels go back to equal shares
+	over, light     bool    // answers are late or voided; they are quick
+	reset           bool    // levels go back to equal shares
+	free            []bool  // by product: the levels cover what is asked for
 	cutAt, riseAt   Time
 	calm, took, bad float64 // median time of answers, the least of late and now; voided at the median backend
 	lines, passed   float64 // lines ordered, and those known to have left the channel
 	passedAt        Time
 	fence           int
-	fenceAt         []float64 // lines ordered up to a fence
+	fenceAt         [fences]float64 // lines ordered up to a fence
 	orders          []Order
 }
 
 // New makes an Assigner that knows its deployment and nothing else.
 func New(d Deployment) *Assigner {
-	a := &Assigner{d: d, fenceAt: make([]float64, fences)}
+	a := &Assigner{d: d, free: make([]bool, len(d.Products))}
 	places := func(p Product) string { return fmt.Sprint(p.OwnZone, p.OnlyZones, p.OnlyKinds) }
 	for k, p := range d.Products {
 		g := slices.IndexFunc(a.groups, func(g group) bool { return places(g.rule) == places(p) })
@@ -154,29 +155,29 @@
 		a.groups[g].products, a.groups[g].mask = append(a.groups[g].products, k), a.groups[g].mask|1<<k
 	}
 	// The most confined products are placed first; the others take the room that is left.
-	confined := func(g group) int {
-		switch {
-		case g.rule.OwnZone:
-			return 0
-		case g.rule.OnlyZones != nil || g.rule.OnlyKinds != nil:
-			return 1
-		}
-		return 2
-	}
-	slices.SortStableFunc(a.groups, func(g, h group) int { return confined(g) - confined(h) })
-
+	slices.SortStableFunc(a.groups, func(g, h group) int { return cmp.Compare(confined(h.rule), confined(g.rule)) })
 	for range a.groups {
 		a.spill = append(a.spill, make([][]float64, d.Zones))
 	}
 	return a
 }
 
+func confined(p Product) int {
+	if p.OwnZone {
+		return math.MaxInt
+	}
+	return len(p.OnlyZones) + len(p.OnlyKinds)
+}
+
 // Step takes the events of one moment and returns the orders.
 func (a *Assigner) Step(now Time, events []Event) []Order {
 	a.now, a.orders = now, nil
 	if !a.began {
 		a.began, a.refollow = true, a.d.Asked
 		a.order(Wake{After: tickEvery})
+		if a.d.Slices > 0 {
+			a.log("%d slices: tables stay as the store has them, only drains are kept", a.d.Slices)
+		}
 	}
 	tick := false
 	for _, e := range events {
@@ -194,17 +195,12 @@
 		case Used:
 			a.hearUse(e)
 		case Settled:
-			if a.fenceAt[e.Number] > a.passed {
-				a.passed, a.passedAt = a.fenceAt[e.Number], now
+			if at := a.fenceAt[e.Number%fences]; at > a.passed {
+				a.passed, a.passedAt = at, now
 			}
-
 		case Woken:
 			tick = true
-		case SliceGiven:
-			if !a.sliced {
-				a.log("slices: tables stay as the store has them, only drains are kept")
-			}
-			a.sliced = true
+
 		}
 	}
 	if a.refollow && (tick || len(a.be.zone) == 0) {
@@ -217,7 +213,6 @@
 		a.judge()
 		a.setTotal()
 		a.setLevels()
-
 	}
 	if tick || a.urgent {
 		a.setSpill()
@@ -231,22 +226,22 @@
 
 func (a *Assigner) log(format string, v ...any) { a.order(Log{Text: fmt.Sprintf(format, v...)}) }
 
-// ownZone is a zone as it came, kept within those that the deployment has.
+// ownZone keeps a zone within those that the deployment has.
 func (a *Assigner) ownZone(z int) int { return min(max(z, 0), a.d.Zones-1) }
 
 func (a *Assigner) proxy(i int) *proxy {
 	for n := len(a.d.Products); len(a.px) <= i; {
 		a.px = append(a.px, proxy{use: make([]float64, n), voided: make([]float64, n), level: make([]float64, n),
-			heard: make([]bool, n), held: make([]tbl, len(a.groups))})
+			held: make([]tbl, len(a.groups))})
 	}
 	return &a.px[i]
 }
 
 func (a *Assigner) hearJoin(e Joined) {
 	p := a.proxy(e.Proxy)
-	p.joined, p.bound, p.zone, p.sent = true, false, a.ownZone(e.Zone), nil
+	p.joined, p.bound, p.heard, p.zone, p.sent = true, false, false, a.ownZone(e.Zone), nil
 	for k := range p.use {
-		p.use[k], p.voided[k], p.heard[k] = e.Rate/float64(len(p.use)), 0, false
+		p.use[k], p.voided[k] = e.Rate/float64(len(p.use)), 0
 	}
 	a.reset, a.urgent = true, true
 }
@@ -257,11 +252,12 @@
 		return
 	}
 	keep := math.Pow(useKeep, max(s, 0.2))
-	if !slices.Contains(p.heard, true) {
+	if !p.heard {
+		p.heard = true
 		clear(p.use) // the rate it was said to get gives way to what it gets
 	}
-	if !p.heard[k] {
-		p.heard[k], keep = true, 0
+	if p.use[k] == 0 {
+		keep = 0
 	}
 	p.use[k] = p.use[k]*keep + e.Txns/s*(1-keep)
 	p.voided[k] = p.voided[k]*keep + e.Voided/s*(1-keep)
@@ -272,9 +268,8 @@
 		be.zone, be.kind, be.status = append(be.zone, 0), append(be.kind, 0), append(be.status, Gone)
 		be.weight, be.rampAt, be.relief = append(be.weight, 1), append(be.rampAt, never), append(be.relief, 1)
 		be.easedAt, be.fresh = append(be.easedAt, never), append(be.fresh, false)
-		be.tries = append(be.tries, make([]float64, a.d.Zones))
-		be.voided = append(be.voided, make([]float64, a.d.Zones))
-		be.took, be.good = append(be.took, 0), append(be.good, 0)
+		be.tries, be.voided = append(be.tries, 0), append(be.voided, 0)
+		be.good, be.spent = append(be.good, 0), append(be.spent, 0)
 		be.shutOut = append(be.shutOut, false)
 	}
 }
@@ -285,11 +280,10 @@
 		a.refollow = a.d.Asked
 		return
 	}
-	seen := map[int]bool{}
+	seen := map[int]bool{} // by backend named: it is not gone
 	for _, en := range e.Entries {
 		b := en.Backend
 		a.grow(b + 1)
-		seen[b] = true
 		if en.Status != Gone {
 			be.zone[b], be.kind[b], be.weight[b] = a.ownZone(en.Zone), en.Kind, 1
 			if en.Weight > 0 {
@@ -300,47 +294,33 @@
 		// of it before holds no longer.
 		if en.Status == Ready && en.Up > 0 && en.Up > be.rampAt[b] {
 			be.rampAt[b], be.relief[b] = en.Up, 1
-			a.forget(b)
+			be.tries[b], be.voided[b], be.good[b], be.spent[b] = 0, 0, 0, 0
+		}
+		if en.Status != Gone {
+			be.status[b] = en.Status
 		}
-		a.setStatus(b, en.Status)
+		seen[b] = en.Status != Gone
 	}
-	if e.Kind != ListChange {
-		for b := range be.status {
-			if !seen[b] {
-				a.setStatus(b, Gone)
-			}
+	for b, s := range be.status {
+		listed, named := seen[b]
+		// Where gone alone does not bind, a backend merely dropped from the list stays in use.
+		if !listed && (named || e.Kind != ListChange) && (a.d.GoneBinds || s != Ready) {
+			be.status[b] = Gone
 		}
 	}
 	a.urgent = true
 }
 
-// setStatus follows the list; where gone does not bind, a backend merely dropped from it stays in use.
-func (a *Assigner) setStatus(b int, s Status) {
-	if s != Gone || a.d.GoneBinds || a.be.status[b] != Ready {
-		a.be.status[b] = s
-	}
-}
-
-func (a *Assigner) forget(b int) {
-	clear(a.be.tries[b])
-	clear(a.be.voided[b])
-	a.be.took[b], a.be.good[b] = 0, 0
-}
-
 func (a *Assigner) hearTries(e Heard) {
-	be, b, z := &a.be, e.Backend, a.ownZone(e.Zone)
+	be, b := &a.be, e.Backend
 	if b >= len(be.zone) {
 		return
 	}
 	voided := min(e.Voided, e.Tries)
-	keep := math.Exp2(-float64(e.Counting) / float64(newsHalf))
-	be.tries[b][z] = be.tries[b][z]*keep + e.Tries
-	be.voided[b][z] = be.voided[b][z]*keep + voided
+	be.tries[b], be.voided[b], be.fresh[b] = be.tries[b]+e.Tries, be.voided[b]+voided, true
 	if good := e.Tries - voided; good > 0 && e.Took > 0 {
-		be.good[b] = be.good[b]*keep + good
-		be.took[b] += (float64(e.Took) - be.took[b]) * good / be.good[b]
+		be.good[b], be.spent[b] = be.good[b]+good, be.spent[b]+good*float64(e.Took)
 	}
-	be.fresh[b] = true
 }
 
 // ramp is the part of its weight that a backend may have now.
@@ -352,49 +332,13 @@
 // strength is what a backend counts for in tables: its listed weight, less while it is cold or hot.
 func (a *Assigner) strength(b int) float64 { return a.be.weight[b] * a.ramp(b) * a.be.relief[b] }
 
-// usable says whether a backend may stand in tables.
-func (a *Assigner) usable(b int) bool { return a.be.status[b] == Ready }
-
-// open says whether products under the rule may go from a zone to a backend.
+// open says whether products under the rule may go from a zone to a backend now.
 func (a *Assigner) open(rule Product, zone, b int) bool {
-	return (!rule.OwnZone || a.be.zone[b] == zone) &&
+	return a.be.status[b] == Ready && (!rule.OwnZone || a.be.zone[b] == zone) &&
 		(rule.OnlyZones == nil || slices.Contains(rule.OnlyZones, a.be.zone[b])) &&
 		(rule.OnlyKinds == nil || slices.Contains(rule.OnlyKinds, a.be.kind[b]))
 }
 
-// failing is the share voided at a backend as the best of the zones met it: where one zone's proxies fail
-// everywhere, the way is broken and not the backend. Nothing heard is -1.
-func (a *Assigner) failing(b int) float64 {
-	share := -1.0
-	for z, n := range a.be.tries[b] {
-		if f := a.be.voided[b][z] / n; n >= fewTries/2 && (share < 0 || f < share) {
-			share = f
-		}
-	}
-	return share
-}
-
-// medians are the share voided and the time of answers at the median of the backends that pass.
-func (a *Assigner) medians(pass func(b int) bool) (fails, took float64) {
-	var fs, ts []float64
-	for b := range a.be.zone {
-		if f := a.failing(b); a.usable(b) && f >= 0 && pass(b) {
-			fs = append(fs, f)
-			if a.be.took[b] > 0 {
-				ts = append(ts, a.be.took[b])
-			}
-		}
-	}
-	mid := func(v []float64) float64 {
-		if len(v) == 0 {
-			return 0
-		}
-		slices.Sort(v)
-		return v[len(v)/2]
-	}
-	return mid(fs), mid(ts)
-}
-
 // demand is what the joined proxies are asked for of a product.
 func (a *Assigner) demand(k int) (d float64) {
 	for i := range a.px {
@@ -415,25 +359,41 @@
 	return max(sum/max(n, 1e-9), 1)
 }
 
-// judge looks at what was heard since the last tick: who is ill, who is hot, and whether all are.
+// judge looks at what was heard since the last tick: who is hot, and whether all are.
 func (a *Assigner) judge() {
 	be := &a.be
-	a.bad, a.took = a.medians(func(int) bool { return true })
-	news := false
-	for b := range be.weight {
-		news = news || be.fresh[b]
-		if be.fresh[b] && a.usable(b) {
-			// Hot: far slower than the others and near the SLA time, or voiding more. Answers slow machines,
-			// neighbours on the machine and wrong listed weights.
-			hot := be.took[b] > max(hotRatio*a.took, hotSLA*a.sla()) || a.failing(b) > a.bad+hotFails
-			switch {
-			case hot && a.now >= be.easedAt[b]+easeEvery:
-				be.relief[b], be.easedAt[b] = max(easeLeast, be.relief[b]*easeBy), a.now
-			case !hot && be.took[b] < coolRatio*a.took:
-				be.relief[b] = min(1, be.relief[b]*returnBy)
-			}
+	fails, took := make([]float64, len(be.zone)), make([]float64, len(be.zone))
+	var allFails, allTook []float64
+	for b := range be.zone {
+		if be.status[b] != Ready || be.tries[b] < fewTries {
+			continue
+		}
+		fails[b] = be.voided[b] / be.tries[b]
+		allFails = append(allFails, fails[b])
+		if be.good[b] > 0 {
+			took[b] = be.spent[b] / be.good[b]
+			allTook = append(allTook, took[b])
 		}
-		be.fresh[b] = false
+	}
+	a.bad, a.took = median(allFails), median(allTook)
+	sla, news := a.sla(), false
+	for b := range be.zone {
+		if !be.fresh[b] {
+			continue
+		}
+		// Hot: far slower than the others and near the SLA time, or voiding more. Answers slow machines, other
+		// programs on the machine, wrong listed weights, and what hangs or breaks; the least that it keeps shows
+		// when it is well again. It hurts when the slow ones are needed all the same.
+		hot := took[b] > max(hotRatio*a.took, hotSLA*sla) || fails[b] > a.bad+hotFails
+		switch {
+		case hot && a.now >= be.easedAt[b]+easeEvery:
+			be.relief[b], be.easedAt[b] = max(easeLeast, be.relief[b]*easeBy), a.now
+		case !hot && took[b] < coolRatio*a.took:
+			be.relief[b] = min(1, be.relief[b]*returnBy)
+		}
+		be.tries[b], be.voided[b], be.fresh[b] = be.tries[b]*newsKeep, be.voided[b]*newsKeep, false
+		be.good[b], be.spent[b] = be.good[b]*newsKeep, be.spent[b]*newsKeep
+		news = true
 	}
 	if !news {
 		return
@@ -441,12 +401,19 @@
 	if a.calm == 0 {
 		a.calm = a.took
 	}
-	a.light = a.took > 0 && a.took < lightSLA*a.sla()
-	if a.took > max(overSLA*a.sla(), overSlow*a.calm) || a.bad > overFails && !a.light {
-		a.over++
-		return
+	a.light = a.took > 0 && a.took < lightSLA*sla
+	a.over = a.took > max(overSLA*sla, overSlow*a.calm) || a.bad > overFails && !a.light
+	if !a.over {
+		a.calm = min(a.calm*calmRise, a.took)
+	}
+}
+
+func median(v []float64) float64 {
+	if len(v) == 0 {
+		return 0
 	}
-	a.over, a.calm = 0, min(a.calm*calmRise, a.took)
+	slices.Sort(v)
+	return v[len(v)/2]
 }
 
 // setTotal bounds the total of all levels under overload and lets go of it afterwards.
@@ -464,7 +431,7 @@
 		}
 	}
 	for b := range a.be.zone {
-		if a.usable(b) {
+		if a.be.status[b] == Ready {
 			strength += a.strength(b)
 		}
 	}
@@ -480,17 +447,17 @@
 	}
 	switch since := a.now - a.riseAt; {
 	case a.d.Levels == LevelNone || all <= 0:
-	case a.total == 0 && (a.over >= overTicks || a.over > 0 && deep):
+	case a.total == 0 && a.over:
 		a.knee = max(a.served, kneeLeast*a.best*strength, levelFloor)
 		a.total, a.cutAt, a.riseAt = a.knee*depth, a.now, a.now
 		a.log("total bounded to %.0f/s: demand %.0f/s, served %.0f/s, answers take %.2f SLA times, median voids %.0f%%",
 			a.total, all, a.served, late, 100*a.bad)
-	case a.total > 0 && a.over > 0 && a.now-a.cutAt >= cutAgain:
+	case a.total > 0 && a.over && a.now-a.cutAt >= cutAgain:
 		a.knee = max(a.knee*kneeDown, levelFloor)
 		a.total, a.cutAt, a.riseAt = a.knee*depth, a.now, a.now
 	case a.total > 0 && a.light && a.total < a.knee*cutLight:
 		a.total, a.riseAt = a.knee*cutLight, a.now
-	case a.total > 0 && a.over == 0 && (since >= riseEvery || since >= riseFast && late < quickSLA):
+	case a.total > 0 && !a.over && (since >= riseEvery || since >= riseFast && late < quickSLA):
 		a.total, a.riseAt = a.total*riseBy, a.now
 		a.knee = max(a.knee, a.total)
 		if a.total > loosenAt*all {
@@ -528,9 +495,10 @@
 			part = min(left, d*(1+idleMargin))
 			left -= min(part, d)
 		}
+		a.free[k] = part >= d
 		use, level, silent := make([]float64, len(in)), make([]float64, len(in)), make([]bool, len(in))
 		for i, p := range in {
-			use[i], silent[i] = p.use[k], !slices.Contains(p.heard, true)
+			use[i], silent[i] = p.use[k], !p.heard
 			if !a.reset {
 				level[i] = p.level[k]
 			}
@@ -602,37 +570,26 @@
 	}
 }
 
-// zoneDemand is what the joined proxies are asked for, by group and zone, and how many they are.
-func (a *Assigner) zoneDemand() (d [][]float64, proxies int) {
-	for g := range a.groups {
-		d = append(d, make([]float64, a.d.Zones))
-		proxies = 0
-		for i := range a.px {
-			if p := &a.px[i]; p.joined {
-				d[g][p.zone] += a.groupUse(p, g)
-				proxies++
-			}
-		}
-	}
-	return d, proxies
-}
-
-func (a *Assigner) groupUse(p *proxy, g int) (u float64) {
-	for _, k := range a.groups[g].products {
-		u += p.use[k]
-	}
-	return u
-}
-
 // setSpill works out which part of each group's txns leaves its zone. Tables are zone-first, and the design
 // lets other zones join when under half the zone is usable. That leaves a zone asked for more than its part of
 // the fleet alone with it, so here they join for the excess: every zone is to carry the same demand for its
 // usable strength, and only what is over that goes elsewhere.
 func (a *Assigner) setSpill() {
-	demand, known := a.zoneDemand()
+	demand, known, sum := make([][]float64, len(a.groups)), 0, 0.0
+	for g := range a.groups {
+		demand[g], known = make([]float64, a.d.Zones), 0
+		for _, p := range a.px {
+			if p.joined {
+				known++
+				for _, k := range a.groups[g].products {
+					demand[g][p.zone] += p.use[k]
+				}
+			}
+		}
+	}
 	room, all := make([]float64, a.d.Zones), 0.0
 	for b, z := range a.be.zone {
-		if a.usable(b) {
+		if a.be.status[b] == Ready {
 			room[z] += a.strength(b)
 			all += a.strength(b)
 		}
@@ -641,7 +598,7 @@
 		return
 	}
 	// Proxies that nobody spoke of are taken to ask evenly: they must not make a zone look idle.
-	missing, sum := max(float64(a.d.Proxies)/float64(known), 1)-1, 0.0
+	missing := max(float64(a.d.Proxies)/float64(known), 1) - 1
 	for g, row := range demand {
 		part := 0.0
 		for _, v := range row {
@@ -665,7 +622,7 @@
 	rule, zones := a.groups[g].rule, a.d.Zones
 	can, canAll := make([]float64, zones), 0.0
 	for b, z := range a.be.zone {
-		if a.usable(b) && a.open(rule, z, b) {
+		if a.open(rule, z, b) {
 			can[z] += a.strength(b)
 			canAll += a.strength(b)
 		}
@@ -721,7 +678,7 @@
 		row = make([]float64, a.d.Zones)
 		row[p.zone] = 1
 	}
-	fits := func(b int) bool { return a.usable(b) && a.open(rule, p.zone, b) }
+	fits := func(b int) bool { return a.open(rule, p.zone, b) }
 	for b, y := range be.zone {
 		if fits(b) {
 			can[y] += a.strength(b)
@@ -742,15 +699,10 @@
 	return t
 }
 
-// levelOf is the level to order: none while the levels of all proxies sum to what is asked for.
+// levelOf is the level to order; none while the levels of all proxies cover what is asked for.
 func (a *Assigner) levelOf(p *proxy, k int) float64 {
-	sum, share := 0.0, a.d.Levels == LevelShare
-	for i := range a.px {
-		if a.px[i].joined {
-			sum += a.px[i].level[k]
-		}
-	}
-	switch free := a.total == 0 || a.d.Levels == LevelNone || sum >= a.demand(k); {
+	free, share := a.total == 0 || a.d.Levels == LevelNone || a.free[k], a.d.Levels == LevelShare
+	switch {
 	case free && share:
 		return 1
 	case free:
@@ -810,7 +762,7 @@
 			case w == h || w > 0 && h > 0 && math.Abs(w-h) < lineChange*h:
 				next.weight[b] = h
 				continue
-			case w == 0 && !a.usable(b):
+			case w == 0 && a.be.status[b] != Ready:
 				urgency = mustLeave
 			case w > 0 && bare:
 				urgency = mustHave
