--- a/choice/choice.go
+++ b/choice/choice.go
@@ -16,29 +16,18 @@
 	busyAbove  = 0.9    // use over level from which a proxy is busy (design)
 	idleMargin = 0.2    // an idle proxy keeps its use and this much more (design)
 	levelFloor = 1.0    // txns/s: the least level, while the total has that much for all (design)
-	shareTurns = 4      // rounds of sharing in the tick of a reset: use is known by then
-	noLevel    = 1e6    // txns/s: a rate that binds nobody
 
-	overFails = 0.05 // voided at the median backend: fleet-wide failure (design)
-	overSlow  = 2.0  // median time of answers over its calm value: overload (design)
-	overSLA   = 0.4  // ... if it is this part of the SLA time too: quicker ones earn in full
+	noLevel = 1e6 // txns/s: a rate that binds nobody
 
-	calmRise   = 1.005      // a tick: the calm time is the least of late
+	overFails  = 0.05       // voided at the median backend: fleet-wide failure (design)
+	overSLA    = 0.4        // median time of answers over the SLA time: overload
+	lightSLA   = 0.38       // ... under which there is none, whatever timed out before
 	servedOver = 3.0        // ticks that the served rate is smoothed over
-	bestKeep   = 0.995      // a tick, of the best rate served for each unit of strength
-	kneeLeast  = 0.75       // of the best rate: late answers and work for nobody make the served rate fall too far
-	kneeDown   = 0.9        // the knee when a cut did not help
-	cutLight   = 0.95       // the total is at most this part of the knee, so that queues drain,
-	cutDeep    = 0.45       // ... at least this, and in between
-	cutBase    = 1.15       // ... this,
-	cutSlope   = 0.5        // ... less so much for each SLA time that answers take
-	cutFails   = 0.2        // voided at the median backend: cut deep, and at once
+	cutTo      = 0.8        // part of the knee that the total is cut to, so that queues drain
 	cutAgain   = 6 * Second // time-outs of before a cut are heard of for some seconds
-	lightSLA   = 0.38       // answers within this part of the SLA time are no overload, whatever timed out before
+	kneeDown   = 0.9        // the knee when a cut did not help
 	riseBy     = 1.1        // (design)
 	riseEvery  = 5 * Second // (design)
-	riseFast   = 2 * Second // ... while answers come within
-	quickSLA   = 0.2        // ... this part of the SLA time: the knee is higher than it was held to be
 	loosenAt   = 1.5        // total over demand from which it is unbounded (design)
 
 	rampStart = 0.1        // part of its weight that a new backend starts with (design)
@@ -70,8 +59,9 @@
 )
 
 const (
-	never  = Time(math.MinInt64 / 2)
-	fences = 1 << 8 // numbers in turn; far more than are ever on the way
+	never   = Time(math.MinInt64 / 2)
+	anyZone = -1
+	fences  = 1 << 8 // numbers in turn; far more than are ever on the way
 )
 
 // group is the products that may go to the same backends: they share a table.
@@ -129,18 +119,18 @@
 
 	spill [][][]float64 // by group, zone of the proxies, zone of the backends: part of their txns
 
-	total, knee     float64 // txns/s; total 0 is unbounded; the knee is what the backends are held to manage
-	served, best    float64 // txns/s answered, smoothed; the most of late for each unit of strength
-	over, light     bool    // answers are late or voided; they are quick
-	reset           bool    // levels go back to equal shares
-	free            []bool  // by product: the levels cover what is asked for
-	cutAt, riseAt   Time
-	calm, took, bad float64 // median time of answers, the least of late and now; voided at the median backend
-	lines, passed   float64 // lines ordered, and those known to have left the channel
-	passedAt        Time
-	fence           int
-	fenceAt         [fences]float64 // lines ordered up to a fence
-	orders          []Order
+	total, knee   float64 // txns/s; total 0 is unbounded; the knee is what the backends are held to manage
+	served        float64 // txns/s answered, smoothed
+	over, light   bool    // answers are late or voided; they are quick
+	reset         bool    // levels go back to equal shares
+	free          []bool  // by product: the levels cover what is asked for
+	cutAt, riseAt Time
+	took, bad     float64 // median time of answers, and share voided at the median backend
+	lines, passed float64 // lines ordered, and those known to have left the channel
+	passedAt      Time
+	fence         int
+	fenceAt       [fences]float64 // lines ordered up to a fence
+	orders        []Order
 }
 
 // New makes an Assigner that knows its deployment and nothing else.
@@ -156,8 +146,12 @@
 	}
 	// The most confined products are placed first; the others take the room that is left.
 	slices.SortStableFunc(a.groups, func(g, h group) int { return cmp.Compare(confined(h.rule), confined(g.rule)) })
-	for range a.groups {
+	for g := range a.groups {
 		a.spill = append(a.spill, make([][]float64, d.Zones))
+		for z := range d.Zones {
+			a.spill[g][z] = make([]float64, d.Zones)
+			a.spill[g][z][z] = 1 // all stays at home
+		}
 	}
 	return a
 }
@@ -334,18 +328,37 @@
 
 // open says whether products under the rule may go from a zone to a backend now.
 func (a *Assigner) open(rule Product, zone, b int) bool {
-	return a.be.status[b] == Ready && (!rule.OwnZone || a.be.zone[b] == zone) &&
+	return a.be.status[b] == Ready && (!rule.OwnZone || zone == anyZone || a.be.zone[b] == zone) &&
 		(rule.OnlyZones == nil || slices.Contains(rule.OnlyZones, a.be.zone[b])) &&
 		(rule.OnlyKinds == nil || slices.Contains(rule.OnlyKinds, a.be.kind[b]))
 }
 
-// demand is what the joined proxies are asked for of a product.
-func (a *Assigner) demand(k int) (d float64) {
+// reach is the strength open to products under the rule from a zone, by zone and in all.
+func (a *Assigner) reach(rule Product, zone int) (by []float64, all float64) {
+	by = make([]float64, a.d.Zones)
+	for b, y := range a.be.zone {
+		if a.open(rule, zone, b) {
+			by[y] += a.strength(b)
+			all += a.strength(b)
+		}
+	}
+	return by, all
+}
+
+func (a *Assigner) joined() (in []*proxy) {
 	for i := range a.px {
 		if a.px[i].joined {
-			d += a.px[i].use[k]
+			in = append(in, &a.px[i])
 		}
 	}
+	return in
+}
+
+// demand is what the joined proxies are asked for of a product.
+func (a *Assigner) demand(k int) (d float64) {
+	for _, p := range a.joined() {
+		d += p.use[k]
+	}
 	return d
 }
 
@@ -398,14 +411,10 @@
 	if !news {
 		return
 	}
-	if a.calm == 0 {
-		a.calm = a.took
-	}
+
 	a.light = a.took > 0 && a.took < lightSLA*sla
-	a.over = a.took > max(overSLA*sla, overSlow*a.calm) || a.bad > overFails && !a.light
-	if !a.over {
-		a.calm = min(a.calm*calmRise, a.took)
-	}
+	a.over = a.took > overSLA*sla || a.bad > overFails && !a.light
+
 }
 
 func median(v []float64) float64 {
@@ -418,46 +427,35 @@
 
 // setTotal bounds the total of all levels under overload and lets go of it afterwards.
 func (a *Assigner) setTotal() {
-	all, served, strength := 0.0, 0.0, 1e-9
-	for i := range a.px {
-		for k, u := range a.px[i].use {
-			if p := &a.px[i]; p.joined {
-				all += u
-				if a.total > 0 {
-					u = min(u, p.level[k])
-				}
-				served += max(u-p.voided[k], 0)
+	all, served := 0.0, 0.0
+	for _, p := range a.joined() {
+		for k, u := range p.use {
+			all += u
+			if a.total > 0 {
+				u = min(u, p.level[k])
 			}
+			served += max(u-p.voided[k], 0)
 		}
 	}
-	for b := range a.be.zone {
-		if a.be.status[b] == Ready {
-			strength += a.strength(b)
-		}
-	}
+
 	if a.served == 0 {
 		a.served = served
 	}
 	a.served += (served - a.served) / servedOver
-	a.best = max(a.best*bestKeep, a.served/strength)
-	late, deep := a.took/a.sla(), a.bad > cutFails
-	depth := min(max(cutBase-cutSlope*late, cutDeep), cutLight)
-	if deep {
-		depth = cutDeep
-	}
-	switch since := a.now - a.riseAt; {
+	late := a.took / a.sla()
+	switch {
 	case a.d.Levels == LevelNone || all <= 0:
-	case a.total == 0 && a.over:
-		a.knee = max(a.served, kneeLeast*a.best*strength, levelFloor)
-		a.total, a.cutAt, a.riseAt = a.knee*depth, a.now, a.now
-		a.log("total bounded to %.0f/s: demand %.0f/s, served %.0f/s, answers take %.2f SLA times, median voids %.0f%%",
-			a.total, all, a.served, late, 100*a.bad)
-	case a.total > 0 && a.over && a.now-a.cutAt >= cutAgain:
+	case a.over && (a.total == 0 || a.now-a.cutAt >= cutAgain):
+		if a.total == 0 {
+			a.knee = a.served / kneeDown
+			a.log("total bounded: demand %.0f/s, served %.0f/s, answers take %.2f SLA times, median voids %.0f%%",
+				all, a.served, late, 100*a.bad)
+		}
 		a.knee = max(a.knee*kneeDown, levelFloor)
-		a.total, a.cutAt, a.riseAt = a.knee*depth, a.now, a.now
-	case a.total > 0 && a.light && a.total < a.knee*cutLight:
-		a.total, a.riseAt = a.knee*cutLight, a.now
-	case a.total > 0 && !a.over && (since >= riseEvery || since >= riseFast && late < quickSLA):
+		a.total, a.cutAt, a.riseAt = a.knee*cutTo, a.now, a.now
+	case a.total > 0 && a.light && a.total < a.knee:
+		a.total, a.riseAt = a.knee, a.now
+	case a.total > 0 && !a.over && a.now-a.riseAt >= riseEvery:
 		a.total, a.riseAt = a.total*riseBy, a.now
 		a.knee = max(a.knee, a.total)
 		if a.total > loosenAt*all {
@@ -470,12 +468,7 @@
 // setLevels splits the total: among the products, the most revenue first, and then by max-rate sharing among
 // the proxies, each product like a subscription of the source.
 func (a *Assigner) setLevels() {
-	var in []*proxy
-	for i := range a.px {
-		if a.px[i].joined {
-			in = append(in, &a.px[i])
-		}
-	}
+	in := a.joined()
 	if len(in) == 0 {
 		return
 	}
@@ -503,11 +496,7 @@
 				level[i] = p.level[k]
 			}
 		}
-		turns := 1
-		if a.reset {
-			turns = shareTurns
-		}
-		shareRate(level, use, silent, part, turns)
+		shareRate(level, use, silent, part)
 		for i, p := range in {
 			p.level[k] = level[i]
 		}
@@ -518,7 +507,7 @@
 // shareRate is max-rate sharing: levels sum to total, idle proxies give what they do not use, busy ones are
 // evened out and get what is free, silent ones keep theirs. Where the total is under the floors of all, the
 // floor gives way: the source's bug made such levels negative.
-func shareRate(level, use []float64, silent []bool, total float64, turns int) {
+func shareRate(level, use []float64, silent []bool, total float64) {
 	n, sum := float64(len(level)), 0.0
 	floor := min(levelFloor, total/n)
 	for _, l := range level {
@@ -531,30 +520,24 @@
 			level[i] = total / n
 		}
 	}
-	isBusy := make([]bool, len(level))
-	for ; turns > 0; turns-- {
-		busy, held, freed := 0.0, 0.0, 0.0
-		for i := range level {
-			if isBusy[i] = !silent[i] && use[i] > busyAbove*level[i]; isBusy[i] {
-				busy, held = busy+1, held+level[i]
-			}
-		}
-		if busy == 0 {
-			break
+	busy, held, freed, isBusy := 0.0, 0.0, 0.0, make([]bool, len(level))
+	for i := range level {
+		if isBusy[i] = !silent[i] && use[i] > busyAbove*level[i]; isBusy[i] {
+			busy, held = busy+1, held+level[i]
 		}
-		for i, l := range level {
-			switch {
-			case isBusy[i]:
-				level[i] = min(l, held/busy)
-			case !silent[i]:
-				level[i] = min(l, max(use[i]*(1+idleMargin), floor))
-			}
-			freed += l - level[i]
+	}
+	for i, l := range level {
+		switch {
+		case isBusy[i]:
+			level[i] = min(l, held/busy)
+		case busy > 0 && !silent[i]:
+			level[i] = min(l, max(use[i]*(1+idleMargin), floor))
 		}
-		for i := range level {
-			if isBusy[i] {
-				level[i] += freed / busy
-			}
+		freed += l - level[i]
+	}
+	for i := range level {
+		if isBusy[i] {
+			level[i] += freed / busy
 		}
 	}
 	above := 0.0
@@ -575,39 +558,26 @@
 // the fleet alone with it, so here they join for the excess: every zone is to carry the same demand for its
 // usable strength, and only what is over that goes elsewhere.
 func (a *Assigner) setSpill() {
-	demand, known, sum := make([][]float64, len(a.groups)), 0, 0.0
-	for g := range a.groups {
-		demand[g], known = make([]float64, a.d.Zones), 0
-		for _, p := range a.px {
-			if p.joined {
-				known++
-				for _, k := range a.groups[g].products {
-					demand[g][p.zone] += p.use[k]
-				}
-			}
-		}
-	}
-	room, all := make([]float64, a.d.Zones), 0.0
-	for b, z := range a.be.zone {
-		if a.be.status[b] == Ready {
-			room[z] += a.strength(b)
-			all += a.strength(b)
-		}
-	}
-	if all == 0 || known == 0 {
+	room, all := a.reach(Product{}, anyZone)
+	in, sum := a.joined(), 0.0
+	if all == 0 || len(in) == 0 {
 		return
 	}
-	// Proxies that nobody spoke of are taken to ask evenly: they must not make a zone look idle.
-	missing := max(float64(a.d.Proxies)/float64(known), 1) - 1
-	for g, row := range demand {
-		part := 0.0
-		for _, v := range row {
-			part += v
-		}
-		for z := range row {
-			demand[g][z] += missing * part * room[z] / all
+	// Proxies that are not joined here are taken to ask evenly: they must not make a zone look idle.
+	missing := max(float64(a.d.Proxies)/float64(len(in)), 1) - 1
+	demand := make([][]float64, len(a.groups))
+	for g := range demand {
+		demand[g] = make([]float64, a.d.Zones)
+		for _, k := range a.groups[g].products {
+			d := a.demand(k)
+			for _, p := range in {
+				demand[g][p.zone] += p.use[k]
+			}
+			for z := range room {
+				demand[g][z] += missing * d * room[z] / all
+			}
+			sum += d * (1 + missing)
 		}
-		sum += part * (1 + missing)
 	}
 	for z := range room {
 		room[z] *= sum / all
@@ -620,13 +590,7 @@
 // spillGroup places a group's demand in the room that the zones have, and takes it off the room.
 func (a *Assigner) spillGroup(g int, demand, room []float64) {
 	rule, zones := a.groups[g].rule, a.d.Zones
-	can, canAll := make([]float64, zones), 0.0
-	for b, z := range a.be.zone {
-		if a.open(rule, z, b) {
-			can[z] += a.strength(b)
-			canAll += a.strength(b)
-		}
-	}
+	can, canAll := a.reach(rule, anyZone)
 	away, excess, free := make([]float64, zones), 0.0, 0.0
 	for z, d := range demand {
 		switch over := d - max(room[z], 0); {
@@ -654,7 +618,7 @@
 				row[y] += away[z] * can[y] / canAll
 			}
 		}
-		changed := old == nil || (row[z] == 0) != (old[z] == 0)
+		changed := (row[z] == 0) != (old[z] == 0)
 		for y := range row {
 			changed = changed || math.Abs(row[y]-old[y]) >= spillChange
 		}
@@ -673,24 +637,19 @@
 func (a *Assigner) plan(p *proxy, g int) tbl {
 	rule, be := a.groups[g].rule, &a.be
 	t := tbl{weight: make([]float64, len(be.zone))}
-	can, row := make([]float64, a.d.Zones), a.spill[g][p.zone]
-	if row == nil {
-		row = make([]float64, a.d.Zones)
-		row[p.zone] = 1
-	}
-	fits := func(b int) bool { return a.open(rule, p.zone, b) }
-	for b, y := range be.zone {
-		if fits(b) {
-			can[y] += a.strength(b)
-		}
-	}
-	home := 1.0
+	can, all := a.reach(rule, p.zone)
+	row, home, bare := a.spill[g][p.zone], 1.0, true
 	if can[p.zone] > 0 && row[p.zone] > 0 {
 		home = can[p.zone] / row[p.zone]
 	}
 	for b, y := range be.zone {
-		if fits(b) && row[y] > spillLeast {
-			t.weight[b] = a.strength(b) / can[y] * row[y] * home
+		if a.open(rule, p.zone, b) && row[y] > spillLeast {
+			t.weight[b], bare = a.strength(b)/can[y]*row[y]*home, false
+		}
+	}
+	for b := range be.zone {
+		if bare && all > 0 && a.open(rule, p.zone, b) {
+			t.weight[b] = a.strength(b) // wherever it is: no proxy is left without a line
 		}
 	}
 	for _, k := range a.groups[g].products {
@@ -738,7 +697,7 @@
 	proxy, urgency int
 	orders         []Order
 	next           []tbl
-	cost           float64
+	cost, asked    float64
 }
 
 func (a *Assigner) diff(i int) diff {
@@ -785,6 +744,9 @@
 			d.cost += float64(len(next.weight) + len(next.gates))
 		}
 	}
+	for _, u := range p.use {
+		d.asked += u
+	}
 	for g := range a.groups {
 		if !p.bound {
 			need(Use{Proxy: i, Table: i*groups + g, Products: a.groups[g].mask}, mustHave)
@@ -797,18 +759,18 @@
 // reconcile emits what the proxies lack, the most urgent and the busiest first, as far as the channel has room.
 // A proxy gets its whole difference or nothing: what it holds was ordered with all that was known.
 func (a *Assigner) reconcile(tick bool) {
+	for b, s := range a.be.status {
+		// With slices tables belong to the store: what drains or is gone is withdrawn, and no more.
+		if out := s != Ready; a.d.Slices > 0 && out != a.be.shutOut[b] {
+			a.be.shutOut[b] = out
+			a.order(Withdraw{Backend: b, Out: out})
+		}
+	}
 	if a.d.Slices > 0 {
-		a.keepDrains()
 		return
 	}
 	var todo []diff
-	var busy []float64
 	for i := range a.px {
-		use := 0.0
-		for _, u := range a.px[i].use {
-			use += u
-		}
-		busy = append(busy, use)
 		if a.px[i].joined {
 			if d := a.diff(i); d.urgency <= mustEase || tick && d.urgency < nothing {
 				todo = append(todo, d)
@@ -816,11 +778,10 @@
 		}
 	}
 	slices.SortStableFunc(todo, func(d, e diff) int {
-		return cmp.Or(cmp.Compare(d.urgency, e.urgency), cmp.Compare(busy[e.proxy], busy[d.proxy]))
+		return cmp.Or(cmp.Compare(d.urgency, e.urgency), cmp.Compare(e.asked, d.asked))
 	})
-	waiting := a.lines - a.passed - slowChan*a.d.LinesPerS*float64(a.now-a.passedAt)/float64(Second)
-	waiting = max(waiting, 0)
-	sent := false
+	left := slowChan * a.d.LinesPerS * float64(a.now-a.passedAt) / float64(Second)
+	waiting, sent := max(a.lines-a.passed-left, 0), false
 	for _, d := range todo {
 		p, room, sends := &a.px[d.proxy], roomUrgent, sendsMost
 		if d.urgency > mustEase {
@@ -845,13 +806,3 @@
 	p.sent = slices.DeleteFunc(p.sent, func(t Time) bool { return a.now-t > a.d.MessagesOver+Second })
 	return a.d.MessagesMost <= 0 || float64(len(p.sent)+1) <= part*float64(a.d.MessagesMost)
 }
-
-// keepDrains withdraws what drains or is gone, where tables belong to slices and are not ours to lay.
-func (a *Assigner) keepDrains() {
-	for b, s := range a.be.status {
-		if out := s != Ready; out != a.be.shutOut[b] {
-			a.be.shutOut[b] = out
-			a.order(Withdraw{Backend: b, Out: out})
-		}
-	}
-}
