--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1,5 +1,6 @@
-// Package choice holds every decision of elmfold. New makes one controller's Assigner from its Deployment; Step takes the events of one moment and returns the orders to carry out. The types of events,
-// orders and launch settings are in iface.go. Nothing here reads a clock, a file or a network.
+// Package choice holds every decision of elmfold. New makes one controller's Assigner from its Deployment; Step
+// takes the events of one moment and returns the orders to carry out. The types of events, orders and launch
+// settings are in iface.go. Nothing here reads a clock, a file or a network, and nothing is left to chance.
 package choice
 
 import (
@@ -145,7 +146,9 @@
 		a.groups[g].products, a.groups[g].mask = append(a.groups[g].products, k), a.groups[g].mask|1<<k
 	}
 	// The most confined products are placed first; the others take the room that is left.
-	slices.SortStableFunc(a.groups, func(g, h group) int { return cmp.Compare(confined(h.rule), confined(g.rule)) })
+	slices.SortStableFunc(a.groups, func(g, h group) int {
+		return cmp.Compare(confined(h.rule), confined(g.rule))
+	})
 	for g := range a.groups {
 		a.spill = append(a.spill, make([][]float64, d.Zones))
 		for z := range d.Zones {
@@ -554,8 +557,8 @@
 }
 
 // setSpill works out which part of each group's txns leaves its zone. Tables are zone-first, and the design
-// lets other zones join when under half the zone is usable. That leaves a zone asked for more than its part of
-// the fleet alone with it, so here they join for the excess: every zone is to carry the same demand for its
+// lets other zones join when under half the zone is usable. That leaves a zone asked for more than its part
+// of the fleet alone with it, so here they join for the excess: every zone is to carry the same demand for its
 // usable strength, and only what is over that goes elsewhere.
 func (a *Assigner) setSpill() {
 	room, all := a.reach(Product{}, anyZone)
@@ -673,8 +676,8 @@
 }
 
 // triesOf says how products may be tried again: after proof that the first try never ran, which takes effect
-// once for all of them. A second try after any failure gives slow backends their work twice: it cost more on
-// every day it was tried. While the median backend voids tries, being turned away is no reason to ask the next.
+// once for all of them, and only while answers are quick. A second try after any failure gives slow backends
+// their work twice: it cost more on every day it was tried. Full backends pass tries on until all are full.
 func (a *Assigner) triesOf() Tries {
 	if !a.light {
 		return TryOnce
@@ -756,8 +759,8 @@
 	return d
 }
 
-// reconcile emits what the proxies lack, the most urgent and the busiest first, as far as the channel has room.
-// A proxy gets its whole difference or nothing: what it holds was ordered with all that was known.
+// reconcile emits what the proxies lack, the most urgent and the busiest first, as far as the channel has
+// room. A proxy gets its whole difference or nothing: what it holds was ordered with all that was known.
 func (a *Assigner) reconcile(tick bool) {
 	for b, s := range a.be.status {
 		// With slices tables belong to the store: what drains or is gone is withdrawn, and no more.
--- /dev/null
+++ b/choice/choice_test.go
@@ -0,0 +1,274 @@
+package choice
+
+import (
+	"math"
+	"testing"
+)
+
+func sum(v []float64) (s float64) {
+	for _, x := range v {
+		s += x
+	}
+	return s
+}
+
+func TestShareRate(t *testing.T) {
+	for name, c := range map[string]struct {
+		level, use []float64
+		silent     []bool
+		total      float64
+		want       []float64
+	}{
+		"equal at first":           {[]float64{0, 0}, []float64{1, 1}, []bool{false, false}, 20, []float64{10, 10}},
+		"nobody busy":              {[]float64{15, 5}, []float64{1, 1}, []bool{false, false}, 20, []float64{15, 5}},
+		"idle gives to busy":       {[]float64{10, 10}, []float64{5, 10}, []bool{false, false}, 20, []float64{6, 14}},
+		"busy ones evened out":     {[]float64{15, 5}, []float64{15, 5}, []bool{false, false}, 20, []float64{12.5, 7.5}},
+		"silent keeps its share":   {[]float64{10, 10}, []float64{0, 10}, []bool{true, false}, 20, []float64{10, 10}},
+		"our total scales all":     {[]float64{30, 10}, []float64{1, 1}, []bool{false, false}, 20, []float64{15, 5}},
+		"floor":                    {[]float64{10, 10}, []float64{0, 10}, []bool{false, false}, 20, []float64{1, 19}},
+		"total under the floors":   {[]float64{10, 10}, []float64{9, 10}, []bool{false, false}, 1, []float64{0.5, 0.5}},
+		"no total":                 {[]float64{10, 10}, []float64{9, 10}, []bool{false, false}, 0, []float64{0, 0}},
+		"total just at the floors": {[]float64{0, 9}, []float64{0, 9}, []bool{false, false}, 2, []float64{1, 1}},
+	} {
+		shareRate(c.level, c.use, c.silent, c.total)
+		if math.Abs(sum(c.level)-c.total) > 1e-9 {
+			t.Errorf("%s: levels %v do not sum to %v", name, c.level, c.total)
+		}
+		for i, w := range c.want {
+			if math.Abs(c.level[i]-w) > 1e-9 {
+				t.Errorf("%s: levels %v, want %v", name, c.level, c.want)
+				break
+			}
+		}
+	}
+}
+
+// Once all is laid, ticks with nothing new order nothing.
+func TestQuietTicks(t *testing.T) {
+	r := start(t, deployment())
+	for range 5 {
+		r.second(reports(15, calm, 1000)...)
+	}
+	r.second(reports(15, calm, 1000)...)
+	if r.count != 0 {
+		t.Errorf("%d orders on a quiet tick", r.count)
+	}
+}
+
+// Listed weights at home, and no other zone while demand is even.
+func TestZoneFirst(t *testing.T) {
+	d := deployment()
+	d.Products = d.Products[:2]
+	r := newRig(t, d)
+	heavy := ready(1, 0)
+	heavy.Weight = 3
+	r.step(Listed{Kind: ListFull, Entries: []Entry{ready(0, 0), heavy, ready(2, 1), ready(3, 1), ready(4, 1), ready(5, 1)}},
+		Joined{Proxy: 0, Zone: 0, Rate: 50}, Joined{Proxy: 1, Zone: 1, Rate: 50})
+	if r.weight(0, 1, 0) != 1 || r.weight(0, 1, 1) != 3 || r.weight(0, 1, 2) != 0 {
+		t.Errorf("at home: %v", r.tables[r.uses[[2]int{0, 1}]])
+	}
+	if r.weight(0, 0, 2) != 0 || r.weight(1, 0, 0) != 0 {
+		t.Error("a product left its zone on a calm day")
+	}
+}
+
+// A zone asked for far more than its part sends the excess of what may leave.
+func TestSpill(t *testing.T) {
+	r := start(t, deployment())
+	for range 4 {
+		e := reports(15, calm, 1000)
+		for i := range e {
+			if u, ok := e[i].(Used); ok && u.Proxy == 0 && u.Product == 0 {
+				u.Txns = 90
+				e[i] = u
+			}
+		}
+		r.second(e...)
+	}
+	if r.weight(0, 0, 2) <= 0 || r.weight(0, 1, 2) != 0 || r.weight(1, 0, 0) != 0 {
+		t.Error("want the free product of zone 0 alone to open lines to zone 1")
+	}
+}
+
+// A backend that restarts while it stands in tables is cold again at once, and grows by doubling.
+func TestColdInTables(t *testing.T) {
+	r := start(t, deployment())
+	again := ready(0, 0)
+	again.Up = r.now
+	r.now += Second / 2
+	r.step(Listed{Entries: []Entry{again}})
+	if w := r.weight(0, 1, 0); w != rampStart {
+		t.Errorf("weight %v of a cold backend, want %v", w, rampStart)
+	}
+	for range 6 {
+		r.second(reports(15, calm, 1000)...)
+	}
+	if w := r.weight(0, 1, 0); w != 2*rampStart {
+		t.Errorf("weight %v after %v, want twice %v", w, rampTurn, rampStart)
+	}
+}
+
+// Drained and dropped backends leave tables in the same step; where gone does not bind, dropped ones stay.
+func TestDrains(t *testing.T) {
+	for _, binds := range []bool{true, false} {
+		d := deployment()
+		d.GoneBinds = binds
+		r := start(t, d)
+		r.step(Listed{Entries: []Entry{{Backend: 0, Status: Draining}, {Backend: 2, Status: Gone}}})
+		if r.weight(0, 1, 0) != 0 || (r.weight(1, 1, 2) == 0) != binds {
+			t.Errorf("gone binds %v: tables %v", binds, r.tables)
+		}
+	}
+}
+
+// A proxy that joins again is bound anew; one that crossed to a full channel waits, the busiest first.
+func TestJoins(t *testing.T) {
+	d := deployment()
+	d.LinesMost = 60
+	r := start(t, d)
+	r.second()
+	r.step(Left{Proxy: 0})
+	r.uses = map[[2]int]int{}
+	r.now += 10 * Second
+	r.step(Settled{Number: r.a.fence}, Joined{Proxy: 0, Zone: 0, Rate: 5}, Joined{Proxy: 2, Zone: 0, Rate: 500})
+	if len(r.uses) != len(d.Products) {
+		t.Fatalf("%d bindings, want those of one proxy: the channel has room for no more", len(r.uses))
+	}
+	if _, ok := r.uses[[2]int{2, 0}]; !ok {
+		t.Error("the busiest proxy was not bound first")
+	}
+	r.now += 10 * Second
+	r.step(Settled{Number: r.a.fence}, Woken{})
+	if _, ok := r.uses[[2]int{0, 0}]; !ok {
+		t.Error("the other proxy was not bound later")
+	}
+}
+
+// However often the list changes, a proxy is written no more than the site allows, and the channel no fuller.
+func TestChannel(t *testing.T) {
+	d := deployment()
+	d.LinesMost = 120
+	r := start(t, d)
+	messages, lines := 1, 0.0
+	for i := range 60 {
+		r.now += Second / 10
+		again := ready(i%4, i%4/2)
+		again.Up = r.now
+		r.step(Listed{Entries: []Entry{again}})
+		messages, lines = max(messages, len(r.a.px[0].sent)), max(lines, r.a.lines-r.a.passed)
+	}
+	if messages > d.MessagesMost || lines > d.LinesMost+6*slowChan*d.LinesPerS {
+		t.Errorf("%d messages to one proxy, %v lines without an answer", messages, lines)
+	}
+}
+
+// Overload: the least revenue is held back first, and the total comes back to the knee once answers are quick.
+// Time-outs of before the cut, heard of for seconds, do not cut it again and again.
+func TestOverload(t *testing.T) {
+	r := start(t, deployment())
+	for range 4 {
+		r.second(reports(50, calm, 1000)...)
+	}
+	if r.a.total != 0 {
+		t.Fatal("bounded without overload")
+	}
+	r.second(reports(50, []float64{.3, .3, .3, .3}, 6000)...)
+	first := r.a.total
+	if first <= 0 || r.gate(0, 0).Level >= 50 || r.gate(0, 1).Level != noLevel {
+		t.Fatalf("total %v, levels %v and %v: want the least revenue held back alone", first, r.gate(0, 0), r.gate(0, 1))
+	}
+	for range 4 {
+		r.second(reports(50, []float64{.9, .9, .9, .9}, 6000)...)
+	}
+	if r.a.total < first {
+		t.Errorf("total cut from %v to %v by what was sent before", first, r.a.total)
+	}
+	r.second(reports(50, []float64{.1, .1, .1, .1}, 1000)...)
+	if r.a.total != r.a.knee || r.gate(0, 0).Tries != TryUnrun {
+		t.Errorf("total %v, knee %v: quick answers did not end the cut", r.a.total, r.a.knee)
+	}
+	for range 120 {
+		r.second(reports(20, calm, 1000)...)
+	}
+	if r.a.total != 0 || r.gate(0, 0).Level != noLevel || r.gate(1, 0).Level != noLevel {
+		t.Error("levels stayed after the overload")
+	}
+}
+
+// All slow together is nobody's illness: weights stay, also when one second is heard again and again.
+func TestHot(t *testing.T) {
+	r := start(t, deployment())
+	r.second(reports(15, calm, 9000)...)
+	if r.a.be.relief[0] != 1 {
+		t.Error("relieved though all are slow alike")
+	}
+	slow := func() []Event {
+		e := reports(15, calm, 1000)
+		h := e[0].(Heard)
+		h.Took = 9000
+		e[0] = h
+		return e
+	}
+	r.second(slow()...)
+	r.second(slow()...)
+	if got := r.a.be.relief[0]; got != easeBy {
+		t.Errorf("relief %v after two ticks of the same news, want one step to %v", got, easeBy)
+	}
+	for range 40 {
+		r.second(slow()...)
+	}
+	if r.a.be.relief[0] != easeLeast || r.weight(0, 1, 0) <= 0 {
+		t.Error("a slow backend must keep a small line, so that its return shows")
+	}
+	for range 40 {
+		r.second(reports(15, calm, 1000)...)
+	}
+	if r.weight(0, 1, 0) < 0.9 {
+		t.Error("weight did not come back")
+	}
+}
+
+// A hung backend loses weight, but no step leaves a proxy bare.
+func TestHang(t *testing.T) {
+	r := start(t, deployment())
+	for range 20 {
+		r.second(reports(15, []float64{1, 0, 0, 0}, 1000)...)
+	}
+	if w := r.weight(0, 1, 0); w > 0.3 || w <= 0 {
+		t.Errorf("weight %v of a hung backend", w)
+	}
+}
+
+// Levels as shares, no levels, slices, discovery that is asked: nothing is ordered that is an error there.
+func TestOtherDeployments(t *testing.T) {
+	d := deployment()
+	d.Levels, d.Asked = LevelShare, true
+	r := start(t, d)
+	for range 4 {
+		r.second(reports(50, []float64{.4, .4, .4, .4}, 6000)...)
+	}
+	if l := r.gate(0, 0).Level; l <= 0 || l >= 1 {
+		t.Errorf("share %v under overload", l)
+	}
+	r.step(Listed{Kind: ListFailed})
+	followed := false
+	for _, o := range r.second() {
+		f, ok := o.(Follow)
+		followed = followed || ok && f.On
+	}
+	if !followed {
+		t.Error("the list was not asked for again")
+	}
+	d.Levels = LevelNone
+	r = start(t, d)
+	r.second(reports(50, []float64{.4, .4, .4, .4}, 6000)...)
+	if r.gate(0, 0).Level != noLevel {
+		t.Error("a level where there are none")
+	}
+	d.Slices = 10
+	r = start(t, d)
+	orders := r.step(Listed{Entries: []Entry{{Backend: 1, Status: Draining}}})
+	if len(r.uses) != 0 || len(orders) != 1 || orders[0] != (Order)(Withdraw{Backend: 1, Out: true}) {
+		t.Errorf("with slices: %v", orders)
+	}
+}
--- /dev/null
+++ b/choice/helper_test.go
@@ -0,0 +1,108 @@
+package choice
+
+import "testing"
+
+// deployment has two zones and three products: free, at home only, and in zone 0 only.
+func deployment() Deployment {
+	return Deployment{
+		Products: []Product{
+			{Revenue: 2, SLA: 8000, Expiry: 25000},
+			{Revenue: 6, SLA: 5000, Expiry: 15000, Effect: OnceOnly, OwnZone: true},
+			{Revenue: 5, SLA: 8000, Expiry: 25000, Effect: Referenced, Scope: ScopeZone, OnlyZones: []int{0}},
+		},
+		Zones: 2, Controllers: 1, Proxies: 4, GoneBinds: true, DrainGrace: 2 * Second, Cold: 15 * Second,
+		ColdCapacity: 0.2, LinesPerS: 3000, LinesMost: 6000, LinesHead: 6, MessagesMost: 30, MessagesOver: 10 * Second,
+	}
+}
+
+// rig drives an Assigner and keeps what its proxies would hold.
+type rig struct {
+	t      *testing.T
+	d      Deployment
+	a      *Assigner
+	now    Time
+	tables map[int]map[int]float64
+	gates  map[[2]int]Gate // by table and product
+	uses   map[[2]int]int  // table by proxy and product
+	count  int             // orders to proxies in the last step
+	logs   []string
+}
+
+func newRig(t *testing.T, d Deployment) *rig {
+	return &rig{t: t, d: d, a: New(d), now: 1000 * Second, tables: map[int]map[int]float64{},
+		gates: map[[2]int]Gate{}, uses: map[[2]int]int{}}
+}
+
+// step carries out the orders that the events lead to; a fence is answered by the next step.
+func (r *rig) step(events ...Event) []Order {
+	r.count = 0
+	orders := r.a.Step(r.now, events)
+	for _, o := range orders {
+		switch o := o.(type) {
+		case Line:
+			if r.tables[o.Table] == nil {
+				r.tables[o.Table] = map[int]float64{}
+			}
+			r.tables[o.Table][o.Backend] = o.Weight
+			r.count++
+		case Gate:
+			for k := range r.d.Products {
+				if o.Products&(1<<k) != 0 {
+					r.gates[[2]int{o.Table, k}] = o
+				}
+			}
+			r.count++
+		case Use:
+			for k := range r.d.Products {
+				if o.Products&(1<<k) != 0 {
+					r.uses[[2]int{o.Proxy, k}] = o.Table
+				}
+			}
+			r.count++
+		case Log:
+			r.logs = append(r.logs, o.Text)
+		}
+	}
+	return orders
+}
+
+// second lets a second pass, with reports that come before the tick.
+func (r *rig) second(reports ...Event) []Order {
+	r.now += Second
+	return r.step(append(reports, Settled{Number: r.a.fence}, Woken{})...)
+}
+
+// weight is the weight of a proxy's line for a product.
+func (r *rig) weight(proxy, product, backend int) float64 {
+	return r.tables[r.uses[[2]int{proxy, product}]][backend]
+}
+
+func (r *rig) gate(proxy, product int) Gate {
+	return r.gates[[2]int{r.uses[[2]int{proxy, product}], product}]
+}
+
+// start lists four warm backends, two a zone, and joins a proxy in each zone.
+func start(t *testing.T, d Deployment) *rig {
+	r := newRig(t, d)
+	r.step(Listed{Kind: ListCached, Entries: []Entry{ready(0, 0), ready(1, 0), ready(2, 1), ready(3, 1)}},
+		Joined{Proxy: 0, Zone: 0, Rate: 50}, Joined{Proxy: 1, Zone: 1, Rate: 50})
+	return r
+}
+
+func ready(b, zone int) Entry { return Entry{Backend: b, Zone: zone, Status: Ready, Weight: 1} }
+
+// reports are a second of tries at four backends and of use at two proxies.
+func reports(rate float64, voided []float64, took Time) []Event {
+	var e []Event
+	for b, v := range voided {
+		e = append(e, Heard{Zone: b / 2, Backend: b, Tries: 30, Voided: 30 * v, Took: took, Counting: Second})
+	}
+	for p := range 2 {
+		for k := range 3 {
+			e = append(e, Used{Proxy: p, Product: k, Txns: rate, Counting: Second})
+		}
+	}
+	return e
+}
+
+var calm = []float64{0, 0, 0, 0}
--- /dev/null
+++ b/choice/model_test.go
@@ -0,0 +1,195 @@
+package choice
+
+import (
+	"math"
+	"math/rand"
+	"slices"
+	"testing"
+	"testing/quick"
+)
+
+// model is the rules in their plainest form, kept beside the module: what a proxy may hold, and what it must.
+type model struct {
+	d       Deployment
+	entries map[int]Entry
+	in      map[int]int // zone of each joined proxy
+	lines   float64     // ordered since the last fence that was answered
+	sent    map[int][]Time
+}
+
+func (m *model) may(product, zone, backend int) bool {
+	e, known := m.entries[backend]
+	p := m.d.Products[product]
+	return known && e.Status == Ready && (!p.OwnZone || e.Zone == zone) && (p.OnlyZones == nil || slices.Contains(p.OnlyZones, e.Zone))
+}
+
+// check says what the state that a rig reached breaks.
+func (m *model) check(r *rig) string {
+	for p, zone := range m.in {
+		for k, pr := range m.d.Products {
+			table, bound := r.uses[[2]int{p, k}]
+			if !bound {
+				return "a joined proxy is on no table"
+			}
+			lines, might := 0, false
+			for b, w := range r.tables[table] {
+				if w == 0 {
+					continue
+				}
+				lines++
+				if math.IsNaN(w) || math.IsInf(w, 0) || w < 0 {
+					return "a weight that is no weight"
+				}
+				if !m.may(k, zone, b) {
+					return "a line to a backend that drains, is gone or is not allowed"
+				}
+				if e := m.entries[b]; e.Up > 0 && m.cold(r.now, e) < 1 && m.heavy(r, table, b, m.cold(r.now, e)) {
+					return "a cold backend has more than its part"
+				}
+			}
+			for b := range m.entries {
+				might = might || m.may(k, zone, b)
+			}
+			if might && lines == 0 {
+				return "a proxy is left without a backend"
+			}
+			g := r.gates[[2]int{table, k}]
+			if g.Level < 0 || math.IsNaN(g.Level) || math.IsInf(g.Level, 0) {
+				return "a level that is no level"
+			}
+			if g.Tries > TryUnrun && pr.Effect != Inquiry {
+				return "a txn may take effect twice"
+			}
+		}
+	}
+	if m.lines > m.d.LinesMost {
+		return "too many lines wait"
+	}
+	for _, at := range m.sent {
+		n := 0
+		for _, t := range at {
+			if r.now-t <= m.d.MessagesOver {
+				n++
+			}
+		}
+		if n > m.d.MessagesMost {
+			return "too many messages to a proxy"
+		}
+	}
+	return ""
+}
+
+// cold is the part that a backend must be able to do for sure at an age.
+func (m *model) cold(now Time, e Entry) float64 {
+	return min(1, m.d.ColdCapacity+(1-m.d.ColdCapacity)*float64(now-e.Up)/float64(m.d.Cold))
+}
+
+// heavy says whether a cold backend's line outweighs its part of the heaviest warm line of its zone.
+func (m *model) heavy(r *rig, table, cold int, part float64) bool {
+	most := 0.0
+	for b, w := range r.tables[table] {
+		if e := m.entries[b]; e.Zone == m.entries[cold].Zone && e.Up == 0 && e.Weight > 0 {
+			most = max(most, w/e.Weight)
+		}
+	}
+	return most > 0 && r.tables[table][cold] > most*part*m.entries[cold].Weight/easeLeast
+}
+
+// TestModel drives the module with generated days: lists, restarts, joins, breaks, late and odd reports.
+func TestModel(t *testing.T) {
+	day := func(seed int64) bool {
+		rnd := rand.New(rand.NewSource(seed))
+		d := deployment()
+		r := newRig(t, d)
+		m := &model{d: d, entries: map[int]Entry{}, in: map[int]int{}, sent: map[int][]Time{}}
+		list := func(kind ListKind, n int) Listed {
+			l := Listed{Kind: kind}
+			named := map[int]bool{}
+			for range n {
+				b := rnd.Intn(8)
+				if named[b] {
+					continue
+				}
+				named[b] = true
+				e := Entry{Backend: b, Zone: b % 2, Status: Ready, Weight: 1 + float64(b%3)}
+				switch rnd.Intn(6) {
+				case 0:
+					e.Status = Draining
+				case 1:
+					if e.Status = Gone; kind != ListChange {
+						e.Status = Ready
+					}
+				case 2:
+					e.Up = r.now - Time(rnd.Intn(int(2*Second)))
+				}
+				if e.Status == Ready && e.Up == 0 {
+					e.Up = m.entries[b].Up // a start stays known
+				}
+				l.Entries = append(l.Entries, e)
+				m.entries[b] = e
+			}
+			if kind != ListChange {
+				for b, e := range m.entries {
+					if !named[b] {
+						e.Status = Gone
+						m.entries[b] = e
+					}
+				}
+			}
+			return l
+		}
+		events := []Event{list(ListCached, 8)}
+		for range 150 {
+			for p := range 4 {
+				if zone, joined := m.in[p]; !joined && rnd.Intn(4) == 0 {
+					m.in[p] = p % 2
+					m.sent[p] = nil
+					events = append(events, Joined{Proxy: p, Zone: p % 2, Rate: rnd.Float64() * 100})
+				} else if joined && rnd.Intn(30) == 0 {
+					delete(m.in, p)
+					for k := range d.Products {
+						delete(r.uses, [2]int{p, k})
+					}
+					events = append(events, Left{Proxy: p})
+				} else if joined {
+					events = append(events, Used{Proxy: p, Product: rnd.Intn(3), Txns: float64(rnd.Intn(200)),
+						Voided: float64(rnd.Intn(50)), Counting: Time(rnd.Intn(4)) * Second / 2}, Heard{Zone: zone,
+						Backend: rnd.Intn(9), Tries: float64(rnd.Intn(100)), Voided: float64(rnd.Intn(120)),
+						Took: Time(rnd.Intn(20000)), Counting: Second})
+				}
+			}
+			if rnd.Intn(5) == 0 {
+				events = append(events, list(ListChange, 3))
+			} else if rnd.Intn(40) == 0 {
+				events = append(events, list(ListFull, 6))
+			}
+			r.now += Second
+			events = append(events, Settled{Number: r.a.fence}, Woken{})
+			m.lines = 0
+			perProxy := map[int]float64{}
+			for _, o := range r.step(events...) {
+				switch o := o.(type) {
+				case Line:
+					perProxy[o.Table/len(r.a.groups)]++
+				case Gate:
+					perProxy[o.Table/len(r.a.groups)]++
+				case Use:
+					perProxy[o.Proxy] += 1 + float64(len(r.tables[o.Table]))
+				}
+			}
+			for p, n := range perProxy {
+				m.lines += n + d.LinesHead + 1
+				m.sent[p] = append(m.sent[p], r.now)
+			}
+			if broken := m.check(r); broken != "" {
+				t.Logf("seed %d at %v: %s\n%v\n%v", seed, r.now, broken, r.tables, m.entries)
+				return false
+			}
+			events = nil
+		}
+		return true
+	}
+	if err := quick.Check(day, &quick.Config{MaxCount: 60, Rand: rand.New(rand.NewSource(1))}); err != nil {
+		t.Error(err)
+	}
+}
--- /dev/null
+++ b/cmd/wirehost/main_test.go
@@ -0,0 +1,34 @@
+package main
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"elmfold/choice"
+	"elmfold/wire"
+)
+
+func TestServe(t *testing.T) {
+	empty := make([]byte, 16)
+	var out bytes.Buffer
+	if err := serve(bytes.NewReader(empty), &out); err != nil || !bytes.Equal(out.Bytes(), make([]byte, 8)) {
+		t.Errorf("an empty batch: %v, reply %x", err, out.Bytes())
+	}
+	if err := serve(strings.NewReader("short"), &out); err == nil {
+		t.Error("a cut header was taken for the end of input")
+	}
+}
+
+// A panic of an instance becomes its last word, and what it had begun to say is taken back.
+func TestPanic(t *testing.T) {
+	reply := wire.NewReply(wire.NewDecoder(strings.NewReader("")))
+	step(reply, 3, choice.New(choice.Deployment{}), 1, []choice.Event{choice.Settled{Number: -1}})
+	var out bytes.Buffer
+	if _, err := reply.WriteTo(&out); err != nil {
+		t.Fatal(err)
+	}
+	if got := out.Bytes(); got[7] != 1 || got[8] != 100 || !strings.Contains(string(got), "panic: ") {
+		t.Errorf("reply %q", got)
+	}
+}
--- /dev/null
+++ b/wire/wire_test.go
@@ -0,0 +1,194 @@
+package wire
+
+import (
+	"bytes"
+	"encoding/binary"
+	"io"
+	"reflect"
+	"strings"
+	"testing"
+
+	"elmfold/choice"
+)
+
+const settings = `Ceilings.Probes=true
+Classes.count=2
+Classes.0.Credit=2.0
+Classes.0.DedupWindow=5000050
+Classes.0.Effect=pure
+Classes.0.HardLimit=2500050
+Classes.0.KeyScope=all
+Classes.0.Promise=800050
+Classes.1.Credit=5.0
+Classes.1.Effect=token
+Classes.1.KeyScope=cell
+Classes.1.OnlyZones=0,2
+Discovery=subscribe
+Guarantees.Cold=17000001
+Guarantees.DrainBindsAlone=true
+Later.Unknown=x
+PeersTotal=2
+Report.Fields=cpu,active,avg_ms,other
+Specifics.ClassOwnZone=false,true
+Specifics.LinesPerS=3700.0
+Specifics.ProxyCount=12
+Specifics.ThrottleBy=ratio
+Zones=a,b,c
+`
+
+// record starts a record of instance 3.
+func record(code byte, fields ...any) []byte {
+	var b bytes.Buffer
+	b.Write([]byte{code, 0, 3})
+	for _, f := range fields {
+		if s, ok := f.(string); ok {
+			b.WriteString(s)
+		} else if err := binary.Write(&b, binary.BigEndian, f); err != nil {
+			panic(err)
+		}
+	}
+	return b.Bytes()
+}
+
+func frame(records ...[]byte) []byte {
+	body := bytes.Join(records, nil)
+	head := binary.BigEndian.AppendUint64(nil, 0x805c5a)
+	head = binary.BigEndian.AppendUint32(head, uint32(len(body)))
+	return append(binary.BigEndian.AppendUint32(head, uint32(len(records))), body...)
+}
+
+func launch(text string) []byte { return record(10, uint64(7), uint32(len(text)), text) }
+
+const addr = "\x0a\x12\x4a\x07\x2b\xc3"
+
+func members(kind byte) []byte {
+	return record(20, uint64(41), kind, uint32(1), uint8(1), uint16(4), uint8(1), uint8(0), addr, uint64(6100000),
+		float32(1.5))
+}
+
+func TestDecode(t *testing.T) {
+	up := record(70, uint8(1), uint8(2), float32(6.5), uint16(41))
+	in := frame(launch(settings), members(3), up,
+		record(30, uint32(77)), record(40, addr, uint8(4), uint32(1400), uint8(1), float32(0.5)),
+		record(50, uint32(2), uint16(4), "hi 7"), record(80, uint16(41)),
+		record(90, uint16(41), uint64(12), uint32(281172)),
+		record(100, uint8(2), addr, uint32(14), uint32(1), uint32(48250), uint32(1000000), uint8(0)),
+		record(110, uint16(41), uint8(1), uint32(9), uint32(2), uint32(2000000)),
+		record(120, uint8(0), uint32(1000000), uint32(23), uint32(2), uint16(117)),
+		record(130, uint8(1), uint16(117)), record(140, uint16(117), float32(1), addr), record(60))
+	batch, err := NewDecoder(bytes.NewReader(in)).Next()
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := batch.Records[0].Event.(Launch).Deployment
+	p, q := d.Products[0], d.Products[1]
+	if p.SLA != 8000 || p.Expiry != 25001 || q.Effect != choice.Referenced || q.Scope != choice.ScopeCell || !q.OwnZone ||
+		len(q.OnlyZones) != 2 || d.Cold != 170001 || d.GoneBinds || !d.Asked || d.Levels != choice.LevelShare ||
+		d.Zones != 3 || d.Controllers != 2 || len(d.Gauges) != 4 || d.Gauges[1] != choice.GaugeHeld {
+		t.Errorf("settings read as %+v", d)
+	}
+	want := []any{
+		choice.Woken{Name: 77}, choice.Probed{Took: 14, Load: []float64{0.5}}, choice.Noted{From: 2, Data: []byte("hi 7")},
+		choice.Left{}, choice.Settled{Number: 12, Took: 2811},
+		choice.Heard{Zone: 2, Tries: 14, Voided: 1, Took: 482, Counting: 10000},
+		choice.Used{Product: 1, Txns: 9, Voided: 2, Counting: 20000},
+		choice.SliceUsed{Slice: 117, Txns: 23, Voided: 2, Counting: 10000},
+		choice.SliceGiven{Slice: 117, Mine: true}, choice.SliceLine{Slice: 117, Weight: 1}, Stop{},
+	}
+	if j := batch.Records[2].Event.(choice.Joined); !j.Fresh || j.Zone != 2 || j.Rate != 6.5 {
+		t.Errorf("joined read as %+v", j)
+	}
+	for i, w := range want {
+		if got := batch.Records[i+3].Event; !reflect.DeepEqual(got, w) {
+			t.Errorf("record %d read as %+v, want %+v", i+3, got, w)
+		}
+	}
+	list := batch.Records[1].Event.(choice.Listed)
+	e := choice.Entry{Zone: 1, Cell: 4, Status: choice.Ready, Up: 61000, Weight: 1.5}
+	if list.Kind != choice.ListCached || list.Entries[0] != e {
+		t.Errorf("list read as %+v", list)
+	}
+}
+
+// What names an unknown backend, proxy or product is read past.
+func TestUnknown(t *testing.T) {
+	in := frame(launch(settings), record(80, uint16(5)), record(110, uint16(5), uint8(9), uint32(1), uint32(1), uint32(1)),
+		record(100, uint8(0), addr, uint32(1), uint32(1), uint32(1), uint32(1), uint8(0)))
+	batch, err := NewDecoder(bytes.NewReader(in)).Next()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, r := range batch.Records[1:] {
+		if r.Event != nil {
+			t.Errorf("%+v was let through", r.Event)
+		}
+	}
+}
+
+func TestMalformed(t *testing.T) {
+	huge := frame()
+	binary.BigEndian.PutUint32(huge[8:], 1<<32-1)
+	count := frame(launch(settings))
+	count[15] = 9
+	over := frame(launch(settings), []byte{1, 2, 3, 4})
+	over[15] = 1
+	for name, in := range map[string][]byte{
+		"short header":    frame()[:7],
+		"huge size":       huge,
+		"bad count":       count,
+		"bytes left":      over,
+		"unknown code":    frame(launch(settings), record(99)),
+		"not launched":    frame(record(30, uint32(1))),
+		"text cut off":    frame(record(10, uint64(7), uint32(1<<31), "Zones=a")),
+		"entries cut off": frame(launch(settings), record(20, uint64(1), uint8(2), uint32(1<<30))),
+		"kind of list":    frame(launch(settings), members(7)),
+		"load cut off":    frame(launch(settings), members(2), record(40, addr, uint8(0), uint32(1), uint8(200))),
+		"no equals sign":  frame(launch("Zones")),
+		"not a number":    frame(launch("Classes.count=two")),
+	} {
+		_, err := NewDecoder(bytes.NewReader(in)).Next()
+		if err == nil || err == io.EOF || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: error %v, want one line", name, err)
+		}
+	}
+	if _, err := NewDecoder(bytes.NewReader(nil)).Next(); err != io.EOF {
+		t.Errorf("end of input: %v", err)
+	}
+}
+
+// Values out of range stay usable.
+func TestOddSettings(t *testing.T) {
+	d, err := readDeployment("Classes.count=1e9\nSpecifics.LinesPerS=NaN\nSpecifics.PendingMax=inf\nZone=-4\nPeersTotal=0\n")
+	if err != nil || len(d.Products) != mostProducts || d.LinesPerS != 0 || d.LinesMost != 0 || d.Zone != 0 || d.Zones != 1 {
+		t.Errorf("%+v, %v", d, err)
+	}
+}
+
+func TestReply(t *testing.T) {
+	dec := NewDecoder(bytes.NewReader(frame(launch(settings), members(2), record(70, uint8(0), uint8(0), float32(1), uint16(41)))))
+	if _, err := dec.Next(); err != nil {
+		t.Fatal(err)
+	}
+	r := NewReply(dec)
+	r.Add(3, []choice.Order{
+		choice.Line{Table: 117, Weight: 0.75}, choice.Clear{Table: 117}, choice.Use{Table: 117}, choice.Withdraw{Out: true},
+		choice.Gate{Table: 117, Level: 0.75, Tries: choice.TryUnrun, Products: 2}, choice.Fence{Number: 12},
+		choice.Wake{After: 5000, Name: 77}, choice.Probe{}, choice.Note{To: choice.ToAll, Data: []byte("hi 7")},
+		choice.Follow{On: true}, choice.Reload{}, choice.Log{Text: "two"},
+	})
+	r.Bail(3, "index out of range")
+	var out bytes.Buffer
+	if _, err := r.WriteTo(&out); err != nil {
+		t.Fatal(err)
+	}
+	want := bytes.Join([][]byte{
+		record(130, uint16(117), addr, float32(0.75)), record(110, uint16(117)),
+		record(10, uint16(41), uint16(117), uint16(0)), record(30, addr, uint8(1)),
+		record(60, uint16(117), float32(0.75), uint8(1), uint16(2)), record(70, uint64(12), uint8(0)),
+		record(50, uint32(500000), uint32(77)), record(80, addr), record(40, uint16(0xffff), uint16(4), "hi 7"),
+		record(20, uint8(1)), record(120), record(90, uint16(3), "two"), record(100, uint16(18), "index out of range"),
+	}, nil)
+	if got := out.Bytes(); binary.BigEndian.Uint32(got[4:]) != 13 || !bytes.Equal(got[8:], want) {
+		t.Errorf("reply\n%x\nwant\n%x", got[8:], want)
+	}
+}
