Spill by what proxies let in, not by what they are asked for

Cause: under overload declined txns of home products still counted as their zone's load and drove other products out of it.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -365,6 +365,14 @@
 	return d
 }
 
+// admitted is what of a product's txns a proxy lets in.
+func (a *Assigner) admitted(p *proxy, k int) float64 {
+	if a.total > 0 && !a.free[k] {
+		return min(p.use[k], p.level[k])
+	}
+	return p.use[k]
+}
+
 // sla is the SLA time of the mean txn that comes.
 func (a *Assigner) sla() float64 {
 	sum, n := 0.0, 0.0
@@ -434,10 +442,7 @@
 	for _, p := range a.joined() {
 		for k, u := range p.use {
 			all += u
-			if a.total > 0 {
-				u = min(u, p.level[k])
-			}
-			served += max(u-p.voided[k], 0)
+			served += max(a.admitted(p, k)-p.voided[k], 0)
 		}
 	}
 
@@ -572,9 +577,11 @@
 	for g := range demand {
 		demand[g] = make([]float64, a.d.Zones)
 		for _, k := range a.groups[g].products {
-			d := a.demand(k)
+			d := 0.0
 			for _, p := range in {
-				demand[g][p.zone] += p.use[k]
+				u := a.admitted(p, k)
+				demand[g][p.zone] += u
+				d += u
 			}
 			for z := range room {
 				demand[g][z] += missing * d * room[z] / all
