Smaller steps of relief

Cause: a step of 0.7 on reports that are 1 to 3 s late overshoots, and weights swing between backends. Kept: 0.8 down to 0.3.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -47,8 +47,8 @@
 	hotSLA    = 0.35       // ... if it is this part of the SLA time too
 	hotFails  = 0.2        // voided over the median's from which it is relieved too
 	coolRatio = 1.15       // time over the median under which weight comes back
-	easeBy    = 0.7        // a step of relief
-	easeLeast = 0.25       // ... down to this
+	easeBy    = 0.8        // a step of relief
+	easeLeast = 0.3        // ... down to this
 	easeEvery = 3 * Second // ... once in so long: what is heard now was done before the last step
 	returnBy  = 1.05       // a tick, back
 
