Total and knee follow the listed weight that is ready

To the design this is an outside change of the total; it acts while the total is bounded. Might hurt when listed weights say little of capacity.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -122,6 +122,7 @@
 
 	total, knee   float64 // txns/s; total 0 is unbounded; the knee is what the backends are held to manage
 	served        float64 // txns/s answered, smoothed
+	able          float64 // listed weight that is ready, less while it is cold
 	over, light   bool    // answers are late or voided; they are quick
 	reset         bool    // levels go back to equal shares
 	free          []bool  // by product: the levels cover what is asked for
@@ -450,6 +451,16 @@
 		a.served = served
 	}
 	a.served += (served - a.served) / servedOver
+	able := 0.0
+	for b, s := range a.be.status {
+		if s == Ready {
+			able += a.be.weight[b] * a.ramp(b)
+		}
+	}
+	if a.able > 0 && able > 0 {
+		a.total, a.knee = a.total*able/a.able, a.knee*able/a.able
+	}
+	a.able = able
 	late := a.took / a.sla()
 	switch {
 	case a.d.Levels == LevelNone || all <= 0:
