--- a/choice/choice.go
+++ b/choice/choice.go
@@ -17,12 +17,10 @@
 	busyAbove  = 0.9    // use over level from which a proxy is busy (design)
 	idleMargin = 0.2    // an idle proxy keeps its use and this much more (design)
 	levelFloor = 1.0    // txns/s: the least level, while the total has that much for all (design)
+	noLevel    = 1e6    // txns/s: a rate that binds nobody
 
-	noLevel = 1e6 // txns/s: a rate that binds nobody
-
-	overFails  = 0.05       // voided at the median backend: fleet-wide failure (design)
 	overSLA    = 0.4        // median time of answers over the SLA time: overload
-	lightSLA   = 0.38       // ... under which there is none, whatever timed out before
+	overFails  = 0.05       // ... or this part voided at the median backend while answers are not quick (design)
 	servedOver = 3.0        // ticks that the served rate is smoothed over
 	cutTo      = 0.8        // part of the knee that the total is cut to, so that queues drain
 	cutAgain   = 6 * Second // time-outs of before a cut are heard of for some seconds
@@ -37,8 +35,7 @@
 	spillFrom   = 0.1    // a smaller excess of a zone's demand over its fair part stays at home
 	spillChange = 0.1    // a change of the spill that is worth lines
 	spillLeast  = 0.0125 // a smaller part of a zone's txns opens no lines to another zone
-	lineChange  = 0.12   // relative change of a weight that is worth a line
-	levelChange = 0.08   // ... of a level
+	leastChange = 0.12   // relative change of a weight or level that is worth a line
 	useKeep     = 0.5    // a second, of a proxy's old use
 	newsKeep    = 0.2    // a tick with news, of the tries at a backend
 
@@ -52,17 +49,12 @@
 	easeEvery = 3 * Second // ... once in so long: what is heard now was done before the last step
 	returnBy  = 1.05       // a tick, back
 
-	roomUrgent = 0.8 // part of the channel's limit that urgent orders may fill
-	roomRest   = 0.4 // ... that the others may
 	slowChan   = 0.3 // part of its pace that a slowed channel is held to keep
-	sendsMost  = 0.9 // part of the messages allowed to a proxy that urgent orders may use
-	sendsRest  = 0.6 // ... that the others may
-)
-
-const (
-	never   = Time(math.MinInt64 / 2)
-	anyZone = -1
-	fences  = 1 << 8 // numbers in turn; far more than are ever on the way
+	roomUrgent = 0.8 // part of the lines and messages allowed that urgent orders may use
+	roomRest   = 0.5 // ... that the others may
+	fences     = 256 // numbers in turn; far more than are ever on the way
+	never      = Time(math.MinInt64 / 2)
+	anyZone    = -1
 )
 
 // group is the products that may go to the same backends: they share a table.
@@ -198,7 +190,6 @@
 			}
 		case Woken:
 			tick = true
-
 		}
 	}
 	if a.refollow && (tick || len(a.be.zone) == 0) {
@@ -207,7 +198,6 @@
 	}
 	if tick {
 		a.order(Wake{After: tickEvery})
-
 		a.judge()
 		a.setTotal()
 		a.setLevels()
@@ -278,6 +268,7 @@
 		a.refollow = a.d.Asked
 		return
 	}
+	a.urgent = true
 	seen := map[int]bool{} // by backend named: it is not gone
 	for _, en := range e.Entries {
 		b := en.Backend
@@ -306,7 +297,6 @@
 			be.status[b] = Gone
 		}
 	}
-	a.urgent = true
 }
 
 func (a *Assigner) hearTries(e Heard) {
@@ -424,8 +414,8 @@
 		return
 	}
 
-	a.light = a.took > 0 && a.took < lightSLA*sla
-	a.over = a.took > overSLA*sla || a.bad > overFails && !a.light
+	a.over = a.took > overSLA*sla || a.bad > overFails && (a.took == 0 || a.took > hotSLA*sla)
+	a.light = a.took > 0 && !a.over
 
 }
 
@@ -451,6 +441,7 @@
 		a.served = served
 	}
 	a.served += (served - a.served) / servedOver
+	// Backends that come or go change the total from outside, in step with their listed weight.
 	able := 0.0
 	for b, s := range a.be.status {
 		if s == Ready {
@@ -629,36 +620,36 @@
 			free += max(room[z], 0)
 		}
 	}
-	for z := range demand {
-		row, old := make([]float64, zones), a.spill[g][z]
-		row[z] = 1 - away[z]
-		for y := range row {
-			if can[y] > 0 && free > 0 {
-				row[y] += away[z] * max(room[y], 0) / free
-			} else if can[y] > 0 {
-				row[y] += away[z] * can[y] / canAll
-			}
+	to := make([]float64, zones) // where the excess goes: where there is room, else by strength
+	for y := range to {
+		switch {
+		case can[y] == 0:
+		case free > 0:
+			to[y] = max(room[y], 0) / free
+		default:
+			to[y] = can[y] / canAll
 		}
-		changed := (row[z] == 0) != (old[z] == 0)
+		room[y] -= excess * to[y]
+	}
+	for z, old := range a.spill[g] {
+		row := make([]float64, zones)
+		row[z] = 1 - away[z]
+		changed := (away[z] == 1) != (old[z] == 0)
 		for y := range row {
+			row[y] += away[z] * to[y]
 			changed = changed || math.Abs(row[y]-old[y]) >= spillChange
 		}
 		if changed {
 			a.spill[g][z] = row
 		}
 	}
-	for y := range room {
-		if can[y] > 0 && free > 0 {
-			room[y] -= excess * max(room[y], 0) / free
-		}
-	}
 }
 
 // plan is the table that a proxy should hold for a group: lines at home carry their listed weights.
 func (a *Assigner) plan(p *proxy, g int) tbl {
 	rule, be := a.groups[g].rule, &a.be
 	t := tbl{weight: make([]float64, len(be.zone))}
-	can, all := a.reach(rule, p.zone)
+	can, _ := a.reach(rule, p.zone)
 	row, home, bare := a.spill[g][p.zone], 1.0, true
 	if can[p.zone] > 0 && row[p.zone] > 0 {
 		home = can[p.zone] / row[p.zone]
@@ -669,12 +660,19 @@
 		}
 	}
 	for b := range be.zone {
-		if bare && all > 0 && a.open(rule, p.zone, b) {
+		if bare && a.open(rule, p.zone, b) {
 			t.weight[b] = a.strength(b) // wherever it is: no proxy is left without a line
 		}
 	}
+	// Any product may be tried again after proof that the first try never ran, which takes effect once, and only
+	// while answers are quick: full backends pass tries on until all are full. A second try after any failure
+	// gives slow backends their work twice: it cost more on every day it was tried.
+	tries := TryOnce
+	if a.light {
+		tries = TryUnrun
+	}
 	for _, k := range a.groups[g].products {
-		t.gates = append(t.gates, gate{level: a.levelOf(p, k), tries: a.triesOf()})
+		t.gates = append(t.gates, gate{level: a.levelOf(p, k), tries: tries})
 	}
 	return t
 }
@@ -693,16 +691,6 @@
 	return p.level[k]
 }
 
-// triesOf says how products may be tried again: after proof that the first try never ran, which takes effect
-// once for all of them, and only while answers are quick. A second try after any failure gives slow backends
-// their work twice: it cost more on every day it was tried. Full backends pass tries on until all are full.
-func (a *Assigner) triesOf() Tries {
-	if !a.light {
-		return TryOnce
-	}
-	return TryUnrun
-}
-
 // Urgencies, the most urgent first.
 const (
 	mustLeave = iota // drains and withdrawals
@@ -739,7 +727,7 @@
 			}
 			urgency := mayRest
 			switch {
-			case w == h || w > 0 && h > 0 && math.Abs(w-h) < lineChange*h:
+			case w == h || w > 0 && h > 0 && math.Abs(w-h) < leastChange*h:
 				next.weight[b] = h
 				continue
 			case w == 0 && a.be.status[b] != Ready:
@@ -754,7 +742,7 @@
 		for j, k := range a.groups[g].products {
 			w := next.gates[j]
 			if held.gates != nil && held.gates[j].tries == w.tries &&
-				math.Abs(held.gates[j].level-w.level) <= levelChange*held.gates[j].level {
+				math.Abs(held.gates[j].level-w.level) <= leastChange*held.gates[j].level {
 				next.gates[j] = held.gates[j]
 				continue
 			}
@@ -762,17 +750,13 @@
 		}
 		d.next = append(d.next, next)
 		if !p.bound {
+			need(Use{Proxy: i, Table: id, Products: a.groups[g].mask}, mustHave)
 			d.cost += float64(len(next.weight) + len(next.gates))
 		}
 	}
 	for _, u := range p.use {
 		d.asked += u
 	}
-	for g := range a.groups {
-		if !p.bound {
-			need(Use{Proxy: i, Table: i*groups + g, Products: a.groups[g].mask}, mustHave)
-		}
-	}
 	d.cost += float64(len(d.orders))
 	return d
 }
@@ -780,14 +764,14 @@
 // reconcile emits what the proxies lack, the most urgent and the busiest first, as far as the channel has
 // room. A proxy gets its whole difference or nothing: what it holds was ordered with all that was known.
 func (a *Assigner) reconcile(tick bool) {
-	for b, s := range a.be.status {
-		// With slices tables belong to the store: what drains or is gone is withdrawn, and no more.
-		if out := s != Ready; a.d.Slices > 0 && out != a.be.shutOut[b] {
-			a.be.shutOut[b] = out
-			a.order(Withdraw{Backend: b, Out: out})
-		}
-	}
 	if a.d.Slices > 0 {
+		// Tables belong to the store: what drains or is gone is withdrawn, and no more.
+		for b, s := range a.be.status {
+			if out := s != Ready; out != a.be.shutOut[b] {
+				a.be.shutOut[b] = out
+				a.order(Withdraw{Backend: b, Out: out})
+			}
+		}
 		return
 	}
 	var todo []diff
@@ -804,11 +788,13 @@
 	left := slowChan * a.d.LinesPerS * float64(a.now-a.passedAt) / float64(Second)
 	waiting, sent := max(a.lines-a.passed-left, 0), false
 	for _, d := range todo {
-		p, room, sends := &a.px[d.proxy], roomUrgent, sendsMost
+		p, room := &a.px[d.proxy], roomUrgent
 		if d.urgency > mustEase {
-			room, sends = roomRest, sendsRest
+			room = roomRest
 		}
-		if a.d.LinesMost > 0 && waiting+d.cost > room*a.d.LinesMost || !a.maySend(p, sends) {
+		p.sent = slices.DeleteFunc(p.sent, func(t Time) bool { return a.now-t > a.d.MessagesOver+Second })
+		if a.d.LinesMost > 0 && waiting+d.cost > room*a.d.LinesMost ||
+			a.d.MessagesMost > 0 && float64(len(p.sent)+1) > room*float64(a.d.MessagesMost) {
 			continue
 		}
 		a.orders = append(a.orders, d.orders...)
@@ -821,9 +807,3 @@
 		a.order(Fence{Number: a.fence})
 	}
 }
-
-// maySend counts the messages that a proxy was sent within the counting span.
-func (a *Assigner) maySend(p *proxy, part float64) bool {
-	p.sent = slices.DeleteFunc(p.sent, func(t Time) bool { return a.now-t > a.d.MessagesOver+Second })
-	return a.d.MessagesMost <= 0 || float64(len(p.sent)+1) <= part*float64(a.d.MessagesMost)
-}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -234,7 +234,7 @@
 	for range 30 {
 		r.second(reports(15, []float64{1, 0, 0, 0}, 1000)...)
 	}
-	if w := r.weight(0, 1, 0); w > easeLeast*(1+lineChange) || w <= 0 {
+	if w := r.weight(0, 1, 0); w > easeLeast*(1+leastChange) || w <= 0 {
 		t.Errorf("weight %v of a hung backend", w)
 	}
 }
