See an overload in what backends say they hold, by reports or probes

Cause: late sums show an overload 2 s after it began; what a backend holds over what it is sent is the time that the next txn will take. Acts where a load report says what is held and one controller hears all tries. Should also guard against reports that come later still.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -32,12 +32,11 @@
 	rampStart = 0.1        // part of its weight that a new backend starts with (design)
 	rampTurn  = 5 * Second // ... and doubles after (design)
 
-	spillFrom   = 0.1    // a smaller excess of a zone's demand over its fair part stays at home
-	spillChange = 0.1    // a change of the spill that is worth lines
-	spillLeast  = 0.0125 // a smaller part of a zone's txns opens no lines to another zone
-	leastChange = 0.12   // relative change of a weight or level that is worth a line
-	useKeep     = 0.5    // a second, of a proxy's old use
-	newsKeep    = 0.2    // a tick with news, of the tries at a backend
+	spillFrom   = 0.1  // a smaller excess of a zone's demand over its fair part stays at home
+	spillChange = 0.1  // a change of the spill that is worth lines
+	leastChange = 0.12 // relative change of a weight or level that is worth a line
+	useKeep     = 0.5  // a second, of a proxy's old use
+	newsKeep    = 0.2  // a tick with news, of the tries at a backend
 
 	fewTries  = 4.0        // fewer tries say nothing of a backend
 	hotRatio  = 1.5        // a backend's time over the median from which it is relieved
@@ -64,15 +63,10 @@
 	rule     Product
 }
 
-type gate struct {
-	level float64
-	tries Tries
-}
-
 // tbl is a table: weights by backend, gates by place in the group.
 type tbl struct {
 	weight []float64
-	gates  []gate
+	gates  []Gate
 }
 
 type proxy struct {
@@ -93,6 +87,7 @@
 	rampAt         []Time    // when its ramp began
 	relief         []float64 // part of its weight that a hot one keeps
 	easedAt        []Time
+	held           []float64 // txns that it said it holds since the last tick
 	tries, voided  []float64 // fading
 	good, spent    []float64 // answers and the time that they took, fading
 	fresh, shutOut []bool    // heard of since the last tick; withdrawn (slices only)
@@ -182,6 +177,8 @@
 			}
 		case Heard:
 			a.hearTries(e)
+		case Probed:
+			a.hearLoad(e.Backend, e.Load)
 		case Used:
 			a.hearUse(e)
 		case Settled:
@@ -198,6 +195,11 @@
 	}
 	if tick {
 		a.order(Wake{After: tickEvery})
+		for b, s := range a.be.status {
+			if s == Ready && a.d.Probes && len(a.d.Gauges) > 0 {
+				a.order(Probe{Backend: b})
+			}
+		}
 		a.judge()
 		a.setTotal()
 		a.setLevels()
@@ -214,7 +216,6 @@
 
 func (a *Assigner) log(format string, v ...any) { a.order(Log{Text: fmt.Sprintf(format, v...)}) }
 
-// ownZone keeps a zone within those that the deployment has.
 func (a *Assigner) ownZone(z int) int { return min(max(z, 0), a.d.Zones-1) }
 
 func (a *Assigner) proxy(i int) *proxy {
@@ -258,7 +259,8 @@
 		be.easedAt, be.fresh = append(be.easedAt, never), append(be.fresh, false)
 		be.tries, be.voided = append(be.tries, 0), append(be.voided, 0)
 		be.good, be.spent = append(be.good, 0), append(be.spent, 0)
-		be.shutOut = append(be.shutOut, false)
+		be.held, be.shutOut = append(be.held, 0), append(be.shutOut, false)
+
 	}
 }
 
@@ -301,9 +303,9 @@
 
 func (a *Assigner) hearTries(e Heard) {
 	be, b := &a.be, e.Backend
-	if b >= len(be.zone) {
-		return
-	}
+	a.grow(b + 1)
+	a.hearLoad(b, e.Load)
+
 	voided := min(e.Voided, e.Tries)
 	be.tries[b], be.voided[b], be.fresh[b] = be.tries[b]+e.Tries, be.voided[b]+voided, true
 	if good := e.Tries - voided; good > 0 && e.Took > 0 {
@@ -311,6 +313,13 @@
 	}
 }
 
+// hearLoad keeps the txns that a backend says it holds.
+func (a *Assigner) hearLoad(b int, load []float64) {
+	if at := slices.Index(a.d.Gauges, GaugeHeld); at >= 0 && at < len(load) && b < len(a.be.held) {
+		a.be.held[b] = load[at]
+	}
+}
+
 // ramp is the part of its weight that a backend may have now.
 func (a *Assigner) ramp(b int) float64 {
 	turns := max((a.now-a.be.rampAt[b])/rampTurn, 0)
@@ -348,7 +357,6 @@
 	return in
 }
 
-// demand is what the joined proxies are asked for of a product.
 func (a *Assigner) demand(k int) (d float64) {
 	for _, p := range a.joined() {
 		d += p.use[k]
@@ -378,7 +386,7 @@
 func (a *Assigner) judge() {
 	be := &a.be
 	fails, took := make([]float64, len(be.zone)), make([]float64, len(be.zone))
-	var allFails, allTook []float64
+	var allFails, allTook, allNext []float64
 	for b := range be.zone {
 		if be.status[b] != Ready || be.tries[b] < fewTries {
 			continue
@@ -388,9 +396,17 @@
 		if be.good[b] > 0 {
 			took[b] = be.spent[b] / be.good[b]
 			allTook = append(allTook, took[b])
+			// What it holds over what it is sent in a tick is the time that the next txn takes: known sooner. The
+			// sums of one controller alone say what it is sent.
+			next := 0.0
+			if a.d.Controllers == 1 {
+				next = be.held[b] / (be.tries[b] * (1 - newsKeep)) * float64(tickEvery)
+			}
+			allNext = append(allNext, max(took[b], next))
 		}
 	}
-	a.bad, a.took = median(allFails), median(allTook)
+	a.bad, a.took = median(allFails), median(allNext)
+	mid := median(allTook)
 	sla, news := a.sla(), false
 	for b := range be.zone {
 		if !be.fresh[b] {
@@ -399,24 +415,22 @@
 		// Hot: far slower than the others and near the SLA time, or voiding more. Answers slow machines, other
 		// programs on the machine, wrong listed weights, and what hangs or breaks; the least that it keeps shows
 		// when it is well again. It hurts when the slow ones are needed all the same.
-		hot := took[b] > max(hotRatio*a.took, hotSLA*sla) || fails[b] > a.bad+hotFails
+		hot := took[b] > max(hotRatio*mid, hotSLA*sla) || fails[b] > a.bad+hotFails
 		switch {
 		case hot && a.now >= be.easedAt[b]+easeEvery:
 			be.relief[b], be.easedAt[b] = max(easeLeast, be.relief[b]*easeBy), a.now
-		case !hot && took[b] < coolRatio*a.took:
+		case !hot && took[b] < coolRatio*mid:
 			be.relief[b] = min(1, be.relief[b]*returnBy)
 		}
 		be.tries[b], be.voided[b], be.fresh[b] = be.tries[b]*newsKeep, be.voided[b]*newsKeep, false
 		be.good[b], be.spent[b] = be.good[b]*newsKeep, be.spent[b]*newsKeep
-		news = true
+		news, be.held[b] = true, 0
 	}
 	if !news {
 		return
 	}
-
 	a.over = a.took > overSLA*sla || a.bad > overFails && (a.took == 0 || a.took > hotSLA*sla)
 	a.light = a.took > 0 && !a.over
-
 }
 
 func median(v []float64) float64 {
@@ -499,17 +513,10 @@
 			left -= min(part, d)
 		}
 		a.free[k] = part >= d
-		use, level, silent := make([]float64, len(in)), make([]float64, len(in)), make([]bool, len(in))
-		for i, p := range in {
-			use[i], silent[i] = p.use[k], !p.heard
-			if !a.reset {
-				level[i] = p.level[k]
-			}
-		}
-		shareRate(level, use, silent, part)
-		for i, p := range in {
-			p.level[k] = level[i]
+		for i := 0; a.reset && i < len(in); i++ {
+			in[i].level[k] = 0
 		}
+		shareRate(in, k, part)
 	}
 	a.reset = false
 }
@@ -517,49 +524,46 @@
 // shareRate is max-rate sharing: levels sum to total, idle proxies give what they do not use, busy ones are
 // evened out and get what is free, silent ones keep theirs. Where the total is under the floors of all, the
 // floor gives way: the source's bug made such levels negative.
-func shareRate(level, use []float64, silent []bool, total float64) {
-	n, sum := float64(len(level)), 0.0
+func shareRate(in []*proxy, k int, total float64) {
+	n, sum := float64(len(in)), 0.0
 	floor := min(levelFloor, total/n)
-	for _, l := range level {
-		sum += l
+	for _, p := range in {
+		sum += p.level[k]
 	}
-	for i := range level {
+	busy, held, freed, isBusy := 0.0, 0.0, 0.0, make([]bool, len(in))
+	for i, p := range in {
 		if sum > 0 {
-			level[i] *= total / sum // a change of our own total scales all levels
+			p.level[k] *= total / sum // a change of our own total scales all levels
 		} else {
-			level[i] = total / n
+			p.level[k] = total / n
 		}
-	}
-	busy, held, freed, isBusy := 0.0, 0.0, 0.0, make([]bool, len(level))
-	for i := range level {
-		if isBusy[i] = !silent[i] && use[i] > busyAbove*level[i]; isBusy[i] {
-			busy, held = busy+1, held+level[i]
+		if isBusy[i] = p.heard && p.use[k] > busyAbove*p.level[k]; isBusy[i] {
+			busy, held = busy+1, held+p.level[k]
 		}
 	}
-	for i, l := range level {
+	for i, p := range in {
+		l := p.level[k]
 		switch {
 		case isBusy[i]:
-			level[i] = min(l, held/busy)
-		case busy > 0 && !silent[i]:
-			level[i] = min(l, max(use[i]*(1+idleMargin), floor))
+			p.level[k] = min(l, held/busy)
+		case busy > 0 && p.heard:
+			p.level[k] = min(l, max(p.use[k]*(1+idleMargin), floor))
 		}
-		freed += l - level[i]
+		freed += l - p.level[k]
 	}
-	for i := range level {
+	above := 0.0
+	for i, p := range in {
 		if isBusy[i] {
-			level[i] += freed / busy
+			p.level[k] += freed / busy
 		}
+		p.level[k] = max(p.level[k]-floor, 0)
+		above += p.level[k]
 	}
-	above := 0.0
-	for i := range level {
-		level[i] = max(level[i]-floor, 0)
-		above += level[i]
-	}
-	for i := range level {
+	for _, p := range in {
 		if above > 0 {
-			level[i] *= (total - n*floor) / above
+			p.level[k] *= (total - n*floor) / above
 		}
-		level[i] += floor
+		p.level[k] += floor
 	}
 }
 
@@ -614,8 +618,6 @@
 		}
 		room[z] -= d * (1 - away[z])
 		excess += d * away[z]
-	}
-	for z := range room {
 		if can[z] > 0 {
 			free += max(room[z], 0)
 		}
@@ -655,7 +657,7 @@
 		home = can[p.zone] / row[p.zone]
 	}
 	for b, y := range be.zone {
-		if a.open(rule, p.zone, b) && row[y] > spillLeast {
+		if a.open(rule, p.zone, b) && row[y] > 0 {
 			t.weight[b], bare = a.strength(b)/can[y]*row[y]*home, false
 		}
 	}
@@ -672,7 +674,7 @@
 		tries = TryUnrun
 	}
 	for _, k := range a.groups[g].products {
-		t.gates = append(t.gates, gate{level: a.levelOf(p, k), tries: tries})
+		t.gates = append(t.gates, Gate{Level: a.levelOf(p, k), Tries: tries, Products: 1 << k})
 	}
 	return t
 }
@@ -716,10 +718,8 @@
 		d.orders, d.urgency = append(d.orders, o), min(d.urgency, urgency)
 	}
 	for g := range a.groups {
-		next, held, id, bare := a.plan(p, g), p.held[g], i*groups+g, true
-		for _, w := range held.weight {
-			bare = bare && w == 0
-		}
+		next, held, id := a.plan(p, g), p.held[g], i*groups+g
+		bare := !slices.ContainsFunc(held.weight, func(w float64) bool { return w > 0 })
 		for b, w := range next.weight {
 			h := 0.0
 			if b < len(held.weight) {
@@ -739,14 +739,14 @@
 			}
 			need(Line{Table: id, Backend: b, Weight: w}, urgency)
 		}
-		for j, k := range a.groups[g].products {
-			w := next.gates[j]
-			if held.gates != nil && held.gates[j].tries == w.tries &&
-				math.Abs(held.gates[j].level-w.level) <= leastChange*held.gates[j].level {
-				next.gates[j] = held.gates[j]
+		for j := range next.gates {
+			w := &next.gates[j]
+			if w.Table = id; held.gates != nil && held.gates[j].Tries == w.Tries &&
+				math.Abs(held.gates[j].Level-w.Level) <= leastChange*held.gates[j].Level {
+				*w = held.gates[j]
 				continue
 			}
-			need(Gate{Table: id, Level: w.level, Tries: w.tries, Products: 1 << k}, mayLevel)
+			need(*w, mayLevel)
 		}
 		d.next = append(d.next, next)
 		if !p.bound {
