Cold backends by what they can do for sure, and levels where all lines are cold

Cause: the first backend of a lost zone took all of the zone's home product, whose callers asked again after each decline; and a controller that had just restarted opened all levels into such a storm. Answer: while a line within reach is cold, levels keep what comes to half of the multiple at the pace served so far; a proxy that has not reported yet gets no more of a product than it is said to get in all. It may decline too much where listed weights are far off.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1,6 +1,6 @@
-// Package choice holds every decision of elmfold. New makes one controller's Assigner from its Deployment; Step
-// takes the events of one moment and returns the orders to carry out. The types of events, orders and launch
-// settings are in iface.go. Nothing here reads a clock, a file or a network, and nothing is left to chance.
+// Package choice holds every decision of elmfold. New makes a controller's Assigner from its Deployment; Step
+// takes the events of a moment and returns the orders. The types of all these are in iface.go. Nothing here
+// reads a clock, a file or a network, and nothing is left to chance.
 package choice
 
 import (
@@ -31,9 +31,9 @@
 
 	rampStart = 0.1        // part of its weight that a new backend starts with (design)
 	rampTurn  = 5 * Second // ... and doubles after (design)
+	coldMost  = 0.5        // part of the multiple that pushes a cold backend over which may be asked of it
 
 	spillFrom   = 0.1  // a smaller excess of a zone's demand over its fair part stays at home
-	spillChange = 0.1  // a change of the spill that is worth lines
 	leastChange = 0.12 // relative change of a weight or level that is worth a line
 	useKeep     = 0.5  // a second, of a proxy's old use
 	newsKeep    = 0.2  // a tick with news, of the tries at a backend
@@ -56,9 +56,8 @@
 	anyZone    = -1
 )
 
-// group is the products that may go to the same backends: they share a table.
 type group struct {
-	products []int
+	products []int // that may go to the same backends: they share a table
 	mask     uint16
 	rule     Product
 }
@@ -109,7 +108,7 @@
 
 	total, knee   float64 // txns/s; total 0 is unbounded; the knee is what the backends are held to manage
 	served        float64 // txns/s answered, smoothed
-	able          float64 // listed weight that is ready, less while it is cold
+	able, pace    float64 // listed weight that is ready, less while it is cold; the most served for a unit of it
 	over, light   bool    // answers are late or voided; they are quick
 	reset         bool    // levels go back to equal shares
 	free          []bool  // by product: the levels cover what is asked for
@@ -133,7 +132,7 @@
 		}
 		a.groups[g].products, a.groups[g].mask = append(a.groups[g].products, k), a.groups[g].mask|1<<k
 	}
-	// The most confined products are placed first; the others take the room that is left.
+	// The most confined are placed first; the others take the room that is left.
 	slices.SortStableFunc(a.groups, func(g, h group) int {
 		return cmp.Compare(confined(h.rule), confined(g.rule))
 	})
@@ -178,7 +177,7 @@
 		case Heard:
 			a.hearTries(e)
 		case Probed:
-			a.hearLoad(e.Backend, e.Load)
+			a.hearTries(Heard{Backend: e.Backend, Load: e.Load})
 		case Used:
 			a.hearUse(e)
 		case Settled:
@@ -242,10 +241,9 @@
 	}
 	keep := math.Pow(useKeep, max(s, 0.2))
 	if !p.heard {
-		p.heard = true
 		clear(p.use) // the rate it was said to get gives way to what it gets
 	}
-	if p.use[k] == 0 {
+	if p.heard = true; p.use[k] == 0 {
 		keep = 0
 	}
 	p.use[k] = p.use[k]*keep + e.Txns/s*(1-keep)
@@ -275,22 +273,18 @@
 	for _, en := range e.Entries {
 		b := en.Backend
 		a.grow(b + 1)
-		if en.Status != Gone {
-			be.zone[b], be.kind[b], be.weight[b] = a.ownZone(en.Zone), en.Kind, 1
-			if en.Weight > 0 {
-				be.weight[b] = en.Weight
-			}
+		if seen[b] = en.Status != Gone; !seen[b] {
+			continue
 		}
+		be.zone[b], be.kind[b], be.status[b] = a.ownZone(en.Zone), en.Kind, en.Status
+		be.weight[b] = cmp.Or(en.Weight, 1)
 		// A new start, also one met while the backend still stands in tables: it is cold, and what was heard
 		// of it before holds no longer.
 		if en.Status == Ready && en.Up > 0 && en.Up > be.rampAt[b] {
 			be.rampAt[b], be.relief[b] = en.Up, 1
 			be.tries[b], be.voided[b], be.good[b], be.spent[b] = 0, 0, 0, 0
 		}
-		if en.Status != Gone {
-			be.status[b] = en.Status
-		}
-		seen[b] = en.Status != Gone
+
 	}
 	for b, s := range be.status {
 		listed, named := seen[b]
@@ -304,26 +298,21 @@
 func (a *Assigner) hearTries(e Heard) {
 	be, b := &a.be, e.Backend
 	a.grow(b + 1)
-	a.hearLoad(b, e.Load)
-
+	if at := slices.Index(a.d.Gauges, GaugeHeld); at >= 0 && at < len(e.Load) {
+		be.held[b] = e.Load[at]
+	}
 	voided := min(e.Voided, e.Tries)
-	be.tries[b], be.voided[b], be.fresh[b] = be.tries[b]+e.Tries, be.voided[b]+voided, true
+	be.tries[b], be.voided[b], be.fresh[b] = be.tries[b]+e.Tries, be.voided[b]+voided, be.fresh[b] || e.Tries > 0
 	if good := e.Tries - voided; good > 0 && e.Took > 0 {
 		be.good[b], be.spent[b] = be.good[b]+good, be.spent[b]+good*float64(e.Took)
 	}
 }
 
-// hearLoad keeps the txns that a backend says it holds.
-func (a *Assigner) hearLoad(b int, load []float64) {
-	if at := slices.Index(a.d.Gauges, GaugeHeld); at >= 0 && at < len(load) && b < len(a.be.held) {
-		a.be.held[b] = load[at]
-	}
-}
-
 // ramp is the part of its weight that a backend may have now.
 func (a *Assigner) ramp(b int) float64 {
-	turns := max((a.now-a.be.rampAt[b])/rampTurn, 0)
-	return min(1, rampStart*math.Exp2(float64(min(turns, 10))))
+	age := max(a.now-a.be.rampAt[b], 0)
+	sure := a.d.ColdCapacity + (1-a.d.ColdCapacity)*float64(age)/float64(max(a.d.Cold, 1))
+	return min(1, max(rampStart*math.Exp2(float64(min(age/rampTurn, 10))), sure))
 }
 
 // strength is what a backend counts for in tables: its listed weight, less while it is cold or hot.
@@ -336,16 +325,17 @@
 		(rule.OnlyKinds == nil || slices.Contains(rule.OnlyKinds, a.be.kind[b]))
 }
 
-// reach is the strength open to products under the rule from a zone, by zone and in all.
-func (a *Assigner) reach(rule Product, zone int) (by []float64, all float64) {
+// reach is the strength open to products under the rule from a zone, by zone and in all, and their listed
+// weight, less while it is cold and in full.
+func (a *Assigner) reach(rule Product, zone int) (by []float64, all, able, full float64) {
 	by = make([]float64, a.d.Zones)
 	for b, y := range a.be.zone {
 		if a.open(rule, zone, b) {
 			by[y] += a.strength(b)
-			all += a.strength(b)
+			all, able, full = all+a.strength(b), able+a.be.weight[b]*a.ramp(b), full+a.be.weight[b]
 		}
 	}
-	return by, all
+	return by, all, able, full
 }
 
 func (a *Assigner) joined() (in []*proxy) {
@@ -364,7 +354,6 @@
 	return d
 }
 
-// admitted is what of a product's txns a proxy lets in.
 func (a *Assigner) admitted(p *proxy, k int) float64 {
 	if a.total > 0 && !a.free[k] {
 		return min(p.use[k], p.level[k])
@@ -374,12 +363,11 @@
 
 // sla is the SLA time of the mean txn that comes.
 func (a *Assigner) sla() float64 {
-	sum, n := 0.0, 0.0
+	sum, n := 0.0, 1e-9
 	for k, pr := range a.d.Products {
-		d := a.demand(k) + 1e-9
-		sum, n = sum+d*float64(pr.SLA), n+d
+		sum, n = sum+(a.demand(k)+1e-9)*float64(pr.SLA), n+a.demand(k)+1e-9
 	}
-	return max(sum/max(n, 1e-9), 1)
+	return max(sum/n, 1)
 }
 
 // judge looks at what was heard since the last tick: who is hot, and whether all are.
@@ -396,13 +384,12 @@
 		if be.good[b] > 0 {
 			took[b] = be.spent[b] / be.good[b]
 			allTook = append(allTook, took[b])
-			// What it holds over what it is sent in a tick is the time that the next txn takes: known sooner. The
-			// sums of one controller alone say what it is sent.
-			next := 0.0
-			if a.d.Controllers == 1 {
-				next = be.held[b] / (be.tries[b] * (1 - newsKeep)) * float64(tickEvery)
+			// What it holds over what it is sent in a tick is the time of its next txn: known sooner. Sums of a
+			// controller that is not alone say too little.
+			if a.d.Controllers > 1 {
+				be.held[b] = 0
 			}
-			allNext = append(allNext, max(took[b], next))
+			allNext = append(allNext, max(took[b], be.held[b]/(be.tries[b]*(1-newsKeep))*float64(tickEvery)))
 		}
 	}
 	a.bad, a.took = median(allFails), median(allNext)
@@ -413,8 +400,7 @@
 			continue
 		}
 		// Hot: far slower than the others and near the SLA time, or voiding more. Answers slow machines, other
-		// programs on the machine, wrong listed weights, and what hangs or breaks; the least that it keeps shows
-		// when it is well again. It hurts when the slow ones are needed all the same.
+		// programs on them, wrong listed weights, hangs. It hurts when the slow ones are needed all the same.
 		hot := took[b] > max(hotRatio*mid, hotSLA*sla) || fails[b] > a.bad+hotFails
 		switch {
 		case hot && a.now >= be.easedAt[b]+easeEvery:
@@ -451,29 +437,23 @@
 		}
 	}
 
-	if a.served == 0 {
-		a.served = served
-	}
+	a.served = cmp.Or(a.served, served)
 	a.served += (served - a.served) / servedOver
 	// Backends that come or go change the total from outside, in step with their listed weight.
-	able := 0.0
-	for b, s := range a.be.status {
-		if s == Ready {
-			able += a.be.weight[b] * a.ramp(b)
-		}
-	}
+	_, _, able, _ := a.reach(Product{}, anyZone)
 	if a.able > 0 && able > 0 {
 		a.total, a.knee = a.total*able/a.able, a.knee*able/a.able
 	}
-	a.able = able
-	late := a.took / a.sla()
+	if a.able = able; a.light {
+		a.pace = max(a.pace, a.served/max(able, 1e-9))
+	}
 	switch {
 	case a.d.Levels == LevelNone || all <= 0:
 	case a.over && (a.total == 0 || a.now-a.cutAt >= cutAgain):
 		if a.total == 0 {
 			a.knee = a.served / kneeDown
 			a.log("total bounded: demand %.0f/s, served %.0f/s, answers take %.2f SLA times, median voids %.0f%%",
-				all, a.served, late, 100*a.bad)
+				all, a.served, a.took/a.sla(), 100*a.bad)
 		}
 		a.knee = max(a.knee*kneeDown, levelFloor)
 		a.total, a.cutAt, a.riseAt = a.knee*cutTo, a.now, a.now
@@ -567,12 +547,10 @@
 	}
 }
 
-// setSpill works out which part of each group's txns leaves its zone. Tables are zone-first, and the design
-// lets other zones join when under half the zone is usable. That leaves a zone asked for more than its part
-// of the fleet alone with it, so here they join for the excess: every zone is to carry the same demand for its
-// usable strength, and only what is over that goes elsewhere.
+// setSpill works out which part of each group's txns leaves its zone. The design lets other zones join when
+// under half a zone is usable; here they join for what it is asked for over its part of the fleet's strength.
 func (a *Assigner) setSpill() {
-	room, all := a.reach(Product{}, anyZone)
+	room, all, _, _ := a.reach(Product{}, anyZone)
 	in, sum := a.joined(), 0.0
 	if all == 0 || len(in) == 0 {
 		return
@@ -606,7 +584,7 @@
 // spillGroup places a group's demand in the room that the zones have, and takes it off the room.
 func (a *Assigner) spillGroup(g int, demand, room []float64) {
 	rule, zones := a.groups[g].rule, a.d.Zones
-	can, canAll := a.reach(rule, anyZone)
+	can, canAll, _, _ := a.reach(rule, anyZone)
 	away, excess, free := make([]float64, zones), 0.0, 0.0
 	for z, d := range demand {
 		switch over := d - max(room[z], 0); {
@@ -639,7 +617,7 @@
 		changed := (away[z] == 1) != (old[z] == 0)
 		for y := range row {
 			row[y] += away[z] * to[y]
-			changed = changed || math.Abs(row[y]-old[y]) >= spillChange
+			changed = changed || math.Abs(row[y]-old[y]) >= spillFrom
 		}
 		if changed {
 			a.spill[g][z] = row
@@ -651,7 +629,7 @@
 func (a *Assigner) plan(p *proxy, g int) tbl {
 	rule, be := a.groups[g].rule, &a.be
 	t := tbl{weight: make([]float64, len(be.zone))}
-	can, _ := a.reach(rule, p.zone)
+	can, _, _, _ := a.reach(rule, p.zone)
 	row, home, bare := a.spill[g][p.zone], 1.0, true
 	if can[p.zone] > 0 && row[p.zone] > 0 {
 		home = can[p.zone] / row[p.zone]
@@ -666,31 +644,62 @@
 			t.weight[b] = a.strength(b) // wherever it is: no proxy is left without a line
 		}
 	}
-	// Any product may be tried again after proof that the first try never ran, which takes effect once, and only
-	// while answers are quick: full backends pass tries on until all are full. A second try after any failure
-	// gives slow backends their work twice: it cost more on every day it was tried.
+	// Further tries only after proof that the first never ran, which takes effect once for any product, and only
+	// while answers are quick: after any failure, or between full backends, they feed an overload.
 	tries := TryOnce
 	if a.light {
 		tries = TryUnrun
 	}
+	part := a.coldPart(p, rule)
 	for _, k := range a.groups[g].products {
-		t.gates = append(t.gates, Gate{Level: a.levelOf(p, k), Tries: tries, Products: 1 << k})
+		t.gates = append(t.gates, Gate{Level: a.levelOf(p, k, part), Tries: tries, Products: 1 << k})
 	}
 	return t
 }
 
-// levelOf is the level to order; none while the levels of all proxies cover what is asked for.
-func (a *Assigner) levelOf(p *proxy, k int) float64 {
-	free, share := a.total == 0 || a.d.Levels == LevelNone || a.free[k], a.d.Levels == LevelShare
-	switch {
-	case free && share:
+// coldPart is the part of what is asked for that may go to backends some of which are cold. Answers a zone or
+// fleet that comes back at once: ramped weights alone do nothing where all lines are cold.
+func (a *Assigner) coldPart(p *proxy, rule Product) float64 {
+	_, _, able, full := a.reach(rule, p.zone)
+	asked := 0.0
+	for _, q := range a.joined() {
+		for k, u := range q.use {
+			if !rule.OwnZone || q.zone == p.zone && a.d.Products[k].OwnZone {
+				asked += u
+			}
+		}
+	}
+	if able == full || asked == 0 || a.pace == 0 {
 		return 1
-	case free:
+	}
+	return min(1, coldMost*a.d.ColdMultiple*a.pace*able/asked)
+}
+
+// levelOf is the level to order; none while levels cover what is asked for. A proxy that has not reported yet
+// starts with no more than it is said to get: after a restart callers may be asking again and again.
+func (a *Assigner) levelOf(p *proxy, k int, part float64) float64 {
+	level := noLevel
+	if a.total > 0 && !a.free[k] {
+		level = p.level[k]
+	}
+	switch {
+	case a.d.Levels == LevelNone:
 		return noLevel
-	case share:
-		return min(1, p.level[k]/max(p.use[k], levelFloor))
+	case a.d.Levels == LevelShare:
+		return min(1, part, level/max(p.use[k], levelFloor))
+	case !p.heard:
+		return min(level, max(p.asked(), levelFloor))
+	case part < 1:
+		return min(level, p.use[k]*part)
+	}
+	return level
+}
+
+func (p *proxy) asked() (u float64) {
+	for _, v := range p.use {
+		u += v
 	}
-	return p.level[k]
+	return u
 }
 
 // Urgencies, the most urgent first.
@@ -698,8 +707,7 @@
 	mustLeave = iota // drains and withdrawals
 	mustHave         // lines for a proxy that holds none of ours, or none at all
 	mustEase         // weights of cold backends
-	mayLevel
-	mayRest
+	mayWait          // levels, and the rest
 	nothing
 )
 
@@ -708,7 +716,7 @@
 	proxy, urgency int
 	orders         []Order
 	next           []tbl
-	cost, asked    float64
+	cost           float64
 }
 
 func (a *Assigner) diff(i int) diff {
@@ -725,7 +733,7 @@
 			if b < len(held.weight) {
 				h = held.weight[b]
 			}
-			urgency := mayRest
+			urgency := mayWait
 			switch {
 			case w == h || w > 0 && h > 0 && math.Abs(w-h) < leastChange*h:
 				next.weight[b] = h
@@ -746,7 +754,7 @@
 				*w = held.gates[j]
 				continue
 			}
-			need(*w, mayLevel)
+			need(*w, mayWait)
 		}
 		d.next = append(d.next, next)
 		if !p.bound {
@@ -754,9 +762,6 @@
 			d.cost += float64(len(next.weight) + len(next.gates))
 		}
 	}
-	for _, u := range p.use {
-		d.asked += u
-	}
 	d.cost += float64(len(d.orders))
 	return d
 }
@@ -764,8 +769,7 @@
 // reconcile emits what the proxies lack, the most urgent and the busiest first, as far as the channel has
 // room. A proxy gets its whole difference or nothing: what it holds was ordered with all that was known.
 func (a *Assigner) reconcile(tick bool) {
-	if a.d.Slices > 0 {
-		// Tables belong to the store: what drains or is gone is withdrawn, and no more.
+	if a.d.Slices > 0 { // tables belong to the store: what drains or is gone is withdrawn, and no more
 		for b, s := range a.be.status {
 			if out := s != Ready; out != a.be.shutOut[b] {
 				a.be.shutOut[b] = out
@@ -783,7 +787,7 @@
 		}
 	}
 	slices.SortStableFunc(todo, func(d, e diff) int {
-		return cmp.Or(cmp.Compare(d.urgency, e.urgency), cmp.Compare(e.asked, d.asked))
+		return cmp.Or(cmp.Compare(d.urgency, e.urgency), cmp.Compare(a.px[e.proxy].asked(), a.px[d.proxy].asked()))
 	})
 	left := slowChan * a.d.LinesPerS * float64(a.now-a.passedAt) / float64(Second)
 	waiting, sent := max(a.lines-a.passed-left, 0), false
--- a/choice/iface.go
+++ b/choice/iface.go
@@ -81,6 +81,7 @@
 	GoneBinds    bool
 	Cold         Time
 	ColdCapacity float64
+	ColdMultiple float64 // of its capacity, that pushes a cold backend over
 	LinesPerS    float64
 	LinesMost    float64
 	LinesHead    float64
