Cold part counts what voids as not there

Cause: all warm backends voided, proxies there shun what fails three times, and the cold ones got everybody's tries. Answer: strength that voids does not count in what may be asked while a line is cold, and the pace of a controller that just started is what its proxies are said to get. It may decline too much when the median backend voids for a reason that soon ends.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -62,8 +62,7 @@
 	rule     Product
 }
 
-// tbl is a table: weights by backend, gates by place in the group.
-type tbl struct {
+type tbl struct { // a table: weights by backend, gates by place in the group
 	weight []float64
 	gates  []Gate
 }
@@ -78,8 +77,7 @@
 	sent          []Time    // messages within the counting span
 }
 
-// fleet is parallel arrays under the door's index of backends.
-type fleet struct {
+type fleet struct { // parallel arrays under the door's index of backends
 	zone, kind     []int
 	status         []Status
 	weight         []float64 // listed
@@ -325,17 +323,16 @@
 		(rule.OnlyKinds == nil || slices.Contains(rule.OnlyKinds, a.be.kind[b]))
 }
 
-// reach is the strength open to products under the rule from a zone, by zone and in all, and their listed
-// weight, less while it is cold and in full.
-func (a *Assigner) reach(rule Product, zone int) (by []float64, all, able, full float64) {
+// reach is the strength open to products under the rule from a zone, by zone and in all, and without relief.
+func (a *Assigner) reach(rule Product, zone int) (by []float64, all, able float64) {
 	by = make([]float64, a.d.Zones)
 	for b, y := range a.be.zone {
 		if a.open(rule, zone, b) {
 			by[y] += a.strength(b)
-			all, able, full = all+a.strength(b), able+a.be.weight[b]*a.ramp(b), full+a.be.weight[b]
+			all, able = all+a.strength(b), able+a.be.weight[b]*a.ramp(b)
 		}
 	}
-	return by, all, able, full
+	return by, all, able
 }
 
 func (a *Assigner) joined() (in []*proxy) {
@@ -440,11 +437,11 @@
 	a.served = cmp.Or(a.served, served)
 	a.served += (served - a.served) / servedOver
 	// Backends that come or go change the total from outside, in step with their listed weight.
-	_, _, able, _ := a.reach(Product{}, anyZone)
+	_, _, able := a.reach(Product{}, anyZone)
 	if a.able > 0 && able > 0 {
 		a.total, a.knee = a.total*able/a.able, a.knee*able/a.able
 	}
-	if a.able = able; a.light {
+	if a.able = able; a.light || a.pace == 0 {
 		a.pace = max(a.pace, a.served/max(able, 1e-9))
 	}
 	switch {
@@ -550,7 +547,7 @@
 // setSpill works out which part of each group's txns leaves its zone. The design lets other zones join when
 // under half a zone is usable; here they join for what it is asked for over its part of the fleet's strength.
 func (a *Assigner) setSpill() {
-	room, all, _, _ := a.reach(Product{}, anyZone)
+	room, all, _ := a.reach(Product{}, anyZone)
 	in, sum := a.joined(), 0.0
 	if all == 0 || len(in) == 0 {
 		return
@@ -584,7 +581,7 @@
 // spillGroup places a group's demand in the room that the zones have, and takes it off the room.
 func (a *Assigner) spillGroup(g int, demand, room []float64) {
 	rule, zones := a.groups[g].rule, a.d.Zones
-	can, canAll, _, _ := a.reach(rule, anyZone)
+	can, canAll, _ := a.reach(rule, anyZone)
 	away, excess, free := make([]float64, zones), 0.0, 0.0
 	for z, d := range demand {
 		switch over := d - max(room[z], 0); {
@@ -629,7 +626,7 @@
 func (a *Assigner) plan(p *proxy, g int) tbl {
 	rule, be := a.groups[g].rule, &a.be
 	t := tbl{weight: make([]float64, len(be.zone))}
-	can, _, _, _ := a.reach(rule, p.zone)
+	can, _, _ := a.reach(rule, p.zone)
 	row, home, bare := a.spill[g][p.zone], 1.0, true
 	if can[p.zone] > 0 && row[p.zone] > 0 {
 		home = can[p.zone] / row[p.zone]
@@ -660,8 +657,14 @@
 // coldPart is the part of what is asked for that may go to backends some of which are cold. Answers a zone or
 // fleet that comes back at once: ramped weights alone do nothing where all lines are cold.
 func (a *Assigner) coldPart(p *proxy, rule Product) float64 {
-	_, _, able, full := a.reach(rule, p.zone)
-	asked := 0.0
+	asked, cold, warm := 0.0, 0.0, 0.0
+	for b, w := range a.be.weight {
+		if r := a.ramp(b); a.open(rule, p.zone, b) && r < 1 {
+			cold += w * r
+		} else if a.open(rule, p.zone, b) {
+			warm += w * (1 - a.bad) // proxies shun what voids: what is cold gets its part too
+		}
+	}
 	for _, q := range a.joined() {
 		for k, u := range q.use {
 			if !rule.OwnZone || q.zone == p.zone && a.d.Products[k].OwnZone {
@@ -669,10 +672,10 @@
 			}
 		}
 	}
-	if able == full || asked == 0 || a.pace == 0 {
+	if cold == 0 || asked == 0 || a.pace == 0 {
 		return 1
 	}
-	return min(1, coldMost*a.d.ColdMultiple*a.pace*able/asked)
+	return min(1, coldMost*a.d.ColdMultiple*a.pace*(cold+warm)/asked)
 }
 
 // levelOf is the level to order; none while levels cover what is asked for. A proxy that has not reported yet
@@ -702,8 +705,7 @@
 	return u
 }
 
-// Urgencies, the most urgent first.
-const (
+const ( // urgencies, the most urgent first
 	mustLeave = iota // drains and withdrawals
 	mustHave         // lines for a proxy that holds none of ours, or none at all
 	mustEase         // weights of cold backends
@@ -711,8 +713,7 @@
 	nothing
 )
 
-// diff is what a proxy lacks, and what it will hold then.
-type diff struct {
+type diff struct { // what a proxy lacks, and what it will hold then
 	proxy, urgency int
 	orders         []Order
 	next           []tbl
