--- a/choice/choice.go
+++ b/choice/choice.go
@@ -178,7 +178,7 @@
 			a.hearTries(Heard{Backend: e.Backend, Load: e.Load})
 		case Used:
 			a.hearUse(e)
-		case Settled:
+		case Fenced:
 			if at := a.fenceAt[e.Number%fences]; at > a.passed {
 				a.passed, a.passedAt = at, now
 			}
--- a/choice/iface.go
+++ b/choice/iface.go
@@ -6,26 +6,6 @@
 // Second is one second of Time.
 const Second Time = 10000
 
-// Effect says whether a txn of a product may run again.
-type Effect uint8
-
-// Effects, from the most to the least forgiving.
-const (
-	Inquiry Effect = iota
-	Referenced
-	OnceOnly
-)
-
-// Scope names the backends that drop repeats of a referenced txn.
-type Scope uint8
-
-// Scopes of repeat dropping.
-const (
-	ScopeAll Scope = iota
-	ScopeZone
-	ScopeCell
-)
-
 // LevelKind says what a level is at this deployment.
 type LevelKind uint8
 
@@ -52,10 +32,6 @@
 type Product struct {
 	Revenue   float64
 	SLA       Time
-	Expiry    Time
-	Effect    Effect
-	Scope     Scope
-	Window    Time
 	OnlyZones []int
 	OnlyKinds []int
 	OwnZone   bool
@@ -65,19 +41,13 @@
 type Deployment struct {
 	Products     []Product
 	Zones        int
-	Zone         int
-	Me           int
 	Controllers  int
 	Proxies      int
 	Asked        bool
-	AskEvery     Time
 	Probes       bool
-	Notes        bool
 	Gauges       []Gauge
 	Levels       LevelKind
-	UsualTries   int
 	Slices       int
-	DrainGrace   Time
 	GoneBinds    bool
 	Cold         Time
 	ColdCapacity float64
@@ -188,8 +158,8 @@
 	Weight         float64
 }
 
-// Settled answers a Fence from one proxy.
-type Settled struct {
+// Fenced answers a Fence from one proxy.
+type Fenced struct {
 	Proxy  int
 	Number int
 	Took   Time
@@ -238,7 +208,7 @@
 	Products uint16
 }
 
-// Fence asks every proxy reached by this reply for a Settled.
+// Fence asks every proxy reached by this reply for a Fenced.
 type Fence struct {
 	Number int
 	All    bool
--- a/wire/settings.go
+++ b/wire/settings.go
@@ -99,17 +99,11 @@
 	}
 	d := choice.Deployment{
 		Zones:        max(len(p.list("Zones")), 1),
-		Zone:         p.count("Zone", 0, 255),
-		Me:           p.count("Me", 0, 1<<16),
 		Controllers:  p.count("PeersTotal", 1, 1<<16),
 		Proxies:      p.count("Specifics.ProxyCount", 0, 1<<16),
 		Asked:        p.text["Discovery"] == "subscribe",
-		AskEvery:     p.span("Guarantees.AskEvery", false),
 		Probes:       p.flag("Ceilings.Probes"),
-		Notes:        p.flag("Ceilings.Peers"),
-		UsualTries:   p.count("Specifics.UsualHow", 0, 3),
 		Slices:       p.count("Specifics.Shards", 0, 1<<16),
-		DrainGrace:   p.span("Guarantees.DrainGrace", false),
 		GoneBinds:    !p.flag("Guarantees.DrainBindsAlone"),
 		Cold:         p.span("Guarantees.Cold", true),
 		ColdCapacity: p.number("Guarantees.StartCapacity", 0),
@@ -137,26 +131,10 @@
 		pr := choice.Product{
 			Revenue:   p.number(at+"Credit", 0),
 			SLA:       p.span(at+"Promise", false),
-			Expiry:    p.span(at+"HardLimit", true),
-			Window:    p.span(at+"DedupWindow", false),
 			OnlyZones: p.places(at + "OnlyZones"),
 			OnlyKinds: p.places(at + "OnlyKinds"),
 			OwnZone:   i < len(own) && own[i] == "true",
 		}
-		switch p.text[at+"Effect"] {
-		case "pure":
-			pr.Effect = choice.Inquiry
-		case "token":
-			pr.Effect = choice.Referenced
-		default:
-			pr.Effect = choice.OnceOnly
-		}
-		switch p.text[at+"KeyScope"] {
-		case "zone":
-			pr.Scope = choice.ScopeZone
-		case "cell":
-			pr.Scope = choice.ScopeCell
-		}
 		d.Products = append(d.Products, pr)
 	}
 	return d, p.err
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -14,10 +14,7 @@
 )
 
 // Launch starts an instance.
-type Launch struct {
-	Seed       uint64
-	Deployment choice.Deployment
-}
+type Launch struct{ Deployment choice.Deployment }
 
 // Stop ends an instance.
 type Stop struct{}
@@ -201,14 +198,14 @@
 	}
 	rec := Record{Inst: inst}
 	if code == inLaunch {
-		seed := c.u64()
+		c.u64() // the seed: no decision needs chance
 		text := c.bytes(int(c.u32()))
 		if c.short {
 			return rec, errShort
 		}
 		dep, err := readDeployment(string(text))
 		d.doors[inst] = &door{index: map[address]int{}, proxyAt: map[uint16]int{}, products: len(dep.Products)}
-		rec.Event = Launch{Seed: seed, Deployment: dep}
+		rec.Event = Launch{Deployment: dep}
 		return rec, err
 	}
 	dr := d.doors[inst]
@@ -263,7 +260,7 @@
 			rec.Event = choice.Left{Proxy: p}
 		}
 	case inTook:
-		e := choice.Settled{Proxy: dr.proxy(c.u16(), false)}
+		e := choice.Fenced{Proxy: dr.proxy(c.u16(), false)}
 		number := c.u64()
 		e.Number, e.Took = int(number&0xffff), c.micros()
 		if e.Proxy >= 0 && number <= 0xffff {
@@ -349,7 +346,7 @@
 
 func (r *Reply) u16(v int)      { r.body = binary.BigEndian.AppendUint16(r.body, uint16(v)) }
 func (r *Reply) u32(v uint32)   { r.body = binary.BigEndian.AppendUint32(r.body, v) }
-func (r *Reply) f32(v float64)  { r.u32(math.Float32bits(float32(v))) }
+func (r *Reply) f32(v float64)  { r.u32(math.Float32bits(float32(min(v, math.MaxFloat32)))) }
 func (r *Reply) text(s []byte)  { r.u16(len(s)); r.body = append(r.body, s...) }
 func (r *Reply) addr(a address) { r.body = append(r.body, a[:]...) }
 
