--- a/choice/choice.go
+++ b/choice/choice.go
@@ -48,10 +48,10 @@
 	easeEvery = 3 * Second // ... once in so long: what is heard now was done before the last step
 	returnBy  = 1.05       // a tick, back
 
-	slowChan   = 0.3 // part of its pace that a slowed channel is held to keep
-	roomUrgent = 0.8 // part of the lines and messages allowed that urgent orders may use
-	roomRest   = 0.5 // ... that the others may
-	fences     = 256 // numbers in turn; far more than are ever on the way
+	slowChan   = 0.3     // part of its pace that a slowed channel is held to keep
+	roomUrgent = 0.8     // part of the lines and messages allowed that urgent orders may use
+	roomRest   = 0.5     // ... that the others may
+	fences     = 1 << 15 // numbers in turn; far more than are ever on the way
 	never      = Time(math.MinInt64 / 2)
 	anyZone    = -1
 )
@@ -74,7 +74,13 @@
 	use, voided   []float64 // txns/s by product
 	level         []float64 // max-rate by product
 	held          []tbl     // by group: what was ordered
-	sent          []Time    // messages within the counting span
+	sent          []message // within the counting span, or on their way
+}
+
+type message struct {
+	at    Time
+	batch int
+	cost  float64 // lines; none once it was taken
 }
 
 type fleet struct { // parallel arrays under the door's index of backends
@@ -112,10 +118,9 @@
 	free          []bool  // by product: the levels cover what is asked for
 	cutAt, riseAt Time
 	took, bad     float64 // median time of answers, and share voided at the median backend
-	lines, passed float64 // lines ordered, and those known to have left the channel
-	passedAt      Time
-	fence         int
-	fenceAt       [fences]float64 // lines ordered up to a fence
+	queue         float64 // lines that may wait in the channel
+	queueAt       Time
+	batch, passed int // messages written together; all of those up to here have left the channel
 	orders        []Order
 }
 
@@ -179,8 +184,12 @@
 		case Used:
 			a.hearUse(e)
 		case Fenced:
-			if at := a.fenceAt[e.Number%fences]; at > a.passed {
-				a.passed, a.passedAt = at, now
+			p, batch := a.proxy(e.Proxy), a.batch-(a.batch-e.Number)%fences
+			a.passed = max(a.passed, batch-1) // messages leave in order
+			for i := range p.sent {
+				if p.sent[i].batch <= batch {
+					p.sent[i].cost = 0
+				}
 			}
 		case Woken:
 			tick = true
@@ -760,10 +769,17 @@
 		d.next = append(d.next, next)
 		if !p.bound {
 			need(Use{Proxy: i, Table: id, Products: a.groups[g].mask}, mustHave)
-			d.cost += float64(len(next.weight) + len(next.gates))
+			for _, w := range next.weight {
+				if w > 0 {
+					d.cost++
+				}
+			}
+			d.cost += float64(1 + len(next.gates))
 		}
 	}
-	d.cost += float64(len(d.orders))
+	if p.bound { // else a whole table goes out, whatever was changed in it before
+		d.cost += float64(len(d.orders))
+	}
 	return d
 }
 
@@ -790,25 +806,39 @@
 	slices.SortStableFunc(todo, func(d, e diff) int {
 		return cmp.Or(cmp.Compare(d.urgency, e.urgency), cmp.Compare(a.px[e.proxy].asked(), a.px[d.proxy].asked()))
 	})
-	left := slowChan * a.d.LinesPerS * float64(a.now-a.passedAt) / float64(Second)
-	waiting, sent := max(a.lines-a.passed-left, 0), false
+	// Fences show what has left; a slowed channel keeps part of its pace. Answers a channel that was quiet for
+	// long: only what waits can have left, and each proxy answers for its own messages.
+	out := 0.0
+	for i := range a.px {
+		p := &a.px[i]
+		p.sent = slices.DeleteFunc(p.sent, func(m message) bool {
+			return a.now-m.at > a.d.MessagesOver+Second && (m.cost == 0 || m.batch <= a.passed)
+		})
+		for _, m := range p.sent {
+			if p.joined && m.batch > a.passed {
+				out += m.cost
+			}
+		}
+	}
+	a.queue -= slowChan * a.d.LinesPerS * float64(a.now-a.queueAt) / float64(Second)
+	a.queue, a.queueAt = min(max(a.queue, 0), out), a.now
+	sent := false
 	for _, d := range todo {
 		p, room := &a.px[d.proxy], roomUrgent
 		if d.urgency > mustEase {
 			room = roomRest
 		}
-		p.sent = slices.DeleteFunc(p.sent, func(t Time) bool { return a.now-t > a.d.MessagesOver+Second })
-		if a.d.LinesMost > 0 && waiting+d.cost > room*a.d.LinesMost ||
+		if a.d.LinesMost > 0 && a.queue+d.cost > room*a.d.LinesMost ||
 			a.d.MessagesMost > 0 && float64(len(p.sent)+1) > room*float64(a.d.MessagesMost) {
 			continue
 		}
 		a.orders = append(a.orders, d.orders...)
-		p.held, p.bound, p.sent, sent = d.next, true, append(p.sent, a.now), true
-		waiting, a.lines = waiting+d.cost, a.lines+d.cost
+		p.held, p.bound, sent = d.next, true, true
+		p.sent = append(p.sent, message{a.now, a.batch + 1, d.cost})
+		a.queue += d.cost
 	}
 	if sent {
-		a.fence = (a.fence + 1) % fences
-		a.fenceAt[a.fence] = a.lines
-		a.order(Fence{Number: a.fence})
+		a.batch++
+		a.order(Fence{Number: a.batch % fences})
 	}
 }
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -145,13 +145,13 @@
 // A proxy that joins again is bound anew; one that crossed to a full channel waits, the busiest first.
 func TestJoins(t *testing.T) {
 	d := deployment()
-	d.LinesMost = 60
+	d.LinesMost = 40
 	r := start(t, d)
 	r.second()
 	r.step(Left{Proxy: 0})
 	r.uses = map[[2]int]int{}
 	r.now += 10 * Second
-	r.step(Fenced{Number: r.a.fence}, Joined{Proxy: 0, Zone: 0, Rate: 5}, Joined{Proxy: 2, Zone: 0, Rate: 500})
+	r.step(Fenced{Number: r.a.batch}, Joined{Proxy: 0, Zone: 0, Rate: 5}, Joined{Proxy: 2, Zone: 0, Rate: 500})
 	if len(r.uses) != len(d.Products) {
 		t.Fatalf("%d bindings, want those of one proxy: the channel has room for no more", len(r.uses))
 	}
@@ -159,7 +159,7 @@
 		t.Error("the busiest proxy was not bound first")
 	}
 	r.now += 10 * Second
-	r.step(Fenced{Number: r.a.fence}, Woken{})
+	r.step(Fenced{Number: r.a.batch}, Woken{})
 	if _, ok := r.uses[[2]int{0, 0}]; !ok {
 		t.Error("the other proxy was not bound later")
 	}
@@ -176,7 +176,7 @@
 		again := ready(i%4, i%4/2)
 		again.Up = r.now
 		r.step(Listed{Entries: []Entry{again}})
-		messages, lines = max(messages, len(r.a.px[0].sent)), max(lines, r.a.lines-r.a.passed)
+		messages, lines = max(messages, len(r.a.px[0].sent)), max(lines, r.a.queue)
 	}
 	if messages > d.MessagesMost || lines > d.LinesMost+6*slowChan*d.LinesPerS {
 		t.Errorf("%d messages to one proxy, %v lines without an answer", messages, lines)
--- a/choice/helper_test.go
+++ b/choice/helper_test.go
@@ -67,7 +67,7 @@
 // second lets a second pass, with reports that come before the tick.
 func (r *rig) second(reports ...Event) []Order {
 	r.now += Second
-	return r.step(append(reports, Fenced{Number: r.a.fence}, Woken{})...)
+	return r.step(append(reports, Fenced{Number: r.a.batch}, Woken{})...)
 }
 
 // weight is the weight of a proxy's line for a product.
--- a/choice/model_test.go
+++ b/choice/model_test.go
@@ -151,7 +151,7 @@
 				events = append(events, list(ListFull, 6))
 			}
 			r.now += Second
-			events = append(events, Fenced{Number: r.a.fence}, Woken{})
+			events = append(events, Fenced{Number: r.a.batch}, Woken{})
 			m.lines = 0
 			perProxy := map[int]float64{}
 			for _, o := range r.step(events...) {
