--- a/choice/choice.go
+++ b/choice/choice.go
@@ -84,16 +84,17 @@
 }
 
 type fleet struct { // parallel arrays under the door's index of backends
-	zone, kind     []int
-	status         []Status
-	weight         []float64 // listed
-	rampAt         []Time    // when its ramp began
-	relief         []float64 // part of its weight that a hot one keeps
-	easedAt        []Time
-	held           []float64 // txns that it said it holds since the last tick
-	tries, voided  []float64 // fading
-	good, spent    []float64 // answers and the time that they took, fading
-	fresh, shutOut []bool    // heard of since the last tick; withdrawn (slices only)
+	zone, kind    []int
+	status        []Status
+	weight        []float64 // listed
+	rampAt        []Time    // when its ramp began
+	relief        []float64 // part of its weight that a hot one keeps
+	easedAt       []Time
+	held          []float64 // txns that it said it holds since the last tick
+	tries, voided []float64 // fading
+	good, spent   []float64 // answers and the time that they took, fading
+	fresh, out    []bool    // heard of since the last tick; withdrawn
+	behind        []int     // proxies with a line to a withdrawn one that is too heavy for its return
 }
 
 // Assigner decides for one controller.
@@ -213,7 +214,6 @@
 	if tick || a.urgent {
 		a.setSpill()
 		a.reconcile(tick)
-		a.urgent = false
 	}
 	return a.orders
 }
@@ -260,12 +260,11 @@
 func (a *Assigner) grow(n int) {
 	for be := &a.be; len(be.zone) < n; {
 		be.zone, be.kind, be.status = append(be.zone, 0), append(be.kind, 0), append(be.status, Gone)
-		be.weight, be.rampAt, be.relief = append(be.weight, 1), append(be.rampAt, never), append(be.relief, 1)
+		be.weight, be.rampAt, be.relief = append(be.weight, 0), append(be.rampAt, never), append(be.relief, 1)
 		be.easedAt, be.fresh = append(be.easedAt, never), append(be.fresh, false)
 		be.tries, be.voided = append(be.tries, 0), append(be.voided, 0)
 		be.good, be.spent = append(be.good, 0), append(be.spent, 0)
-		be.held, be.shutOut = append(be.held, 0), append(be.shutOut, false)
-
+		be.held, be.out, be.behind = append(be.held, 0), append(be.out, false), append(be.behind, 0)
 	}
 }
 
@@ -714,11 +713,10 @@
 	return u
 }
 
-const ( // urgencies, the most urgent first
-	mustLeave = iota // drains and withdrawals
-	mustHave         // lines for a proxy that holds none of ours, or none at all
-	mustEase         // weights of cold backends
-	mayWait          // levels, and the rest
+const ( // urgencies, the most urgent first; only drains and withdrawals go before
+	mustHave = iota // lines for a proxy that holds none of ours, or none at all
+	mustEase        // weights of cold backends
+	mayWait         // levels, and the rest
 	nothing
 )
 
@@ -726,34 +724,37 @@
 	proxy, urgency int
 	orders         []Order
 	next           []tbl
+	heavy          []int // backends that it brings too much
 	cost           float64
 }
 
 func (a *Assigner) diff(i int) diff {
 	p, groups := &a.px[i], len(a.groups)
-	d := diff{proxy: i, urgency: nothing, cost: a.d.LinesHead + 1}
+	d := diff{proxy: i, urgency: nothing}
 	need := func(o Order, urgency int) {
 		d.orders, d.urgency = append(d.orders, o), min(d.urgency, urgency)
 	}
 	for g := range a.groups {
 		next, held, id := a.plan(p, g), p.held[g], i*groups+g
-		bare := !slices.ContainsFunc(held.weight, func(w float64) bool { return w > 0 })
+		bare := true
+		for b, w := range held.weight {
+			bare = bare && (w == 0 || a.be.out[b])
+		}
 		for b, w := range next.weight {
 			h := 0.0
 			if b < len(held.weight) {
 				h = held.weight[b]
 			}
-			urgency := mayWait
+			urgency, out := mayWait, a.be.out[b]
 			switch {
-			case w == h || w > 0 && h > 0 && math.Abs(w-h) < leastChange*h:
-				next.weight[b] = h
+			case w == h || w > 0 && h > 0 && math.Abs(w-h) < leastChange*h && !out, w == 0 && out && p.bound:
+				next.weight[b] = h // what is shut out keeps its line until the whole table goes out again
 				continue
-			case w == 0 && a.be.status[b] != Ready:
-				urgency = mustLeave
 			case w > 0 && bare:
 				urgency = mustHave
 			case w < h && a.ramp(b) < 1:
 				urgency = mustEase
+				d.heavy = append(d.heavy, b)
 			}
 			need(Line{Table: id, Backend: b, Weight: w}, urgency)
 		}
@@ -783,22 +784,72 @@
 	return d
 }
 
+// charge counts lines of this reply's message to a proxy.
+func (a *Assigner) charge(p *proxy, lines float64) {
+	if n := len(p.sent); n == 0 || p.sent[n-1].batch <= a.batch {
+		p.sent, lines = append(p.sent, message{at: a.now, batch: a.batch + 1}), lines+a.d.LinesHead+1
+	}
+	p.sent[len(p.sent)-1].cost += lines
+	a.queue += lines
+}
+
+// room says whether the part of what is allowed has room for lines, and for another message to each proxy.
+func (a *Assigner) room(part, lines float64, to ...*proxy) bool {
+	for _, p := range to {
+		if a.d.MessagesMost > 0 && float64(len(p.sent)+1) > part*float64(a.d.MessagesMost) {
+			return false
+		}
+		lines += a.d.LinesHead + 1
+	}
+	return a.d.LinesMost == 0 || a.queue+lines <= part*a.d.LinesMost
+}
+
+// shut withdraws a backend from all proxies or lets it in again: one line for each proxy, whatever the tables
+// say, so that a drain of many reaches all in time. False if there is no room.
+func (a *Assigner) shut(b int, out bool, part float64, in []*proxy) bool {
+	if !a.room(part, float64(len(in)), in...) {
+		return false
+	}
+	for _, p := range in {
+		a.charge(p, 1)
+	}
+	a.be.out[b] = out
+	a.order(Withdraw{Backend: b, Out: out})
+	return true
+}
+
 // reconcile emits what the proxies lack, the most urgent and the busiest first, as far as the channel has
 // room. A proxy gets its whole difference or nothing: what it holds was ordered with all that was known.
 func (a *Assigner) reconcile(tick bool) {
-	if a.d.Slices > 0 { // tables belong to the store: what drains or is gone is withdrawn, and no more
-		for b, s := range a.be.status {
-			if out := s != Ready; out != a.be.shutOut[b] {
-				a.be.shutOut[b] = out
-				a.order(Withdraw{Backend: b, Out: out})
+	// Fences show what has left; a slowed channel keeps part of its pace. Answers a channel that was quiet for
+	// long: only what waits can have left, and each proxy answers for its own messages.
+	waits, in := 0.0, a.joined()
+	for _, p := range in {
+		p.sent = slices.DeleteFunc(p.sent, func(m message) bool {
+			return a.now-m.at > a.d.MessagesOver+Second && (m.cost == 0 || m.batch <= a.passed)
+		})
+		for _, m := range p.sent {
+			if m.batch > a.passed {
+				waits += m.cost
 			}
 		}
-		return
+	}
+	a.queue -= slowChan * a.d.LinesPerS * float64(a.now-a.queueAt) / float64(Second)
+	a.queue, a.queueAt, a.urgent = min(max(a.queue, 0), waits), a.now, false
+	for b, s := range a.be.status {
+		a.be.behind[b] = 0
+		if s != Ready && a.be.weight[b] > 0 && !a.be.out[b] && !a.shut(b, true, 1, in) {
+			a.urgent = true // with the next events
+		}
 	}
 	var todo []diff
-	for i := range a.px {
+	for i := 0; i < len(a.px) && a.d.Slices == 0; i++ { // tables of slices belong to the store
 		if a.px[i].joined {
-			if d := a.diff(i); d.urgency <= mustEase || tick && d.urgency < nothing {
+			d := a.diff(i)
+			for _, b := range d.heavy {
+				a.be.behind[b]++
+			}
+			if d.urgency <= mustEase || tick && d.urgency < nothing {
 				todo = append(todo, d)
 			}
 		}
@@ -806,38 +857,27 @@
 	slices.SortStableFunc(todo, func(d, e diff) int {
 		return cmp.Or(cmp.Compare(d.urgency, e.urgency), cmp.Compare(a.px[e.proxy].asked(), a.px[d.proxy].asked()))
 	})
-	// Fences show what has left; a slowed channel keeps part of its pace. Answers a channel that was quiet for
-	// long: only what waits can have left, and each proxy answers for its own messages.
-	out := 0.0
-	for i := range a.px {
-		p := &a.px[i]
-		p.sent = slices.DeleteFunc(p.sent, func(m message) bool {
-			return a.now-m.at > a.d.MessagesOver+Second && (m.cost == 0 || m.batch <= a.passed)
-		})
-		for _, m := range p.sent {
-			if p.joined && m.batch > a.passed {
-				out += m.cost
-			}
-		}
-	}
-	a.queue -= slowChan * a.d.LinesPerS * float64(a.now-a.queueAt) / float64(Second)
-	a.queue, a.queueAt = min(max(a.queue, 0), out), a.now
-	sent := false
 	for _, d := range todo {
-		p, room := &a.px[d.proxy], roomUrgent
+		p, part := &a.px[d.proxy], roomUrgent
 		if d.urgency > mustEase {
-			room = roomRest
+			part = roomRest
 		}
-		if a.d.LinesMost > 0 && a.queue+d.cost > room*a.d.LinesMost ||
-			a.d.MessagesMost > 0 && float64(len(p.sent)+1) > room*float64(a.d.MessagesMost) {
+		if !a.room(part, d.cost, p) {
 			continue
 		}
 		a.orders = append(a.orders, d.orders...)
-		p.held, p.bound, sent = d.next, true, true
-		p.sent = append(p.sent, message{a.now, a.batch + 1, d.cost})
-		a.queue += d.cost
+		a.charge(p, d.cost)
+		p.held, p.bound = d.next, true
+		for _, b := range d.heavy {
+			a.be.behind[b]--
+		}
+	}
+	for b, s := range a.be.status {
+		if tick && s == Ready && a.be.out[b] && a.be.behind[b] == 0 {
+			a.shut(b, false, roomUrgent, in)
+		}
 	}
-	if sent {
+	if slices.ContainsFunc(in, func(p *proxy) bool { return len(p.sent) > 0 && p.sent[len(p.sent)-1].batch > a.batch }) {
 		a.batch++
 		a.order(Fence{Number: a.batch % fences})
 	}
