--- a/choice/choice.go
+++ b/choice/choice.go
@@ -34,6 +34,9 @@
 	coldMost  = 0.5        // part of the multiple that pushes a cold backend over which may be asked of it
 
 	spillFrom   = 0.1  // a smaller excess of a zone's demand over its fair part stays at home
+	connPart    = 0.08 // part of a backend's connections that all proxies together may take up
+	picksLeast  = 5.0  // lines that a proxy has all the same
+	pickSwap    = 1.3  // load of a picked backend over another's from which they change places
 	leastChange = 0.12 // relative change of a weight or level that is worth a line
 	useKeep     = 0.5  // a second, of a proxy's old use
 	newsKeep    = 0.2  // a tick with news, of the tries at a backend
@@ -74,6 +77,7 @@
 	use, voided   []float64 // txns/s by product
 	level         []float64 // max-rate by product
 	held          []tbl     // by group: what was ordered
+	picked        []bool    // by backend: may have a line
 	sent          []message // within the counting span, or on their way
 }
 
@@ -213,6 +217,7 @@
 	}
 	if tick || a.urgent {
 		a.setSpill()
+		a.setPicks(tick)
 		a.reconcile(tick)
 	}
 	return a.orders
@@ -630,17 +635,101 @@
 	}
 }
 
+// setPicks keeps for each proxy a steady part of each zone's backends, where lines to all would fill the
+// backends with connections. The least loaded is added, the most loaded dropped, one changed a tick.
+func (a *Assigner) setPicks(tick bool) {
+	be, in, n := &a.be, a.joined(), 0.0
+	for b := range be.zone {
+		if be.status[b] == Ready {
+			n++
+		}
+	}
+	size := math.Inf(1)
+	if a.d.ConnsLeast > 0 {
+		size = max(picksLeast, connPart*a.d.ConnsLeast*n/float64(max(a.d.Proxies, 1)))
+	}
+	load := make([]float64, len(be.zone)) // txns/s for a unit of strength
+	type part struct{ flow, need, has, strength float64 }
+	zones := make([][]part, len(in))
+	for i, p := range in {
+		zones[i] = make([]part, a.d.Zones)
+		for len(p.picked) < len(be.zone) {
+			p.picked = append(p.picked, false)
+		}
+		for g, group := range a.groups {
+			for y, r := range a.spill[g][p.zone] {
+				for _, k := range group.products {
+					zones[i][y].flow += p.use[k] * r
+				}
+				if r > 0 {
+					zones[i][y].need = max(zones[i][y].need, 1, size*r)
+				}
+			}
+		}
+		for b, y := range be.zone {
+			if p.picked[b] && be.status[b] == Ready {
+				zones[i][y].has, zones[i][y].strength = zones[i][y].has+a.ramp(b), zones[i][y].strength+a.strength(b)
+			}
+		}
+		for b, y := range be.zone {
+			if p.picked[b] && be.status[b] == Ready {
+				load[b] += zones[i][y].flow / zones[i][y].strength
+			}
+		}
+	}
+	for i, p := range in {
+		for y := range zones[i] {
+			z := &zones[i][y]
+			for swapped := !tick; z.need > 0; {
+				most, least := -1, -1
+				for b := range be.zone {
+					switch {
+					case be.zone[b] != y || be.status[b] != Ready:
+					case p.picked[b] && (most < 0 || load[b] > load[most]):
+						most = b
+					case !p.picked[b] && (least < 0 || load[b] < load[least]):
+						least = b
+					}
+				}
+				change := least
+				switch {
+				case z.has < z.need && least >= 0:
+				case most >= 0 && z.has-a.ramp(most) >= z.need:
+					change = most
+				case most >= 0 && least >= 0 && !swapped && load[most] > pickSwap*load[least]+z.flow/z.strength:
+					swapped = true
+				default:
+					change = -1
+				}
+				if change < 0 {
+					break
+				}
+				sign := 1.0
+				if p.picked[change] = !p.picked[change]; !p.picked[change] {
+					sign = -1
+				}
+				z.has, z.strength = z.has+sign*a.ramp(change), z.strength+sign*a.strength(change)
+				load[change] += sign * z.flow / max(z.strength, a.strength(change))
+			}
+		}
+	}
+}
+
 // plan is the table that a proxy should hold for a group: lines at home carry their listed weights.
 func (a *Assigner) plan(p *proxy, g int) tbl {
 	rule, be := a.groups[g].rule, &a.be
 	t := tbl{weight: make([]float64, len(be.zone))}
-	can, _, _ := a.reach(rule, p.zone)
-	row, home, bare := a.spill[g][p.zone], 1.0, true
+	can, row, home, bare := make([]float64, a.d.Zones), a.spill[g][p.zone], 1.0, true
+	for b, y := range be.zone {
+		if p.picked[b] && a.open(rule, p.zone, b) {
+			can[y] += a.strength(b)
+		}
+	}
 	if can[p.zone] > 0 && row[p.zone] > 0 {
 		home = can[p.zone] / row[p.zone]
 	}
 	for b, y := range be.zone {
-		if a.open(rule, p.zone, b) && row[y] > 0 {
+		if p.picked[b] && a.open(rule, p.zone, b) && row[y] > 0 {
 			t.weight[b], bare = a.strength(b)/can[y]*row[y]*home, false
 		}
 	}
@@ -747,12 +836,13 @@
 			}
 			urgency, out := mayWait, a.be.out[b]
 			switch {
-			case w == h || w > 0 && h > 0 && math.Abs(w-h) < leastChange*h && !out, w == 0 && out && p.bound:
+			case w == h || w > 0 && h > 0 && math.Abs(w-h) < leastChange*h && !out,
+				w == 0 && a.be.status[b] != Ready && out && p.bound:
 				next.weight[b] = h // what is shut out keeps its line until the whole table goes out again
 				continue
 			case w > 0 && bare:
 				urgency = mustHave
-			case w < h && a.ramp(b) < 1:
+			case w < h && (out || a.ramp(b) < 1):
 				urgency = mustEase
 				d.heavy = append(d.heavy, b)
 			}
--- a/choice/iface.go
+++ b/choice/iface.go
@@ -52,6 +52,7 @@
 	Cold         Time
 	ColdCapacity float64
 	ColdMultiple float64 // of its capacity, that pushes a cold backend over
+	ConnsLeast   float64 // connections that the smallest backends take
 	LinesPerS    float64
 	LinesMost    float64
 	LinesHead    float64
--- a/wire/settings.go
+++ b/wire/settings.go
@@ -108,6 +108,7 @@
 		Cold:         p.span("Guarantees.Cold", true),
 		ColdCapacity: p.number("Guarantees.StartCapacity", 0),
 		ColdMultiple: p.number("Guarantees.TipMultiple", 1),
+		ConnsLeast:   p.number("Specifics.SmallestConnTable", 0),
 		LinesPerS:    p.number("Specifics.LinesPerS", 0),
 		LinesMost:    p.number("Specifics.PendingMax", 0),
 		LinesHead:    p.number("Specifics.Overhead", 0),
