--- a/choice/choice.go
+++ b/choice/choice.go
@@ -27,6 +27,8 @@
 	kneeDown   = 0.9        // the knee when a cut did not help
 	riseBy     = 1.1        // (design)
 	riseEvery  = 5 * Second // (design)
+	quickPart  = 0.75       // part of what is overload under which answers are quick enough to rise ...
+	riseQuick  = 2 * Second // ... as often as this
 	loosenAt   = 1.5        // total over demand from which it is unbounded (design)
 
 	rampStart = 0.1        // part of its weight that a new backend starts with (design)
@@ -469,7 +471,7 @@
 		a.total, a.cutAt, a.riseAt = a.knee*cutTo, a.now, a.now
 	case a.total > 0 && a.light && a.total < a.knee:
 		a.total, a.riseAt = a.knee, a.now
-	case a.total > 0 && !a.over && a.now-a.riseAt >= riseEvery:
+	case a.total > 0 && !a.over && (a.now-a.riseAt >= riseEvery || a.took < quickPart*overSLA*a.sla() && a.now-a.riseAt >= riseQuick):
 		a.total, a.riseAt = a.total*riseBy, a.now
 		a.knee = max(a.knee, a.total)
 		if a.total > loosenAt*all {
