--- a/choice/choice.go
+++ b/choice/choice.go
@@ -18,6 +18,7 @@
 	idleMargin = 0.2    // an idle proxy keeps its use and this much more (design)
 	levelFloor = 1.0    // txns/s: the least level, while the total has that much for all (design)
 	noLevel    = 1e6    // txns/s: a rate that binds nobody
+	letMost    = 0.95   // part of what comes by chance that a level need let in
 
 	overSLA    = 0.4        // median time of answers over the SLA time: overload
 	overFails  = 0.05       // ... or this part voided at the median backend while answers are not quick (design)
@@ -459,6 +460,10 @@
 	if a.able = able; a.light || a.pace == 0 {
 		a.pace = max(a.pace, a.served/max(able, 1e-9))
 	}
+	rise := riseEvery
+	if a.took < quickPart*overSLA*a.sla() {
+		rise = riseQuick
+	}
 	switch {
 	case a.d.Levels == LevelNone || all <= 0:
 	case a.over && (a.total == 0 || a.now-a.cutAt >= cutAgain):
@@ -471,7 +476,7 @@
 		a.total, a.cutAt, a.riseAt = a.knee*cutTo, a.now, a.now
 	case a.total > 0 && a.light && a.total < a.knee:
 		a.total, a.riseAt = a.knee, a.now
-	case a.total > 0 && !a.over && (a.now-a.riseAt >= riseEvery || a.took < quickPart*overSLA*a.sla() && a.now-a.riseAt >= riseQuick):
+	case a.total > 0 && !a.over && a.now-a.riseAt >= rise:
 		a.total, a.riseAt = a.total*riseBy, a.now
 		a.knee = max(a.knee, a.total)
 		if a.total > loosenAt*all {
@@ -792,11 +797,30 @@
 	case !p.heard:
 		return min(level, max(p.asked(), levelFloor))
 	case part < 1:
-		return min(level, p.use[k]*part)
+		level = min(level, p.use[k]*part)
+	}
+	if level < noLevel {
+		return letIn(level, p.use[k])
 	}
 	return level
 }
 
+// letIn is the level that lets in a rate of txns which come by chance.
+func letIn(rate, use float64) float64 {
+	want := min(rate, letMost*use)
+	if use > 50 {
+		return rate
+	}
+	chance, more, in := math.Exp(-use), 1.0, 0.0
+	for n := 0.0; ; n++ {
+		more -= chance
+		if in+more >= want || more < 1e-3 {
+			return max(rate, n+(want-in)/max(more, 1e-3))
+		}
+		in, chance = in+more, chance*use/(n+1)
+	}
+}
+
 func (p *proxy) asked() (u float64) {
 	for _, v := range p.use {
 		u += v
@@ -969,7 +993,7 @@
 			a.shut(b, false, roomUrgent, in)
 		}
 	}
-	if slices.ContainsFunc(in, func(p *proxy) bool { return len(p.sent) > 0 && p.sent[len(p.sent)-1].batch > a.batch }) {
+	if slices.ContainsFunc(in, func(p *proxy) bool { n := len(p.sent); return n > 0 && p.sent[n-1].batch > a.batch }) {
 		a.batch++
 		a.order(Fence{Number: a.batch % fences})
 	}
