--- a/choice/choice.go
+++ b/choice/choice.go
@@ -188,7 +188,9 @@
 		case Heard:
 			a.hearTries(e)
 		case Probed:
-			a.hearTries(Heard{Backend: e.Backend, Load: e.Load})
+			if at := slices.Index(a.d.Gauges, GaugeHeld); at >= 0 && at < len(e.Load) && e.Backend < len(a.be.held) {
+				a.be.held[e.Backend] = e.Load[at]
+			}
 		case Used:
 			a.hearUse(e)
 		case Fenced:
@@ -312,9 +314,6 @@
 func (a *Assigner) hearTries(e Heard) {
 	be, b := &a.be, e.Backend
 	a.grow(b + 1)
-	if at := slices.Index(a.d.Gauges, GaugeHeld); at >= 0 && at < len(e.Load) {
-		be.held[b] = e.Load[at]
-	}
 	voided := min(e.Voided, e.Tries)
 	be.tries[b], be.voided[b], be.fresh[b] = be.tries[b]+e.Tries, be.voided[b]+voided, be.fresh[b] || e.Tries > 0
 	if good := e.Tries - voided; good > 0 && e.Took > 0 {
@@ -397,8 +396,8 @@
 		if be.good[b] > 0 {
 			took[b] = be.spent[b] / be.good[b]
 			allTook = append(allTook, took[b])
-			// What it holds over what it is sent in a tick is the time of its next txn: known sooner. Sums of a
-			// controller that is not alone say too little.
+			// What a probe says that it holds over what it is sent in a tick is the time of its next txn: known
+			// sooner. Reports in answers come too often from busy moments; not alone, a controller's sums say too little.
 			if a.d.Controllers > 1 {
 				be.held[b] = 0
 			}
