--- a/choice/choice.go
+++ b/choice/choice.go
@@ -6,7 +6,6 @@
 import (
 	"cmp"
 	"fmt"
-
 	"math"
 	"slices"
 )
@@ -20,17 +19,17 @@
 	noLevel    = 1e6    // txns/s: a rate that binds nobody
 	letMost    = 0.95   // part of what comes by chance that a level need let in
 
-	overSLA    = 0.4        // median time of answers over the SLA time: overload
-	overFails  = 0.05       // ... or this part voided at the median backend while answers are not quick (design)
-	servedOver = 3.0        // ticks that the served rate is smoothed over
-	cutTo      = 0.8        // part of the knee that the total is cut to, so that queues drain
-	cutAgain   = 6 * Second // time-outs of before a cut are heard of for some seconds
-	kneeDown   = 0.9        // the knee when a cut did not help
-	riseBy     = 1.1        // (design)
-	riseEvery  = 5 * Second // (design)
-	quickPart  = 0.75       // part of what is overload under which answers are quick enough to rise ...
-	riseQuick  = 2 * Second // ... as often as this
-	loosenAt   = 1.5        // total over demand from which it is unbounded (design)
+	overSLA   = 0.4        // median time of answers over the SLA time: overload
+	overFails = 0.05       // ... or this part voided at the median backend while answers are not quick (design)
+	smooth    = 3.0        // ticks that the served rate is smoothed over
+	cutTo     = 0.8        // part of the knee that the total is cut to, so that queues drain
+	cutAgain  = 6 * Second // time-outs of before a cut are heard of for some seconds
+	kneeDown  = 0.9        // the knee when a cut did not help
+	riseBy    = 1.1        // (design)
+	riseEvery = 5 * Second // (design)
+	riseQuick = 2 * Second // ... while answers take under quickPart of what is overload
+	quickPart = 0.75
+	loosenAt  = 1.5 // total over demand from which it is unbounded (design)
 
 	rampStart = 0.1        // part of its weight that a new backend starts with (design)
 	rampTurn  = 5 * Second // ... and doubles after (design)
@@ -66,6 +65,7 @@
 	products []int // that may go to the same backends: they share a table
 	mask     uint16
 	rule     Product
+	places   string
 }
 
 type tbl struct { // a table: weights by backend, gates by place in the group
@@ -73,50 +73,46 @@
 	gates  []Gate
 }
 
-type proxy struct {
-	joined, bound bool
-	heard         bool // it reported since it joined
-	zone          int
-	use, voided   []float64 // txns/s by product
-	level         []float64 // max-rate by product
-	held          []tbl     // by group: what was ordered
-	picked        []bool    // by backend: may have a line
-	sent          []message // within the counting span, or on their way
-}
-
 type message struct {
 	at    Time
 	batch int
 	cost  float64 // lines; none once it was taken
 }
 
+type proxy struct {
+	joined, bound      bool
+	heard              bool // it reported since it joined
+	zone               int
+	use, voided, level []float64 // txns/s by product; level is the max-rate
+	held               []tbl     // by group: what was ordered
+	picked             []bool    // by backend: may have a line
+	sent               []message // within the counting span, or on their way
+}
+
 type fleet struct { // parallel arrays under the door's index of backends
-	zone, kind    []int
-	status        []Status
-	weight        []float64 // listed
-	rampAt        []Time    // when its ramp began
-	relief        []float64 // part of its weight that a hot one keeps
-	easedAt       []Time
-	held          []float64 // txns that it said it holds since the last tick
-	tries, voided []float64 // fading
-	good, spent   []float64 // answers and the time that they took, fading
-	fresh, out    []bool    // heard of since the last tick; withdrawn
-	behind        []int     // proxies with a line to a withdrawn one that is too heavy for its return
+	zone, kind      []int
+	status          []Status
+	weight, relief  []float64 // listed; the part of it that a hot one keeps
+	rampAt, easedAt []Time    // when its ramp began; the last step of relief
+	held            []float64 // txns that a probe said it holds since the last tick
+	tries, voided   []float64 // fading
+	good, spent     []float64 // answers and the time that they took, fading
+	fresh, out      []bool    // heard of since the last tick; withdrawn
+	behind          []int     // proxies with a line to a withdrawn one that is too heavy for its return
 }
 
 // Assigner decides for one controller.
 type Assigner struct {
-	d   Deployment
-	now Time
-
-	began, urgent bool // urgent: something happened that cannot wait for the tick
-	refollow      bool // ask for the list again at the tick
+	d        Deployment
+	now      Time
+	began    bool
+	urgent   bool // something happened that cannot wait for the tick
+	refollow bool // ask for the list again at the tick
 
 	groups []group
 	px     []proxy
 	be     fleet
-
-	spill [][][]float64 // by group, zone of the proxies, zone of the backends: part of their txns
+	spill  [][][]float64 // by group, zone of the proxies, zone of the backends: part of their txns
 
 	total, knee   float64 // txns/s; total 0 is unbounded; the knee is what the backends are held to manage
 	served        float64 // txns/s answered, smoothed
@@ -126,6 +122,7 @@
 	free          []bool  // by product: the levels cover what is asked for
 	cutAt, riseAt Time
 	took, bad     float64 // median time of answers, and share voided at the median backend
+
 	queue         float64 // lines that may wait in the channel
 	queueAt       Time
 	batch, passed int // messages written together; all of those up to here have left the channel
@@ -135,18 +132,16 @@
 // New makes an Assigner that knows its deployment and nothing else.
 func New(d Deployment) *Assigner {
 	a := &Assigner{d: d, free: make([]bool, len(d.Products))}
-	places := func(p Product) string { return fmt.Sprint(p.OwnZone, p.OnlyZones, p.OnlyKinds) }
 	for k, p := range d.Products {
-		g := slices.IndexFunc(a.groups, func(g group) bool { return places(g.rule) == places(p) })
+		places := fmt.Sprint(!p.OwnZone, p.OnlyZones, p.OnlyKinds)
+		g := slices.IndexFunc(a.groups, func(g group) bool { return g.places == places })
 		if g < 0 {
-			g, a.groups = len(a.groups), append(a.groups, group{rule: p})
+			g, a.groups = len(a.groups), append(a.groups, group{rule: p, places: places})
 		}
 		a.groups[g].products, a.groups[g].mask = append(a.groups[g].products, k), a.groups[g].mask|1<<k
 	}
-	// The most confined are placed first; the others take the room that is left.
-	slices.SortStableFunc(a.groups, func(g, h group) int {
-		return cmp.Compare(confined(h.rule), confined(g.rule))
-	})
+	// The most confined are placed first, as their places read; the others take the room that is left.
+	slices.SortFunc(a.groups, func(g, h group) int { return cmp.Compare(g.places, h.places) })
 	for g := range a.groups {
 		a.spill = append(a.spill, make([][]float64, d.Zones))
 		for z := range d.Zones {
@@ -157,30 +152,21 @@
 	return a
 }
 
-func confined(p Product) int {
-	if p.OwnZone {
-		return math.MaxInt
-	}
-	return len(p.OnlyZones) + len(p.OnlyKinds)
-}
-
 // Step takes the events of one moment and returns the orders.
 func (a *Assigner) Step(now Time, events []Event) []Order {
 	a.now, a.orders = now, nil
-	if !a.began {
-		a.began, a.refollow = true, a.d.Asked
-		a.order(Wake{After: tickEvery})
-		if a.d.Slices > 0 {
-			a.log("%d slices: tables stay as the store has them, only drains are kept", a.d.Slices)
-		}
-	}
 	tick := false
 	for _, e := range events {
 		switch e := e.(type) {
 		case Listed:
 			a.hearList(e)
 		case Joined:
-			a.hearJoin(e)
+			p := a.proxy(e.Proxy)
+			p.joined, p.bound, p.heard, p.zone, p.sent = true, false, false, a.ownZone(e.Zone), nil
+			for k := range p.use {
+				p.use[k], p.voided[k] = e.Rate/float64(len(p.use)), 0
+			}
+			a.reset, a.urgent = true, true
 		case Left:
 			if p := a.proxy(e.Proxy); p.joined {
 				p.joined, p.bound, a.reset = false, false, true
@@ -205,12 +191,20 @@
 			tick = true
 		}
 	}
-	if a.refollow && (tick || len(a.be.zone) == 0) {
+	if !a.began {
+		a.refollow = a.d.Asked
+		if a.d.Slices > 0 {
+			a.log("%d slices: tables stay as the store has them, only drains are kept", a.d.Slices)
+		}
+	}
+	if a.refollow && (tick || !a.began) {
 		a.refollow = false
 		a.order(Follow{On: true})
 	}
-	if tick {
+	if tick || !a.began {
 		a.order(Wake{After: tickEvery})
+	}
+	if a.began = true; tick {
 		for b, s := range a.be.status {
 			if s == Ready && a.d.Probes && len(a.d.Gauges) > 0 {
 				a.order(Probe{Backend: b})
@@ -242,15 +236,6 @@
 	return &a.px[i]
 }
 
-func (a *Assigner) hearJoin(e Joined) {
-	p := a.proxy(e.Proxy)
-	p.joined, p.bound, p.heard, p.zone, p.sent = true, false, false, a.ownZone(e.Zone), nil
-	for k := range p.use {
-		p.use[k], p.voided[k] = e.Rate/float64(len(p.use)), 0
-	}
-	a.reset, a.urgent = true, true
-}
-
 func (a *Assigner) hearUse(e Used) {
 	p, s, k := a.proxy(e.Proxy), float64(e.Counting)/float64(Second), e.Product
 	if k >= len(p.use) || s <= 0 {
@@ -273,8 +258,8 @@
 		be.weight, be.rampAt, be.relief = append(be.weight, 0), append(be.rampAt, never), append(be.relief, 1)
 		be.easedAt, be.fresh = append(be.easedAt, never), append(be.fresh, false)
 		be.tries, be.voided = append(be.tries, 0), append(be.voided, 0)
-		be.good, be.spent = append(be.good, 0), append(be.spent, 0)
-		be.held, be.out, be.behind = append(be.held, 0), append(be.out, false), append(be.behind, 0)
+		be.good, be.spent, be.held = append(be.good, 0), append(be.spent, 0), append(be.held, 0)
+		be.out, be.behind = append(be.out, false), append(be.behind, 0)
 	}
 }
 
@@ -300,7 +285,6 @@
 			be.rampAt[b], be.relief[b] = en.Up, 1
 			be.tries[b], be.voided[b], be.good[b], be.spent[b] = 0, 0, 0, 0
 		}
-
 	}
 	for b, s := range be.status {
 		listed, named := seen[b]
@@ -338,13 +322,12 @@
 		(rule.OnlyKinds == nil || slices.Contains(rule.OnlyKinds, a.be.kind[b]))
 }
 
-// reach is the strength open to products under the rule from a zone, by zone and in all, and without relief.
-func (a *Assigner) reach(rule Product, zone int) (by []float64, all, able float64) {
+// reach is the strength open to products under the rule, by zone and in all, and without relief.
+func (a *Assigner) reach(rule Product) (by []float64, all, able float64) {
 	by = make([]float64, a.d.Zones)
 	for b, y := range a.be.zone {
-		if a.open(rule, zone, b) {
-			by[y] += a.strength(b)
-			all, able = all+a.strength(b), able+a.be.weight[b]*a.ramp(b)
+		if a.open(rule, anyZone, b) {
+			by[y], all, able = by[y]+a.strength(b), all+a.strength(b), able+a.be.weight[b]*a.ramp(b)
 		}
 	}
 	return by, all, able
@@ -366,6 +349,13 @@
 	return d
 }
 
+func (p *proxy) asked() (u float64) {
+	for _, v := range p.use {
+		u += v
+	}
+	return u
+}
+
 func (a *Assigner) admitted(p *proxy, k int) float64 {
 	if a.total > 0 && !a.free[k] {
 		return min(p.use[k], p.level[k])
@@ -377,14 +367,15 @@
 func (a *Assigner) sla() float64 {
 	sum, n := 0.0, 1e-9
 	for k, pr := range a.d.Products {
-		sum, n = sum+(a.demand(k)+1e-9)*float64(pr.SLA), n+a.demand(k)+1e-9
+		d := a.demand(k) + 1e-9
+		sum, n = sum+d*float64(pr.SLA), n+d
 	}
 	return max(sum/n, 1)
 }
 
 // judge looks at what was heard since the last tick: who is hot, and whether all are.
 func (a *Assigner) judge() {
-	be := &a.be
+	be, sla, news := &a.be, a.sla(), false
 	fails, took := make([]float64, len(be.zone)), make([]float64, len(be.zone))
 	var allFails, allTook, allNext []float64
 	for b := range be.zone {
@@ -397,7 +388,8 @@
 			took[b] = be.spent[b] / be.good[b]
 			allTook = append(allTook, took[b])
 			// What a probe says that it holds over what it is sent in a tick is the time of its next txn: known
-			// sooner. Reports in answers come too often from busy moments; not alone, a controller's sums say too little.
+			// sooner. Reports in answers come too often from busy moments; not alone, a controller's sums say
+			// too little.
 			if a.d.Controllers > 1 {
 				be.held[b] = 0
 			}
@@ -406,7 +398,6 @@
 	}
 	a.bad, a.took = median(allFails), median(allNext)
 	mid := median(allTook)
-	sla, news := a.sla(), false
 	for b := range be.zone {
 		if !be.fresh[b] {
 			continue
@@ -424,11 +415,10 @@
 		be.good[b], be.spent[b] = be.good[b]*newsKeep, be.spent[b]*newsKeep
 		news, be.held[b] = true, 0
 	}
-	if !news {
-		return
+	if news {
+		a.over = a.took > overSLA*sla || a.bad > overFails && (a.took == 0 || a.took > hotSLA*sla)
+		a.light = a.took > 0 && !a.over
 	}
-	a.over = a.took > overSLA*sla || a.bad > overFails && (a.took == 0 || a.took > hotSLA*sla)
-	a.light = a.took > 0 && !a.over
 }
 
 func median(v []float64) float64 {
@@ -441,27 +431,24 @@
 
 // setTotal bounds the total of all levels under overload and lets go of it afterwards.
 func (a *Assigner) setTotal() {
-	all, served := 0.0, 0.0
+	all, served, late, rise := 0.0, 0.0, a.took/a.sla(), riseEvery
 	for _, p := range a.joined() {
 		for k, u := range p.use {
-			all += u
-			served += max(a.admitted(p, k)-p.voided[k], 0)
+			all, served = all+u, served+max(a.admitted(p, k)-p.voided[k], 0)
 		}
 	}
-
 	a.served = cmp.Or(a.served, served)
-	a.served += (served - a.served) / servedOver
+	a.served += (served - a.served) / smooth
 	// Backends that come or go change the total from outside, in step with their listed weight.
-	_, _, able := a.reach(Product{}, anyZone)
+	_, _, able := a.reach(Product{})
 	if a.able > 0 && able > 0 {
 		a.total, a.knee = a.total*able/a.able, a.knee*able/a.able
 	}
 	if a.able = able; a.light || a.pace == 0 {
 		a.pace = max(a.pace, a.served/max(able, 1e-9))
 	}
-	rise := riseEvery
-	if a.took < quickPart*overSLA*a.sla() {
-		rise = riseQuick
+	if late < quickPart*overSLA {
+		rise = riseQuick // else a third was declined for long after the trouble
 	}
 	switch {
 	case a.d.Levels == LevelNone || all <= 0:
@@ -469,7 +456,7 @@
 		if a.total == 0 {
 			a.knee = a.served / kneeDown
 			a.log("total bounded: demand %.0f/s, served %.0f/s, answers take %.2f SLA times, median voids %.0f%%",
-				all, a.served, a.took/a.sla(), 100*a.bad)
+				all, a.served, late, 100*a.bad)
 		}
 		a.knee = max(a.knee*kneeDown, levelFloor)
 		a.total, a.cutAt, a.riseAt = a.knee*cutTo, a.now, a.now
@@ -488,11 +475,7 @@
 // setLevels splits the total: among the products, the most revenue first, and then by max-rate sharing among
 // the proxies, each product like a subscription of the source.
 func (a *Assigner) setLevels() {
-	in := a.joined()
-	if len(in) == 0 {
-		return
-	}
-	byRev := make([]int, len(a.d.Products))
+	in, left, byRev := a.joined(), a.total, make([]int, len(a.d.Products))
 	for k := range byRev {
 		byRev[k] = k
 	}
@@ -500,7 +483,6 @@
 		p, q := a.d.Products[j], a.d.Products[k]
 		return cmp.Or(cmp.Compare(q.Revenue, p.Revenue), cmp.Compare(p.SLA, q.SLA))
 	})
-	left := a.total
 	for _, k := range byRev {
 		d := a.demand(k)
 		part := loosenAt * d
@@ -521,16 +503,13 @@
 // evened out and get what is free, silent ones keep theirs. Where the total is under the floors of all, the
 // floor gives way: the source's bug made such levels negative.
 func shareRate(in []*proxy, k int, total float64) {
-	n, sum := float64(len(in)), 0.0
-	floor := min(levelFloor, total/n)
+	n, sum, busy, held, freed, above := float64(len(in)), 0.0, 0.0, 0.0, 0.0, 0.0
+	floor, isBusy := min(levelFloor, total/n), make([]bool, len(in))
 	for _, p := range in {
 		sum += p.level[k]
 	}
-	busy, held, freed, isBusy := 0.0, 0.0, 0.0, make([]bool, len(in))
 	for i, p := range in {
-		if sum > 0 {
-			p.level[k] *= total / sum // a change of our own total scales all levels
-		} else {
+		if p.level[k] *= total / sum; sum <= 0 { // a change of our own total scales all levels
 			p.level[k] = total / n
 		}
 		if isBusy[i] = p.heard && p.use[k] > busyAbove*p.level[k]; isBusy[i] {
@@ -539,15 +518,13 @@
 	}
 	for i, p := range in {
 		l := p.level[k]
-		switch {
-		case isBusy[i]:
+		if isBusy[i] {
 			p.level[k] = min(l, held/busy)
-		case busy > 0 && p.heard:
+		} else if busy > 0 && p.heard {
 			p.level[k] = min(l, max(p.use[k]*(1+idleMargin), floor))
 		}
 		freed += l - p.level[k]
 	}
-	above := 0.0
 	for i, p := range in {
 		if isBusy[i] {
 			p.level[k] += freed / busy
@@ -566,22 +543,20 @@
 // setSpill works out which part of each group's txns leaves its zone. The design lets other zones join when
 // under half a zone is usable; here they join for what it is asked for over its part of the fleet's strength.
 func (a *Assigner) setSpill() {
-	room, all, _ := a.reach(Product{}, anyZone)
-	in, sum := a.joined(), 0.0
+	room, all, _ := a.reach(Product{})
+	in, sum, demand := a.joined(), 0.0, make([][]float64, len(a.groups))
 	if all == 0 || len(in) == 0 {
 		return
 	}
 	// Proxies that are not joined here are taken to ask evenly: they must not make a zone look idle.
 	missing := max(float64(a.d.Proxies)/float64(len(in)), 1) - 1
-	demand := make([][]float64, len(a.groups))
-	for g := range demand {
+	for g, group := range a.groups {
 		demand[g] = make([]float64, a.d.Zones)
-		for _, k := range a.groups[g].products {
+		for _, k := range group.products {
 			d := 0.0
 			for _, p := range in {
 				u := a.admitted(p, k)
-				demand[g][p.zone] += u
-				d += u
+				demand[g][p.zone], d = demand[g][p.zone]+u, d+u
 			}
 			for z := range room {
 				demand[g][z] += missing * d * room[z] / all
@@ -592,51 +567,42 @@
 	for z := range room {
 		room[z] *= sum / all
 	}
-	for g := range a.groups {
-		a.spillGroup(g, demand[g], room)
-	}
-}
-
-// spillGroup places a group's demand in the room that the zones have, and takes it off the room.
-func (a *Assigner) spillGroup(g int, demand, room []float64) {
-	rule, zones := a.groups[g].rule, a.d.Zones
-	can, canAll, _ := a.reach(rule, anyZone)
-	away, excess, free := make([]float64, zones), 0.0, 0.0
-	for z, d := range demand {
-		switch over := d - max(room[z], 0); {
-		case rule.OwnZone:
-		case can[z] == 0:
-			away[z] = 1
-		case over > spillFrom*d:
-			away[z] = over / d
-		}
-		room[z] -= d * (1 - away[z])
-		excess += d * away[z]
-		if can[z] > 0 {
-			free += max(room[z], 0)
-		}
-	}
-	to := make([]float64, zones) // where the excess goes: where there is room, else by strength
-	for y := range to {
-		switch {
-		case can[y] == 0:
-		case free > 0:
-			to[y] = max(room[y], 0) / free
-		default:
-			to[y] = can[y] / canAll
-		}
-		room[y] -= excess * to[y]
-	}
-	for z, old := range a.spill[g] {
-		row := make([]float64, zones)
-		row[z] = 1 - away[z]
-		changed := (away[z] == 1) != (old[z] == 0)
-		for y := range row {
-			row[y] += away[z] * to[y]
-			changed = changed || math.Abs(row[y]-old[y]) >= spillFrom
+	for g, group := range a.groups { // each is placed in the room that the zones have, and taken off it
+		can, canAll, _ := a.reach(group.rule)
+		away, to, excess, free := make([]float64, a.d.Zones), make([]float64, a.d.Zones), 0.0, 0.0
+		for z, d := range demand[g] {
+			switch over := d - max(room[z], 0); {
+			case group.rule.OwnZone:
+			case can[z] == 0:
+				away[z] = 1
+			case over > spillFrom*d:
+				away[z] = over / d
+			}
+			room[z] -= d * (1 - away[z])
+			if excess += d * away[z]; can[z] > 0 {
+				free += max(room[z], 0)
+			}
 		}
-		if changed {
-			a.spill[g][z] = row
+		for y := range to { // where the excess goes: where there is room, else by strength
+			if to[y] = max(room[y], 0) / free; free <= 0 {
+				to[y] = can[y] / max(canAll, 1e-9)
+			}
+			if can[y] == 0 {
+				to[y] = 0
+			}
+			room[y] -= excess * to[y]
+		}
+		for z, old := range a.spill[g] {
+			row := make([]float64, a.d.Zones)
+			row[z] = 1 - away[z]
+			changed := (away[z] == 1) != (old[z] == 0)
+			for y := range row {
+				row[y] += away[z] * to[y]
+				changed = changed || math.Abs(row[y]-old[y]) >= spillFrom
+			}
+			if changed {
+				a.spill[g][z] = row
+			}
 		}
 	}
 }
@@ -644,78 +610,66 @@
 // setPicks keeps for each proxy a steady part of each zone's backends, where lines to all would fill the
 // backends with connections. The least loaded is added, the most loaded dropped, one changed a tick.
 func (a *Assigner) setPicks(tick bool) {
-	be, in, n := &a.be, a.joined(), 0.0
+	be, in, size := &a.be, a.joined(), 0.0
 	for b := range be.zone {
-		if be.status[b] == Ready {
-			n++
+		if a.open(Product{}, anyZone, b) {
+			size += connPart * a.d.ConnsLeast / float64(max(a.d.Proxies, 1))
 		}
 	}
-	size := math.Inf(1)
-	if a.d.ConnsLeast > 0 {
-		size = max(picksLeast, connPart*a.d.ConnsLeast*n/float64(max(a.d.Proxies, 1)))
+	if size = max(size, picksLeast); a.d.ConnsLeast == 0 {
+		size = math.Inf(1)
 	}
-	load := make([]float64, len(be.zone)) // txns/s for a unit of strength
-	type part struct{ flow, need, has, strength float64 }
-	zones := make([][]part, len(in))
-	for i, p := range in {
-		zones[i] = make([]part, a.d.Zones)
-		for len(p.picked) < len(be.zone) {
-			p.picked = append(p.picked, false)
-		}
-		for g, group := range a.groups {
-			for y, r := range a.spill[g][p.zone] {
+	for y := range a.d.Zones {
+		// Strengths even out within each table, so a backend's load is the flow of the lines that lead to it.
+		load, flow, need := make([]float64, len(be.zone)), make([]float64, len(in)), make([]float64, len(in))
+		for i, p := range in {
+			p.picked = append(p.picked, make([]bool, len(be.zone)-len(p.picked))...)
+			for g, group := range a.groups {
+				r := a.spill[g][p.zone][y]
 				for _, k := range group.products {
-					zones[i][y].flow += p.use[k] * r
+					flow[i] += p.use[k] * r
 				}
 				if r > 0 {
-					zones[i][y].need = max(zones[i][y].need, 1, size*r)
+					need[i] = max(need[i], 1, size*r)
 				}
 			}
-		}
-		for b, y := range be.zone {
-			if p.picked[b] && be.status[b] == Ready {
-				zones[i][y].has, zones[i][y].strength = zones[i][y].has+a.ramp(b), zones[i][y].strength+a.strength(b)
-			}
-		}
-		for b, y := range be.zone {
-			if p.picked[b] && be.status[b] == Ready {
-				load[b] += zones[i][y].flow / zones[i][y].strength
+			flow[i] /= max(need[i], 1)
+			for b, on := range p.picked {
+				if on && be.zone[b] == y {
+					load[b] += flow[i]
+				}
 			}
 		}
-	}
-	for i, p := range in {
-		for y := range zones[i] {
-			z := &zones[i][y]
-			for swapped := !tick; z.need > 0; {
-				most, least := -1, -1
-				for b := range be.zone {
+		for i, p := range in {
+			for swap := tick; need[i] > 0; {
+				has, most, least := 0.0, -1, -1
+				for b, on := range p.picked {
 					switch {
-					case be.zone[b] != y || be.status[b] != Ready:
-					case p.picked[b] && (most < 0 || load[b] > load[most]):
-						most = b
-					case !p.picked[b] && (least < 0 || load[b] < load[least]):
+					case be.zone[b] != y || !a.open(Product{}, anyZone, b):
+					case !on && (least < 0 || load[b] < load[least]):
 						least = b
+					case on:
+						if has += a.ramp(b); most < 0 || load[b] > load[most] {
+							most = b
+						}
 					}
 				}
-				change := least
 				switch {
-				case z.has < z.need && least >= 0:
-				case most >= 0 && z.has-a.ramp(most) >= z.need:
-					change = most
-				case most >= 0 && least >= 0 && !swapped && load[most] > pickSwap*load[least]+z.flow/z.strength:
-					swapped = true
+				case least >= 0 && has < need[i]:
+				case most >= 0 && has-a.ramp(most) >= need[i]:
+					least = most
+				case most >= 0 && least >= 0 && swap && load[most] > pickSwap*load[least]+flow[i]:
+					swap = false
 				default:
-					change = -1
+					least = -1
 				}
-				if change < 0 {
+				if least < 0 {
 					break
 				}
-				sign := 1.0
-				if p.picked[change] = !p.picked[change]; !p.picked[change] {
-					sign = -1
+				if p.picked[least] = !p.picked[least]; p.picked[least] {
+					load[least] += 2 * flow[i]
 				}
-				z.has, z.strength = z.has+sign*a.ramp(change), z.strength+sign*a.strength(change)
-				load[change] += sign * z.flow / max(z.strength, a.strength(change))
+				load[least] -= flow[i]
 			}
 		}
 	}
@@ -723,9 +677,9 @@
 
 // plan is the table that a proxy should hold for a group: lines at home carry their listed weights.
 func (a *Assigner) plan(p *proxy, g int) tbl {
-	rule, be := a.groups[g].rule, &a.be
+	rule, be, row, can := a.groups[g].rule, &a.be, a.spill[g][p.zone], make([]float64, a.d.Zones)
 	t := tbl{weight: make([]float64, len(be.zone))}
-	can, row, home, bare := make([]float64, a.d.Zones), a.spill[g][p.zone], 1.0, true
+	home, bare, tries, part := 1.0, true, TryOnce, a.coldPart(p, rule)
 	for b, y := range be.zone {
 		if p.picked[b] && a.open(rule, p.zone, b) {
 			can[y] += a.strength(b)
@@ -746,11 +700,9 @@
 	}
 	// Further tries only after proof that the first never ran, which takes effect once for any product, and only
 	// while answers are quick: after any failure, or between full backends, they feed an overload.
-	tries := TryOnce
 	if a.light {
 		tries = TryUnrun
 	}
-	part := a.coldPart(p, rule)
 	for _, k := range a.groups[g].products {
 		t.gates = append(t.gates, Gate{Level: a.levelOf(p, k, part), Tries: tries, Products: 1 << k})
 	}
@@ -762,9 +714,11 @@
 func (a *Assigner) coldPart(p *proxy, rule Product) float64 {
 	asked, cold, warm := 0.0, 0.0, 0.0
 	for b, w := range a.be.weight {
-		if r := a.ramp(b); a.open(rule, p.zone, b) && r < 1 {
+		switch r := a.ramp(b); {
+		case !a.open(rule, p.zone, b):
+		case r < 1:
 			cold += w * r
-		} else if a.open(rule, p.zone, b) {
+		default:
 			warm += w * (1 - a.bad) // proxies shun what voids: what is cold gets its part too
 		}
 	}
@@ -798,33 +752,21 @@
 	case part < 1:
 		level = min(level, p.use[k]*part)
 	}
-	if level < noLevel {
-		return letIn(level, p.use[k])
-	}
-	return level
+	return letIn(level, p.use[k])
 }
 
-// letIn is the level that lets in a rate of txns which come by chance.
+// letIn is the level that lets in a rate of txns which come by chance. Answers proxies with about a txn a
+// second: a level equal to that declines half of them.
 func letIn(rate, use float64) float64 {
-	want := min(rate, letMost*use)
-	if use > 50 {
-		return rate
-	}
 	chance, more, in := math.Exp(-use), 1.0, 0.0
-	for n := 0.0; ; n++ {
+	for n := 0.0; rate < noLevel && use < 50; n++ {
 		more -= chance
-		if in+more >= want || more < 1e-3 {
+		if want := min(rate, letMost*use); in+more >= want || more < 1e-3 {
 			return max(rate, n+(want-in)/max(more, 1e-3))
 		}
 		in, chance = in+more, chance*use/(n+1)
 	}
-}
-
-func (p *proxy) asked() (u float64) {
-	for _, v := range p.use {
-		u += v
-	}
-	return u
+	return rate
 }
 
 const ( // urgencies, the most urgent first; only drains and withdrawals go before
