--- a/choice/choice.go
+++ b/choice/choice.go
@@ -98,7 +98,6 @@
 	tries, voided   []float64 // fading
 	good, spent     []float64 // answers and the time that they took, fading
 	fresh, out      []bool    // heard of since the last tick; withdrawn
-	behind          []int     // proxies with a line to a withdrawn one that is too heavy for its return
 }
 
 // Assigner decides for one controller.
@@ -131,7 +130,7 @@
 
 // New makes an Assigner that knows its deployment and nothing else.
 func New(d Deployment) *Assigner {
-	a := &Assigner{d: d, free: make([]bool, len(d.Products))}
+	a := &Assigner{d: d, refollow: d.Asked, free: make([]bool, len(d.Products))}
 	for k, p := range d.Products {
 		places := fmt.Sprint(!p.OwnZone, p.OnlyZones, p.OnlyKinds)
 		g := slices.IndexFunc(a.groups, func(g group) bool { return g.places == places })
@@ -163,6 +162,7 @@
 		case Joined:
 			p := a.proxy(e.Proxy)
 			p.joined, p.bound, p.heard, p.zone, p.sent = true, false, false, a.ownZone(e.Zone), nil
+			p.held = make([]tbl, len(a.groups))
 			for k := range p.use {
 				p.use[k], p.voided[k] = e.Rate/float64(len(p.use)), 0
 			}
@@ -191,12 +191,6 @@
 			tick = true
 		}
 	}
-	if !a.began {
-		a.refollow = a.d.Asked
-		if a.d.Slices > 0 {
-			a.log("%d slices: tables stay as the store has them, only drains are kept", a.d.Slices)
-		}
-	}
 	if a.refollow && (tick || !a.began) {
 		a.refollow = false
 		a.order(Follow{On: true})
@@ -230,8 +224,7 @@
 
 func (a *Assigner) proxy(i int) *proxy {
 	for n := len(a.d.Products); len(a.px) <= i; {
-		a.px = append(a.px, proxy{use: make([]float64, n), voided: make([]float64, n), level: make([]float64, n),
-			held: make([]tbl, len(a.groups))})
+		a.px = append(a.px, proxy{use: make([]float64, n), voided: make([]float64, n), level: make([]float64, n)})
 	}
 	return &a.px[i]
 }
@@ -259,7 +252,7 @@
 		be.easedAt, be.fresh = append(be.easedAt, never), append(be.fresh, false)
 		be.tries, be.voided = append(be.tries, 0), append(be.voided, 0)
 		be.good, be.spent, be.held = append(be.good, 0), append(be.spent, 0), append(be.held, 0)
-		be.out, be.behind = append(be.out, false), append(be.behind, 0)
+		be.out = append(be.out, false)
 	}
 }
 
@@ -620,8 +613,15 @@
 		size = math.Inf(1)
 	}
 	for y := range a.d.Zones {
-		// Strengths even out within each table, so a backend's load is the flow of the lines that lead to it.
 		load, flow, need := make([]float64, len(be.zone)), make([]float64, len(in)), make([]float64, len(in))
+		holds := func(p *proxy) (has, strength float64) {
+			for b, on := range p.picked {
+				if on && be.zone[b] == y && be.status[b] == Ready {
+					has, strength = has+a.ramp(b), strength+a.strength(b)
+				}
+			}
+			return has, strength
+		}
 		for i, p := range in {
 			p.picked = append(p.picked, make([]bool, len(be.zone)-len(p.picked))...)
 			for g, group := range a.groups {
@@ -633,32 +633,31 @@
 					need[i] = max(need[i], 1, size*r)
 				}
 			}
-			flow[i] /= max(need[i], 1)
+			_, strength := holds(p)
 			for b, on := range p.picked {
 				if on && be.zone[b] == y {
-					load[b] += flow[i]
+					load[b] += flow[i] / max(strength, 1e-9) // for a unit of its own strength
 				}
 			}
 		}
 		for i, p := range in {
 			for swap := tick; need[i] > 0; {
-				has, most, least := 0.0, -1, -1
+				most, least := -1, -1
 				for b, on := range p.picked {
 					switch {
-					case be.zone[b] != y || !a.open(Product{}, anyZone, b):
+					case be.zone[b] != y || be.status[b] != Ready:
+					case on && (most < 0 || load[b] > load[most]):
+						most = b
 					case !on && (least < 0 || load[b] < load[least]):
 						least = b
-					case on:
-						if has += a.ramp(b); most < 0 || load[b] > load[most] {
-							most = b
-						}
 					}
 				}
+				has, strength := holds(p)
 				switch {
 				case least >= 0 && has < need[i]:
 				case most >= 0 && has-a.ramp(most) >= need[i]:
 					least = most
-				case most >= 0 && least >= 0 && swap && load[most] > pickSwap*load[least]+flow[i]:
+				case most >= 0 && least >= 0 && swap && load[most] > pickSwap*load[least]+flow[i]/strength:
 					swap = false
 				default:
 					least = -1
@@ -666,10 +665,11 @@
 				if least < 0 {
 					break
 				}
-				if p.picked[least] = !p.picked[least]; p.picked[least] {
-					load[least] += 2 * flow[i]
+				more := flow[i] / max(strength, a.strength(least))
+				if p.picked[least] = !p.picked[least]; !p.picked[least] {
+					more = -more
 				}
-				load[least] -= flow[i]
+				load[least] += more
 			}
 		}
 	}
@@ -681,21 +681,20 @@
 	t := tbl{weight: make([]float64, len(be.zone))}
 	home, bare, tries, part := 1.0, true, TryOnce, a.coldPart(p, rule)
 	for b, y := range be.zone {
-		if p.picked[b] && a.open(rule, p.zone, b) {
-			can[y] += a.strength(b)
+		if p.picked[b] && row[y] > 0 && a.open(rule, p.zone, b) {
+			can[y], bare = can[y]+a.strength(b), false
 		}
 	}
-	if can[p.zone] > 0 && row[p.zone] > 0 {
+	if can[p.zone] > 0 {
 		home = can[p.zone] / row[p.zone]
 	}
 	for b, y := range be.zone {
-		if p.picked[b] && a.open(rule, p.zone, b) && row[y] > 0 {
-			t.weight[b], bare = a.strength(b)/can[y]*row[y]*home, false
-		}
-	}
-	for b := range be.zone {
-		if bare && a.open(rule, p.zone, b) {
+		switch {
+		case !a.open(rule, p.zone, b):
+		case bare:
 			t.weight[b] = a.strength(b) // wherever it is: no proxy is left without a line
+		case p.picked[b] && row[y] > 0:
+			t.weight[b] = a.strength(b) / can[y] * row[y] * home
 		}
 	}
 	// Further tries only after proof that the first never ran, which takes effect once for any product, and only
@@ -780,8 +779,6 @@
 	proxy, urgency int
 	orders         []Order
 	next           []tbl
-	heavy          []int // backends that it brings too much
-	cost           float64
 }
 
 func (a *Assigner) diff(i int) diff {
@@ -790,28 +787,24 @@
 	need := func(o Order, urgency int) {
 		d.orders, d.urgency = append(d.orders, o), min(d.urgency, urgency)
 	}
-	for g := range a.groups {
-		next, held, id := a.plan(p, g), p.held[g], i*groups+g
-		bare := true
-		for b, w := range held.weight {
-			bare = bare && (w == 0 || a.be.out[b])
+	for g, group := range a.groups {
+		next, held, id, bare := a.plan(p, g), p.held[g], i*groups+g, true
+		if held.weight = append(held.weight, make([]float64, len(next.weight)-len(held.weight))...); !p.bound {
+			need(Clear{Table: id}, mustHave) // of an earlier stream's lines
+		}
+		for b, h := range held.weight {
+			bare = bare && (h == 0 || a.be.out[b])
 		}
 		for b, w := range next.weight {
-			h := 0.0
-			if b < len(held.weight) {
-				h = held.weight[b]
-			}
-			urgency, out := mayWait, a.be.out[b]
+			h, out, urgency := held.weight[b], a.be.out[b], mayWait
 			switch {
-			case w == h || w > 0 && h > 0 && math.Abs(w-h) < leastChange*h && !out,
-				w == 0 && a.be.status[b] != Ready && out && p.bound:
-				next.weight[b] = h // what is shut out keeps its line until the whole table goes out again
+			case w == h || w > 0 && h > 0 && math.Abs(w-h) < leastChange*h && !out, out && a.be.status[b] != Ready:
+				next.weight[b] = h // what is shut out keeps its line
 				continue
 			case w > 0 && bare:
 				urgency = mustHave
 			case w < h && (out || a.ramp(b) < 1):
 				urgency = mustEase
-				d.heavy = append(d.heavy, b)
 			}
 			need(Line{Table: id, Backend: b, Weight: w}, urgency)
 		}
@@ -824,20 +817,10 @@
 			}
 			need(*w, mayWait)
 		}
-		d.next = append(d.next, next)
-		if !p.bound {
-			need(Use{Proxy: i, Table: id, Products: a.groups[g].mask}, mustHave)
-			for _, w := range next.weight {
-				if w > 0 {
-					d.cost++
-				}
-			}
-			d.cost += float64(1 + len(next.gates))
+		if d.next = append(d.next, next); !p.bound {
+			need(Use{Proxy: i, Table: id, Products: group.mask}, mustHave)
 		}
 	}
-	if p.bound { // else a whole table goes out, whatever was changed in it before
-		d.cost += float64(len(d.orders))
-	}
 	return d
 }
 
@@ -894,7 +877,6 @@
 	a.queue -= slowChan * a.d.LinesPerS * float64(a.now-a.queueAt) / float64(Second)
 	a.queue, a.queueAt, a.urgent = min(max(a.queue, 0), waits), a.now, false
 	for b, s := range a.be.status {
-		a.be.behind[b] = 0
 		if s != Ready && a.be.weight[b] > 0 && !a.be.out[b] && !a.shut(b, true, 1, in) {
 			a.urgent = true // with the next events
 		}
@@ -902,11 +884,7 @@
 	var todo []diff
 	for i := 0; i < len(a.px) && a.d.Slices == 0; i++ { // tables of slices belong to the store
 		if a.px[i].joined {
-			d := a.diff(i)
-			for _, b := range d.heavy {
-				a.be.behind[b]++
-			}
-			if d.urgency <= mustEase || tick && d.urgency < nothing {
+			if d := a.diff(i); d.urgency <= mustEase || tick && d.urgency < nothing {
 				todo = append(todo, d)
 			}
 		}
@@ -914,23 +892,22 @@
 	slices.SortStableFunc(todo, func(d, e diff) int {
 		return cmp.Or(cmp.Compare(d.urgency, e.urgency), cmp.Compare(a.px[e.proxy].asked(), a.px[d.proxy].asked()))
 	})
+	eased := tick // all lines that were too heavy are out
 	for _, d := range todo {
-		p, part := &a.px[d.proxy], roomUrgent
+		p, part, cost := &a.px[d.proxy], roomUrgent, float64(len(d.orders))
 		if d.urgency > mustEase {
 			part = roomRest
 		}
-		if !a.room(part, d.cost, p) {
+		if !a.room(part, cost, p) {
+			eased = eased && d.urgency > mustEase
 			continue
 		}
 		a.orders = append(a.orders, d.orders...)
-		a.charge(p, d.cost)
+		a.charge(p, cost)
 		p.held, p.bound = d.next, true
-		for _, b := range d.heavy {
-			a.be.behind[b]--
-		}
 	}
 	for b, s := range a.be.status {
-		if tick && s == Ready && a.be.out[b] && a.be.behind[b] == 0 {
+		if eased && s == Ready && a.be.out[b] {
 			a.shut(b, false, roomUrgent, in)
 		}
 	}
--- a/choice/helper_test.go
+++ b/choice/helper_test.go
@@ -46,6 +46,8 @@
 			}
 			r.tables[o.Table][o.Backend] = o.Weight
 			r.count++
+		case Clear:
+			delete(r.tables, o.Table)
 		case Withdraw:
 			r.out[o.Backend] = o.Out
 		case Gate:
