--- a/choice/choice.go
+++ b/choice/choice.go
@@ -19,87 +19,38 @@
 	noLevel    = 1e6    // txns/s: a rate that binds nobody
 	letMost    = 0.95   // part of what comes by chance that a level need let in
 
-	overSLA   = 0.4        // median time of answers over the SLA time: overload
-	overFails = 0.05       // ... or this part voided at the median backend while answers are not quick (design)
-	smooth    = 3.0        // ticks that the served rate is smoothed over
-	cutTo     = 0.8        // part of the knee that the total is cut to, so that queues drain
-	cutAgain  = 6 * Second // time-outs of before a cut are heard of for some seconds
-	kneeDown  = 0.9        // the knee when a cut did not help
-	riseBy    = 1.1        // (design)
-	riseEvery = 5 * Second // (design)
-	riseQuick = 2 * Second // ... while answers take under quickPart of what is overload
-	quickPart = 0.75
-	loosenAt  = 1.5 // total over demand from which it is unbounded (design)
-
-	rampStart = 0.1        // part of its weight that a new backend starts with (design)
-	rampTurn  = 5 * Second // ... and doubles after (design)
-	coldMost  = 0.5        // part of the multiple that pushes a cold backend over which may be asked of it
-
-	spillFrom   = 0.1  // a smaller excess of a zone's demand over its fair part stays at home
-	connPart    = 0.08 // part of a backend's connections that all proxies together may take up
-	picksLeast  = 5.0  // lines that a proxy has all the same
-	pickSwap    = 1.3  // load of a picked backend over another's from which they change places
-	leastChange = 0.12 // relative change of a weight or level that is worth a line
-	useKeep     = 0.5  // a second, of a proxy's old use
-	newsKeep    = 0.2  // a tick with news, of the tries at a backend
-
-	fewTries  = 4.0        // fewer tries say nothing of a backend
-	hotRatio  = 1.5        // a backend's time over the median from which it is relieved
-	hotSLA    = 0.35       // ... if it is this part of the SLA time too
-	hotFails  = 0.2        // voided over the median's from which it is relieved too
-	coolRatio = 1.15       // time over the median under which weight comes back
-	easeBy    = 0.8        // a step of relief
-	easeLeast = 0.3        // ... down to this
-	easeEvery = 3 * Second // ... once in so long: what is heard now was done before the last step
-	returnBy  = 1.05       // a tick, back
-
-	slowChan   = 0.3     // part of its pace that a slowed channel is held to keep
-	roomUrgent = 0.8     // part of the lines and messages allowed that urgent orders may use
-	roomRest   = 0.5     // ... that the others may
-	fences     = 1 << 15 // numbers in turn; far more than are ever on the way
-	never      = Time(math.MinInt64 / 2)
-	anyZone    = -1
+	overSLA              = 0.4              // median time of answers over the SLA time: overload
+	overFails            = 0.05             // ... or this part voided at the median, answers not quick (design)
+	smooth               = 3.0              // ticks that the served rate is smoothed over
+	cutTo, kneeDown      = 0.8, 0.9         // of the knee, so that queues drain; when it did not help
+	cutAgain             = 6 * Second       // time-outs of before a cut are heard of for some seconds
+	riseBy, riseEvery    = 1.1, 5 * Second  // (design)
+	riseQuick, quickPart = 2 * Second, 0.75 // ... while answers take under this part of what is overload
+	loosenAt             = 1.5              // total over demand from which it is unbounded (design)
+
+	rampStart, rampTurn = 0.1, 5 * Second // part of its weight for a new one, doubled after (design)
+	coldMost            = 0.5             // part of the multiple that pushes a cold one over, at most
+
+	spillFrom         = 0.1      // a smaller excess of a zone's demand over its fair part stays at home
+	connPart          = 0.08     // part of a backend's connections that all proxies together may take up
+	picksLeast        = 5.0      // lines that a proxy has all the same
+	pickSwap          = 1.3      // load of a picked backend over another's from which they change places
+	leastChange       = 0.12     // relative change of a weight or level that is worth a line
+	useKeep, newsKeep = 0.5, 0.2 // a second, of a proxy's old use; a tick with news, of the tries at a backend
+
+	fewTries            = 4.0        // fewer tries say nothing of a backend
+	hotRatio, hotSLA    = 1.5, 0.35  // relieved: its time over the median, and over the SLA time
+	hotFails            = 0.2        // ... or voided over the median's
+	easeBy, easeLeast   = 0.8, 0.3   // a step of relief, down to this
+	easeEvery           = 3 * Second // ... once in so long: what is heard now was done before the last step
+	returnBy, coolRatio = 1.05, 1.15 // a tick, back, while its time over the median is under that
+
+	slowChan             = 0.3      // part of its pace that a slowed channel is held to keep
+	roomUrgent, roomRest = 0.8, 0.5 // part of the lines and messages allowed that urgent orders, others may use
+	fences               = 1 << 15  // numbers in turn; far more than are ever on the way
+	anyZone              = -1
 )
 
-type group struct {
-	products []int // that may go to the same backends: they share a table
-	mask     uint16
-	rule     Product
-	places   string
-}
-
-type tbl struct { // a table: weights by backend, gates by place in the group
-	weight []float64
-	gates  []Gate
-}
-
-type message struct {
-	at    Time
-	batch int
-	cost  float64 // lines; none once it was taken
-}
-
-type proxy struct {
-	joined, bound      bool
-	heard              bool // it reported since it joined
-	zone               int
-	use, voided, level []float64 // txns/s by product; level is the max-rate
-	held               []tbl     // by group: what was ordered
-	picked             []bool    // by backend: may have a line
-	sent               []message // within the counting span, or on their way
-}
-
-type fleet struct { // parallel arrays under the door's index of backends
-	zone, kind      []int
-	status          []Status
-	weight, relief  []float64 // listed; the part of it that a hot one keeps
-	rampAt, easedAt []Time    // when its ramp began; the last step of relief
-	held            []float64 // txns that a probe said it holds since the last tick
-	tries, voided   []float64 // fading
-	good, spent     []float64 // answers and the time that they took, fading
-	fresh, out      []bool    // heard of since the last tick; withdrawn
-}
-
 // Assigner decides for one controller.
 type Assigner struct {
 	d        Deployment
@@ -110,6 +61,7 @@
 
 	groups []group
 	px     []proxy
+	in     []*proxy // that are joined
 	be     fleet
 	spill  [][][]float64 // by group, zone of the proxies, zone of the backends: part of their txns
 
@@ -191,6 +143,12 @@
 			tick = true
 		}
 	}
+	a.in = nil
+	for i := range a.px {
+		if a.px[i].joined {
+			a.in = append(a.in, &a.px[i])
+		}
+	}
 	if a.refollow && (tick || !a.began) {
 		a.refollow = false
 		a.order(Follow{On: true})
@@ -222,13 +180,6 @@
 
 func (a *Assigner) ownZone(z int) int { return min(max(z, 0), a.d.Zones-1) }
 
-func (a *Assigner) proxy(i int) *proxy {
-	for n := len(a.d.Products); len(a.px) <= i; {
-		a.px = append(a.px, proxy{use: make([]float64, n), voided: make([]float64, n), level: make([]float64, n)})
-	}
-	return &a.px[i]
-}
-
 func (a *Assigner) hearUse(e Used) {
 	p, s, k := a.proxy(e.Proxy), float64(e.Counting)/float64(Second), e.Product
 	if k >= len(p.use) || s <= 0 {
@@ -245,17 +196,6 @@
 	p.voided[k] = p.voided[k]*keep + e.Voided/s*(1-keep)
 }
 
-func (a *Assigner) grow(n int) {
-	for be := &a.be; len(be.zone) < n; {
-		be.zone, be.kind, be.status = append(be.zone, 0), append(be.kind, 0), append(be.status, Gone)
-		be.weight, be.rampAt, be.relief = append(be.weight, 0), append(be.rampAt, never), append(be.relief, 1)
-		be.easedAt, be.fresh = append(be.easedAt, never), append(be.fresh, false)
-		be.tries, be.voided = append(be.tries, 0), append(be.voided, 0)
-		be.good, be.spent, be.held = append(be.good, 0), append(be.spent, 0), append(be.held, 0)
-		be.out = append(be.out, false)
-	}
-}
-
 func (a *Assigner) hearList(e Listed) {
 	be := &a.be
 	if e.Kind == ListFailed {
@@ -267,11 +207,10 @@
 	for _, en := range e.Entries {
 		b := en.Backend
 		a.grow(b + 1)
-		if seen[b] = en.Status != Gone; !seen[b] {
-			continue
+		if seen[b] = en.Status != Gone; seen[b] {
+			be.zone[b], be.kind[b], be.weight[b] = a.ownZone(en.Zone), en.Kind, cmp.Or(en.Weight, 1)
+			be.status[b] = en.Status
 		}
-		be.zone[b], be.kind[b], be.status[b] = a.ownZone(en.Zone), en.Kind, en.Status
-		be.weight[b] = cmp.Or(en.Weight, 1)
 		// A new start, also one met while the backend still stands in tables: it is cold, and what was heard
 		// of it before holds no longer.
 		if en.Status == Ready && en.Up > 0 && en.Up > be.rampAt[b] {
@@ -326,29 +265,6 @@
 	return by, all, able
 }
 
-func (a *Assigner) joined() (in []*proxy) {
-	for i := range a.px {
-		if a.px[i].joined {
-			in = append(in, &a.px[i])
-		}
-	}
-	return in
-}
-
-func (a *Assigner) demand(k int) (d float64) {
-	for _, p := range a.joined() {
-		d += p.use[k]
-	}
-	return d
-}
-
-func (p *proxy) asked() (u float64) {
-	for _, v := range p.use {
-		u += v
-	}
-	return u
-}
-
 func (a *Assigner) admitted(p *proxy, k int) float64 {
 	if a.total > 0 && !a.free[k] {
 		return min(p.use[k], p.level[k])
@@ -414,18 +330,10 @@
 	}
 }
 
-func median(v []float64) float64 {
-	if len(v) == 0 {
-		return 0
-	}
-	slices.Sort(v)
-	return v[len(v)/2]
-}
-
 // setTotal bounds the total of all levels under overload and lets go of it afterwards.
 func (a *Assigner) setTotal() {
 	all, served, late, rise := 0.0, 0.0, a.took/a.sla(), riseEvery
-	for _, p := range a.joined() {
+	for _, p := range a.in {
 		for k, u := range p.use {
 			all, served = all+u, served+max(a.admitted(p, k)-p.voided[k], 0)
 		}
@@ -468,7 +376,7 @@
 // setLevels splits the total: among the products, the most revenue first, and then by max-rate sharing among
 // the proxies, each product like a subscription of the source.
 func (a *Assigner) setLevels() {
-	in, left, byRev := a.joined(), a.total, make([]int, len(a.d.Products))
+	in, left, byRev := a.in, a.total, make([]int, len(a.d.Products))
 	for k := range byRev {
 		byRev[k] = k
 	}
@@ -537,7 +445,7 @@
 // under half a zone is usable; here they join for what it is asked for over its part of the fleet's strength.
 func (a *Assigner) setSpill() {
 	room, all, _ := a.reach(Product{})
-	in, sum, demand := a.joined(), 0.0, make([][]float64, len(a.groups))
+	in, sum, demand := a.in, 0.0, make([][]float64, len(a.groups))
 	if all == 0 || len(in) == 0 {
 		return
 	}
@@ -603,7 +511,7 @@
 // setPicks keeps for each proxy a steady part of each zone's backends, where lines to all would fill the
 // backends with connections. The least loaded is added, the most loaded dropped, one changed a tick.
 func (a *Assigner) setPicks(tick bool) {
-	be, in, size := &a.be, a.joined(), 0.0
+	be, in, size := &a.be, a.in, 0.0
 	for b := range be.zone {
 		if a.open(Product{}, anyZone, b) {
 			size += connPart * a.d.ConnsLeast / float64(max(a.d.Proxies, 1))
@@ -614,14 +522,6 @@
 	}
 	for y := range a.d.Zones {
 		load, flow, need := make([]float64, len(be.zone)), make([]float64, len(in)), make([]float64, len(in))
-		holds := func(p *proxy) (has, strength float64) {
-			for b, on := range p.picked {
-				if on && be.zone[b] == y && be.status[b] == Ready {
-					has, strength = has+a.ramp(b), strength+a.strength(b)
-				}
-			}
-			return has, strength
-		}
 		for i, p := range in {
 			p.picked = append(p.picked, make([]bool, len(be.zone)-len(p.picked))...)
 			for g, group := range a.groups {
@@ -633,7 +533,12 @@
 					need[i] = max(need[i], 1, size*r)
 				}
 			}
-			_, strength := holds(p)
+			strength := 0.0
+			for b, on := range p.picked {
+				if on && be.zone[b] == y && be.status[b] == Ready {
+					strength += a.strength(b)
+				}
+			}
 			for b, on := range p.picked {
 				if on && be.zone[b] == y {
 					load[b] += flow[i] / max(strength, 1e-9) // for a unit of its own strength
@@ -642,34 +547,28 @@
 		}
 		for i, p := range in {
 			for swap := tick; need[i] > 0; {
-				most, least := -1, -1
+				most, least, has, strength := -1, -1, 0.0, 0.0
 				for b, on := range p.picked {
 					switch {
 					case be.zone[b] != y || be.status[b] != Ready:
-					case on && (most < 0 || load[b] > load[most]):
-						most = b
-					case !on && (least < 0 || load[b] < load[least]):
+					case on:
+						if has, strength = has+a.ramp(b), strength+a.strength(b); most < 0 || load[b] > load[most] {
+							most = b
+						}
+					case least < 0 || load[b] < load[least]:
 						least = b
 					}
 				}
-				has, strength := holds(p)
-				switch {
-				case least >= 0 && has < need[i]:
-				case most >= 0 && has-a.ramp(most) >= need[i]:
-					least = most
-				case most >= 0 && least >= 0 && swap && load[most] > pickSwap*load[least]+flow[i]/strength:
-					swap = false
-				default:
-					least = -1
-				}
-				if least < 0 {
+				if least >= 0 && has < need[i] {
+					p.picked[least] = true
+					load[least] += flow[i] / max(strength, a.strength(least))
+				} else if most >= 0 && (has-a.ramp(most) >= need[i] ||
+					swap && least >= 0 && load[most] > pickSwap*load[least]+flow[i]/strength) {
+					p.picked[most], swap = false, false
+					load[most] -= flow[i] / strength
+				} else {
 					break
 				}
-				more := flow[i] / max(strength, a.strength(least))
-				if p.picked[least] = !p.picked[least]; !p.picked[least] {
-					more = -more
-				}
-				load[least] += more
 			}
 		}
 	}
@@ -721,7 +620,7 @@
 			warm += w * (1 - a.bad) // proxies shun what voids: what is cold gets its part too
 		}
 	}
-	for _, q := range a.joined() {
+	for _, q := range a.in {
 		for k, u := range q.use {
 			if !rule.OwnZone || q.zone == p.zone && a.d.Products[k].OwnZone {
 				asked += u
@@ -751,21 +650,10 @@
 	case part < 1:
 		level = min(level, p.use[k]*part)
 	}
-	return letIn(level, p.use[k])
-}
-
-// letIn is the level that lets in a rate of txns which come by chance. Answers proxies with about a txn a
-// second: a level equal to that declines half of them.
-func letIn(rate, use float64) float64 {
-	chance, more, in := math.Exp(-use), 1.0, 0.0
-	for n := 0.0; rate < noLevel && use < 50; n++ {
-		more -= chance
-		if want := min(rate, letMost*use); in+more >= want || more < 1e-3 {
-			return max(rate, n+(want-in)/max(more, 1e-3))
-		}
-		in, chance = in+more, chance*use/(n+1)
+	if level < noLevel { // a level equal to a use of about a txn a second would decline half of it
+		level = max(level, capFor(min(level, letMost*p.use[k]), p.use[k]))
 	}
-	return rate
+	return level
 }
 
 const ( // urgencies, the most urgent first; only drains and withdrawals go before
@@ -863,7 +751,7 @@
 func (a *Assigner) reconcile(tick bool) {
 	// Fences show what has left; a slowed channel keeps part of its pace. Answers a channel that was quiet for
 	// long: only what waits can have left, and each proxy answers for its own messages.
-	waits, in := 0.0, a.joined()
+	waits, in := 0.0, a.in
 	for _, p := range in {
 		p.sent = slices.DeleteFunc(p.sent, func(m message) bool {
 			return a.now-m.at > a.d.MessagesOver+Second && (m.cost == 0 || m.batch <= a.passed)
@@ -876,6 +764,7 @@
 	}
 	a.queue -= slowChan * a.d.LinesPerS * float64(a.now-a.queueAt) / float64(Second)
 	a.queue, a.queueAt, a.urgent = min(max(a.queue, 0), waits), a.now, false
+	before := a.queue
 	for b, s := range a.be.status {
 		if s != Ready && a.be.weight[b] > 0 && !a.be.out[b] && !a.shut(b, true, 1, in) {
 			a.urgent = true // with the next events
@@ -911,7 +800,7 @@
 			a.shut(b, false, roomUrgent, in)
 		}
 	}
-	if slices.ContainsFunc(in, func(p *proxy) bool { n := len(p.sent); return n > 0 && p.sent[n-1].batch > a.batch }) {
+	if a.queue > before {
 		a.batch++
 		a.order(Fence{Number: a.batch % fences})
 	}
--- /dev/null
+++ b/choice/state.go
@@ -0,0 +1,103 @@
+package choice
+
+import (
+	"math"
+	"slices"
+)
+
+// What an Assigner remembers, and sums over it. Nothing is decided here.
+
+const never = Time(math.MinInt64 / 2)
+
+type group struct {
+	products []int // that may go to the same backends: they share a table
+	mask     uint16
+	rule     Product
+	places   string
+}
+
+type tbl struct { // a table: weights by backend, gates by place in the group
+	weight []float64
+	gates  []Gate
+}
+
+type message struct {
+	at    Time
+	batch int
+	cost  float64 // lines; none once it was taken
+}
+
+type proxy struct {
+	joined, bound      bool
+	heard              bool // it reported since it joined
+	zone               int
+	use, voided, level []float64 // txns/s by product; level is the max-rate
+	held               []tbl     // by group: what was ordered
+	picked             []bool    // by backend: may have a line
+	sent               []message // within the counting span, or on their way
+}
+
+type fleet struct { // parallel arrays under the door's index of backends
+	zone, kind      []int
+	status          []Status
+	weight, relief  []float64 // listed; the part of it that a hot one keeps
+	rampAt, easedAt []Time    // when its ramp began; the last step of relief
+	held            []float64 // txns that a probe said it holds since the last tick
+	tries, voided   []float64 // fading
+	good, spent     []float64 // answers and the time that they took, fading
+	fresh, out      []bool    // heard of since the last tick; withdrawn
+}
+
+func (a *Assigner) proxy(i int) *proxy {
+	for n := len(a.d.Products); len(a.px) <= i; {
+		a.px = append(a.px, proxy{use: make([]float64, n), voided: make([]float64, n), level: make([]float64, n)})
+	}
+	return &a.px[i]
+}
+
+func (a *Assigner) grow(n int) {
+	for be := &a.be; len(be.zone) < n; {
+		be.zone, be.kind, be.status = append(be.zone, 0), append(be.kind, 0), append(be.status, Gone)
+		be.weight, be.rampAt, be.relief = append(be.weight, 0), append(be.rampAt, never), append(be.relief, 1)
+		be.easedAt, be.fresh = append(be.easedAt, never), append(be.fresh, false)
+		be.tries, be.voided = append(be.tries, 0), append(be.voided, 0)
+		be.good, be.spent, be.held = append(be.good, 0), append(be.spent, 0), append(be.held, 0)
+		be.out = append(be.out, false)
+	}
+}
+
+func (p *proxy) asked() (u float64) {
+	for _, v := range p.use {
+		u += v
+	}
+	return u
+}
+
+func (a *Assigner) demand(k int) (d float64) {
+	for _, p := range a.in {
+		d += p.use[k]
+	}
+	return d
+}
+
+func median(v []float64) float64 {
+	if len(v) == 0 {
+		return 0
+	}
+	slices.Sort(v)
+	return v[len(v)/2]
+}
+
+// capFor is the cap on the txns of a second that lets in want of them, where use come by chance (Poisson).
+func capFor(want, use float64) float64 {
+	if use > 50 {
+		return want // chance is small beside that
+	}
+	chance, more, in := math.Exp(-use), 1.0, 0.0
+	for n := 0.0; ; n++ {
+		if more -= chance; in+more >= want || more < 1e-3 {
+			return n + (want-in)/max(more, 1e-3)
+		}
+		in, chance = in+more, chance*use/(n+1)
+	}
+}
