--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1,6 +1,6 @@
 // Package choice holds every decision of elmfold. New makes a controller's Assigner from its Deployment; Step
-// takes the events of a moment and returns the orders. The types of all these are in iface.go. Nothing here
-// reads a clock, a file or a network, and nothing is left to chance.
+// takes the events of a moment and returns the orders. The types of all these are in iface.go, what is
+// remembered is in state.go. Nothing here reads a clock, a file or a network, and nothing is left to chance.
 package choice
 
 import (
@@ -51,35 +51,6 @@
 	anyZone              = -1
 )
 
-// Assigner decides for one controller.
-type Assigner struct {
-	d        Deployment
-	now      Time
-	began    bool
-	urgent   bool // something happened that cannot wait for the tick
-	refollow bool // ask for the list again at the tick
-
-	groups []group
-	px     []proxy
-	in     []*proxy // that are joined
-	be     fleet
-	spill  [][][]float64 // by group, zone of the proxies, zone of the backends: part of their txns
-
-	total, knee   float64 // txns/s; total 0 is unbounded; the knee is what the backends are held to manage
-	served        float64 // txns/s answered, smoothed
-	able, pace    float64 // listed weight that is ready, less while it is cold; the most served for a unit of it
-	over, light   bool    // answers are late or voided; they are quick
-	reset         bool    // levels go back to equal shares
-	free          []bool  // by product: the levels cover what is asked for
-	cutAt, riseAt Time
-	took, bad     float64 // median time of answers, and share voided at the median backend
-
-	queue         float64 // lines that may wait in the channel
-	queueAt       Time
-	batch, passed int // messages written together; all of those up to here have left the channel
-	orders        []Order
-}
-
 // New makes an Assigner that knows its deployment and nothing else.
 func New(d Deployment) *Assigner {
 	a := &Assigner{d: d, refollow: d.Asked, free: make([]bool, len(d.Products))}
--- a/choice/state.go
+++ b/choice/state.go
@@ -48,6 +48,35 @@
 	fresh, out      []bool    // heard of since the last tick; withdrawn
 }
 
+// Assigner decides for one controller.
+type Assigner struct {
+	d        Deployment
+	now      Time
+	began    bool
+	urgent   bool // something happened that cannot wait for the tick
+	refollow bool // ask for the list again at the tick
+
+	groups []group
+	px     []proxy
+	in     []*proxy // that are joined
+	be     fleet
+	spill  [][][]float64 // by group, zone of the proxies, zone of the backends: part of their txns
+
+	total, knee   float64 // txns/s; total 0 is unbounded; the knee is what the backends are held to manage
+	served        float64 // txns/s answered, smoothed
+	able, pace    float64 // listed weight that is ready, less while it is cold; the most served for a unit of it
+	over, light   bool    // answers are late or voided; they are quick
+	reset         bool    // levels go back to equal shares
+	free          []bool  // by product: the levels cover what is asked for
+	cutAt, riseAt Time
+	took, bad     float64 // median time of answers, and share voided at the median backend
+
+	queue         float64 // lines that may wait in the channel
+	queueAt       Time
+	batch, passed int // messages written together; all of those up to here have left the channel
+	orders        []Order
+}
+
 func (a *Assigner) proxy(i int) *proxy {
 	for n := len(a.d.Products); len(a.px) <= i; {
 		a.px = append(a.px, proxy{use: make([]float64, n), voided: make([]float64, n), level: make([]float64, n)})
