--- a/choice/choice.go
+++ b/choice/choice.go
@@ -37,6 +37,8 @@
 	pickSwap          = 1.3      // load of a picked backend over another's from which they change places
 	leastChange       = 0.12     // relative change of a weight or level that is worth a line
 	useKeep, newsKeep = 0.5, 0.2 // a second, of a proxy's old use; a tick with news, of the tries at a backend
+	useMany, useSlow  = 5.0, 0.4 // txns/s; under that it is kept for longer, to so slow a pace: it is mostly chance
+	letChance         = 0.5      // txns/s: the most that a level is raised for what comes by chance
 
 	fewTries            = 4.0        // fewer tries say nothing of a backend
 	hotRatio, hotSLA    = 1.5, 0.35  // relieved: its time over the median, and over the SLA time
@@ -156,7 +158,7 @@
 	if k >= len(p.use) || s <= 0 {
 		return
 	}
-	keep := math.Pow(useKeep, max(s, 0.2))
+	keep := math.Pow(useKeep, max(s, 0.2)*min(max(p.use[k]/useMany, useSlow), 1))
 	if !p.heard {
 		clear(p.use) // the rate it was said to get gives way to what it gets
 	}
@@ -622,7 +624,7 @@
 		level = min(level, p.use[k]*part)
 	}
 	if level < noLevel { // a level equal to a use of about a txn a second would decline half of it
-		level = max(level, capFor(min(level, letMost*p.use[k]), p.use[k]))
+		level = max(level, min(level+letChance, capFor(min(level, letMost*p.use[k]), p.use[k])))
 	}
 	return level
 }
