--- a/choice/choice.go
+++ b/choice/choice.go
@@ -37,15 +37,15 @@
 	pickSwap          = 1.3      // load of a picked backend over another's from which they change places
 	leastChange       = 0.12     // relative change of a weight or level that is worth a line
 	useKeep, newsKeep = 0.5, 0.2 // a second, of a proxy's old use; a tick with news, of the tries at a backend
-	useMany, useSlow  = 5.0, 0.4 // txns/s; under that it is kept for longer, to so slow a pace: it is mostly chance
+	useMany, useSlow  = 5.0, 0.4 // txns/s; under that, mostly chance, it is kept for longer, to so slow a pace
 	letChance         = 0.5      // txns/s: the most that a level is raised for what comes by chance
 
 	fewTries            = 4.0        // fewer tries say nothing of a backend
-	hotRatio, hotSLA    = 1.5, 0.35  // relieved: its time over the median, and over the SLA time
+	hotRatio, hotSLA    = 1.35, 0.35 // relieved: its time over the median, and over the SLA time
 	hotFails            = 0.2        // ... or voided over the median's
 	easeBy, easeLeast   = 0.8, 0.3   // a step of relief, down to this
 	easeEvery           = 3 * Second // ... once in so long: what is heard now was done before the last step
-	returnBy, coolRatio = 1.05, 1.15 // a tick, back, while its time over the median is under that
+	returnBy, coolRatio = 1.03, 1.01 // a tick, back, while its time over the median is under that
 
 	slowChan             = 0.3      // part of its pace that a slowed channel is held to keep
 	roomUrgent, roomRest = 0.8, 0.5 // part of the lines and messages allowed that urgent orders, others may use
@@ -290,7 +290,7 @@
 		switch {
 		case hot && a.now >= be.easedAt[b]+easeEvery:
 			be.relief[b], be.easedAt[b] = max(easeLeast, be.relief[b]*easeBy), a.now
-		case !hot && took[b] < coolRatio*mid:
+		case !hot && took[b] <= coolRatio*mid:
 			be.relief[b] = min(1, be.relief[b]*returnBy)
 		}
 		be.tries[b], be.voided[b], be.fresh[b] = be.tries[b]*newsKeep, be.voided[b]*newsKeep, false
