--- a/choice/choice.go
+++ b/choice/choice.go
@@ -32,8 +32,8 @@
 	coldMost            = 0.5             // part of the multiple that pushes a cold one over, at most
 
 	spillFrom         = 0.1      // a smaller excess of a zone's demand over its fair part stays at home
-	connPart          = 0.08     // part of a backend's connections that all proxies together may take up
-	picksLeast        = 5.0      // lines that a proxy has all the same
+	connPart          = 0.02     // part of a backend's connections that all proxies together may take up
+	picksLeast        = 4.0      // lines that a proxy has all the same
 	pickSwap          = 1.3      // load of a picked backend over another's from which they change places
 	leastChange       = 0.12     // relative change of a weight or level that is worth a line
 	useKeep, newsKeep = 0.5, 0.2 // a second, of a proxy's old use; a tick with news, of the tries at a backend
@@ -484,7 +484,7 @@
 // setPicks keeps for each proxy a steady part of each zone's backends, where lines to all would fill the
 // backends with connections. The least loaded is added, the most loaded dropped, one changed a tick.
 func (a *Assigner) setPicks(tick bool) {
-	be, in, size := &a.be, a.in, 0.0
+	be, in, size, load := &a.be, a.in, 0.0, make([]float64, len(a.be.zone))
 	for b := range be.zone {
 		if a.open(Product{}, anyZone, b) {
 			size += connPart * a.d.ConnsLeast / float64(max(a.d.Proxies, 1))
@@ -494,7 +494,7 @@
 		size = math.Inf(1)
 	}
 	for y := range a.d.Zones {
-		load, flow, need := make([]float64, len(be.zone)), make([]float64, len(in)), make([]float64, len(in))
+		flow, need := make([]float64, len(in)), make([]float64, len(in))
 		for i, p := range in {
 			p.picked = append(p.picked, make([]bool, len(be.zone)-len(p.picked))...)
 			for g, group := range a.groups {
@@ -509,12 +509,12 @@
 			strength := 0.0
 			for b, on := range p.picked {
 				if on && be.zone[b] == y && be.status[b] == Ready {
-					strength += a.strength(b)
+					strength += a.sure(b)
 				}
 			}
 			for b, on := range p.picked {
 				if on && be.zone[b] == y {
-					load[b] += flow[i] / max(strength, 1e-9) // for a unit of its own strength
+					load[b] += flow[i] / max(strength, 1e-9)
 				}
 			}
 		}
@@ -525,7 +525,7 @@
 					switch {
 					case be.zone[b] != y || be.status[b] != Ready:
 					case on:
-						if has, strength = has+a.ramp(b), strength+a.strength(b); most < 0 || load[b] > load[most] {
+						if has, strength = has+a.ramp(b), strength+a.sure(b); most < 0 || load[b] > load[most] {
 							most = b
 						}
 					case least < 0 || load[b] < load[least]:
@@ -534,7 +534,7 @@
 				}
 				if least >= 0 && has < need[i] {
 					p.picked[least] = true
-					load[least] += flow[i] / max(strength, a.strength(least))
+					load[least] += flow[i] / max(strength, a.sure(least))
 				} else if most >= 0 && (has-a.ramp(most) >= need[i] ||
 					swap && least >= 0 && load[most] > pickSwap*load[least]+flow[i]/strength) {
 					p.picked[most], swap = false, false
@@ -545,13 +545,22 @@
 			}
 		}
 	}
+	a.load = load
+}
+
+// sure is its strength for the load of others: proxies shun what voids, and what is cold gets its part too.
+func (a *Assigner) sure(b int) float64 {
+	if a.ramp(b) == 1 {
+		return a.strength(b) * (1 - a.bad)
+	}
+	return a.strength(b)
 }
 
 // plan is the table that a proxy should hold for a group: lines at home carry their listed weights.
 func (a *Assigner) plan(p *proxy, g int) tbl {
 	rule, be, row, can := a.groups[g].rule, &a.be, a.spill[g][p.zone], make([]float64, a.d.Zones)
 	t := tbl{weight: make([]float64, len(be.zone))}
-	home, bare, tries, part := 1.0, true, TryOnce, a.coldPart(p, rule)
+	home, bare, tries, part := 1.0, true, TryOnce, 1.0
 	for b, y := range be.zone {
 		if p.picked[b] && row[y] > 0 && a.open(rule, p.zone, b) {
 			can[y], bare = can[y]+a.strength(b), false
@@ -569,6 +578,13 @@
 			t.weight[b] = a.strength(b) / can[y] * row[y] * home
 		}
 	}
+	// While it has a cold line, it lets in what its lines can take of what all proxies here ask of them. Answers
+	// a zone or fleet that comes back at once: ramped weights alone do nothing where all lines are cold.
+	for b, w := range t.weight {
+		if w > 0 && a.load[b] > 0 && a.ramp(b) < 1 && a.pace > 0 {
+			part = min(part, coldMost*a.d.ColdMultiple*a.pace/a.load[b])
+		}
+	}
 	// Further tries only after proof that the first never ran, which takes effect once for any product, and only
 	// while answers are quick: after any failure, or between full backends, they feed an overload.
 	if a.light {
@@ -580,32 +596,6 @@
 	return t
 }
 
-// coldPart is the part of what is asked for that may go to backends some of which are cold. Answers a zone or
-// fleet that comes back at once: ramped weights alone do nothing where all lines are cold.
-func (a *Assigner) coldPart(p *proxy, rule Product) float64 {
-	asked, cold, warm := 0.0, 0.0, 0.0
-	for b, w := range a.be.weight {
-		switch r := a.ramp(b); {
-		case !a.open(rule, p.zone, b):
-		case r < 1:
-			cold += w * r
-		default:
-			warm += w * (1 - a.bad) // proxies shun what voids: what is cold gets its part too
-		}
-	}
-	for _, q := range a.in {
-		for k, u := range q.use {
-			if !rule.OwnZone || q.zone == p.zone && a.d.Products[k].OwnZone {
-				asked += u
-			}
-		}
-	}
-	if cold == 0 || asked == 0 || a.pace == 0 {
-		return 1
-	}
-	return min(1, coldMost*a.d.ColdMultiple*a.pace*(cold+warm)/asked)
-}
-
 // levelOf is the level to order; none while levels cover what is asked for. A proxy that has not reported yet
 // starts with no more than it is said to get: after a restart callers may be asking again and again.
 func (a *Assigner) levelOf(p *proxy, k int, part float64) float64 {
@@ -613,6 +603,9 @@
 	if a.total > 0 && !a.free[k] {
 		level = p.level[k]
 	}
+	if level < noLevel { // a level equal to a use of about a txn a second would decline half of it
+		level = max(level, min(level+letChance, capFor(min(level, letMost*p.use[k]), p.use[k])))
+	}
 	switch {
 	case a.d.Levels == LevelNone:
 		return noLevel
@@ -621,10 +614,7 @@
 	case !p.heard:
 		return min(level, max(p.asked(), levelFloor))
 	case part < 1:
-		level = min(level, p.use[k]*part)
-	}
-	if level < noLevel { // a level equal to a use of about a txn a second would decline half of it
-		level = max(level, min(level+letChance, capFor(min(level, letMost*p.use[k]), p.use[k])))
+		return min(level, p.use[k]*part)
 	}
 	return level
 }
@@ -705,27 +695,62 @@
 	return a.d.LinesMost == 0 || a.queue+lines <= part*a.d.LinesMost
 }
 
-// shut withdraws a backend from all proxies or lets it in again: one line for each proxy, whatever the tables
-// say, so that a drain of many reaches all in time. False if there is no room.
-func (a *Assigner) shut(b int, out bool, part float64, in []*proxy) bool {
-	if !a.room(part, float64(len(in)), in...) {
+// shut withdraws backends or lets them in again, all or none: one line for each proxy that has them, whatever
+// its tables say, so that a drain of many reaches all in time.
+func (a *Assigner) shut(out bool, part float64, backends ...int) bool {
+	var to []*proxy
+	var lines []float64
+	sum := 0.0
+	for _, p := range a.in {
+		n := 0.0
+		for _, b := range backends {
+			if !p.bound || slices.ContainsFunc(p.held, func(t tbl) bool { return b < len(t.weight) && t.weight[b] > 0 }) {
+				n++
+			}
+		}
+		if n > 0 {
+			to, lines, sum = append(to, p), append(lines, n), sum+n
+		}
+	}
+	if !a.room(part, sum, to...) {
 		return false
 	}
-	for _, p := range in {
-		a.charge(p, 1)
+	for i, p := range to {
+		a.charge(p, lines[i])
+	}
+	for _, b := range backends {
+		a.be.out[b] = out
+		a.order(Withdraw{Backend: b, Out: out})
 	}
-	a.be.out[b] = out
-	a.order(Withdraw{Backend: b, Out: out})
 	return true
 }
 
-// reconcile emits what the proxies lack, the most urgent and the busiest first, as far as the channel has
-// room. A proxy gets its whole difference or nothing: what it holds was ordered with all that was known.
+// emit orders differences, the busiest proxies first, as far as the part of the channel has room. A proxy gets
+// its whole difference or nothing: what it holds was ordered with all that was known.
+func (a *Assigner) emit(todo []diff, part float64) (all bool) {
+	slices.SortStableFunc(todo, func(d, e diff) int {
+		return cmp.Or(cmp.Compare(d.urgency, e.urgency), cmp.Compare(a.px[e.proxy].asked(), a.px[d.proxy].asked()))
+	})
+	all = true
+	for _, d := range todo {
+		p, cost := &a.px[d.proxy], float64(len(d.orders))
+		if !a.room(part, cost, p) {
+			all = false
+			continue
+		}
+		a.orders = append(a.orders, d.orders...)
+		a.charge(p, cost)
+		p.held, p.bound = d.next, true
+	}
+	return all
+}
+
+// reconcile emits what the proxies lack, the most urgent first.
 func (a *Assigner) reconcile(tick bool) {
 	// Fences show what has left; a slowed channel keeps part of its pace. Answers a channel that was quiet for
 	// long: only what waits can have left, and each proxy answers for its own messages.
-	waits, in := 0.0, a.in
-	for _, p := range in {
+	waits := 0.0
+	for _, p := range a.in {
 		p.sent = slices.DeleteFunc(p.sent, func(m message) bool {
 			return a.now-m.at > a.d.MessagesOver+Second && (m.cost == 0 || m.batch <= a.passed)
 		})
@@ -736,43 +761,33 @@
 		}
 	}
 	a.queue -= slowChan * a.d.LinesPerS * float64(a.now-a.queueAt) / float64(Second)
-	a.queue, a.queueAt, a.urgent = min(max(a.queue, 0), waits), a.now, false
+	a.queue, a.queueAt = min(max(a.queue, 0), waits), a.now
 	before := a.queue
+	a.urgent = false
+	var back []int
 	for b, s := range a.be.status {
-		if s != Ready && a.be.weight[b] > 0 && !a.be.out[b] && !a.shut(b, true, 1, in) {
+		if out := a.be.out[b]; s != Ready && !out && a.be.weight[b] > 0 && !a.shut(true, 1, b) {
 			a.urgent = true // with the next events
+		} else if s == Ready && out {
+			back = append(back, b)
 		}
 	}
-	var todo []diff
+	var urgent, rest []diff
 	for i := 0; i < len(a.px) && a.d.Slices == 0; i++ { // tables of slices belong to the store
 		if a.px[i].joined {
-			if d := a.diff(i); d.urgency <= mustEase || tick && d.urgency < nothing {
-				todo = append(todo, d)
+			if d := a.diff(i); d.urgency <= mustEase {
+				urgent = append(urgent, d)
+			} else if tick && d.urgency < nothing {
+				rest = append(rest, d)
 			}
 		}
 	}
-	slices.SortStableFunc(todo, func(d, e diff) int {
-		return cmp.Or(cmp.Compare(d.urgency, e.urgency), cmp.Compare(a.px[e.proxy].asked(), a.px[d.proxy].asked()))
-	})
-	eased := tick // all lines that were too heavy are out
-	for _, d := range todo {
-		p, part, cost := &a.px[d.proxy], roomUrgent, float64(len(d.orders))
-		if d.urgency > mustEase {
-			part = roomRest
-		}
-		if !a.room(part, cost, p) {
-			eased = eased && d.urgency > mustEase
-			continue
-		}
-		a.orders = append(a.orders, d.orders...)
-		a.charge(p, cost)
-		p.held, p.bound = d.next, true
-	}
-	for b, s := range a.be.status {
-		if eased && s == Ready && a.be.out[b] {
-			a.shut(b, false, roomUrgent, in)
-		}
+	// Backends come back in once all lines that are too heavy for them are out, and all of them together: those
+	// let in alone would get what their tables hold for the others.
+	if a.emit(urgent, roomUrgent) && tick {
+		a.shut(false, roomUrgent, back...)
 	}
+	a.emit(rest, roomRest)
 	if a.queue > before {
 		a.batch++
 		a.order(Fence{Number: a.batch % fences})
--- a/choice/state.go
+++ b/choice/state.go
@@ -61,6 +61,7 @@
 	in     []*proxy // that are joined
 	be     fleet
 	spill  [][][]float64 // by group, zone of the proxies, zone of the backends: part of their txns
+	load   []float64     // by backend: txns/s asked of it by proxies here for a unit of strength
 
 	total, knee   float64 // txns/s; total 0 is unbounded; the knee is what the backends are held to manage
 	served        float64 // txns/s answered, smoothed
