--- a/choice/choice.go
+++ b/choice/choice.go
@@ -32,7 +32,7 @@
 	coldMost            = 0.5             // part of the multiple that pushes a cold one over, at most
 
 	spillFrom         = 0.1      // a smaller excess of a zone's demand over its fair part stays at home
-	connPart          = 0.02     // part of a backend's connections that all proxies together may take up
+	connPart          = 0.03     // part of a backend's connections that all proxies together may take up
 	picksLeast        = 4.0      // lines that a proxy has all the same
 	pickSwap          = 1.3      // load of a picked backend over another's from which they change places
 	leastChange       = 0.12     // relative change of a weight or level that is worth a line
@@ -500,7 +500,7 @@
 			for g, group := range a.groups {
 				r := a.spill[g][p.zone][y]
 				for _, k := range group.products {
-					flow[i] += p.use[k] * r
+					flow[i] += p.use[k] * min(r*1e9, r+(1-r)*a.bad) // what voids elsewhere may come here too
 				}
 				if r > 0 {
 					need[i] = max(need[i], 1, size*r)
@@ -704,7 +704,8 @@
 	for _, p := range a.in {
 		n := 0.0
 		for _, b := range backends {
-			if !p.bound || slices.ContainsFunc(p.held, func(t tbl) bool { return b < len(t.weight) && t.weight[b] > 0 }) {
+			has := func(t tbl) bool { return b < len(t.weight) && t.weight[b] > 0 }
+			if !p.bound || slices.ContainsFunc(p.held, has) {
 				n++
 			}
 		}
@@ -725,8 +726,8 @@
 	return true
 }
 
-// emit orders differences, the busiest proxies first, as far as the part of the channel has room. A proxy gets
-// its whole difference or nothing: what it holds was ordered with all that was known.
+// emit orders differences, the busiest proxies first, as far as the part of the channel has room. A proxy
+// gets its whole difference or nothing: what it holds was ordered with all that was known.
 func (a *Assigner) emit(todo []diff, part float64) (all bool) {
 	slices.SortStableFunc(todo, func(d, e diff) int {
 		return cmp.Or(cmp.Compare(d.urgency, e.urgency), cmp.Compare(a.px[e.proxy].asked(), a.px[d.proxy].asked()))
