--- a/choice/choice.go
+++ b/choice/choice.go
@@ -560,7 +560,7 @@
 func (a *Assigner) plan(p *proxy, g int) tbl {
 	rule, be, row, can := a.groups[g].rule, &a.be, a.spill[g][p.zone], make([]float64, a.d.Zones)
 	t := tbl{weight: make([]float64, len(be.zone))}
-	home, bare, tries, part := 1.0, true, TryOnce, 1.0
+	home, bare, tries, part := 1.0, true, TryOnce, noLevel
 	for b, y := range be.zone {
 		if p.picked[b] && row[y] > 0 && a.open(rule, p.zone, b) {
 			can[y], bare = can[y]+a.strength(b), false
@@ -603,18 +603,20 @@
 	if a.total > 0 && !a.free[k] {
 		level = p.level[k]
 	}
-	if level < noLevel { // a level equal to a use of about a txn a second would decline half of it
-		level = max(level, min(level+letChance, capFor(min(level, letMost*p.use[k]), p.use[k])))
-	}
+	// A level equal to a use of about a txn a second would decline half of it.
+	most := capFor(letMost*p.use[k], p.use[k])
+	level = max(level, min(level+letChance, capFor(min(level, letMost*p.use[k]), p.use[k])))
 	switch {
 	case a.d.Levels == LevelNone:
 		return noLevel
 	case a.d.Levels == LevelShare:
 		return min(1, part, level/max(p.use[k], levelFloor))
-	case !p.heard:
-		return min(level, max(p.asked(), levelFloor))
 	case part < 1:
 		return min(level, p.use[k]*part)
+	case !p.heard:
+		return min(level, max(p.asked(), levelFloor))
+	case part < noLevel: // callers may ask far more than was heard of
+		return min(level, max(p.use[k]*part, most))
 	}
 	return level
 }
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -123,6 +123,9 @@
 	r.step(Listed{Entries: []Entry{ready(1, 0)}}) // long up: warm
 	r.second(reports(60, calm, 1000)...)
 	before := r.gate(0, 1).Level
+	if before >= noLevel {
+		t.Error("a level without bound beside a cold line: callers may ask far more than was heard of")
+	}
 	for range 2 { // proxies shun what voids: the cold backend would get its part too
 		r.second(reports(60, []float64{0, 1, 1, 1}, 1000)...)
 	}
