--- a/choice/choice.go
+++ b/choice/choice.go
@@ -78,7 +78,7 @@
 
 // Step takes the events of one moment and returns the orders.
 func (a *Assigner) Step(now Time, events []Event) []Order {
-	a.now, a.orders = now, nil
+	a.now, a.in, a.orders = now, nil, nil
 	tick := false
 	for _, e := range events {
 		switch e := e.(type) {
@@ -116,7 +116,6 @@
 			tick = true
 		}
 	}
-	a.in = nil
 	for i := range a.px {
 		if a.px[i].joined {
 			a.in = append(a.in, &a.px[i])
@@ -260,6 +259,10 @@
 	be, sla, news := &a.be, a.sla(), false
 	fails, took := make([]float64, len(be.zone)), make([]float64, len(be.zone))
 	var allFails, allTook, allNext []float64
+	typical := 0.0 // tries at a backend, where other controllers' proxies are taken to send as much as ours
+	for b := 0; b < len(be.zone) && a.d.Controllers > 1; b++ {
+		typical += be.tries[b] * float64(a.d.Proxies) / float64(max(len(a.in)*len(be.zone), 1))
+	}
 	for b := range be.zone {
 		if be.status[b] != Ready || be.tries[b] < fewTries {
 			continue
@@ -270,12 +273,9 @@
 			took[b] = be.spent[b] / be.good[b]
 			allTook = append(allTook, took[b])
 			// What a probe says that it holds over what it is sent in a tick is the time of its next txn: known
-			// sooner. Reports in answers come too often from busy moments; not alone, a controller's sums say
-			// too little.
-			if a.d.Controllers > 1 {
-				be.held[b] = 0
-			}
-			allNext = append(allNext, max(took[b], be.held[b]/(be.tries[b]*(1-newsKeep))*float64(tickEvery)))
+			// sooner. Reports in answers come too often from busy moments.
+			sent := max(be.tries[b], typical) * (1 - newsKeep)
+			allNext = append(allNext, max(took[b], be.held[b]/sent*float64(tickEvery)))
 		}
 	}
 	a.bad, a.took = median(allFails), median(allNext)
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -256,9 +256,9 @@
 
 // What backends say they hold shows an overload before late answers do, by reports or probes.
 func TestHeld(t *testing.T) {
-	for _, held := range []float64{5, 20} {
-		d := deployment()
-		d.Probes, d.Gauges = true, []Gauge{GaugeBusy, GaugeHeld}
+	for i, held := range []float64{5, 20, 5, 20} {
+		d := deployment() // alone, and with a controller whose proxies send as much
+		d.Probes, d.Gauges, d.Controllers = true, []Gauge{GaugeBusy, GaugeHeld}, 1+i/2
 		r := start(t, d)
 		probes := 0
 		for _, o := range r.second(reports(15, calm, 1000)...) {
