--- a/choice/choice.go
+++ b/choice/choice.go
@@ -23,6 +23,7 @@
 	overFails            = 0.05             // ... or this part voided at the median, answers not quick (design)
 	smooth               = 3.0              // ticks that the served rate is smoothed over
 	cutTo, kneeDown      = 0.8, 0.9         // of the knee, so that queues drain; when it did not help
+	cutLate              = 0.5              // ... while answers take more than the SLA time
 	cutAgain             = 6 * Second       // time-outs of before a cut are heard of for some seconds
 	riseBy, riseEvery    = 1.1, 5 * Second  // (design)
 	riseQuick, quickPart = 2 * Second, 0.75 // ... while answers take under this part of what is overload
@@ -305,7 +306,7 @@
 
 // setTotal bounds the total of all levels under overload and lets go of it afterwards.
 func (a *Assigner) setTotal() {
-	all, served, late, rise := 0.0, 0.0, a.took/a.sla(), riseEvery
+	all, served, late := 0.0, 0.0, a.took/a.sla()
 	for _, p := range a.in {
 		for k, u := range p.use {
 			all, served = all+u, served+max(a.admitted(p, k)-p.voided[k], 0)
@@ -321,9 +322,7 @@
 	if a.able = able; a.light || a.pace == 0 {
 		a.pace = max(a.pace, a.served/max(able, 1e-9))
 	}
-	if late < quickPart*overSLA {
-		rise = riseQuick // else a third was declined for long after the trouble
-	}
+	rise := either(late < quickPart*overSLA, riseQuick, riseEvery) // else a third was declined for long after
 	switch {
 	case a.d.Levels == LevelNone || all <= 0:
 	case a.over && (a.total == 0 || a.now-a.cutAt >= cutAgain):
@@ -333,7 +332,7 @@
 				all, a.served, late, 100*a.bad)
 		}
 		a.knee = max(a.knee*kneeDown, levelFloor)
-		a.total, a.cutAt, a.riseAt = a.knee*cutTo, a.now, a.now
+		a.total, a.cutAt, a.riseAt = a.knee*either(late > 1, cutLate, cutTo), a.now, a.now
 	case a.total > 0 && a.light && a.total < a.knee:
 		a.total, a.riseAt = a.knee, a.now
 	case a.total > 0 && !a.over && a.now-a.riseAt >= rise:
@@ -550,17 +549,14 @@
 
 // sure is its strength for the load of others: proxies shun what voids, and what is cold gets its part too.
 func (a *Assigner) sure(b int) float64 {
-	if a.ramp(b) == 1 {
-		return a.strength(b) * (1 - a.bad)
-	}
-	return a.strength(b)
+	return a.strength(b) * either(a.ramp(b) < 1, 1, 1-a.bad)
 }
 
 // plan is the table that a proxy should hold for a group: lines at home carry their listed weights.
 func (a *Assigner) plan(p *proxy, g int) tbl {
 	rule, be, row, can := a.groups[g].rule, &a.be, a.spill[g][p.zone], make([]float64, a.d.Zones)
 	t := tbl{weight: make([]float64, len(be.zone))}
-	home, bare, tries, part := 1.0, true, TryOnce, noLevel
+	home, bare, part := 1.0, true, noLevel
 	for b, y := range be.zone {
 		if p.picked[b] && row[y] > 0 && a.open(rule, p.zone, b) {
 			can[y], bare = can[y]+a.strength(b), false
@@ -587,9 +583,7 @@
 	}
 	// Further tries only after proof that the first never ran, which takes effect once for any product, and only
 	// while answers are quick: after any failure, or between full backends, they feed an overload.
-	if a.light {
-		tries = TryUnrun
-	}
+	tries := either(a.light, TryUnrun, TryOnce)
 	for _, k := range a.groups[g].products {
 		t.gates = append(t.gates, Gate{Level: a.levelOf(p, k, part), Tries: tries, Products: 1 << k})
 	}
--- a/choice/state.go
+++ b/choice/state.go
@@ -131,3 +131,10 @@
 		in, chance = in+more, chance*use/(n+1)
 	}
 }
+
+func either[T any](is bool, yes, no T) T {
+	if is {
+		return yes
+	}
+	return no
+}
