--- a/choice/choice.go
+++ b/choice/choice.go
@@ -262,7 +262,7 @@
 	var allFails, allTook, allNext []float64
 	typical := 0.0 // tries at a backend, where other controllers' proxies are taken to send as much as ours
 	for b := 0; b < len(be.zone) && a.d.Controllers > 1; b++ {
-		typical += be.tries[b] * float64(a.d.Proxies) / float64(max(len(a.in)*len(be.zone), 1))
+		typical += be.tries[b] / max(a.share(), 1e-9) / float64(len(be.zone))
 	}
 	for b := range be.zone {
 		if be.status[b] != Ready || be.tries[b] < fewTries {
@@ -314,13 +314,16 @@
 	}
 	a.served = cmp.Or(a.served, served)
 	a.served += (served - a.served) / smooth
-	// Backends that come or go change the total from outside, in step with their listed weight.
-	_, _, able := a.reach(Product{})
-	if a.able > 0 && able > 0 {
-		a.total, a.knee = a.total*able/a.able, a.knee*able/a.able
-	}
-	if a.able = able; a.light || a.pace == 0 {
-		a.pace = max(a.pace, a.served/max(able, 1e-9))
+	// Backends that come or go change the total from outside, in step with their listed weight, and so do
+	// proxies that join elsewhere. Guards a controller that starts over: what its first few bring is no total.
+	if _, _, able := a.reach(Product{}); able > 0 && len(a.in) > 0 {
+		able *= a.share()
+		if a.able > 0 {
+			a.total, a.knee = a.total*able/a.able, a.knee*able/a.able
+		}
+		if a.able = able; a.light || a.pace == 0 {
+			a.pace = max(a.pace, a.served/able)
+		}
 	}
 	rise := either(late < quickPart*overSLA, riseQuick, riseEvery) // else a third was declined for long after
 	switch {
@@ -422,7 +425,7 @@
 		return
 	}
 	// Proxies that are not joined here are taken to ask evenly: they must not make a zone look idle.
-	missing := max(float64(a.d.Proxies)/float64(len(in)), 1) - 1
+	missing := 1/a.share() - 1
 	for g, group := range a.groups {
 		demand[g] = make([]float64, a.d.Zones)
 		for _, k := range group.products {
@@ -578,7 +581,7 @@
 	// a zone or fleet that comes back at once: ramped weights alone do nothing where all lines are cold.
 	for b, w := range t.weight {
 		if w > 0 && a.load[b] > 0 && a.ramp(b) < 1 && a.pace > 0 {
-			part = min(part, coldMost*a.d.ColdMultiple*a.pace/a.load[b])
+			part = min(part, coldMost*a.d.ColdMultiple*a.pace*a.share()/a.load[b])
 		}
 	}
 	// Further tries only after proof that the first never ran, which takes effect once for any product, and only
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -221,6 +221,17 @@
 	}
 }
 
+// A total that was bounded while few proxies had joined follows as the others come: their part comes with them.
+func TestTotalFollowsProxies(t *testing.T) {
+	r := start(t, deployment())
+	r.second(reports(50, []float64{.3, .3, .3, .3}, 6000)...)
+	before := r.a.total
+	r.second(Joined{Proxy: 2, Zone: 0, Rate: 150}, Joined{Proxy: 3, Zone: 1, Rate: 150})
+	if before <= 0 || r.a.total < 1.9*before {
+		t.Errorf("total %v after %v though twice as many proxies are joined", r.a.total, before)
+	}
+}
+
 // All slow together is nobody's illness: weights stay, also when one second is heard again and again.
 func TestHot(t *testing.T) {
 	r := start(t, deployment())
--- a/choice/state.go
+++ b/choice/state.go
@@ -96,6 +96,11 @@
 	}
 }
 
+// share is the part of all proxies that is joined here.
+func (a *Assigner) share() float64 {
+	return float64(len(a.in)) / float64(max(a.d.Proxies, len(a.in), 1))
+}
+
 func (p *proxy) asked() (u float64) {
 	for _, v := range p.use {
 		u += v
