--- a/choice/choice.go
+++ b/choice/choice.go
@@ -260,10 +260,6 @@
 	be, sla, news := &a.be, a.sla(), false
 	fails, took := make([]float64, len(be.zone)), make([]float64, len(be.zone))
 	var allFails, allTook, allNext []float64
-	typical := 0.0 // tries at a backend, where other controllers' proxies are taken to send as much as ours
-	for b := 0; b < len(be.zone) && a.d.Controllers > 1; b++ {
-		typical += be.tries[b] / max(a.share(), 1e-9) / float64(len(be.zone))
-	}
 	for b := range be.zone {
 		if be.status[b] != Ready || be.tries[b] < fewTries {
 			continue
@@ -273,9 +269,9 @@
 		if be.good[b] > 0 {
 			took[b] = be.spent[b] / be.good[b]
 			allTook = append(allTook, took[b])
-			// What a probe says that it holds over what it is sent in a tick is the time of its next txn: known
-			// sooner. Reports in answers come too often from busy moments.
-			sent := max(be.tries[b], typical) * (1 - newsKeep)
+			// What a probe says that it holds over what it is sent in a tick, or can do, is the time of its next
+			// txn: known sooner. Reports in answers come too often from busy moments.
+			sent := max(be.tries[b]*(1-newsKeep), a.pace*a.strength(b), 1e-9)
 			allNext = append(allNext, max(took[b], be.held[b]/sent*float64(tickEvery)))
 		}
 	}
