--- a/choice/choice.go
+++ b/choice/choice.go
@@ -26,7 +26,7 @@
 	cutLate              = 0.5              // ... while answers take more than the SLA time
 	cutAgain             = 6 * Second       // time-outs of before a cut are heard of for some seconds
 	riseBy, riseEvery    = 1.1, 5 * Second  // (design)
-	riseQuick, quickPart = 2 * Second, 0.75 // ... while answers take under this part of what is overload
+	riseQuick, quickPart = 3 * Second, 0.75 // ... while answers take under this part of what is overload
 	loosenAt             = 1.5              // total over demand from which it is unbounded (design)
 
 	rampStart, rampTurn = 0.1, 5 * Second // part of its weight for a new one, doubled after (design)
