--- a/choice/choice.go
+++ b/choice/choice.go
@@ -493,9 +493,10 @@
 		size = math.Inf(1)
 	}
 	for y := range a.d.Zones {
-		flow, need := make([]float64, len(in)), make([]float64, len(in))
+		flow, need, home := make([]float64, len(in)), make([]float64, len(in)), 0.0
 		for i, p := range in {
 			p.picked = append(p.picked, make([]bool, len(be.zone)-len(p.picked))...)
+			home += either(p.zone == y, float64(a.d.Zones)/float64(max(a.d.Proxies, 1)), 0)
 			for g, group := range a.groups {
 				r := a.spill[g][p.zone][y]
 				for _, k := range group.products {
@@ -543,6 +544,9 @@
 				}
 			}
 		}
+		for b := range load { // as if the proxies that are joined elsewhere did the same
+			load[b] /= either(be.zone[b] == y, max(a.share(), min(home, 1), 1e-9), 1)
+		}
 	}
 	a.load = load
 }
@@ -578,7 +582,7 @@
 	// a zone or fleet that comes back at once: ramped weights alone do nothing where all lines are cold.
 	for b, w := range t.weight {
 		if w > 0 && a.load[b] > 0 && a.ramp(b) < 1 && a.pace > 0 {
-			part = min(part, coldMost*a.d.ColdMultiple*a.pace*a.share()/a.load[b])
+			part = min(part, coldMost*a.d.ColdMultiple*a.pace/a.load[b])
 		}
 	}
 	// Further tries only after proof that the first never ran, which takes effect once for any product, and only
