--- a/choice/choice.go
+++ b/choice/choice.go
@@ -30,7 +30,7 @@
 	loosenAt             = 1.5              // total over demand from which it is unbounded (design)
 
 	rampStart, rampTurn = 0.1, 5 * Second // part of its weight for a new one, doubled after (design)
-	coldMost            = 0.5             // part of the multiple that pushes a cold one over, at most
+	coldMost            = 0.4             // part of the multiple that pushes a cold one over, at most
 
 	spillFrom         = 0.1      // a smaller excess of a zone's demand over its fair part stays at home
 	connPart          = 0.03     // part of a backend's connections that all proxies together may take up
