--- a/choice/choice.go
+++ b/choice/choice.go
@@ -44,6 +44,7 @@
 	fewTries            = 4.0        // fewer tries say nothing of a backend
 	hotRatio, hotSLA    = 1.35, 0.35 // relieved: its time over the median, and over the SLA time
 	hotFails            = 0.2        // ... or voided over the median's
+	deadFails           = 0.6        // voided over the median's from which one that the list dropped is gone
 	easeBy, easeLeast   = 0.8, 0.3   // a step of relief, down to this
 	easeEvery           = 3 * Second // ... once in so long: what is heard now was done before the last step
 	returnBy, coolRatio = 1.03, 1.01 // a tick, back, while its time over the median is under that
@@ -147,12 +148,6 @@
 	return a.orders
 }
 
-func (a *Assigner) order(o Order) { a.orders = append(a.orders, o) }
-
-func (a *Assigner) log(format string, v ...any) { a.order(Log{Text: fmt.Sprintf(format, v...)}) }
-
-func (a *Assigner) ownZone(z int) int { return min(max(z, 0), a.d.Zones-1) }
-
 func (a *Assigner) hearUse(e Used) {
 	p, s, k := a.proxy(e.Proxy), float64(e.Counting)/float64(Second), e.Product
 	if k >= len(p.use) || s <= 0 {
@@ -182,7 +177,7 @@
 		a.grow(b + 1)
 		if seen[b] = en.Status != Gone; seen[b] {
 			be.zone[b], be.kind[b], be.weight[b] = a.ownZone(en.Zone), en.Kind, cmp.Or(en.Weight, 1)
-			be.status[b] = en.Status
+			be.status[b], be.dropped[b] = en.Status, false
 		}
 		// A new start, also one met while the backend still stands in tables: it is cold, and what was heard
 		// of it before holds no longer.
@@ -193,9 +188,12 @@
 	}
 	for b, s := range be.status {
 		listed, named := seen[b]
-		// Where gone alone does not bind, a backend merely dropped from the list stays in use.
-		if !listed && (named || e.Kind != ListChange) && (a.d.GoneBinds || s != Ready) {
+		// Where gone alone does not bind, a backend merely dropped from the list stays in use until tries there
+		// fail too: lists that drop running backends and backends that die unseen look alike.
+		if missing := !listed && (named || e.Kind != ListChange); missing && (a.d.GoneBinds || s != Ready) {
 			be.status[b] = Gone
+		} else if missing {
+			be.dropped[b] = true
 		}
 	}
 }
@@ -246,16 +244,6 @@
 	return p.use[k]
 }
 
-// sla is the SLA time of the mean txn that comes.
-func (a *Assigner) sla() float64 {
-	sum, n := 0.0, 1e-9
-	for k, pr := range a.d.Products {
-		d := a.demand(k) + 1e-9
-		sum, n = sum+d*float64(pr.SLA), n+d
-	}
-	return max(sum/n, 1)
-}
-
 // judge looks at what was heard since the last tick: who is hot, and whether all are.
 func (a *Assigner) judge() {
 	be, sla, news := &a.be, a.sla(), false
@@ -284,6 +272,9 @@
 		}
 		// Hot: far slower than the others and near the SLA time, or voiding more. Answers slow machines, other
 		// programs on them, wrong listed weights, hangs. It hurts when the slow ones are needed all the same.
+		if be.dropped[b] && fails[b] > a.bad+deadFails {
+			be.status[b] = Gone
+		}
 		hot := took[b] > max(hotRatio*mid, hotSLA*sla) || fails[b] > a.bad+hotFails
 		switch {
 		case hot && a.now >= be.easedAt[b]+easeEvery:
--- a/choice/state.go
+++ b/choice/state.go
@@ -1,6 +1,7 @@
 package choice
 
 import (
+	"fmt"
 	"math"
 	"slices"
 )
@@ -46,6 +47,7 @@
 	tries, voided   []float64 // fading
 	good, spent     []float64 // answers and the time that they took, fading
 	fresh, out      []bool    // heard of since the last tick; withdrawn
+	dropped         []bool    // from the list, though that alone does not bind
 }
 
 // Assigner decides for one controller.
@@ -78,6 +80,22 @@
 	orders        []Order
 }
 
+func (a *Assigner) order(o Order) { a.orders = append(a.orders, o) }
+
+func (a *Assigner) log(format string, v ...any) { a.order(Log{Text: fmt.Sprintf(format, v...)}) }
+
+func (a *Assigner) ownZone(z int) int { return min(max(z, 0), a.d.Zones-1) }
+
+// sla is the SLA time of the mean txn that comes.
+func (a *Assigner) sla() float64 {
+	sum, n := 0.0, 1e-9
+	for k, pr := range a.d.Products {
+		d := a.demand(k) + 1e-9
+		sum, n = sum+d*float64(pr.SLA), n+d
+	}
+	return max(sum/n, 1)
+}
+
 func (a *Assigner) proxy(i int) *proxy {
 	for n := len(a.d.Products); len(a.px) <= i; {
 		a.px = append(a.px, proxy{use: make([]float64, n), voided: make([]float64, n), level: make([]float64, n)})
@@ -92,7 +110,7 @@
 		be.easedAt, be.fresh = append(be.easedAt, never), append(be.fresh, false)
 		be.tries, be.voided = append(be.tries, 0), append(be.voided, 0)
 		be.good, be.spent, be.held = append(be.good, 0), append(be.spent, 0), append(be.held, 0)
-		be.out = append(be.out, false)
+		be.out, be.dropped = append(be.out, false), append(be.dropped, false)
 	}
 }
 
