--- a/choice/choice.go
+++ b/choice/choice.go
@@ -497,15 +497,16 @@
 					need[i] = max(need[i], 1, size*r)
 				}
 			}
-			strength := 0.0
+			strength := [2]float64{} // in use, and with what is still shut out: until then the first bears all
 			for b, on := range p.picked {
 				if on && be.zone[b] == y && be.status[b] == Ready {
-					strength += a.sure(b)
+					strength[0] += either(be.out[b], 0, a.sure(b))
+					strength[1] += a.sure(b)
 				}
 			}
 			for b, on := range p.picked {
 				if on && be.zone[b] == y {
-					load[b] += flow[i] / max(strength, 1e-9)
+					load[b] += flow[i] / max(either(be.out[b], strength[1], strength[0]), 1e-9)
 				}
 			}
 		}
@@ -637,8 +638,10 @@
 		for b, h := range held.weight {
 			bare = bare && (h == 0 || a.be.out[b])
 		}
+		cold := false
 		for b, w := range next.weight {
 			h, out, urgency := held.weight[b], a.be.out[b], mayWait
+			cold = cold || w > 0 && a.ramp(b) < 1
 			switch {
 			case w == h || w > 0 && h > 0 && math.Abs(w-h) < leastChange*h && !out, out && a.be.status[b] != Ready:
 				next.weight[b] = h // what is shut out keeps its line
@@ -657,7 +660,7 @@
 				*w = held.gates[j]
 				continue
 			}
-			need(*w, mayWait)
+			need(*w, either(cold && held.gates != nil && w.Level < held.gates[j].Level, mustEase, mayWait))
 		}
 		if d.next = append(d.next, next); !p.bound {
 			need(Use{Proxy: i, Table: id, Products: group.mask}, mustHave)
