--- a/choice/choice.go
+++ b/choice/choice.go
@@ -51,6 +51,7 @@
 
 	slowChan             = 0.3      // part of its pace that a slowed channel is held to keep
 	roomUrgent, roomRest = 0.8, 0.5 // part of the lines and messages allowed that urgent orders, others may use
+	roomHave             = 0.93     // ... and lines that a proxy needs
 	fences               = 1 << 15  // numbers in turn; far more than are ever on the way
 	anyZone              = -1
 )
@@ -729,7 +730,7 @@
 	all = true
 	for _, d := range todo {
 		p, cost := &a.px[d.proxy], float64(len(d.orders))
-		if !a.room(part, cost, p) {
+		if !a.room(either(d.urgency == mustHave, roomHave, part), cost, p) {
 			all = false
 			continue
 		}
@@ -770,7 +771,7 @@
 	var urgent, rest []diff
 	for i := 0; i < len(a.px) && a.d.Slices == 0; i++ { // tables of slices belong to the store
 		if a.px[i].joined {
-			if d := a.diff(i); d.urgency <= mustEase {
+			if d := a.diff(i); d.urgency == mustHave || tick && d.urgency == mustEase {
 				urgent = append(urgent, d)
 			} else if tick && d.urgency < nothing {
 				rest = append(rest, d)
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -65,7 +65,7 @@
 	again := ready(0, 0)
 	again.Up = r.now
 	r.now += Second / 2
-	r.step(Listed{Entries: []Entry{again}})
+	r.step(Listed{Entries: []Entry{again}}, Woken{})
 	at := r.weight(0, 1, 0)
 	for range 6 {
 		r.second(reports(15, calm, 1000)...)
