--- a/choice/choice.go
+++ b/choice/choice.go
@@ -51,7 +51,7 @@
 
 	slowChan             = 0.3      // part of its pace that a slowed channel is held to keep
 	roomUrgent, roomRest = 0.8, 0.5 // part of the lines and messages allowed that urgent orders, others may use
-	roomHave             = 0.93     // ... and lines that a proxy needs
+	roomHave             = 0.9      // ... and lines that a proxy needs
 	fences               = 1 << 15  // numbers in turn; far more than are ever on the way
 	anyZone              = -1
 )
