--- a/choice/model_test.go
+++ b/choice/model_test.go
@@ -113,6 +113,9 @@
 					e.Up = m.entries[b].Up // a start stays known
 				}
 				l.Entries = append(l.Entries, e)
+				if rnd.Intn(9) == 0 {
+					l.Entries = append(l.Entries, e) // twice
+				}
 				m.entries[b] = e
 			}
 			if kind != ListChange {
