--- /dev/null
+++ b/desk/carry.go
@@ -0,0 +1,226 @@
+package desk
+
+import (
+	"elmfold/choice"
+	"elmfold/edge"
+)
+
+// carry sends the orders of a step: one message for each proxy concerned, in the order in which they are named.
+func (d *Desk) carry(orders []choice.Order) {
+	ticket, all := 0, false
+	var to []int
+	touch := func(concerned func(p *proxy) bool) {
+		for i := range d.proxies {
+			if p := &d.proxies[i]; p.stream != nil && !p.touched && concerned(p) {
+				p.touched, to = true, append(to, i)
+			}
+		}
+	}
+	for _, o := range orders {
+		switch o := o.(type) {
+		case choice.Line:
+			t := d.table(o.Table)
+			t.weight = append(t.weight, make([]float64, max(o.Backend+1-len(t.weight), 0))...)
+			t.weight[o.Backend], t.lines = o.Weight, append(t.lines, o.Backend)
+			touch(func(p *proxy) bool { return p.products(o.Table) > 0 })
+		case choice.Clear:
+			t := d.table(o.Table)
+			clear(t.weight)
+			clear(t.gated)
+			t.cleared, t.lines, t.changed = true, nil, 0
+			touch(func(p *proxy) bool { return p.products(o.Table) > 0 })
+		case choice.Gate:
+			t := d.table(o.Table)
+			for k := range d.products {
+				if o.Products == 0 || o.Products>>k&1 > 0 {
+					t.gates[k], t.gated[k], t.changed = o, true, t.changed|1<<k
+				}
+			}
+			touch(func(p *proxy) bool { return p.products(o.Table) > 0 })
+		case choice.Use:
+			p := &d.proxies[o.Proxy]
+			if p.stream == nil {
+				continue
+			}
+			d.table(o.Table)
+			for k := range p.tables {
+				if o.Products == 0 || o.Products>>k&1 > 0 {
+					p.tables[k], p.fresh = o.Table, p.fresh|1<<k
+				}
+			}
+			touch(func(q *proxy) bool { return q == p })
+		case choice.Withdraw:
+			d.out[o.Backend] = o.Out
+			touch(func(p *proxy) bool { return d.holds(p, o.Backend) && p.toldOf(o.Backend) != shutFor(o.Out) })
+		case choice.Fence:
+			ticket, all = o.Number, o.All
+		case choice.Wake:
+			d.wakes = append(d.wakes, wake{at: d.now + max(o.After, 0), name: o.Name})
+		case choice.Follow:
+			d.lists.Follow(o.On)
+		case choice.Reload:
+			d.lists.Reload()
+		case choice.Log:
+			d.log.Info(o.Text)
+		default: // a Probe or a Note: the module sends none where the settings allow none
+			if !d.deaf {
+				d.deaf = true
+				d.log.Warnf("orders of the kind %T are not carried out", o)
+			}
+		}
+	}
+	if all {
+		touch(func(*proxy) bool { return true })
+	}
+	for _, i := range to {
+		p := &d.proxies[i]
+		if parts := d.parts(p, ticket); len(parts) > 0 {
+			p.stream.Send(edge.Append(nil, parts))
+		}
+		p.touched, p.fresh = false, 0
+	}
+	for _, t := range d.laid {
+		t := &d.tables[t]
+		t.lines, t.changed, t.cleared = t.lines[:0], 0, false
+	}
+	d.laid = d.laid[:0]
+}
+
+// table gives a table that an order of this step changes.
+func (d *Desk) table(id int) *table {
+	for len(d.tables) <= id {
+		d.tables = append(d.tables, table{gates: make([]choice.Gate, d.products), gated: make([]bool, d.products)})
+	}
+	d.laid = append(d.laid, id)
+	return &d.tables[id]
+}
+
+// products is the mask of those for which the proxy uses a table.
+func (p *proxy) products(table int) (mask uint32) {
+	for k, t := range p.tables {
+		if t == table {
+			mask |= 1 << k
+		}
+	}
+	return mask
+}
+
+func shutFor(out bool) shut {
+	if out {
+		return shutOut
+	}
+	return shutIn
+}
+
+func (p *proxy) toldOf(b int) shut {
+	if b < len(p.told) && p.told[b] != shutUnknown {
+		return p.told[b]
+	}
+	return p.brought
+}
+
+// holds says whether a proxy has, or may have brought along, a line of a backend.
+func (d *Desk) holds(p *proxy, b int) bool {
+	for _, id := range p.tables {
+		if id == none {
+			return true
+		}
+		if t := &d.tables[id]; b < len(t.weight) && t.weight[b] > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// parts is the message to a proxy: who is shut out and who is back first, then its tables, those that it is put
+// on now as a whole and later changes by product.
+func (d *Desk) parts(p *proxy, ticket int) []edge.Part {
+	var parts []edge.Part
+	if shuts := d.shuts(p); len(shuts.Out)+len(shuts.Back) > 0 {
+		parts = append(parts, shuts)
+	}
+	for k, id := range p.tables {
+		if mask := p.products(id); id != none && mask&(1<<k-1) == 0 { // once, at its first product
+			parts = append(parts, d.tableParts(&d.tables[id], mask, p.fresh&mask > 0)...)
+		}
+	}
+	if ticket > 0 {
+		if len(parts) == 0 {
+			parts = append(parts, edge.Part{})
+		}
+		parts[len(parts)-1].Ticket = ticket
+		if len(p.tickets) >= mostTickets {
+			p.tickets = p.tickets[1:]
+		}
+		p.tickets = append(p.tickets, ticket)
+	}
+	return parts
+}
+
+// shuts tells a proxy what differs from what it was told. One that comes from another controller may bring its
+// shut-outs: they are settled with the first line for that backend.
+func (d *Desk) shuts(p *proxy) (part edge.Part) {
+	p.told = append(p.told, make([]shut, len(d.backends)-len(p.told))...)
+	for b, name := range d.backends {
+		want := shutFor(d.out[b])
+		if told := p.toldOf(b); told == want || !d.holds(p, b) || d.unlaid(p) && told == shutUnknown && !d.out[b] {
+			continue
+		}
+		if p.told[b] = want; want == shutOut {
+			part.Out = append(part.Out, name)
+		} else {
+			part.Back = append(part.Back, name)
+		}
+	}
+	return part
+}
+
+// unlaid says whether a proxy still goes by tables that it brought along.
+func (d *Desk) unlaid(p *proxy) bool {
+	for _, id := range p.tables {
+		if id == none {
+			return true
+		}
+	}
+	return false
+}
+
+func (d *Desk) tableParts(t *table, mask uint32, whole bool) (parts []edge.Part) {
+	first := edge.Part{Products: d.productNames(mask), Whole: whole || t.cleared}
+	gates := t.changed & mask
+	if first.Whole {
+		for b, w := range t.weight {
+			if w > 0 {
+				first.Lines = append(first.Lines, edge.Line{Backend: d.backends[b], Weight: w})
+			}
+		}
+		gates = mask
+	} else {
+		seen := map[int]bool{}
+		for _, b := range t.lines {
+			if !seen[b] {
+				seen[b] = true
+				first.Lines = append(first.Lines, edge.Line{Backend: d.backends[b], Weight: t.weight[b]})
+			}
+		}
+	}
+	if first.Whole || len(first.Lines) > 0 {
+		parts = append(parts, first)
+	}
+	for k := range d.products {
+		if gates>>k&1 > 0 && t.gated[k] {
+			parts = append(parts, edge.Part{Products: d.productNames(1 << k),
+				Gate: &edge.Gate{Level: t.gates[k].Level, Tries: t.gates[k].Tries}})
+		}
+	}
+	return parts
+}
+
+func (d *Desk) productNames(mask uint32) (names []string) {
+	for k, name := range d.names.Products {
+		if mask>>k&1 > 0 {
+			names = append(names, name)
+		}
+	}
+	return names
+}
--- /dev/null
+++ b/desk/desk.go
@@ -0,0 +1,324 @@
+// Package desk holds the one goroutine that owns the decisions. It takes what connections and discovery say off a
+// queue, puts indices in place of names, lets the module decide once for all that came in a moment, and writes
+// each proxy's orders as one message to the stream that the proxy has now. It decides nothing.
+package desk
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"elmfold/choice"
+	"elmfold/deployment"
+	"elmfold/edge"
+	"elmfold/registry"
+)
+
+// Stream is a connection to a proxy or a collector. None of its methods may wait.
+type Stream interface {
+	Since() uint64       // later ones were opened later
+	Send(message []byte) // whole, after those before it
+	Known(subject string)
+	Replaced() // ends it
+	Fault(error)
+}
+
+// Ended says that a stream is over.
+type Ended struct{}
+
+// News is what a stream, or discovery (no stream), has to say.
+type News struct {
+	From Stream
+	Said any
+}
+
+// Lists is where the module asks for lists.
+type Lists interface {
+	Follow(on bool)
+	Reload()
+}
+
+type shut uint8 // what a proxy was told of a backend
+
+const (
+	shutUnknown shut = iota // it may have been told by another controller
+	shutOut
+	shutIn
+)
+
+type proxy struct {
+	stream  Stream // nil: not joined
+	tables  []int  // by product; none
+	fresh   uint32 // products put on a table in this step
+	told    []shut // by backend
+	brought shut   // of a backend that it was not told of here
+	tickets []int
+	touched bool
+}
+
+type table struct {
+	weight  []float64
+	gates   []choice.Gate // by product
+	gated   []bool
+	lines   []int  // changed in this step
+	changed uint32 // products whose gate did
+	cleared bool
+}
+
+type wake struct {
+	at   choice.Time
+	name uint32
+}
+
+const (
+	none        = -1
+	mostTickets = 256 // that a proxy may still answer
+	longest     = choice.Time(1) << 50
+)
+
+// Desk turns what was said into events and orders into messages.
+type Desk struct {
+	assigner *choice.Assigner
+	products int
+	names    deployment.Names
+	lists    Lists
+	log      *logrus.Entry
+
+	backends []string
+	index    map[string]int
+	out      []bool // by backend: withdrawn
+	proxies  []proxy
+	nodes    map[Stream]int  // streams that ever joined
+	sources  map[Stream]bool // collectors
+	tables   []table
+	laid     []int // tables that changed in this step
+
+	events []choice.Event
+	wakes  []wake
+	now    choice.Time
+	deaf   bool // it was said that some orders cannot be carried out
+}
+
+// New makes a Desk.
+func New(d choice.Deployment, names deployment.Names, lists Lists, log *logrus.Entry) *Desk {
+	return &Desk{assigner: choice.New(d), products: len(d.Products), names: names, lists: lists, log: log,
+		index: map[string]int{}, proxies: make([]proxy, d.Proxies), nodes: map[Stream]int{}, sources: map[Stream]bool{}}
+}
+
+// Run serves the queue until the program ends; what comes within a tick is one moment.
+func (d *Desk) Run(queue <-chan News, tick time.Duration, clock func() choice.Time) {
+	idle, gather := time.NewTimer(0), time.NewTimer(0)
+	for {
+		select {
+		case n := <-queue:
+			d.Hear(n)
+		case <-idle.C:
+		}
+		gather.Reset(tick)
+		for gathering := true; gathering; {
+			select {
+			case n := <-queue:
+				d.Hear(n)
+			case <-gather.C:
+				gathering = false
+			}
+		}
+		d.Step(clock())
+		idle.Reset(d.until(clock()))
+	}
+}
+
+// until is how long nothing is due.
+func (d *Desk) until(now choice.Time) time.Duration {
+	next := now + 60*choice.Second
+	for _, w := range d.wakes {
+		next = min(next, w.at)
+	}
+	return time.Duration(max(next-now, 0)) * time.Second / time.Duration(choice.Second)
+}
+
+// Hear takes one piece of news; it counts from the next Step on.
+func (d *Desk) Hear(n News) {
+	if err := d.hear(n.From, n.Said); err != nil && n.From != nil {
+		n.From.Fault(err)
+	}
+}
+
+var (
+	errProxy    = errors.New("no such proxy")
+	errZone     = errors.New("no such zone")
+	errProduct  = errors.New("no such product")
+	errBackend  = errors.New("no such backend")
+	errStranger = errors.New("a report from a connection that did not say whose it is")
+	errTwice    = errors.New("joined on this stream already")
+)
+
+func (d *Desk) hear(from Stream, said any) error {
+	switch said := said.(type) {
+	case registry.List:
+		d.hearList(said, choice.ListChange)
+	case registry.Failed:
+		d.events = append(d.events, choice.Listed{Kind: choice.ListFailed})
+	case edge.Source:
+		if !slices.Contains(d.names.Zones, said.Zone) {
+			return errZone
+		}
+		d.sources[from] = true
+		from.Known("collector " + said.Zone)
+	case edge.Joined:
+		return d.join(from, said)
+	case edge.Fenced:
+		p, err := d.speaker(from, said.Proxy)
+		if p == nil {
+			return err
+		}
+		// Only marks that this stream was sent are answers; each is taken once.
+		if at := slices.Index(p.tickets, said.Number); at >= 0 {
+			p.tickets = slices.Delete(p.tickets, at, at+1)
+			d.events = append(d.events, choice.Fenced{Proxy: said.Proxy, Number: said.Number, Took: said.Took})
+		}
+	case edge.Used:
+		k := slices.Index(d.names.Products, said.Product)
+		if k < 0 {
+			return errProduct
+		}
+		p, err := d.speaker(from, said.Proxy)
+		if p != nil {
+			d.events = append(d.events, choice.Used{Proxy: said.Proxy, Product: k, Txns: said.Txns, Voided: said.Voided,
+				Counting: said.Counting})
+		}
+		return err
+	case edge.Heard:
+		z, known := slices.Index(d.names.Zones, said.Zone), d.sources[from]
+		if _, joined := d.nodes[from]; !known && !joined {
+			return errStranger
+		}
+		b, listed := d.index[said.Backend]
+		if z < 0 {
+			return errZone
+		}
+		if !listed {
+			return errBackend
+		}
+		d.events = append(d.events, choice.Heard{Zone: z, Backend: b, Tries: said.Tries, Voided: said.Voided,
+			Took: said.Took, Counting: said.Counting})
+	case Ended:
+		if node, ok := d.nodes[from]; ok && d.proxies[node].stream == from {
+			d.leave(node)
+		}
+		delete(d.nodes, from)
+		delete(d.sources, from)
+	}
+	return nil
+}
+
+// speaker is the joined proxy that a report is about; none where it comes late from a stream that was replaced.
+func (d *Desk) speaker(from Stream, node int) (*proxy, error) {
+	if node >= len(d.proxies) {
+		return nil, errProxy
+	}
+	p := &d.proxies[node]
+	if own, ok := d.nodes[from]; ok {
+		if own != node || p.stream != from {
+			return nil, nil
+		}
+	} else if !d.sources[from] {
+		return nil, errStranger
+	}
+	if p.stream == nil {
+		return nil, nil
+	}
+	return p, nil
+}
+
+func (d *Desk) leave(node int) {
+	d.proxies[node] = proxy{}
+	d.events = append(d.events, choice.Left{Proxy: node})
+}
+
+func (d *Desk) join(from Stream, said edge.Joined) error {
+	zone := slices.Index(d.names.Zones, said.Zone)
+	switch _, again := d.nodes[from]; {
+	case said.Proxy >= len(d.proxies):
+		return errProxy
+	case zone < 0:
+		return errZone
+	case again:
+		return errTwice
+	}
+	p := &d.proxies[said.Proxy]
+	d.nodes[from] = said.Proxy
+	if old := p.stream; old != nil {
+		// Of two streams the one that was opened later holds, in whatever order their first lines are read.
+		if from.Since() < old.Since() {
+			from.Replaced()
+			return nil
+		}
+		d.leave(said.Proxy)
+		old.Replaced()
+	}
+	from.Known(fmt.Sprint("proxy ", said.Proxy))
+	*p = proxy{stream: from, tables: slices.Repeat([]int{none}, d.products), brought: shutUnknown}
+	if said.Fresh {
+		p.brought = shutIn // nothing was ordered, so nothing is shut out
+	}
+	d.events = append(d.events, choice.Joined{Proxy: said.Proxy, Zone: zone, Rate: said.Rate, Fresh: said.Fresh})
+	return nil
+}
+
+// Known takes the list that the controller held last.
+func (d *Desk) Known(l registry.List) { d.hearList(l, choice.ListCached) }
+
+func (d *Desk) hearList(l registry.List, kind choice.ListKind) {
+	if l.Whole && kind == choice.ListChange {
+		kind = choice.ListFull
+	}
+	statuses := map[string]choice.Status{registry.Serving: choice.Ready, registry.Draining: choice.Draining,
+		registry.Deleted: choice.Gone}
+	entries := make([]choice.Entry, 0, len(l.Members))
+	for _, m := range l.Members {
+		status, ok := statuses[m.Phase]
+		zone := slices.Index(d.names.Zones, m.Zone)
+		at, listed := d.index[m.ID]
+		if !ok || zone < 0 && status != choice.Gone || m.ID == "" || !listed && status == choice.Gone {
+			if status != choice.Gone || !ok {
+				d.log.WithFields(logrus.Fields{"backend": m.ID, "phase": m.Phase, "zone": m.Zone}).
+					Warn("an entry of the list is read past")
+			}
+			continue
+		}
+		if !listed {
+			at = len(d.backends)
+			d.index[m.ID], d.backends, d.out = at, append(d.backends, m.ID), append(d.out, false)
+		}
+		e := choice.Entry{Backend: at, Zone: zone, Cell: m.Cell, Kind: slices.Index(d.names.Kinds, m.Kind),
+			Status: status, Weight: max(m.Size, 0)}
+		if up := m.UpSince * float64(choice.Second) / 1000; up > 0 {
+			e.Up = choice.Time(math.Min(up, float64(longest)))
+		}
+		entries = append(entries, e)
+	}
+	d.events = append(d.events, choice.Listed{Kind: kind, Entries: entries})
+}
+
+// Step lets the module decide on what was heard since the last one, and sends what it orders.
+func (d *Desk) Step(now choice.Time) {
+	d.now = max(now, d.now)
+	due := func(w wake) bool { return w.at <= d.now }
+	for _, w := range d.wakes {
+		if due(w) {
+			d.events = append(d.events, choice.Woken{Name: w.name})
+		}
+	}
+	d.wakes = slices.DeleteFunc(d.wakes, due)
+	if len(d.events) == 0 {
+		return
+	}
+	events := d.events
+	d.events = nil
+	d.carry(d.assigner.Step(d.now, events))
+}
--- /dev/null
+++ b/registry/registry.go
@@ -0,0 +1,202 @@
+// Package registry follows discovery: it asks for the list of backends and watches its changes over HTTP. What it
+// is told it passes on in the order in which it came; it decides nothing.
+package registry
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
+)
+
+// Member is a backend as discovery shows it.
+type Member struct {
+	ID      string  `json:"id"`
+	Zone    string  `json:"locality"`
+	Kind    string  `json:"flavor"`
+	Cell    int     `json:"cell"`
+	Phase   string  `json:"phase"`
+	Size    float64 `json:"size"`
+	UpSince float64 `json:"up_since_ms"`
+}
+
+// Phases of a backend.
+const (
+	Serving  = "SERVING"
+	Draining = "DRAINING"
+	Deleted  = "DELETED"
+)
+
+// List is the whole list, or the entries that changed.
+type List struct {
+	Revision int64    `json:"revision"`
+	Whole    bool     `json:"complete"`
+	Members  []Member `json:"members"`
+}
+
+// Failed says that a call failed; the list held stays as it is.
+type Failed struct{}
+
+const (
+	wait       = 1000 * time.Millisecond // that discovery may take to answer a watch
+	grace      = 800 * time.Millisecond  // more, after which a network is taken to be silent
+	dialWithin = 300 * time.Millisecond
+	pause      = 50 * time.Millisecond // after a failure; a watch goes on within 200 ms of the last answer
+	mostBytes  = 16 << 20
+	path       = "/registry/instances"
+)
+
+// Registry asks one discovery.
+type Registry struct {
+	client   *fasthttp.HostClient
+	revision int64
+	known    bool // a revision that a watch can go on from
+	tell     func(any)
+	orders   chan order
+	log      *logrus.Entry
+	down     bool
+}
+
+type order uint8
+
+const (
+	follow order = iota
+	unfollow
+	reload
+)
+
+// New makes a Registry; tell is given each List and each Failed.
+func New(addr string, tell func(any), log *logrus.Entry) *Registry {
+	dialer := &fasthttp.TCPDialer{}
+	return &Registry{
+		client: &fasthttp.HostClient{
+			Addr: addr, MaxConns: 2, MaxResponseBodySize: mostBytes, MaxIdemponentCallAttempts: 1,
+			Dial: func(addr string) (net.Conn, error) { return dialer.DialTimeout(addr, dialWithin) },
+		},
+		tell: tell, orders: make(chan order, 16), log: log,
+	}
+}
+
+// From says which revision is known already.
+func (r *Registry) From(l List) {
+	r.revision, r.known = l.Revision, l.Whole
+}
+
+// Follow asks for changes from now on, or no longer.
+func (r *Registry) Follow(on bool) {
+	if on {
+		r.send(follow)
+	} else {
+		r.send(unfollow)
+	}
+}
+
+// Reload asks for the whole list once.
+func (r *Registry) Reload() { r.send(reload) }
+
+// send never makes the caller wait: orders beyond what may be waiting say nothing new.
+func (r *Registry) send(o order) {
+	select {
+	case r.orders <- o:
+	default:
+	}
+}
+
+// Run asks until the program ends.
+func (r *Registry) Run(following bool) {
+	for {
+		select {
+		case o := <-r.orders:
+			switch o {
+			case follow, unfollow:
+				following = o == follow
+			case reload:
+				r.known = false
+				if !following {
+					r.ask()
+				}
+			}
+			continue
+		default:
+		}
+		if !following {
+			o := <-r.orders
+			r.send(o)
+			continue
+		}
+		if !r.ask() {
+			time.Sleep(pause)
+		}
+	}
+}
+
+// ask makes one call: a watch after a known revision, else for the whole list.
+func (r *Registry) ask() bool {
+	query, within := "", grace
+	if r.known {
+		query = "?after=" + strconv.FormatInt(r.revision, 10) + "&wait_ms=" + strconv.Itoa(int(wait.Milliseconds()))
+		within += wait
+	}
+	l, err := r.call(query, within)
+	if err == nil && !l.Whole && (!r.known || l.Revision < r.revision) {
+		// A revision that goes back is another list's: the changes say nothing of ours.
+		err = fmt.Errorf("changes up to revision %d after %d", l.Revision, r.revision)
+		r.known = false
+	}
+	if err != nil {
+		if !r.down {
+			r.log.WithField("reason", err).Warn("discovery fails; the list stays as it is")
+			r.tell(Failed{})
+		}
+		r.down = true
+		return false
+	}
+	if r.down {
+		r.log.WithField("revision", l.Revision).Info("discovery answers again")
+	}
+	r.down = false
+	moved := l.Revision != r.revision || !r.known
+	r.revision, r.known = l.Revision, true
+	if l.Whole || moved || len(l.Members) > 0 {
+		r.tell(l)
+	}
+	return true
+}
+
+func (r *Registry) call(query string, within time.Duration) (List, error) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + r.client.Addr + path + query)
+	// A call that stays without an answer leaves its connection behind: the next one dials anew.
+	if err := r.client.DoTimeout(req, resp, within); err != nil {
+		return List{}, err
+	}
+	if code := resp.StatusCode(); code != fasthttp.StatusOK {
+		return List{}, fmt.Errorf("status %d", code)
+	}
+	return Parse(resp.Body())
+}
+
+var errNoRevision = errors.New("no revision")
+
+// Parse reads a list.
+func Parse(text []byte) (List, error) {
+	var seen struct {
+		Revision *int64 `json:"revision"`
+		List
+	}
+	if err := json.Unmarshal(text, &seen); err != nil {
+		return List{}, err
+	}
+	if seen.Revision == nil {
+		return List{}, errNoRevision
+	}
+	seen.List.Revision = *seen.Revision
+	return seen.List, nil
+}
--- /dev/null
+++ b/stream/endings.go
@@ -0,0 +1,51 @@
+package stream
+
+import (
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// endings writes one line for each connection that ends; in a flood, one for all that ended for the same reason.
+type endings struct {
+	log *logrus.Entry
+
+	mu     sync.Mutex
+	second int64
+	lines  int
+	more   map[Reason]int
+}
+
+const mostEndings = 50 // lines a second
+
+func newEndings(log *logrus.Entry) *endings { return &endings{log: log, more: map[Reason]int{}} }
+
+func (e *endings) add(c *Conn) {
+	c.mu.Lock()
+	entry := e.log.WithFields(logrus.Fields{"reason": c.reason, "peer": c.net.RemoteAddr().String(),
+		"lasted": time.Since(c.began).Round(time.Millisecond).String(), "lines": c.lines})
+	if c.subject != "" {
+		entry = entry.WithField("of", c.subject)
+	}
+	if c.faults > 0 {
+		entry = entry.WithFields(logrus.Fields{"faults": c.faults, "first": c.fault.Error()})
+	}
+	why := c.reason
+	c.mu.Unlock()
+
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if now := time.Now().Unix(); now != e.second {
+		e.second, e.lines = now, 0
+		for why, n := range e.more {
+			e.log.WithFields(logrus.Fields{"reason": why, "count": n}).Info("more connections ended")
+		}
+		clear(e.more)
+	}
+	if e.lines++; e.lines > mostEndings {
+		e.more[why]++
+		return
+	}
+	entry.Info("connection ended")
+}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -11,6 +11,7 @@
 	"math"
 
 	"elmfold/choice"
+	"elmfold/deployment"
 )
 
 // Launch starts an instance.
@@ -203,7 +204,11 @@
 		if c.short {
 			return rec, errShort
 		}
-		dep, err := readDeployment(string(text))
+		flat, err := deployment.Split(string(text))
+		if err != nil {
+			return rec, err
+		}
+		dep, err := deployment.Read(flat)
 		d.doors[inst] = &door{index: map[address]int{}, proxyAt: map[uint16]int{}, products: len(dep.Products)}
 		rec.Event = Launch{Deployment: dep}
 		return rec, err
