--- a/registry/registry.go
+++ b/registry/registry.go
@@ -43,9 +43,9 @@
 type Failed struct{}
 
 const (
-	wait       = 1000 * time.Millisecond // that discovery may take to answer a watch
-	grace      = 800 * time.Millisecond  // more, after which a network is taken to be silent
-	dialWithin = 300 * time.Millisecond
+	wait       = 400 * time.Millisecond // that discovery may take to answer a watch
+	grace      = 500 * time.Millisecond // more, after which the network is taken to be silent
+	dialWithin = 250 * time.Millisecond
 	pause      = 50 * time.Millisecond // after a failure; a watch goes on within 200 ms of the last answer
 	mostBytes  = 16 << 20
 	path       = "/registry/instances"
