Discovery that answers at once with nothing is asked with pauses; an address still in use is tried again

Seen while writing tests: a stand-in that answers without waiting was asked in a tight loop, on the one core. The registry now pauses 50 ms then, which stays under the 200 ms that end a watch. A start while the last one is on its way out would have ended as a crash (address in use); it is tried for 2 s.

--- a/cmd/elmfold/main_test.go
+++ b/cmd/elmfold/main_test.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 
@@ -73,15 +74,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	changed := make(chan string)
+	var drains atomic.Bool
 	go func() {
 		_ = fasthttp.Serve(ln, func(ctx *fasthttp.RequestCtx) {
-			select {
-			case body := <-changed:
-				ctx.SetBodyString(body)
-			default:
-				ctx.SetBodyString(`{"revision":1,"complete":false,"members":[]}`)
+			phase := "SERVING"
+			if drains.Load() {
+				phase = "DRAINING"
 			}
+			_, _ = fmt.Fprintf(ctx, `{"revision":2,"complete":false,"members":[{"id":"s-1","locality":"a","phase":"%s","size":1}]}`, phase)
 		})
 	}()
 	c, log := start(t, fmt.Sprintf(settings, ln.Addr()))
@@ -103,7 +103,7 @@
 	mark := find(t, in, "ticket=")
 	_, number, _ := strings.Cut(mark, "ticket=")
 	_, _ = fmt.Fprintf(stream, "ACK node=2 nonce=%s latency=3.5\r\n", strings.TrimSpace(number))
-	changed <- `{"revision":2,"complete":false,"members":[{"id":"s-1","locality":"a","flavor":"s","phase":"DRAINING","size":1.0}]}`
+	drains.Store(true)
 	if line := find(t, in, "out="); !strings.Contains(line, "out=s-1") {
 		t.Errorf("a drain gave %q", line)
 	}
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -46,7 +46,7 @@
 	wait       = 400 * time.Millisecond // that discovery may take to answer a watch
 	grace      = 500 * time.Millisecond // more, after which the network is taken to be silent
 	dialWithin = 250 * time.Millisecond
-	pause      = 50 * time.Millisecond // after a failure; a watch goes on within 200 ms of the last answer
+	pause      = 50 * time.Millisecond // after a failure, or an answer at once that says nothing; 200 ms end a watch
 	mostBytes  = 16 << 20
 	path       = "/registry/instances"
 )
@@ -60,6 +60,8 @@
 	orders   chan order
 	log      *logrus.Entry
 	down     bool
+
+	wait, grace time.Duration
 }
 
 type order uint8
@@ -78,7 +80,7 @@
 			Addr: addr, MaxConns: 2, MaxResponseBodySize: mostBytes, MaxIdemponentCallAttempts: 1,
 			Dial: func(addr string) (net.Conn, error) { return dialer.DialTimeout(addr, dialWithin) },
 		},
-		tell: tell, orders: make(chan order, 16), log: log,
+		tell: tell, orders: make(chan order, 16), log: log, wait: wait, grace: grace,
 	}
 }
 
@@ -129,7 +131,8 @@
 			r.send(o)
 			continue
 		}
-		if !r.ask() {
+		at, revision := time.Now(), r.revision
+		if !r.ask() || r.revision == revision && time.Since(at) < pause {
 			time.Sleep(pause)
 		}
 	}
@@ -137,10 +140,10 @@
 
 // ask makes one call: a watch after a known revision, else for the whole list.
 func (r *Registry) ask() bool {
-	query, within := "", grace
+	query, within := "", r.grace
 	if r.known {
-		query = "?after=" + strconv.FormatInt(r.revision, 10) + "&wait_ms=" + strconv.Itoa(int(wait.Milliseconds()))
-		within += wait
+		query = "?after=" + strconv.FormatInt(r.revision, 10) + "&wait_ms=" + strconv.Itoa(int(r.wait.Milliseconds()))
+		within += r.wait
 	}
 	l, err := r.call(query, within)
 	if err == nil && !l.Whole && (!r.known || l.Revision < r.revision) {
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -8,6 +8,7 @@
 	"reflect"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/sirupsen/logrus"
 )
@@ -22,8 +23,8 @@
 	return answer(fmt.Sprintf(`{"revision":%d,"complete":%v,"later":[{}],"members":[%s]}`, n, whole, members))
 }
 
-// discovery is a stand-in: it gives the answers in turn, an empty one by silence, and hands on what it was asked.
-// After the last it is silent.
+// discovery is a stand-in: it gives the answers in turn, the last one again and again, and hands on what it was
+// asked.
 func discovery(t *testing.T, answers ...string) (addr string, asked chan string) {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -33,7 +34,7 @@
 	t.Cleanup(func() { _ = ln.Close() })
 	asked = make(chan string, 100)
 	turn := make(chan string, len(answers))
-	for _, a := range answers {
+	for _, a := range answers[:len(answers)-1] {
 		turn <- a
 	}
 	go func() {
@@ -51,19 +52,23 @@
 					}
 					if _, path, ok := strings.Cut(line, "GET "); ok {
 						path, _, _ = strings.Cut(path, " ")
-						asked <- path
+						select {
+						case asked <- path:
+						default:
+						}
 					}
 					if line != "\r\n" {
 						continue
 					}
+					a := answers[len(answers)-1]
 					select {
-					case a := <-turn:
-						if a == "reset" {
-							return
-						}
-						_, _ = io.WriteString(c, a)
+					case a = <-turn:
 					default:
 					}
+					if a == "reset" {
+						return
+					}
+					_, _ = io.WriteString(c, a)
 				}
 			}()
 		}
@@ -94,11 +99,11 @@
 		revision(5, false, member), // of another list: the whole one is asked for
 		revision(6, true, ""),      // which went back
 		"reset",
-		"HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\n{\"rev", // silence in mid-answer
 		revision(7, false, member),
 	)
 	r := New(addr, func(v any) { said <- v }, quiet())
 	r.From(List{Revision: 41, Whole: true})
+	r.grace = time.Minute // what fails here does so at once
 	go r.Run(true)
 	for i, want := range []any{
 		List{42, false, one}, List{60, false, one}, Failed{}, List{61, true, one}, Failed{}, List{62, false, []Member{}},
@@ -108,7 +113,7 @@
 			t.Errorf("%d: told %+v, want %+v", i, got, want)
 		}
 	}
-	for i, after := range []int{41, 42, 42, 60, 60, 61, 61, 61, 62, 0, 6, 6, 6, 7} {
+	for i, after := range []int{41, 42, 42, 60, 60, 61, 61, 61, 62, 0, 6, 6, 7} {
 		want := "/registry/instances"
 		if after > 0 {
 			want += fmt.Sprint("?after=", after, "&wait_ms=", wait.Milliseconds())
@@ -119,6 +124,22 @@
 	}
 }
 
+// A discovery that falls silent, before or within an answer, is given up and dialled anew.
+func TestSilence(t *testing.T) {
+	said := make(chan any, 100)
+	addr, asked := discovery(t, "", "HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\n{\"rev", revision(7, false, member))
+	r := New(addr, func(v any) { said <- v }, quiet())
+	r.From(List{Revision: 6, Whole: true})
+	r.wait, r.grace = time.Millisecond, 200*time.Millisecond
+	go r.Run(true)
+	if v := <-said; v != any(Failed{}) {
+		t.Errorf("told %+v first", v)
+	}
+	if l, ok := (<-said).(List); !ok || l.Revision != 7 || len(asked) < 3 {
+		t.Errorf("told %+v after %d calls", l, len(asked))
+	}
+}
+
 // Where lists are asked for, nothing is asked before the order, and one reload asks once.
 func TestAsked(t *testing.T) {
 	said := make(chan any, 100)
--- a/stream/stream.go
+++ b/stream/stream.go
@@ -49,6 +49,7 @@
 	spareFDs    = 48 // descriptors for all else
 	fewest      = 8  // connections
 	acceptPause = 20 * time.Millisecond
+	listenTries = 100
 )
 
 // Ended says that a connection is over; nothing comes from it any more.
@@ -76,6 +77,10 @@
 // Listen opens the address for up to so many descriptors.
 func Listen(addr string, sockets int, hear Hear, log *logrus.Entry) (*Listener, error) {
 	ln, err := net.Listen("tcp", addr)
+	for tries := 0; errors.Is(err, syscall.EADDRINUSE) && tries < listenTries; tries++ {
+		time.Sleep(acceptPause) // the one that was here before is still on its way out
+		ln, err = net.Listen("tcp", addr)
+	}
 	if err != nil {
 		return nil, err
 	}
