--- a/choice/choice.go
+++ b/choice/choice.go
@@ -69,13 +69,7 @@
 	}
 	// The most confined are placed first, as their places read; the others take the room that is left.
 	slices.SortFunc(a.groups, func(g, h group) int { return cmp.Compare(g.places, h.places) })
-	for g := range a.groups {
-		a.spill = append(a.spill, make([][]float64, d.Zones))
-		for z := range d.Zones {
-			a.spill[g][z] = make([]float64, d.Zones)
-			a.spill[g][z][z] = 1 // all stays at home
-		}
-	}
+	a.stayHome()
 	return a
 }
 
@@ -108,22 +102,12 @@
 		case Used:
 			a.hearUse(e)
 		case Fenced:
-			p, batch := a.proxy(e.Proxy), a.batch-(a.batch-e.Number)%fences
-			a.passed = max(a.passed, batch-1) // messages leave in order
-			for i := range p.sent {
-				if p.sent[i].batch <= batch {
-					p.sent[i].cost = 0
-				}
-			}
+			a.hearFence(a.proxy(e.Proxy), a.batch-(a.batch-e.Number)%fences)
 		case Woken:
 			tick = true
 		}
 	}
-	for i := range a.px {
-		if a.px[i].joined {
-			a.in = append(a.in, &a.px[i])
-		}
-	}
+	a.gather()
 	if a.refollow && (tick || !a.began) {
 		a.refollow = false
 		a.order(Follow{On: true})
@@ -199,17 +183,6 @@
 	}
 }
 
-func (a *Assigner) hearTries(e Heard) {
-	be, b := &a.be, e.Backend
-	a.grow(b + 1)
-	e.Tries = max(e.Tries, 0)
-	voided := min(max(e.Voided, 0), e.Tries)
-	be.tries[b], be.voided[b], be.fresh[b] = be.tries[b]+e.Tries, be.voided[b]+voided, be.fresh[b] || e.Tries > 0
-	if good := e.Tries - voided; good > 0 && e.Took > 0 {
-		be.good[b], be.spent[b] = be.good[b]+good, be.spent[b]+good*float64(e.Took)
-	}
-}
-
 // ramp is the part of its weight that a backend may have now.
 func (a *Assigner) ramp(b int) float64 {
 	age := max(a.now-a.be.rampAt[b], 0)
@@ -245,6 +218,16 @@
 	return p.use[k]
 }
 
+// sla is the SLA time of the mean txn that comes.
+func (a *Assigner) sla() float64 {
+	sum, n := 0.0, 1e-9
+	for k, pr := range a.d.Products {
+		d := a.demand(k) + 1e-9
+		sum, n = sum+d*float64(pr.SLA), n+d
+	}
+	return max(sum/n, 1)
+}
+
 // judge looks at what was heard since the last tick: who is hot, and whether all are.
 func (a *Assigner) judge() {
 	be, sla, news := &a.be, a.sla(), false
@@ -587,6 +570,20 @@
 	return t
 }
 
+// capFor is the cap on the txns of a second that lets in want of them, where use come by chance (Poisson).
+func capFor(want, use float64) float64 {
+	if use > 50 {
+		return want // chance is small beside that
+	}
+	chance, more, in := math.Exp(-use), 1.0, 0.0
+	for n := 0.0; ; n++ {
+		if more -= chance; in+more >= want || more < 1e-3 {
+			return n + (want-in)/max(more, 1e-3)
+		}
+		in, chance = in+more, chance*use/(n+1)
+	}
+}
+
 // levelOf is the level to order; none while levels cover what is asked for. A proxy that has not reported yet
 // starts with no more than it is said to get: after a restart callers may be asking again and again.
 func (a *Assigner) levelOf(p *proxy, k int, part float64) float64 {
@@ -619,12 +616,6 @@
 	nothing
 )
 
-type diff struct { // what a proxy lacks, and what it will hold then
-	proxy, urgency int
-	orders         []Order
-	next           []tbl
-}
-
 func (a *Assigner) diff(i int) diff {
 	p, groups := &a.px[i], len(a.groups)
 	d := diff{proxy: i, urgency: nothing}
@@ -670,15 +661,6 @@
 	return d
 }
 
-// charge counts lines of this reply's message to a proxy.
-func (a *Assigner) charge(p *proxy, lines float64) {
-	if n := len(p.sent); n == 0 || p.sent[n-1].batch <= a.batch {
-		p.sent, lines = append(p.sent, message{at: a.now, batch: a.batch + 1}), lines+a.d.LinesHead+1
-	}
-	p.sent[len(p.sent)-1].cost += lines
-	a.queue += lines
-}
-
 // room says whether the part of what is allowed has room for lines, and for another message to each proxy.
 func (a *Assigner) room(part, lines float64, to ...*proxy) bool {
 	for _, p := range to {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -268,9 +268,9 @@
 
 // What backends say they hold shows an overload before late answers do, by reports or probes.
 func TestHeld(t *testing.T) {
-	for i, held := range []float64{5, 20, 5, 20} {
-		d := deployment() // alone, and with a controller whose proxies send as much
-		d.Probes, d.Gauges, d.Controllers = true, []Gauge{GaugeBusy, GaugeHeld}, 1+i/2
+	for _, held := range []float64{5, 20} {
+		d := deployment()
+		d.Probes, d.Gauges = true, []Gauge{GaugeOther, GaugeHeld}
 		r := start(t, d)
 		probed := slices.Contains(r.second(reports(15, calm, 1000)...), Order(Probe{Backend: 3}))
 		e := reports(15, calm, 1000)
--- a/choice/helper_test.go
+++ b/choice/helper_test.go
@@ -10,7 +10,7 @@
 			{Revenue: 6, SLA: 5000, OwnZone: true},
 			{Revenue: 5, SLA: 8000, OnlyZones: []int{0}},
 		},
-		Zones: 2, Controllers: 1, Proxies: 4, GoneBinds: true, Cold: 15 * Second,
+		Zones: 2, Proxies: 4, GoneBinds: true, Cold: 15 * Second,
 		ColdCapacity: 0.2, ColdMultiple: 3, LinesPerS: 3000, LinesMost: 6000, LinesHead: 6, MessagesMost: 30,
 		MessagesOver: 10 * Second,
 	}
--- a/choice/iface.go
+++ b/choice/iface.go
@@ -23,9 +23,6 @@
 const (
 	GaugeOther Gauge = iota
 	GaugeHeld
-	GaugeQueued
-	GaugeBusy
-	GaugeTook
 )
 
 // Product is a class of txns.
@@ -41,7 +38,6 @@
 type Deployment struct {
 	Products     []Product
 	Zones        int
-	Controllers  int
 	Proxies      int
 	Asked        bool
 	Probes       bool
--- a/choice/state.go
+++ b/choice/state.go
@@ -38,6 +38,12 @@
 	sent               []message // within the counting span, or on their way
 }
 
+type diff struct { // what a proxy lacks, and what it will hold then
+	proxy, urgency int
+	orders         []Order
+	next           []tbl
+}
+
 type fleet struct { // parallel arrays under the door's index of backends
 	zone, kind      []int
 	status          []Status
@@ -86,16 +92,6 @@
 
 func (a *Assigner) ownZone(z int) int { return min(max(z, 0), a.d.Zones-1) }
 
-// sla is the SLA time of the mean txn that comes.
-func (a *Assigner) sla() float64 {
-	sum, n := 0.0, 1e-9
-	for k, pr := range a.d.Products {
-		d := a.demand(k) + 1e-9
-		sum, n = sum+d*float64(pr.SLA), n+d
-	}
-	return max(sum/n, 1)
-}
-
 func (a *Assigner) proxy(i int) *proxy {
 	for n := len(a.d.Products); len(a.px) <= i; {
 		a.px = append(a.px, proxy{use: make([]float64, n), voided: make([]float64, n), level: make([]float64, n)})
@@ -119,6 +115,56 @@
 	return float64(len(a.in)) / float64(max(a.d.Proxies, len(a.in), 1))
 }
 
+func (a *Assigner) hearTries(e Heard) {
+	be, b := &a.be, e.Backend
+	a.grow(b + 1)
+	e.Tries = max(e.Tries, 0)
+	voided := min(max(e.Voided, 0), e.Tries)
+	be.tries[b], be.voided[b], be.fresh[b] = be.tries[b]+e.Tries, be.voided[b]+voided, be.fresh[b] || e.Tries > 0
+	if good := e.Tries - voided; good > 0 && e.Took > 0 {
+		be.good[b], be.spent[b] = be.good[b]+good, be.spent[b]+good*float64(e.Took)
+	}
+}
+
+// hearFence takes that a batch has reached the proxy; messages leave in order.
+func (a *Assigner) hearFence(p *proxy, batch int) {
+	a.passed = max(a.passed, batch-1)
+	for i := range p.sent {
+		if p.sent[i].batch <= batch {
+			p.sent[i].cost = 0
+		}
+	}
+}
+
+// charge counts lines of this reply's message to a proxy.
+func (a *Assigner) charge(p *proxy, lines float64) {
+	if n := len(p.sent); n == 0 || p.sent[n-1].batch <= a.batch {
+		p.sent, lines = append(p.sent, message{at: a.now, batch: a.batch + 1}), lines+a.d.LinesHead+1
+	}
+	p.sent[len(p.sent)-1].cost += lines
+	a.queue += lines
+}
+
+// gather lists the proxies that are joined.
+func (a *Assigner) gather() {
+	for i := range a.px {
+		if a.px[i].joined {
+			a.in = append(a.in, &a.px[i])
+		}
+	}
+}
+
+// stayHome is where the groups' txns go at first: nowhere else.
+func (a *Assigner) stayHome() {
+	for g := range a.groups {
+		a.spill = append(a.spill, make([][]float64, a.d.Zones))
+		for z := range a.d.Zones {
+			a.spill[g][z] = make([]float64, a.d.Zones)
+			a.spill[g][z][z] = 1
+		}
+	}
+}
+
 func (p *proxy) asked() (u float64) {
 	for _, v := range p.use {
 		u += v
@@ -141,20 +187,6 @@
 	return v[len(v)/2]
 }
 
-// capFor is the cap on the txns of a second that lets in want of them, where use come by chance (Poisson).
-func capFor(want, use float64) float64 {
-	if use > 50 {
-		return want // chance is small beside that
-	}
-	chance, more, in := math.Exp(-use), 1.0, 0.0
-	for n := 0.0; ; n++ {
-		if more -= chance; in+more >= want || more < 1e-3 {
-			return n + (want-in)/max(more, 1e-3)
-		}
-		in, chance = in+more, chance*use/(n+1)
-	}
-}
-
 func either[T any](is bool, yes, no T) T {
 	if is {
 		return yes
--- a/cmd/elmfold/main.go
+++ b/cmd/elmfold/main.go
@@ -60,12 +60,8 @@
 	go d.Run(queue, sheet.Tick, clock)
 	go lists.Run(!sheet.Deployment.Asked)
 
-	ln, err := stream.Listen(sheet.Listen, sheet.Sockets, func(from *stream.Conn, said any) {
-		if _, over := said.(stream.Ended); over {
-			said = desk.Ended{}
-		}
-		queue <- desk.News{From: from, Said: said}
-	}, log)
+	hear := func(from *stream.Conn, said any) { queue <- desk.News{From: from, Said: said} }
+	ln, err := stream.Listen(sheet.Listen, sheet.Sockets, hear, log)
 	if err != nil {
 		return err
 	}
--- a/deployment/deployment.go
+++ b/deployment/deployment.go
@@ -117,7 +117,6 @@
 	zones, kinds := p.list("Zones"), p.list("Shapes")
 	d := choice.Deployment{
 		Zones:        max(len(zones), 1),
-		Controllers:  p.count("PeersTotal", 1, 1<<16),
 		Proxies:      p.count("Specifics.ProxyCount", 0, 1<<16),
 		Asked:        p.text["Discovery"] == "subscribe",
 		Probes:       p.flag("Ceilings.Probes"),
@@ -140,8 +139,10 @@
 		d.Levels = choice.LevelNone
 	}
 	for _, f := range p.list("Report.Fields") {
-		gauge := map[string]choice.Gauge{"active": choice.GaugeHeld, "waiting": choice.GaugeQueued,
-			"cpu": choice.GaugeBusy, "avg_ms": choice.GaugeTook}[f]
+		gauge := choice.GaugeOther
+		if f == "active" {
+			gauge = choice.GaugeHeld
+		}
 		d.Gauges = append(d.Gauges, gauge)
 	}
 	own := p.list("Specifics.ClassOwnZone")
--- a/desk/desk.go
+++ b/desk/desk.go
@@ -27,9 +27,6 @@
 	Fault(error)
 }
 
-// Ended says that a stream is over.
-type Ended struct{}
-
 // News is what a stream, or discovery (no stream), has to say.
 type News struct {
 	From Stream
@@ -206,7 +203,7 @@
 		}
 		d.events = append(d.events, choice.Heard{Zone: z, Backend: b, Tries: said.Tries, Voided: said.Voided,
 			Took: said.Took, Counting: said.Counting})
-	case Ended:
+	case edge.Ended:
 		if node, ok := d.nodes[from]; ok && d.proxies[node].stream == from {
 			d.leave(node)
 		}
@@ -280,15 +277,16 @@
 	statuses := map[string]choice.Status{registry.Serving: choice.Ready, registry.Draining: choice.Draining,
 		registry.Deleted: choice.Gone}
 	entries := make([]choice.Entry, 0, len(l.Members))
+	var odd []registry.Member
 	for _, m := range l.Members {
 		status, ok := statuses[m.Phase]
 		zone := slices.Index(d.names.Zones, m.Zone)
 		at, listed := d.index[m.ID]
-		if !ok || zone < 0 && status != choice.Gone || m.ID == "" || !listed && status == choice.Gone {
-			if status != choice.Gone || !ok {
-				d.log.WithFields(logrus.Fields{"backend": m.ID, "phase": m.Phase, "zone": m.Zone}).
-					Warn("an entry of the list is read past")
-			}
+		if !ok || m.ID == "" || zone < 0 && status != choice.Gone {
+			odd = append(odd, m)
+			continue
+		}
+		if !listed && status == choice.Gone {
 			continue
 		}
 		if !listed {
@@ -302,6 +300,10 @@
 		}
 		entries = append(entries, e)
 	}
+	if len(odd) > 0 {
+		d.log.WithFields(logrus.Fields{"count": len(odd), "first": odd[0].ID, "phase": odd[0].Phase, "zone": odd[0].Zone}).
+			Warn("entries of the list are read past")
+	}
 	d.events = append(d.events, choice.Listed{Kind: kind, Entries: entries})
 }
 
--- a/desk/desk_test.go
+++ b/desk/desk_test.go
@@ -46,7 +46,7 @@
 
 func deploymentOf(proxies int) choice.Deployment {
 	return choice.Deployment{Products: []choice.Product{{Revenue: 1, SLA: 8000}, {Revenue: 2, SLA: 8000},
-		{Revenue: 3, SLA: 8000, OnlyZones: []int{0}}}, Zones: 2, Controllers: 2, Proxies: proxies, GoneBinds: true,
+		{Revenue: 3, SLA: 8000, OnlyZones: []int{0}}}, Zones: 2, Proxies: proxies, GoneBinds: true,
 		Cold: 17 * choice.Second, ColdCapacity: 0.2, ColdMultiple: 3, ConnsLeast: 500, LinesPerS: 3000, LinesMost: 3000,
 		LinesHead: 6, MessagesOver: 10 * choice.Second}
 }
@@ -92,11 +92,11 @@
 		{older, used, nil},
 		{second, join, []choice.Event{choice.Left{Proxy: 2}, choice.Joined{Proxy: 2, Zone: 1, Rate: 7}}},
 		{first, used, nil},
-		{first, Ended{}, nil},
-		{older, Ended{}, nil},
+		{first, edge.Ended{}, nil},
+		{older, edge.Ended{}, nil},
 		{second, used, []choice.Event{choice.Used{Proxy: 2, Product: 1, Txns: 3, Counting: 10000}}},
-		{second, Ended{}, []choice.Event{choice.Left{Proxy: 2}}},
-		{second, Ended{}, nil},
+		{second, edge.Ended{}, []choice.Event{choice.Left{Proxy: 2}}},
+		{second, edge.Ended{}, nil},
 	} {
 		d.Hear(News{c.from, c.said})
 		if got := d.heard(); !reflect.DeepEqual(got, c.want) {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -50,6 +50,9 @@
 	Took, Counting choice.Time
 }
 
+// Ended says that a connection is over; nothing comes from it any more.
+type Ended struct{}
+
 // most bounds every figure; what lies beyond is no figure that a fleet could mean.
 const most = 1e12
 
--- a/launch/launch_test.go
+++ b/launch/launch_test.go
@@ -46,7 +46,7 @@
 	}
 	look, pay := d.Products[0], d.Products[1]
 	if look.SLA != 8000 || look.Revenue != 2 || look.OwnZone || !pay.OwnZone || pay.OnlyZones[0] != 1 || pay.OnlyKinds[0] != 1 ||
-		d.Proxies != 12 || d.LinesPerS != 3700 || d.Controllers != 2 || d.Asked || len(d.Gauges) > 0 {
+		d.Proxies != 12 || d.LinesPerS != 3700 || d.Asked || len(d.Gauges) > 0 {
 		t.Errorf("deployment %+v", d)
 	}
 	bare := strings.NewReplacer(`"limits"`, `"x"`, `"known"`, `"y"`, `"Granularity"`, `"z"`).Replace(file)
--- a/stream/stream.go
+++ b/stream/stream.go
@@ -52,10 +52,7 @@
 	listenTries = 100
 )
 
-// Ended says that a connection is over; nothing comes from it any more.
-type Ended struct{}
-
-// Hear takes what a connection says.
+// Hear takes what a connection says, and at last that it ended.
 type Hear func(from *Conn, said any)
 
 // Listener takes connections.
@@ -292,7 +289,7 @@
 	delete(c.l.conns, c)
 	c.l.mu.Unlock()
 	if c.said {
-		c.l.hear(c, Ended{})
+		c.l.hear(c, edge.Ended{})
 	}
 	c.l.log.add(c)
 }
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -66,7 +66,7 @@
 	d := batch.Records[0].Event.(Launch).Deployment
 	p, q := d.Products[0], d.Products[1]
 	if p.SLA != 8000 || !q.OwnZone || len(q.OnlyZones) != 2 || d.Cold != 170001 || d.MessagesOver != 100001 || d.GoneBinds || !d.Asked || d.Levels != choice.LevelShare ||
-		d.Zones != 3 || d.Controllers != 2 || len(d.Gauges) != 4 || d.Gauges[1] != choice.GaugeHeld {
+		d.Zones != 3 || len(d.Gauges) != 4 || d.Gauges[1] != choice.GaugeHeld {
 		t.Errorf("settings read as %+v", d)
 	}
 	want := []any{
