--- a/cmd/elmfold/main.go
+++ b/cmd/elmfold/main.go
@@ -1,4 +1,5 @@
-// Elmfold is a controller: it listens for proxies and collectors, follows discovery, and lets the module decide.
+// Elmfold is a controller: it listens for proxies and collectors, follows discovery, and lets the module
+// decide.
 package main
 
 import (
@@ -65,8 +66,9 @@
 	if err != nil {
 		return err
 	}
-	log.WithFields(logrus.Fields{"listen": ln.Addr().String(), "discovery": sheet.Discovery, "backends": len(sheet.Known.Members),
-		"proxies": sheet.Deployment.Proxies, "revision": sheet.Known.Revision}).Info("ready")
+	log.WithFields(logrus.Fields{"listen": ln.Addr().String(), "discovery": sheet.Discovery,
+		"backends": len(sheet.Known.Members), "proxies": sheet.Deployment.Proxies,
+		"revision": sheet.Known.Revision}).Info("ready")
 	return ln.Serve()
 }
 
--- a/cmd/elmfold/main_test.go
+++ b/cmd/elmfold/main_test.go
@@ -67,8 +67,8 @@
 	}
 }
 
-// From a report on a socket to an order on another: the controller answers before discovery does, lays a table
-// for a proxy that joins, shuts out what drains, and ends at once when it is told to.
+// From a report on a socket to an order on another: the controller answers before discovery does, lays a
+// table for a proxy that joins, shuts out what drains, and ends at once when it is told to.
 func TestServe(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/deployment/deployment.go
+++ b/deployment/deployment.go
@@ -1,5 +1,5 @@
-// Package deployment decodes the settings that a controller starts with, from flat keys, into the few that the
-// decisions read.
+// Package deployment decodes the settings that a controller starts with, from flat keys, into the few that
+// the decisions read.
 package deployment
 
 import (
--- a/desk/carry.go
+++ b/desk/carry.go
@@ -5,7 +5,8 @@
 	"elmfold/edge"
 )
 
-// carry sends the orders of a step: one message for each proxy concerned, in the order in which they are named.
+// carry sends the orders of a step: one message for each proxy concerned, in the order in which they are
+// named.
 func (d *Desk) carry(orders []choice.Order) {
 	ticket, all := 0, false
 	var to []int
@@ -132,8 +133,8 @@
 	return false
 }
 
-// parts is the message to a proxy: who is shut out and who is back first, then its tables, those that it is put
-// on now as a whole and later changes by product.
+// parts is the message to a proxy: who is shut out and who is back first, then its tables, those that it is
+// put on now as a whole and later changes by product.
 func (d *Desk) parts(p *proxy, ticket int) []edge.Part {
 	var parts []edge.Part
 	if shuts := d.shuts(p); len(shuts.Out)+len(shuts.Back) > 0 {
@@ -157,8 +158,8 @@
 	return parts
 }
 
-// shuts tells a proxy what differs from what it was told. One that comes from another controller may bring its
-// shut-outs: they are settled with the first line for that backend.
+// shuts tells a proxy what differs from what it was told. One that comes from another controller may bring
+// its shut-outs: they are settled with the first line for that backend.
 func (d *Desk) shuts(p *proxy) (part edge.Part) {
 	p.told = append(p.told, make([]shut, len(d.backends)-len(p.told))...)
 	for b, name := range d.backends {
--- a/desk/desk.go
+++ b/desk/desk.go
@@ -1,6 +1,6 @@
-// Package desk holds the one goroutine that owns the decisions. It takes what connections and discovery say off a
-// queue, puts indices in place of names, lets the module decide once for all that came in a moment, and writes
-// each proxy's orders as one message to the stream that the proxy has now. It decides nothing.
+// Package desk holds the one goroutine that owns the decisions. It takes what connections and discovery say
+// off a queue, puts indices in place of names, lets the module decide once for all that came in a moment, and
+// writes each proxy's orders as one message to the stream that the proxy has now. It decides nothing.
 package desk
 
 import (
@@ -103,7 +103,8 @@
 // New makes a Desk.
 func New(d choice.Deployment, names deployment.Names, lists Lists, log *logrus.Entry) *Desk {
 	return &Desk{assigner: choice.New(d), products: len(d.Products), names: names, lists: lists, log: log,
-		index: map[string]int{}, proxies: make([]proxy, d.Proxies), nodes: map[Stream]int{}, sources: map[Stream]bool{}}
+		index: map[string]int{}, proxies: make([]proxy, d.Proxies), nodes: map[Stream]int{},
+		sources: map[Stream]bool{}}
 }
 
 // Run serves the queue until the program ends; what comes within a tick is one moment.
@@ -185,8 +186,8 @@
 		}
 		p, err := d.speaker(from, said.Proxy)
 		if p != nil {
-			d.events = append(d.events, choice.Used{Proxy: said.Proxy, Product: k, Txns: said.Txns, Voided: said.Voided,
-				Counting: said.Counting})
+			d.events = append(d.events, choice.Used{Proxy: said.Proxy, Product: k, Txns: said.Txns,
+				Voided: said.Voided, Counting: said.Counting})
 		}
 		return err
 	case edge.Heard:
@@ -213,7 +214,8 @@
 	return nil
 }
 
-// speaker is the joined proxy that a report is about; none where it comes late from a stream that was replaced.
+// speaker is the joined proxy that a report is about; none where it comes late from a stream that was
+// replaced.
 func (d *Desk) speaker(from Stream, node int) (*proxy, error) {
 	if node >= len(d.proxies) {
 		return nil, errProxy
@@ -301,8 +303,8 @@
 		entries = append(entries, e)
 	}
 	if len(odd) > 0 {
-		d.log.WithFields(logrus.Fields{"count": len(odd), "first": odd[0].ID, "phase": odd[0].Phase, "zone": odd[0].Zone}).
-			Warn("entries of the list are read past")
+		d.log.WithFields(logrus.Fields{"count": len(odd), "first": odd[0].ID, "phase": odd[0].Phase,
+			"zone": odd[0].Zone}).Warn("entries of the list are read past")
 	}
 	d.events = append(d.events, choice.Listed{Kind: kind, Entries: entries})
 }
--- a/desk/desk_test.go
+++ b/desk/desk_test.go
@@ -71,8 +71,8 @@
 	return e
 }
 
-// The life of a proxy's streams: what comes late from one that was replaced is nobody's, and of two the one that
-// was opened later holds, in whatever order their first lines are read.
+// The life of a proxy's streams: what comes late from one that was replaced is nobody's, and of two the one
+// that was opened later holds, in whatever order their first lines are read.
 func TestStreams(t *testing.T) {
 	d := newDesk(4)
 	join := edge.Joined{Proxy: 2, Zone: "b", Rate: 7}
@@ -386,8 +386,9 @@
 	}
 }
 
-// What is written to the proxies stays within what the module charges for it, and the channel within its limit,
-// on days on which backends come and go, proxies move between controllers, and marks are answered late.
+// What is written to the proxies stays within what the module charges for it, and the channel within its
+// limit, on days on which backends come and go, proxies move between controllers, and marks are answered
+// late.
 func TestCharge(t *testing.T) {
 	const proxyCount = 12
 	kept := func(seed int64) bool {
--- a/launch/launch.go
+++ b/launch/launch.go
@@ -1,5 +1,5 @@
-// Package launch is the one place that reads what a controller is told at its start: the environment and the file
-// of settings. It checks both, fills in defaults, and names the key that is at fault.
+// Package launch is the one place that reads what a controller is told at its start: the environment and the
+// file of settings. It checks both, fills in defaults, and names the key that is at fault.
 package launch
 
 import (
@@ -175,8 +175,8 @@
 	if t.at("settings.Specifics.ProxyCount") == nil {
 		t.fail("settings.Specifics.ProxyCount", errMissing)
 	}
-	tick := time.Duration(t.above("settings.Granularity", float64(usualTick/time.Microsecond))) * time.Microsecond
-	s.Tick = min(tick, longestTick)
+	tick := t.above("settings.Granularity", float64(usualTick/time.Microsecond))
+	s.Tick = min(time.Duration(tick)*time.Microsecond, longestTick)
 	if known := t.at("known"); known != nil {
 		text, _ := json.Marshal(known)
 		if s.Known, err = registry.Parse(text); err != nil {
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -1,5 +1,5 @@
-// Package registry follows discovery: it asks for the list of backends and watches its changes over HTTP. What it
-// is told it passes on in the order in which it came; it decides nothing.
+// Package registry follows discovery: it asks for the list of backends and watches its changes over HTTP.
+// What it is told it passes on in the order in which it came; it decides nothing.
 package registry
 
 import (
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"net"
-	"strconv"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -46,7 +45,7 @@
 	wait       = 400 * time.Millisecond // that discovery may take to answer a watch
 	grace      = 500 * time.Millisecond // more, after which the network is taken to be silent
 	dialWithin = 250 * time.Millisecond
-	pause      = 50 * time.Millisecond // after a failure, or an answer at once that says nothing; 200 ms end a watch
+	pause      = 50 * time.Millisecond // after a failure, or an answer at once with nothing; 200 ms end a watch
 	mostBytes  = 16 << 20
 	path       = "/registry/instances"
 )
@@ -142,7 +141,7 @@
 func (r *Registry) ask() bool {
 	query, within := "", r.grace
 	if r.known {
-		query = "?after=" + strconv.FormatInt(r.revision, 10) + "&wait_ms=" + strconv.Itoa(int(r.wait.Milliseconds()))
+		query = fmt.Sprintf("?after=%d&wait_ms=%d", r.revision, r.wait.Milliseconds())
 		within += r.wait
 	}
 	l, err := r.call(query, within)
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -23,8 +23,8 @@
 	return answer(fmt.Sprintf(`{"revision":%d,"complete":%v,"later":[{}],"members":[%s]}`, n, whole, members))
 }
 
-// discovery is a stand-in: it gives the answers in turn, the last one again and again, and hands on what it was
-// asked.
+// discovery is a stand-in: it gives the answers in turn, the last one again and again, and hands on what it
+// was asked.
 func discovery(t *testing.T, answers ...string) (addr string, asked chan string) {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -82,8 +82,8 @@
 	return logrus.NewEntry(log)
 }
 
-// The list known at the start is watched from; changes, whole lists, jumps and every way in which a call can fail
-// come out as what the list is now, and a failure never ends the watching.
+// The list known at the start is watched from; changes, whole lists, jumps and every way in which a call can
+// fail come out as what the list is now, and a failure never ends the watching.
 func TestWatch(t *testing.T) {
 	one := []Member{{ID: "s-1", Zone: "a", Kind: "m2", Cell: 3, Phase: Serving, Size: 1.5, UpSince: 12}}
 	said := make(chan any, 100)
--- a/stream/endings.go
+++ b/stream/endings.go
@@ -7,7 +7,8 @@
 	"github.com/sirupsen/logrus"
 )
 
-// endings writes one line for each connection that ends; in a flood, one for all that ended for the same reason.
+// endings writes one line for each connection that ends; in a flood, one for all that ended for the same
+// reason.
 type endings struct {
 	log *logrus.Entry
 	now func() int64 // seconds
--- a/stream/stream.go
+++ b/stream/stream.go
@@ -1,5 +1,6 @@
-// Package stream holds the connections that proxies and collectors open: it takes lines off them, hands on what
-// they say, and writes whole messages. Limits of memory, descriptors and time are kept here; nothing is decided.
+// Package stream holds the connections that proxies and collectors open: it takes lines off them, hands on
+// what they say, and writes whole messages. Limits of memory, descriptors and time are kept here; nothing is
+// decided.
 package stream
 
 import (
@@ -81,8 +82,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Listener{net: ln, hear: hear, log: newEndings(log), most: max(sockets-spareFDs, fewest), limits: usual,
-		conns: map[*Conn]struct{}{}}, nil
+	return &Listener{net: ln, hear: hear, log: newEndings(log), most: max(sockets-spareFDs, fewest),
+		limits: usual, conns: map[*Conn]struct{}{}}, nil
 }
 
 // Addr is where it listens.
--- a/stream/stream_test.go
+++ b/stream/stream_test.go
@@ -54,7 +54,8 @@
 	log := logrus.New()
 	log.SetOutput(h)
 	var err error
-	h.Listener, err = Listen("127.0.0.1:0", 1024, func(from *Conn, said any) { h.heard <- heard{from, said} }, logrus.NewEntry(log))
+	hear := func(from *Conn, said any) { h.heard <- heard{from, said} }
+	h.Listener, err = Listen("127.0.0.1:0", 1024, hear, logrus.NewEntry(log))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -88,7 +89,8 @@
 func TestPieces(t *testing.T) {
 	h := open(t, nil)
 	c := h.dial(t, "")
-	text := "SOURCE locality=a\r\nNOISE x=1\r\nRATE node=x route=r total=1 interval=1\r\nRATE node=1 route=r total=2 interval=1000 later=9\r\n"
+	text := "SOURCE locality=a\r\nNOISE x=1\r\nRATE node=x route=r total=1 interval=1\r\n" +
+		"RATE node=1 route=r total=2 interval=1000 later=9\r\n"
 	for _, b := range []byte(text) {
 		_, _ = c.Write([]byte{b})
 	}
