Strangers' half lines never end a proxy's or collector's connection; own words in the desk

Seen in review: the limit on unfinished lines held for all connections alike, so strangers that filled it would have ended a collector in mid-report. It binds strangers alone now (stream.readLines); a test fills it and sends 60 kB from a collector. A stranger that said something of use gets a minute, whether or not the desk has heard it yet. A mark numbered 0 (once in 32,768 messages) was taken for none.

--- a/desk/carry.go
+++ b/desk/carry.go
@@ -8,7 +8,7 @@
 // carry sends the orders of a step: one message for each proxy concerned, in the order in which they are
 // named.
 func (d *Desk) carry(orders []choice.Order) {
-	ticket, all := 0, false
+	mark, all := none, false
 	var to []int
 	touch := func(concerned func(p *proxy) bool) {
 		for i := range d.proxies {
@@ -54,7 +54,7 @@
 			d.out[o.Backend] = o.Out
 			touch(func(p *proxy) bool { return d.holds(p, o.Backend) && p.toldOf(o.Backend) != shutFor(o.Out) })
 		case choice.Fence:
-			ticket, all = o.Number, o.All
+			mark, all = o.Number, o.All
 		case choice.Wake:
 			d.wakes = append(d.wakes, wake{at: d.now + max(o.After, 0), name: o.Name})
 		case choice.Follow:
@@ -75,7 +75,7 @@
 	}
 	for _, i := range to {
 		p := &d.proxies[i]
-		if parts := d.parts(p, ticket); len(parts) > 0 {
+		if parts := d.parts(p, mark); len(parts) > 0 {
 			p.stream.Send(edge.Append(nil, parts))
 		}
 		p.touched, p.fresh = false, 0
@@ -135,7 +135,7 @@
 
 // parts is the message to a proxy: who is shut out and who is back first, then its tables, those that it is
 // put on now as a whole and later changes by product.
-func (d *Desk) parts(p *proxy, ticket int) []edge.Part {
+func (d *Desk) parts(p *proxy, mark int) []edge.Part {
 	var parts []edge.Part
 	if shuts := d.shuts(p); len(shuts.Out)+len(shuts.Back) > 0 {
 		parts = append(parts, shuts)
@@ -145,15 +145,16 @@
 			parts = append(parts, d.tableParts(&d.tables[id], mask, p.fresh&mask > 0)...)
 		}
 	}
-	if ticket > 0 {
+	if mark != none {
 		if len(parts) == 0 {
 			parts = append(parts, edge.Part{})
 		}
-		parts[len(parts)-1].Ticket = ticket
-		if len(p.tickets) >= mostTickets {
-			p.tickets = p.tickets[1:]
+		last := &parts[len(parts)-1]
+		last.Marked, last.Mark = true, mark
+		if len(p.marks) >= mostMarks {
+			p.marks = p.marks[1:]
 		}
-		p.tickets = append(p.tickets, ticket)
+		p.marks = append(p.marks, mark)
 	}
 	return parts
 }
--- a/desk/desk.go
+++ b/desk/desk.go
@@ -53,7 +53,7 @@
 	fresh   uint32 // products put on a table in this step
 	told    []shut // by backend
 	brought shut   // of a backend that it was not told of here
-	tickets []int
+	marks   []int
 	touched bool
 }
 
@@ -72,9 +72,9 @@
 }
 
 const (
-	none        = -1
-	mostTickets = 256 // that a proxy may still answer
-	longest     = choice.Time(1) << 50
+	none      = -1
+	mostMarks = 256 // that a proxy may still answer
+	longest   = choice.Time(1) << 50
 )
 
 // Desk turns what was said into events and orders into messages.
@@ -89,7 +89,7 @@
 	index    map[string]int
 	out      []bool // by backend: withdrawn
 	proxies  []proxy
-	nodes    map[Stream]int  // streams that ever joined
+	owners   map[Stream]int  // the proxy of each stream that ever joined
 	sources  map[Stream]bool // collectors
 	tables   []table
 	laid     []int // tables that changed in this step
@@ -103,7 +103,7 @@
 // New makes a Desk.
 func New(d choice.Deployment, names deployment.Names, lists Lists, log *logrus.Entry) *Desk {
 	return &Desk{assigner: choice.New(d), products: len(d.Products), names: names, lists: lists, log: log,
-		index: map[string]int{}, proxies: make([]proxy, d.Proxies), nodes: map[Stream]int{},
+		index: map[string]int{}, proxies: make([]proxy, d.Proxies), owners: map[Stream]int{},
 		sources: map[Stream]bool{}}
 }
 
@@ -175,8 +175,8 @@
 			return err
 		}
 		// Only marks that this stream was sent are answers; each is taken once.
-		if at := slices.Index(p.tickets, said.Number); at >= 0 {
-			p.tickets = slices.Delete(p.tickets, at, at+1)
+		if at := slices.Index(p.marks, said.Number); at >= 0 {
+			p.marks = slices.Delete(p.marks, at, at+1)
 			d.events = append(d.events, choice.Fenced{Proxy: said.Proxy, Number: said.Number})
 		}
 	case edge.Used:
@@ -191,7 +191,7 @@
 		}
 		return err
 	case edge.Heard:
-		if _, joined := d.nodes[from]; !joined && !d.sources[from] {
+		if _, joined := d.owners[from]; !joined && !d.sources[from] {
 			return errStranger
 		}
 		if !slices.Contains(d.names.Zones, said.Zone) {
@@ -204,10 +204,10 @@
 		d.events = append(d.events, choice.Heard{Backend: b, Tries: said.Tries, Voided: said.Voided,
 			Took: said.Took})
 	case edge.Ended:
-		if node, ok := d.nodes[from]; ok && d.proxies[node].stream == from {
-			d.leave(node)
+		if at, ok := d.owners[from]; ok && d.proxies[at].stream == from {
+			d.leave(at)
 		}
-		delete(d.nodes, from)
+		delete(d.owners, from)
 		delete(d.sources, from)
 	}
 	return nil
@@ -215,13 +215,13 @@
 
 // speaker is the joined proxy that a report is about; none where it comes late from a stream that was
 // replaced.
-func (d *Desk) speaker(from Stream, node int) (*proxy, error) {
-	if node >= len(d.proxies) {
+func (d *Desk) speaker(from Stream, at int) (*proxy, error) {
+	if at >= len(d.proxies) {
 		return nil, errProxy
 	}
-	p := &d.proxies[node]
-	if own, ok := d.nodes[from]; ok {
-		if own != node || p.stream != from {
+	p := &d.proxies[at]
+	if own, ok := d.owners[from]; ok {
+		if own != at || p.stream != from {
 			return nil, nil
 		}
 	} else if !d.sources[from] {
@@ -233,14 +233,14 @@
 	return p, nil
 }
 
-func (d *Desk) leave(node int) {
-	d.proxies[node] = proxy{}
-	d.events = append(d.events, choice.Left{Proxy: node})
+func (d *Desk) leave(at int) {
+	d.proxies[at] = proxy{}
+	d.events = append(d.events, choice.Left{Proxy: at})
 }
 
 func (d *Desk) join(from Stream, said edge.Joined) error {
 	zone := slices.Index(d.names.Zones, said.Zone)
-	switch _, again := d.nodes[from]; {
+	switch _, again := d.owners[from]; {
 	case said.Proxy >= len(d.proxies):
 		return errProxy
 	case zone < 0:
@@ -249,7 +249,7 @@
 		return errTwice
 	}
 	p := &d.proxies[said.Proxy]
-	d.nodes[from] = said.Proxy
+	d.owners[from] = said.Proxy
 	if old := p.stream; old != nil {
 		// Of two streams the one that was opened later holds, in whatever order their first lines are read.
 		if from.Since() < old.Since() {
--- a/desk/desk_test.go
+++ b/desk/desk_test.go
@@ -103,8 +103,8 @@
 			t.Errorf("%d: %+v, want %+v", i, got, c.want)
 		}
 	}
-	if !older.over || !first.over || second.over || len(d.nodes) > 0 {
-		t.Errorf("replaced %v %v %v, %d streams kept", older.over, first.over, second.over, len(d.nodes))
+	if !older.over || !first.over || second.over || len(d.owners) > 0 {
+		t.Errorf("replaced %v %v %v, %d streams kept", older.over, first.over, second.over, len(d.owners))
 	}
 }
 
@@ -200,7 +200,7 @@
 		{[]choice.Order{choice.Clear{Table: 1}, choice.Line{Table: 1, Backend: 0, Weight: 3}}, "",
 			"CONFIG classes=look+order+pay whole=1 lines=s-0:3\r\n"},
 		{[]choice.Order{choice.Use{Proxy: 1, Table: 5, Products: 4}}, "", "CONFIG classes=pay whole=1\r\n"},
-		{[]choice.Order{choice.Fence{Number: 11, All: true}}, "CONFIG ticket=11\r\n", "CONFIG ticket=11\r\n"},
+		{[]choice.Order{choice.Fence{Number: 0, All: true}}, "CONFIG ticket=0\r\n", "CONFIG ticket=0\r\n"},
 		{[]choice.Order{choice.Use{Proxy: 3, Table: 1}, choice.Fence{Number: 12}, choice.Note{}, choice.Probe{}}, "", ""},
 	} {
 		d.carry(c.orders)
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -168,7 +168,8 @@
 	Lines     []Line
 	Gate      *Gate
 	Out, Back []string
-	Ticket    int // 0: none
+	Marked    bool
+	Mark      int // that is to be answered
 }
 
 // Most parts of one message.
@@ -177,7 +178,7 @@
 // Cost is what the part counts for in the channel.
 func (p Part) Cost() int {
 	n := len(p.Lines) + len(p.Out) + len(p.Back)
-	for _, has := range []bool{p.Whole, p.Gate != nil, p.Ticket > 0} {
+	for _, has := range []bool{p.Whole, p.Gate != nil, p.Marked} {
 		if has {
 			n++
 		}
@@ -222,8 +223,8 @@
 			b = strconv.AppendInt(append(b, " retry="...), int64(p.Gate.Tries), 10)
 		}
 		b = list(list(b, "out=", p.Out, ','), "back=", p.Back, ',')
-		if p.Ticket > 0 {
-			b = strconv.AppendInt(append(b, " ticket="...), int64(p.Ticket), 10)
+		if p.Marked {
+			b = strconv.AppendInt(append(b, " ticket="...), int64(p.Mark), 10)
 		}
 		if i < len(parts)-1 {
 			b = append(b, " more=1"...)
--- a/stream/stream.go
+++ b/stream/stream.go
@@ -37,13 +37,15 @@
 
 // limits bound what connections may cost.
 type limits struct {
-	line, held     int           // bytes of a line; of the unfinished long lines of all connections
-	unread, first  int           // bytes that a proxy may leave unread; that a stranger may
-	stranger, ping time.Duration // that a stranger may be silent; that it may be after a PING
+	line          int           // bytes of a line
+	held          int           // ... of the unfinished long lines of all, as far as strangers have a say
+	unread, first int           // ... that a proxy may leave unread; that a stranger may
+	stranger      time.Duration // that a stranger may be silent
+	spoken        time.Duration // ... one that said something of use
 }
 
 var usual = limits{line: 1 << 20, held: 32 << 20, unread: 1 << 20, first: 16 << 10,
-	stranger: 10 * time.Second, ping: 60 * time.Second}
+	stranger: 10 * time.Second, spoken: 60 * time.Second}
 
 const (
 	bufferBytes = 4 << 10
@@ -307,9 +309,10 @@
 			if len(long)+len(line) > c.l.line {
 				return errTooLong
 			}
-			// What grows doubles, so twice the length is held at most.
+			// What grows doubles, so twice the length is held at most. Strangers that fill the limit with half
+			// lines end themselves, and never a proxy or a collector.
 			held += 2 * len(line)
-			if c.l.heldNow.Add(int64(2*len(line))) > int64(c.l.limits.held) {
+			if c.l.heldNow.Add(int64(2*len(line))) > int64(c.l.limits.held) && !c.known.Load() {
 				return errMemory
 			}
 			long = append(long, line...)
@@ -344,14 +347,20 @@
 			c.Fault(err)
 		}
 	case edge.Ping:
-		c.mu.Lock()
-		if !c.known.Load() {
-			_ = c.net.SetReadDeadline(time.Now().Add(c.l.ping))
-		}
-		c.mu.Unlock()
+		c.spoke()
 		c.Send([]byte(edge.Pong))
 	default:
+		c.spoke()
 		c.said = true
 		c.l.hear(c, said)
 	}
 }
+
+// spoke gives a stranger that said something of use more time.
+func (c *Conn) spoke() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.known.Load() {
+		_ = c.net.SetReadDeadline(time.Now().Add(c.l.spoken))
+	}
+}
--- a/stream/stream_test.go
+++ b/stream/stream_test.go
@@ -121,12 +121,17 @@
 	}{
 		{Silent, 1 << 20, func(h *hall) { h.dial(t, "SUBSCRIBE no") }},
 		{TooLong, 1 << 20, func(h *hall) { h.dial(t, long) }},
-		{Memory, 96 << 10, func(h *hall) {
-			h.dial(t, "SOURCE locality=a\r\n"+long[:32<<10])
+		{Memory, 96 << 10, func(h *hall) { // strangers alone
+			known := h.dial(t, "SOURCE locality=a\r\n")
 			(<-h.heard).from.Known("")
+			h.dial(t, long[:32<<10])
 			for h.heldNow.Load() < 56<<10 {
 				runtime.Gosched()
 			}
+			_, _ = io.WriteString(known, "SOURCE locality="+long[:60<<10]+"\r\n")
+			if got := (<-h.heard).said.(edge.Source); len(got.Zone) != 60<<10 {
+				t.Errorf("a long line of a collector: %d bytes", len(got.Zone))
+			}
 			h.dial(t, long[:48<<10])
 		}},
 		{Reset, 1 << 20, func(h *hall) {
