A backend that is let back is let back at proxies that still go by tables they brought, too

Seen in review of desk/carry.go: such a proxy kept another controller's shut-out until its first table, though the order named the backend.

--- a/desk/carry.go
+++ b/desk/carry.go
@@ -1,6 +1,8 @@
 package desk
 
 import (
+	"slices"
+
 	"elmfold/choice"
 	"elmfold/edge"
 )
@@ -51,7 +53,7 @@
 			}
 			touch(func(q *proxy) bool { return q == p })
 		case choice.Withdraw:
-			d.out[o.Backend] = o.Out
+			d.out[o.Backend], d.told = o.Out, append(d.told, o.Backend)
 			touch(func(p *proxy) bool { return d.holds(p, o.Backend) && p.toldOf(o.Backend) != shutFor(o.Out) })
 		case choice.Fence:
 			mark, all = o.Number, o.All
@@ -84,7 +86,7 @@
 		t := &d.tables[t]
 		t.lines, t.changed, t.cleared = t.lines[:0], 0, false
 	}
-	d.laid = d.laid[:0]
+	d.laid, d.told = d.laid[:0], d.told[:0]
 }
 
 // table gives a table that an order of this step changes.
@@ -160,12 +162,14 @@
 }
 
 // shuts tells a proxy what differs from what it was told. One that comes from another controller may bring
-// its shut-outs: they are settled with the first line for that backend.
+// its shut-outs: each is settled with the first line for that backend, or the first order about it.
 func (d *Desk) shuts(p *proxy) (part edge.Part) {
 	p.told = append(p.told, make([]shut, len(d.backends)-len(p.told))...)
+	unlaid := slices.Contains(p.tables, none) // it still goes by tables that it brought along
 	for b, name := range d.backends {
-		want := shutFor(d.out[b])
-		if told := p.toldOf(b); told == want || !d.holds(p, b) || d.unlaid(p) && told == shutUnknown && !d.out[b] {
+		told, want := p.toldOf(b), shutFor(d.out[b])
+		brought := told == shutUnknown && want == shutIn && unlaid && !slices.Contains(d.told, b)
+		if told == want || brought || !d.holds(p, b) {
 			continue
 		}
 		if p.told[b] = want; want == shutOut {
@@ -177,16 +181,6 @@
 	return part
 }
 
-// unlaid says whether a proxy still goes by tables that it brought along.
-func (d *Desk) unlaid(p *proxy) bool {
-	for _, id := range p.tables {
-		if id == none {
-			return true
-		}
-	}
-	return false
-}
-
 func (d *Desk) tableParts(t *table, mask uint32, whole bool) (parts []edge.Part) {
 	first := edge.Part{Products: d.productNames(mask), Whole: whole || t.cleared}
 	gates := t.changed & mask
--- a/desk/desk.go
+++ b/desk/desk.go
@@ -93,6 +93,7 @@
 	sources  map[Stream]bool // collectors
 	tables   []table
 	laid     []int // tables that changed in this step
+	told     []int // backends that it shut out or let back
 
 	events []choice.Event
 	wakes  []wake
