An entry of the list that cannot be read costs that entry, not the whole answer

Seen in review: one faulty member made every answer unreadable, so the drains of all others would never have been heard. At the start it still ends the program, with the key.

--- a/launch/launch.go
+++ b/launch/launch.go
@@ -182,6 +182,11 @@
 		if s.Known, err = registry.Parse(text); err != nil {
 			t.fail("known", err)
 		}
+		for i, m := range s.Known.Members {
+			if m.Phase == registry.Unreadable {
+				t.fail(fmt.Sprint("known.members.", i), errors.New("not a backend"))
+			}
+		}
 	}
 	if t.err != nil {
 		return Sheet{}, t.err
--- a/launch/launch_test.go
+++ b/launch/launch_test.go
@@ -63,7 +63,7 @@
 		{"EDGE_CONFIG", file, "{"}, {"EDGE_CONFIG", file, ""},
 		{"EDGE_NAME", `"name":"n3",`, ""}, {"listen", `"10.0.0.4:3000"`, "7"}, {"EDGE_DISCOVERY", `"10.2.0.1:8500"`, `""`},
 		{"limits.cores", "0.5", "0"}, {"limits.memory_mb", "128", `"much"`}, {"limits.sockets", "512", "-1"},
-		{"known", `"revision":41,`, ""}, {"known", `"members":[`, `"members":[7,`},
+		{"known", `"revision":41,`, ""}, {"known.members.0", `"members":[`, `"members":[7,`},
 		{"settings.Zones", `["a","b"]`, "[]"}, {"settings.Zones.1", `"b"]`, `""]`}, {"settings.Shapes", `"Shapes"`, `"x"`},
 		{"settings.Classes", `"Classes"`, `"x"`}, {"settings.Classes.1.Name", `"Name":"pay",`, ""},
 		{"settings.Specifics.ProxyCount", `"ProxyCount":12,`, ""}, {"settings.Specifics.ProxyCount", ":12,", `:"x",`},
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -28,6 +28,8 @@
 	Serving  = "SERVING"
 	Draining = "DRAINING"
 	Deleted  = "DELETED"
+
+	Unreadable = "unreadable" // the entry, so nothing is known of it
 )
 
 // List is the whole list, or the entries that changed.
@@ -186,10 +188,11 @@
 
 var errNoRevision = errors.New("no revision")
 
-// Parse reads a list.
+// Parse reads a list. An entry that cannot be read costs that entry: the drains of others still count.
 func Parse(text []byte) (List, error) {
 	var seen struct {
-		Revision *int64 `json:"revision"`
+		Revision *int64            `json:"revision"`
+		Members  []json.RawMessage `json:"members"`
 		List
 	}
 	if err := json.Unmarshal(text, &seen); err != nil {
@@ -198,6 +201,11 @@
 	if seen.Revision == nil {
 		return List{}, errNoRevision
 	}
-	seen.List.Revision = *seen.Revision
-	return seen.List, nil
+	l := List{Revision: *seen.Revision, Whole: seen.Whole, Members: make([]Member, len(seen.Members))}
+	for i, entry := range seen.Members {
+		if json.Unmarshal(entry, &l.Members[i]) != nil {
+			l.Members[i] = Member{Phase: Unreadable}
+		}
+	}
+	return l, nil
 }
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -86,13 +86,14 @@
 // fail come out as what the list is now, and a failure never ends the watching.
 func TestWatch(t *testing.T) {
 	one := []Member{{ID: "s-1", Zone: "a", Kind: "m2", Phase: Serving, Size: 1.5, UpSince: 12}}
+	odd := Member{Phase: Unreadable}
 	said := make(chan any, 100)
 	addr, asked := discovery(t,
-		revision(42, false, member), // a change
-		revision(42, false, ""),     // nothing new: nothing said
-		revision(60, false, member), // a jump
-		answer(`{"revision":`),      // broken
-		revision(61, true, member),  // the whole list
+		revision(42, false, member),                  // a change
+		revision(42, false, ""),                      // nothing new: nothing said
+		revision(60, false, member),                  // a jump
+		answer(`{"revision":`),                       // broken
+		revision(61, true, member+`,{"id":7},"s-2"`), // the whole list, with entries that cannot be read
 		"HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n",
 		answer(`{"members":[]}`),   // no revision
 		revision(62, false, ""),    // only the revision moved
@@ -106,7 +107,7 @@
 	r.grace = time.Minute // what fails here does so at once
 	go r.Run(true)
 	for i, want := range []any{
-		List{42, false, one}, List{60, false, one}, Failed{}, List{61, true, one}, Failed{}, List{62, false, []Member{}},
+		List{42, false, one}, List{60, false, one}, Failed{}, List{61, true, append(one, odd, odd)}, Failed{}, List{62, false, []Member{}},
 		Failed{}, List{6, true, []Member{}}, Failed{}, List{7, false, one},
 	} {
 		if got := <-said; !reflect.DeepEqual(got, want) {
