--- a/stream/stream.go
+++ b/stream/stream.go
@@ -49,7 +49,7 @@
 
 const (
 	bufferBytes = 4 << 10
-	spareFDs    = 48 // descriptors for all else
+	spareFDs    = 20 // descriptors for all else; about ten are used
 	fewest      = 8  // connections
 	acceptPause = 20 * time.Millisecond
 	listenTries = 100
