--- a/desk/desk_test.go
+++ b/desk/desk_test.go
@@ -212,6 +212,10 @@
 			t.Errorf("%d: a fresh one got\n%s, want\n%s", i, got, c.cold)
 		}
 	}
+	d.carry([]choice.Order{choice.Follow{On: true}, choice.Reload{}})
+	if got := *d.lists.(*asked); got != (asked{1, 1}) {
+		t.Errorf("lists were asked for %+v", got)
+	}
 	d.heard()
 	for _, number := range []int{9, 9, 12} { // each mark is answered once
 		d.Hear(News{brings, edge.Fenced{Proxy: 0, Number: number}})
--- a/launch/launch.go
+++ b/launch/launch.go
@@ -171,6 +171,9 @@
 		Names: deployment.Names{Products: t.names("settings.Classes", "Name"),
 			Zones: t.names("settings.Zones", ""), Kinds: t.names("settings.Shapes", "")},
 	}
+	if len(s.Names.Products) > deployment.MostProducts {
+		t.fail("settings.Classes", fmt.Errorf("more than %d", deployment.MostProducts))
+	}
 	t.above("settings.Specifics.ProxyCount", 0)
 	if t.at("settings.Specifics.ProxyCount") == nil {
 		t.fail("settings.Specifics.ProxyCount", errMissing)
--- a/launch/launch_test.go
+++ b/launch/launch_test.go
@@ -66,6 +66,7 @@
 		{"known", `"revision":41,`, ""}, {"known.members.0", `"members":[`, `"members":[7,`},
 		{"settings.Zones", `["a","b"]`, "[]"}, {"settings.Zones.1", `"b"]`, `""]`}, {"settings.Shapes", `"Shapes"`, `"x"`},
 		{"settings.Classes", `"Classes"`, `"x"`}, {"settings.Classes.1.Name", `"Name":"pay",`, ""},
+		{"settings.Classes", `"Classes":[`, `"Classes":[` + strings.Repeat(`{"Name":"x"},`, 15)},
 		{"settings.Specifics.ProxyCount", `"ProxyCount":12,`, ""}, {"settings.Specifics.ProxyCount", ":12,", `:"x",`},
 		{"settings.Granularity", "4000", "true"}, {"Classes.0.Credit", `":2.0`, `":"two"`}, {"Classes.1.OnlyZones", `s":[1]`, `s":["x"]`},
 		{"Specifics.LinesPerS", "3700.0", `"fast"`},
