What waits on the queue is one moment, also after the process had no turn

Seen in review of desk.Run: when the 4 ms were over while news still waited, as on a core that others use, chance decided whether it came into the same step; split up, each part would have cost the proxies a message. TestMoment queues four joins with no time to gather: one step, one message each, one mark.

--- a/desk/desk.go
+++ b/desk/desk.go
@@ -126,6 +126,11 @@
 				gathering = false
 			}
 		}
+		// What came while this process had no turn belongs to the same moment: split up, each part would cost
+		// the proxies a message.
+		for n := len(queue); n > 0; n-- {
+			d.Hear(<-queue)
+		}
 		d.Step(clock())
 		idle.Reset(d.until(clock()))
 	}
--- a/desk/desk_test.go
+++ b/desk/desk_test.go
@@ -12,6 +12,7 @@
 	"strings"
 	"testing"
 	"testing/quick"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -225,6 +226,30 @@
 	}
 }
 
+// told hands on what is sent to it.
+type told struct {
+	line
+	messages chan string
+}
+
+func (t *told) Send(b []byte) { t.messages <- string(b) }
+
+// What waits on the queue is one moment: one step, and one message for each proxy, with the same mark.
+func TestMoment(t *testing.T) {
+	d, queue, messages := newDesk(4), make(chan News, 100), make(chan string, 100)
+	d.Known(list(true, serving("s-0"), serving("s-1")))
+	for i := range 4 {
+		queue <- News{&told{line{since: uint64(i)}, messages}, edge.Joined{Proxy: i, Zone: "a", Rate: 1, Fresh: true}}
+	}
+	now := 1000 * choice.Second
+	go d.Run(queue, time.Nanosecond, func() choice.Time { return now })
+	for range 4 {
+		if m := <-messages; !strings.HasSuffix(m, " ticket=1\r\n") || !strings.Contains(m, "lines=s-0:1,s-1:1") {
+			t.Errorf("first message %q", m)
+		}
+	}
+}
+
 // held is what a proxy goes by for a product.
 type held struct {
 	lines map[string]float64
