SIGHUP reads the file again: discovery moves at once, limits follow, a broken file changes nothing

At fault: main took SIGTERM and SIGINT alone; registry could ask one address only, and a call in hand was waited for up to 0.9 s. Now launch reads and checks the file as at the start; a broken one leaves one line with the key. A new address is asked for the whole list at once, the call to the old one is left; the list held stays until then. Memory, descriptors and cores are taken over, other keys are named in one line.

--- a/cmd/elmfold/main.go
+++ b/cmd/elmfold/main.go
@@ -26,6 +26,8 @@
 )
 
 func main() {
+	again := make(chan os.Signal, 1)
+	signal.Notify(again, syscall.SIGHUP)
 	log := logrus.New()
 	log.SetFormatter(&logrus.TextFormatter{FullTimestamp: true, TimestampFormat: "15:04:05.000"})
 	sheet, err := launch.Read(os.Getenv, os.ReadFile)
@@ -34,24 +36,47 @@
 		os.Exit(2)
 	}
 	entry := log.WithField("name", sheet.Name)
-	runtime.GOMAXPROCS(max(1, int(math.Round(sheet.Cores))))
-	debug.SetMemoryLimit(int64(heapPart * float64(sheet.MemoryMB) * (1 << 20)))
 
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
-	failed := make(chan error, 1)
-	go func() { failed <- serve(sheet, entry) }()
-	select {
-	case s := <-stop:
-		entry.WithField("reason", s.String()).Info("stopping")
-	case err := <-failed:
+	c, err := open(sheet, entry)
+	if err != nil {
 		entry.WithField("reason", "listen").Error(err)
 		os.Exit(1)
 	}
+	failed := make(chan error, 1)
+	go func() { failed <- c.streams.Serve() }()
+	for {
+		select {
+		case s := <-stop:
+			entry.WithField("reason", s.String()).Info("stopping")
+			return
+		case err := <-failed:
+			entry.WithField("reason", "listen").Error(err)
+			os.Exit(1)
+		case <-again:
+			c.reload()
+		}
+	}
+}
+
+// controller is what runs, and what it was told last.
+type controller struct {
+	sheet   launch.Sheet
+	lists   *registry.Registry
+	streams *stream.Listener
+	log     *logrus.Entry
+}
+
+// allow sets the limits of the process.
+func allow(s launch.Sheet) {
+	runtime.GOMAXPROCS(max(1, int(math.Round(s.Cores))))
+	debug.SetMemoryLimit(int64(heapPart * float64(s.MemoryMB) * (1 << 20)))
 }
 
-// serve starts the parts. The desk has the list known at the start before anyone can connect.
-func serve(sheet launch.Sheet, log *logrus.Entry) error {
+// open starts the parts. The desk has the list known at the start before anyone can connect.
+func open(sheet launch.Sheet, log *logrus.Entry) (*controller, error) {
+	allow(sheet)
 	queue := make(chan desk.News, queueLength)
 	lists := registry.New(sheet.Discovery, func(said any) { queue <- desk.News{Said: said} }, log)
 	lists.From(sheet.Known)
@@ -64,12 +89,33 @@
 	hear := func(from *stream.Conn, said any) { queue <- desk.News{From: from, Said: said} }
 	ln, err := stream.Listen(sheet.Listen, sheet.MemoryMB<<20, sheet.Sockets, hear, log)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	log.WithFields(logrus.Fields{"listen": ln.Addr().String(), "discovery": sheet.Discovery,
 		"backends": len(sheet.Known.Members), "proxies": sheet.Deployment.Proxies,
 		"revision": sheet.Known.Revision}).Info("ready")
-	return ln.Serve()
+	return &controller{sheet: sheet, lists: lists, streams: ln, log: log}, nil
+}
+
+// reload takes over a file that was replaced. One that is broken, half written or missing changes nothing;
+// streams, tables and the list held stay in any case.
+func (c *controller) reload() {
+	next, err := launch.Read(os.Getenv, os.ReadFile)
+	if err != nil {
+		c.log.WithField("reason", "settings").Errorf("the configuration stays as it was: %v", err)
+		return
+	}
+	if keys := c.sheet.Kept(next); len(keys) > 0 {
+		c.log.WithField("keys", keys).Warn("these changes wait for a restart")
+	}
+	if next.Discovery != c.sheet.Discovery {
+		c.lists.Move(next.Discovery)
+	}
+	allow(next)
+	c.streams.Allow(next.MemoryMB<<20, next.Sockets)
+	c.sheet.Discovery = next.Discovery
+	c.log.WithFields(logrus.Fields{"discovery": next.Discovery, "memory_mb": next.MemoryMB, "sockets": next.Sockets,
+		"cores": next.Cores}).Info("configuration taken over")
 }
 
 var began = time.Now()
--- a/cmd/elmfold/main_test.go
+++ b/cmd/elmfold/main_test.go
@@ -34,13 +34,18 @@
   "Guarantees":{"Cold":17000000,"StartCapacity":0.2,"TipMultiple":3},
   "Specifics":{"ProxyCount":4,"ThrottleBy":"rps","LinesPerS":3000,"PendingMax":3000,"Overhead":6,"SmallestConnTable":500}}}`
 
-// start runs a controller; the address it listens on stands in its log.
-func start(t *testing.T, text string) (*exec.Cmd, *bufio.Reader) {
+func write(t *testing.T, path, text string) {
 	t.Helper()
-	path := filepath.Join(t.TempDir(), "config.json")
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
+}
+
+// start runs a controller; the address it listens on stands in its log.
+func start(t *testing.T, text string) (*exec.Cmd, *bufio.Reader) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "config.json")
+	write(t, path, text)
 	c := exec.Command(os.Args[0])
 	c.Env = append(os.Environ(), "ELMFOLD_SERVE=1", "EDGE_CONFIG="+path)
 	out, err := c.StderrPipe()
@@ -111,6 +116,42 @@
 	if line := find(t, log, "ended"); !strings.Contains(line, "reason=closed") || !strings.Contains(line, `of="proxy 2"`) {
 		t.Errorf("the end left %q", line)
 	}
+	// A file that is broken changes nothing; one that is whole is taken over while proxies stay, however often,
+	// and the signal to end still ends it.
+	path := strings.TrimPrefix(c.Env[len(c.Env)-1], "EDGE_CONFIG=")
+	again := func(text, word string) string {
+		write(t, path, text)
+		_ = c.Process.Signal(syscall.SIGHUP)
+		return find(t, log, word)
+	}
+	moved, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	asked := make(chan string, 100)
+	go func() {
+		_ = fasthttp.Serve(moved, func(ctx *fasthttp.RequestCtx) {
+			select {
+			case asked <- string(ctx.RequestURI()):
+			default:
+			}
+			_, _ = io.WriteString(ctx, `{"revision":1,"complete":true,"members":[{"id":"s-2","locality":"a","phase":"SERVING","size":1}]}`)
+		})
+	}()
+	whole := fmt.Sprintf(settings, moved.Addr())
+	if line := again(whole[:99], "stays"); !strings.Contains(line, "EDGE_CONFIG") {
+		t.Errorf("half a file left %q", line)
+	}
+	if line := again(strings.Replace(whole, `"sockets":64`, `"sockets":-1`, 1), "stays"); !strings.Contains(line, "limits.sockets") {
+		t.Errorf("a faulty key left %q", line)
+	}
+	if line := again(strings.Replace(whole, `"Promise":800000`, `"Promise":1`, 1), "restart"); !strings.Contains(line, "settings") {
+		t.Errorf("a key that waits left %q", line)
+	}
+	again(whole, "taken over")
+	if got := <-asked; got != "/registry/instances" {
+		t.Errorf("the new address was asked for %s", got)
+	}
 	_ = c.Process.Signal(syscall.SIGTERM)
 	find(t, log, "stopping")
 	if err := c.Wait(); err != nil {
--- a/launch/launch.go
+++ b/launch/launch.go
@@ -1,12 +1,15 @@
-// Package launch is the one place that reads what a controller is told at its start: the environment and the
-// file of settings. It checks both, fills in defaults, and names the key that is at fault.
+// Package launch is the one place that reads what a controller is told, at its start and when the file has
+// been replaced: the environment and the file of settings. It checks both, fills in defaults, and names the key that is at fault.
 package launch
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net"
+	"reflect"
 	"strconv"
 	"strings"
 	"time"
@@ -152,25 +155,27 @@
 	if err := in.Decode(&t.top); err != nil {
 		return Sheet{}, fmt.Errorf("EDGE_CONFIG: %w", err)
 	}
-	said := func(name, key string) string {
-		v := env(name)
-		if v == "" {
-			v = t.text(key)
-		}
+	said := func(first, second, name string) string {
+		v := cmp.Or(first, second)
 		if v == "" {
 			t.fail(name, errMissing)
 		}
 		return v
 	}
 	s := Sheet{
-		Name: said("EDGE_NAME", "name"), Listen: said("EDGE_LISTEN", "listen"),
-		Discovery: said("EDGE_DISCOVERY", "discovery"),
+		Name:   said(env("EDGE_NAME"), t.text("name"), "EDGE_NAME"),
+		Listen: said(env("EDGE_LISTEN"), t.text("listen"), "EDGE_LISTEN"),
+		// The file goes first: it can be replaced while the program runs, its environment cannot.
+		Discovery: said(t.text("discovery"), env("EDGE_DISCOVERY"), "EDGE_DISCOVERY"),
 		Cores:     t.above("limits.cores", usualCores),
 		MemoryMB:  int(t.above("limits.memory_mb", usualMemoryMB)),
 		Sockets:   int(t.above("limits.sockets", usualSockets)),
 		Names: deployment.Names{Products: t.names("settings.Classes", "Name"),
 			Zones: t.names("settings.Zones", ""), Kinds: t.names("settings.Shapes", "")},
 	}
+	if _, _, err := net.SplitHostPort(s.Discovery); err != nil {
+		t.fail("discovery", err)
+	}
 	if len(s.Names.Products) > deployment.MostProducts {
 		t.fail("settings.Classes", fmt.Errorf("more than %d", deployment.MostProducts))
 	}
@@ -201,3 +206,20 @@
 	}
 	return s, nil
 }
+
+// Kept names the keys that differ in another sheet and that a controller which runs cannot take over. What it
+// is known to have held last is of no use to one that holds a list.
+func (s Sheet) Kept(next Sheet) (keys []string) {
+	for _, k := range []struct {
+		key       string
+		now, then any
+	}{
+		{"name", s.Name, next.Name}, {"listen", s.Listen, next.Listen},
+		{"settings", []any{s.Deployment, s.Names, s.Tick}, []any{next.Deployment, next.Names, next.Tick}},
+	} {
+		if !reflect.DeepEqual(k.now, k.then) {
+			keys = append(keys, k.key)
+		}
+	}
+	return keys
+}
--- a/launch/launch_test.go
+++ b/launch/launch_test.go
@@ -30,7 +30,7 @@
 }
 
 func TestRead(t *testing.T) {
-	env := map[string]string{"EDGE_CONFIG": "here", "EDGE_LISTEN": "10.0.0.9:1"}
+	env := map[string]string{"EDGE_CONFIG": "here", "EDGE_LISTEN": "10.0.0.9:1", "EDGE_DISCOVERY": "10.9.9.9:1"}
 	s, err := read(env, file)
 	if err != nil {
 		t.Fatal(err)
@@ -61,7 +61,7 @@
 	env := map[string]string{"EDGE_CONFIG": "here"}
 	for _, c := range []struct{ key, old, new string }{
 		{"EDGE_CONFIG", file, "{"}, {"EDGE_CONFIG", file, ""},
-		{"EDGE_NAME", `"name":"n3",`, ""}, {"listen", `"10.0.0.4:3000"`, "7"}, {"EDGE_DISCOVERY", `"10.2.0.1:8500"`, `""`},
+		{"EDGE_NAME", `"name":"n3",`, ""}, {"discovery", `10.2.0.1:8500`, "nowhere"}, {"listen", `"10.0.0.4:3000"`, "7"}, {"EDGE_DISCOVERY", `"10.2.0.1:8500"`, `""`},
 		{"limits.cores", "0.5", "0"}, {"limits.memory_mb", "128", `"much"`}, {"limits.sockets", "512", "-1"},
 		{"known", `"revision":41,`, ""}, {"known.members.0", `"members":[`, `"members":[7,`},
 		{"settings.Zones", `["a","b"]`, "[]"}, {"settings.Zones.1", `"b"]`, `""]`}, {"settings.Shapes", `"Shapes"`, `"x"`},
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -58,6 +58,7 @@
 	known    bool // a revision that a watch can go on from
 	tell     func(any)
 	orders   chan order
+	moves    chan string // the address to go on at
 	log      *logrus.Entry
 	down     bool
 
@@ -74,13 +75,15 @@
 
 // New makes a Registry; tell is given each List and each Failed.
 func New(addr string, tell func(any), log *logrus.Entry) *Registry {
+	return &Registry{client: clientFor(addr), tell: tell, orders: make(chan order, 16), moves: make(chan string, 1),
+		log: log, wait: wait, grace: grace}
+}
+
+func clientFor(addr string) *fasthttp.HostClient {
 	dialer := &fasthttp.TCPDialer{}
-	return &Registry{
-		client: &fasthttp.HostClient{
-			Addr: addr, MaxConns: 2, MaxResponseBodySize: mostBytes, MaxIdemponentCallAttempts: 1,
-			Dial: func(addr string) (net.Conn, error) { return dialer.DialTimeout(addr, dialWithin) },
-		},
-		tell: tell, orders: make(chan order, 16), log: log, wait: wait, grace: grace,
+	return &fasthttp.HostClient{
+		Addr: addr, MaxConns: 2, MaxResponseBodySize: mostBytes, MaxIdemponentCallAttempts: 1,
+		Dial: func(addr string) (net.Conn, error) { return dialer.DialTimeout(addr, dialWithin) },
 	}
 }
 
@@ -101,6 +104,29 @@
 // Reload asks for the whole list once.
 func (r *Registry) Reload() { r.send(reload) }
 
+// Move goes on at another address, at once. Of several the last one holds.
+func (r *Registry) Move(addr string) {
+	for {
+		select {
+		case r.moves <- addr:
+			return
+		default:
+		}
+		select {
+		case <-r.moves:
+		default:
+		}
+	}
+}
+
+// move takes up another address. Its revisions need not be those of the one before, so the whole list is
+// asked for; until that comes the list held stays as it is.
+func (r *Registry) move(addr string) {
+	r.log.WithFields(logrus.Fields{"from": r.client.Addr, "to": addr}).Info("discovery has moved")
+	r.client.CloseIdleConnections()
+	r.client, r.known, r.down = clientFor(addr), false, false
+}
+
 // send never makes the caller wait: orders beyond what may be waiting say nothing new.
 func (r *Registry) send(o order) {
 	select {
@@ -124,11 +150,17 @@
 				}
 			}
 			continue
+		case addr := <-r.moves:
+			r.move(addr)
 		default:
 		}
 		if !following {
-			o := <-r.orders
-			r.send(o)
+			select {
+			case o := <-r.orders:
+				r.send(o)
+			case addr := <-r.moves:
+				r.move(addr)
+			}
 			continue
 		}
 		at, revision := time.Now(), r.revision
@@ -146,6 +178,9 @@
 		within += r.wait
 	}
 	l, err := r.call(query, within)
+	if errors.Is(err, errMoved) {
+		return true
+	}
 	if err == nil && !l.Whole && (!r.known || l.Revision < r.revision) {
 		// A revision that goes back is another list's: the changes say nothing of ours.
 		err = fmt.Errorf("changes up to revision %d after %d", l.Revision, r.revision)
@@ -171,13 +206,35 @@
 	return true
 }
 
+var errMoved = errors.New("another address is to be asked")
+
+// call waits for an answer, or until another address is to be asked: what the old one still has to say is
+// nobody's then.
 func (r *Registry) call(query string, within time.Duration) (List, error) {
+	done := make(chan error, 1)
+	client := r.client
+	var answer List
+	go func() {
+		var err error
+		answer, err = get(client, query, within)
+		done <- err
+	}()
+	select {
+	case err := <-done:
+		return answer, err
+	case addr := <-r.moves:
+		r.move(addr)
+		return List{}, errMoved
+	}
+}
+
+func get(client *fasthttp.HostClient, query string, within time.Duration) (List, error) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
-	req.SetRequestURI("http://" + r.client.Addr + path + query)
+	req.SetRequestURI("http://" + client.Addr + path + query)
 	// A call that stays without an answer leaves its connection behind: the next one dials anew.
-	if err := r.client.DoTimeout(req, resp, within); err != nil {
+	if err := client.DoTimeout(req, resp, within); err != nil {
 		return List{}, err
 	}
 	if code := resp.StatusCode(); code != fasthttp.StatusOK {
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -173,3 +173,26 @@
 		t.Error("calls to nobody did not fail, or were told more than once")
 	}
 }
+
+// At another address the whole list is asked for at once, though the old one has not answered yet: nothing of
+// what it still says is told, and revisions may start lower. Of several moves the last one holds.
+func TestMove(t *testing.T) {
+	said := make(chan any, 100)
+	silent, first := discovery(t, "")
+	moved, asked := discovery(t, revision(3, true, member), revision(4, false, member))
+	r := New(silent, func(v any) { said <- v }, quiet())
+	r.From(List{Revision: 41, Whole: true})
+	r.grace = time.Hour // so that no call ends by itself
+	go r.Run(true)
+	<-first
+	r.Move(silent)
+	r.Move(moved)
+	for _, want := range []int64{3, 4} {
+		if l, ok := (<-said).(List); !ok || l.Revision != want {
+			t.Errorf("told %+v, want revision %d", l, want)
+		}
+	}
+	if a, b := <-asked, <-asked; a != path || !strings.HasPrefix(b, path+"?after=3&") {
+		t.Errorf("asked for %s, then %s", a, b)
+	}
+}
--- a/stream/stream.go
+++ b/stream/stream.go
@@ -40,22 +40,16 @@
 	Stopped  Reason = "stopped"  // with the listener
 )
 
-// limits bound what connections may cost.
+// limits bound what a connection may cost, whatever is configured.
 type limits struct {
-	line, opener  int           // bytes of a line; of a stranger's
-	held          int           // ... of the long lines of all that are not finished
-	unread, first int           // ... that a proxy may leave unread; that a stranger may
-	stranger      time.Duration // from being taken to the end of the joining
-	lastLook      time.Duration // for what had arrived by then and was not read yet
+	line, opener int           // bytes of a line; of a stranger's
+	first        int           // that a stranger may leave unread
+	stranger     time.Duration // from being taken to the end of the joining
+	lastLook     time.Duration // for what had arrived by then and was not read yet
 }
 
-// limitsFor shares out a part of the memory: what waits to be read and to be written stays well within it,
-// however many connections there are.
-func limitsFor(memory, sockets int) limits {
-	return limits{line: 1 << 20, opener: 1 << 10, held: memory / 8,
-		unread: min(max(memory/4/max(sockets, 1), 32<<10), 1<<20), first: 4 << 10,
-		stranger: 1500 * time.Millisecond, lastLook: 20 * time.Millisecond}
-}
+var usual = limits{line: 1 << 20, opener: 1 << 10, first: 4 << 10, stranger: 1500 * time.Millisecond,
+	lastLook: 20 * time.Millisecond}
 
 const (
 	bufferBytes = 4 << 10
@@ -74,11 +68,11 @@
 	hear Hear
 	log  *endings
 	limits
-	heldNow atomic.Int64
-	running sync.WaitGroup
+	most, held, unread atomic.Int64 // connections; bytes of all long lines; bytes that a proxy may leave unread
+	heldNow            atomic.Int64
+	running            sync.WaitGroup
 
 	mu     sync.Mutex
-	most   int // connections
 	since  uint64
 	conns  map[*Conn]struct{}
 	closed bool
@@ -94,8 +88,17 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Listener{net: ln, hear: hear, log: newEndings(log), most: max(sockets-spareFDs, fewest),
-		limits: limitsFor(memory, sockets), conns: map[*Conn]struct{}{}}, nil
+	l := &Listener{net: ln, hear: hear, log: newEndings(log), limits: usual, conns: map[*Conn]struct{}{}}
+	l.Allow(memory, sockets)
+	return l, nil
+}
+
+// Allow shares out so many bytes and descriptors, now and after a change: what waits to be read and to be
+// written stays well within the memory, however many connections there are.
+func (l *Listener) Allow(memory, sockets int) {
+	l.most.Store(int64(max(sockets-spareFDs, fewest)))
+	l.held.Store(int64(memory / 8))
+	l.unread.Store(int64(min(max(memory/4/max(sockets, 1), 32<<10), 1<<20)))
 }
 
 // Addr is where it listens.
@@ -137,7 +140,7 @@
 	l.mu.Lock()
 	l.since++
 	c := &Conn{net: nc, l: l, since: l.since, began: time.Now(), wake: make(chan struct{}, 1)}
-	full := len(l.conns) >= l.most
+	full := len(l.conns) >= int(l.most.Load())
 	l.mu.Unlock()
 	_ = nc.SetReadDeadline(c.began.Add(l.stranger))
 	if full && !l.shed() {
@@ -228,7 +231,7 @@
 	c.mu.Lock()
 	most := c.l.first
 	if c.opened.Load() {
-		most = c.l.unread
+		most = int(c.l.unread.Load())
 	}
 	over := len(c.out)+len(message) > most
 	if c.reason == "" && !over {
@@ -326,7 +329,7 @@
 	grow := func(to int) bool {
 		c.l.heldNow.Add(int64(to - grown))
 		grown = to
-		return int(c.l.heldNow.Load()) <= c.l.limits.held
+		return c.l.heldNow.Load() <= c.l.held.Load()
 	}
 	defer grow(0)
 	for {
--- a/stream/stream_test.go
+++ b/stream/stream_test.go
@@ -159,7 +159,9 @@
 		}},
 	} {
 		h := open(t, func(l *Listener) {
-			l.stranger, l.lastLook, l.line, l.limits.held, l.unread = time.Hour, time.Millisecond, 64<<10, 150<<10, 1<<10
+			l.stranger, l.lastLook, l.line = time.Hour, time.Millisecond, 64<<10
+			l.held.Store(150 << 10)
+			l.unread.Store(1 << 10)
 			if c.reason == Silent {
 				l.stranger = 50 * time.Millisecond
 			}
@@ -179,8 +181,11 @@
 // A joining that has arrived counts, though its time was over before this process had a turn; a crowd that
 // has to make room does not cost it its place.
 func TestLateTurn(t *testing.T) {
-	for _, most := range []int{50, 1} {
-		h := open(t, func(l *Listener) { l.stranger, l.lastLook, l.most = -time.Hour, time.Minute, most })
+	for _, most := range []int64{50, 1} {
+		h := open(t, func(l *Listener) {
+			l.stranger, l.lastLook = -time.Hour, time.Minute
+			l.most.Store(most)
+		})
 		h.dial(t, "SUBSCRIBE node=1 locality=a w=1 cold=0\r\n")
 		if _, ok := (<-h.heard).said.(edge.Joined); !ok {
 			t.Error("no joining was heard")
@@ -190,7 +195,7 @@
 
 // A proxy that does not read holds up nobody: what is sent to it waits, up to the limit, and Send returns.
 func TestSlowReader(t *testing.T) {
-	h := open(t, func(l *Listener) { l.unread = 8 << 20 })
+	h := open(t, func(l *Listener) { l.unread.Store(8 << 20) })
 	c := h.dial(t, "SUBSCRIBE node=1 locality=a w=1 cold=0\r\n")
 	from := (<-h.heard).from
 	const messages, size = 1000, 8 << 10
@@ -211,7 +216,7 @@
 // Hundreds of strangers that say nothing or half a line make room for a proxy, and a proxy never does.
 func TestCrowd(t *testing.T) {
 	const most = 50
-	h := open(t, func(l *Listener) { l.most = most })
+	h := open(t, func(l *Listener) { l.most.Store(most) })
 	first := h.dial(t, "SUBSCRIBE node=1 locality=a w=1 cold=0\r\n")
 	<-h.heard
 	for i := range 6 * most {
