Use of each product stands until it is reported and outlives a broken stream; chance for new ones

A probe logged total, knee, use and levels each tick: the first report of one product cleared the use of all others, so demand read 212 of 354/s and took 10 s to come back; proxies that had not reported were held to the plain rate they are said to get, about 1.5 txns/s, which declines what comes by chance; each reset stream began this anew. At fault: hearUse's clear, Step's Joined, levelOf for one not heard of.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -32,14 +32,15 @@
 	rampStart, rampTurn = 0.1, 5 * Second // part of its weight for a new one, doubled after (design)
 	coldMost            = 0.4             // part of the multiple that pushes a cold one over, at most
 
-	spillFrom         = 0.1      // a smaller excess of a zone's demand over its fair part stays at home
-	connPart          = 0.03     // part of a backend's connections that all proxies together may take up
-	picksLeast        = 4.0      // lines that a proxy has all the same
-	pickSwap          = 1.3      // load of a picked backend over another's from which they change places
-	leastChange       = 0.12     // relative change of a weight or level that is worth a line
-	useKeep, newsKeep = 0.5, 0.2 // a second, of a proxy's old use; a tick with news, of the tries at a backend
-	useMany, useSlow  = 5.0, 0.4 // txns/s; under that, mostly chance, it is kept for longer, to so slow a pace
-	letChance         = 0.5      // txns/s: the most that a level is raised for what comes by chance
+	spillFrom         = 0.1         // a smaller excess of a zone's demand over its fair part stays at home
+	connPart          = 0.03        // part of a backend's connections that all proxies together may take up
+	picksLeast        = 4.0         // lines that a proxy has all the same
+	pickSwap          = 1.3         // load of a picked backend over another's from which they change places
+	leastChange       = 0.12        // relative change of a weight or level that is worth a line
+	useKeep, newsKeep = 0.5, 0.2    // a second, of an old use; a tick with news, of the tries at a backend
+	useStale          = 12 * Second // without news of it, from which a use is no longer believed
+	useMany, useSlow  = 5.0, 0.4    // txns/s; under that, mostly chance, it is kept for longer, to such a pace
+	letChance         = 0.5         // txns/s: the most that a level is raised for what comes by chance
 
 	fewTries            = 4.0        // fewer tries say nothing of a backend
 	hotRatio, hotSLA    = 1.35, 0.35 // relieved: its time over the median, and over the SLA time
@@ -83,16 +84,18 @@
 			a.hearList(e)
 		case Joined:
 			p := a.proxy(e.Proxy)
-			p.joined, p.bound, p.heard, p.zone, p.sent = true, false, false, a.ownZone(e.Zone), nil
+			p.joined, p.bound, p.zone, p.sent = true, false, a.ownZone(e.Zone), nil
 			p.brings = e.Brings
 			p.held = make([]tbl, len(a.groups))
-			for k := range p.use {
-				p.use[k], p.voided[k] = e.Rate/float64(len(p.use)), 0
+			// Guards what is known of a proxy against streams that break and come again: it gets what it got.
+			for k := 0; k < len(p.use) && a.now > p.leftAt+useStale; k++ {
+				p.use[k], p.voided[k], p.newsAt[k] = e.Rate/float64(len(p.use)), 0, a.now
+				p.heard, p.told[k] = false, false
 			}
 			a.reset, a.urgent = true, true
 		case Left:
 			if p := a.proxy(e.Proxy); p.joined {
-				p.joined, p.bound, a.reset = false, false, true
+				p.joined, p.bound, p.leftAt, a.reset = false, false, a.now, true
 			}
 		case Heard:
 			a.hearTries(e)
@@ -140,12 +143,10 @@
 		return
 	}
 	keep := math.Pow(useKeep, max(s, 0.2)*min(max(p.use[k]/useMany, useSlow), 1))
-	if !p.heard {
-		clear(p.use) // the rate it was said to get gives way to what it gets
-	}
-	if p.heard = true; p.use[k] == 0 {
-		keep = 0
+	if !p.told[k] || p.use[k] == 0 {
+		keep = 0 // the rate it was said to get gives way to what it gets, by product
 	}
+	p.heard, p.told[k], p.newsAt[k] = true, true, a.now
 	p.use[k] = p.use[k]*keep + max(e.Txns, 0)/s*(1-keep)
 	p.voided[k] = p.voided[k]*keep + e.Voided/s*(1-keep)
 }
@@ -282,6 +283,9 @@
 	all, served, late := 0.0, 0.0, a.took/a.sla()
 	for _, p := range a.in {
 		for k, u := range p.use {
+			if a.now > p.newsAt[k]+useStale { // what came to nothing, or fell silent, is not reported
+				p.use[k], p.voided[k] = u*useKeep, p.voided[k]*useKeep
+			}
 			all, served = all+u, served+max(a.admitted(p, k)-p.voided[k], 0)
 		}
 	}
@@ -586,7 +590,7 @@
 }
 
 // levelOf is the level to order; none while levels cover what is asked for. A proxy that has not reported yet
-// starts with no more than it is said to get: after a restart callers may be asking again and again.
+// starts with what it is said to get, by chance: after a restart callers may be asking again and again.
 func (a *Assigner) levelOf(p *proxy, k int, part float64) float64 {
 	level := noLevel
 	if a.total > 0 && !a.free[k] {
@@ -603,7 +607,7 @@
 	case part < 1:
 		return min(level, p.use[k]*part)
 	case !p.heard:
-		return min(level, max(p.asked(), levelFloor))
+		return min(level, max(capFor(letMost*p.asked(), p.asked()), levelFloor))
 	case part < noLevel: // callers may ask far more than was heard of
 		return min(level, max(p.use[k]*part, most))
 	}
--- a/choice/state.go
+++ b/choice/state.go
@@ -34,6 +34,9 @@
 	brings             bool // shut-outs of another controller
 	zone               int
 	use, voided, level []float64 // txns/s by product; level is the max-rate
+	told               []bool    // ... its use was reported
+	newsAt             []Time    // ... when last, or when it joined
+	leftAt             Time
 	held               []tbl     // by group: what was ordered
 	picked             []bool    // by backend: may have a line
 	sent               []message // within the counting span, or on their way
@@ -96,7 +99,8 @@
 
 func (a *Assigner) proxy(i int) *proxy {
 	for n := len(a.d.Products); len(a.px) <= i; {
-		a.px = append(a.px, proxy{use: make([]float64, n), voided: make([]float64, n), level: make([]float64, n)})
+		a.px = append(a.px, proxy{use: make([]float64, n), voided: make([]float64, n), level: make([]float64, n),
+			told: make([]bool, n), newsAt: make([]Time, n), leftAt: never})
 	}
 	return &a.px[i]
 }
