--- a/choice/choice.go
+++ b/choice/choice.go
@@ -48,6 +48,8 @@
 	deadFails           = 0.6        // voided over the median's from which one that the list dropped is gone
 	easeBy, easeLeast   = 0.8, 0.3   // a step of relief, down to this
 	easeEvery           = 3 * Second // ... once in so long: what is heard now was done before the last step
+	shunFails           = 0.5        // voided over the median's from which one is shunned
+	shunBy, shunLeast   = 0.5, 0.1   // a tick with news, of its weight; down to this
 	returnBy, coolRatio = 1.03, 1.01 // a tick, back, while its time over the median is under that
 
 	slowChan             = 0.3      // part of its pace that a slowed channel is held to keep
@@ -169,7 +171,7 @@
 		// A new start, also one met while the backend still stands in tables: it is cold, and what was heard
 		// of it before holds no longer.
 		if en.Status == Ready && en.Up > 0 && en.Up > be.rampAt[b] {
-			be.rampAt[b], be.relief[b] = en.Up, 1
+			be.rampAt[b], be.relief[b], be.shun[b] = en.Up, 1, 1
 			be.tries[b], be.voided[b], be.good[b], be.spent[b] = 0, 0, 0, 0
 		}
 	}
@@ -192,8 +194,10 @@
 	return min(1, max(rampStart*math.Exp2(float64(min(age/rampTurn, 10))), sure))
 }
 
-// strength is what a backend counts for in tables: its listed weight, less while it is cold or hot.
-func (a *Assigner) strength(b int) float64 { return a.be.weight[b] * a.ramp(b) * a.be.relief[b] }
+// strength is what a backend counts for in tables: its listed weight, less while it is cold, hot or shunned.
+func (a *Assigner) strength(b int) float64 {
+	return a.be.weight[b] * a.ramp(b) * min(a.be.relief[b], a.be.shun[b])
+}
 
 // open says whether products under the rule may go from a zone to a backend now.
 func (a *Assigner) open(rule Product, zone, b int) bool {
@@ -261,8 +265,17 @@
 		if be.dropped[b] && fails[b] > a.bad+deadFails {
 			be.status[b] = Gone
 		}
+		// Shunned: it voids most of what it gets while others do not, so each txn there is lost, and one that voids
+		// at once draws more. Answers backends that err, refuse or are dead though the list shows them. Back in
+		// a few seconds, so that it hurts little where an outage was short.
 		hot := took[b] > max(hotRatio*mid, hotSLA*sla) || fails[b] > a.bad+hotFails
 		switch {
+		case fails[b] > a.bad+shunFails:
+			be.shun[b] = max(shunLeast, be.shun[b]*shunBy)
+		case fails[b] <= a.bad+hotFails:
+			be.shun[b] = min(1, be.shun[b]/shunBy)
+		}
+		switch {
 		case hot && a.now >= be.easedAt[b]+easeEvery:
 			be.relief[b], be.easedAt[b] = max(easeLeast, be.relief[b]*easeBy), a.now
 		case !hot && took[b] <= coolRatio*mid:
