--- a/choice/choice.go
+++ b/choice/choice.go
@@ -50,6 +50,7 @@
 	easeEvery           = 3 * Second // ... once in so long: what is heard now was done before the last step
 	shunFails           = 0.5        // voided over the median's from which one is shunned
 	shunBy, shunLeast   = 0.5, 0.1   // a tick with news, of its weight; down to this
+	shunQuick           = 0.25       // ... while answers of the others take under this part of the SLA time
 	returnBy, coolRatio = 1.03, 1.01 // a tick, back, while its time over the median is under that
 
 	slowChan             = 0.3      // part of its pace that a slowed channel is held to keep
@@ -255,7 +256,7 @@
 		}
 	}
 	a.bad, a.took = median(allFails), median(allNext)
-	mid := median(allTook)
+	mid, quick := median(allTook), a.total == 0 && a.took < shunQuick*sla
 	for b := range be.zone {
 		if !be.fresh[b] {
 			continue
@@ -270,9 +271,9 @@
 		// a few seconds, so that it hurts little where an outage was short.
 		hot := took[b] > max(hotRatio*mid, hotSLA*sla) || fails[b] > a.bad+hotFails
 		switch {
-		case fails[b] > a.bad+shunFails:
+		case fails[b] > a.bad+shunFails && quick:
 			be.shun[b] = max(shunLeast, be.shun[b]*shunBy)
-		case fails[b] <= a.bad+hotFails:
+		case fails[b] <= a.bad+hotFails || a.over:
 			be.shun[b] = min(1, be.shun[b]/shunBy)
 		}
 		switch {
