--- a/choice/choice.go
+++ b/choice/choice.go
@@ -50,7 +50,7 @@
 	easeEvery           = 3 * Second // ... once in so long: what is heard now was done before the last step
 	shunFails           = 0.5        // voided over the median's from which one is shunned
 	shunBy, shunLeast   = 0.5, 0.1   // a tick with news, of its weight; down to this
-	shunQuick           = 0.25       // ... while answers of the others take under this part of the SLA time
+	shunQuick           = 0.2        // ... while answers of the others take under this part of the SLA time
 	returnBy, coolRatio = 1.03, 1.01 // a tick, back, while its time over the median is under that
 
 	slowChan             = 0.3      // part of its pace that a slowed channel is held to keep
