--- a/choice/choice.go
+++ b/choice/choice.go
@@ -48,9 +48,8 @@
 	deadFails           = 0.6        // voided over the median's from which one that the list dropped is gone
 	easeBy, easeLeast   = 0.8, 0.3   // a step of relief, down to this
 	easeEvery           = 3 * Second // ... once in so long: what is heard now was done before the last step
-	shunFails           = 0.5        // voided over the median's from which one is shunned
-	shunBy, shunLeast   = 0.5, 0.1   // a tick with news, of its weight; down to this
-	shunQuick           = 0.2        // ... while answers of the others take under this part of the SLA time
+	shunFails           = 0.6        // voided over the median's from which one is shunned
+	shunBy, shunLeast   = 0.5, 0.3   // a tick with news, of its weight; down to this
 	returnBy, coolRatio = 1.03, 1.01 // a tick, back, while its time over the median is under that
 
 	slowChan             = 0.3      // part of its pace that a slowed channel is held to keep
@@ -256,7 +255,7 @@
 		}
 	}
 	a.bad, a.took = median(allFails), median(allNext)
-	mid, quick := median(allTook), a.total == 0 && a.took < shunQuick*sla
+	mid := median(allTook)
 	for b := range be.zone {
 		if !be.fresh[b] {
 			continue
@@ -271,9 +270,9 @@
 		// a few seconds, so that it hurts little where an outage was short.
 		hot := took[b] > max(hotRatio*mid, hotSLA*sla) || fails[b] > a.bad+hotFails
 		switch {
-		case fails[b] > a.bad+shunFails && quick:
+		case fails[b] > a.bad+shunFails:
 			be.shun[b] = max(shunLeast, be.shun[b]*shunBy)
-		case fails[b] <= a.bad+hotFails || a.over:
+		case fails[b] <= a.bad+hotFails:
 			be.shun[b] = min(1, be.shun[b]/shunBy)
 		}
 		switch {
