--- a/choice/choice.go
+++ b/choice/choice.go
@@ -48,8 +48,6 @@
 	deadFails           = 0.6        // voided over the median's from which one that the list dropped is gone
 	easeBy, easeLeast   = 0.8, 0.3   // a step of relief, down to this
 	easeEvery           = 3 * Second // ... once in so long: what is heard now was done before the last step
-	shunFails           = 0.6        // voided over the median's from which one is shunned
-	shunBy, shunLeast   = 0.5, 0.3   // a tick with news, of its weight; down to this
 	returnBy, coolRatio = 1.03, 1.01 // a tick, back, while its time over the median is under that
 
 	slowChan             = 0.3      // part of its pace that a slowed channel is held to keep
@@ -92,7 +90,7 @@
 			// Guards what is known of a proxy against streams that break and come again: it gets what it got.
 			for k := 0; k < len(p.use) && a.now > p.leftAt+useStale; k++ {
 				p.use[k], p.voided[k], p.newsAt[k] = e.Rate/float64(len(p.use)), 0, a.now
-				p.heard, p.told[k] = false, false
+				p.heard, p.told[k], p.said = false, false, e.Rate
 			}
 			a.reset, a.urgent = true, true
 		case Left:
@@ -151,6 +149,13 @@
 	p.heard, p.told[k], p.newsAt[k] = true, true, a.now
 	p.use[k] = p.use[k]*keep + max(e.Txns, 0)/s*(1-keep)
 	p.voided[k] = p.voided[k]*keep + e.Voided/s*(1-keep)
+	known, rest := 0.0, 0.0
+	for j, told := range p.told {
+		known, rest = known+either(told, p.use[j], 0), rest+either(told, 0.0, 1)
+	}
+	for j, told := range p.told {
+		p.use[j] = either(told, p.use[j], max(p.said-known, 0)/rest)
+	}
 }
 
 func (a *Assigner) hearList(e Listed) {
@@ -171,7 +176,7 @@
 		// A new start, also one met while the backend still stands in tables: it is cold, and what was heard
 		// of it before holds no longer.
 		if en.Status == Ready && en.Up > 0 && en.Up > be.rampAt[b] {
-			be.rampAt[b], be.relief[b], be.shun[b] = en.Up, 1, 1
+			be.rampAt[b], be.relief[b] = en.Up, 1
 			be.tries[b], be.voided[b], be.good[b], be.spent[b] = 0, 0, 0, 0
 		}
 	}
@@ -194,10 +199,8 @@
 	return min(1, max(rampStart*math.Exp2(float64(min(age/rampTurn, 10))), sure))
 }
 
-// strength is what a backend counts for in tables: its listed weight, less while it is cold, hot or shunned.
-func (a *Assigner) strength(b int) float64 {
-	return a.be.weight[b] * a.ramp(b) * min(a.be.relief[b], a.be.shun[b])
-}
+// strength is what a backend counts for in tables: its listed weight, less while it is cold or hot.
+func (a *Assigner) strength(b int) float64 { return a.be.weight[b] * a.ramp(b) * a.be.relief[b] }
 
 // open says whether products under the rule may go from a zone to a backend now.
 func (a *Assigner) open(rule Product, zone, b int) bool {
@@ -265,17 +268,8 @@
 		if be.dropped[b] && fails[b] > a.bad+deadFails {
 			be.status[b] = Gone
 		}
-		// Shunned: it voids most of what it gets while others do not, so each txn there is lost, and one that voids
-		// at once draws more. Answers backends that err, refuse or are dead though the list shows them. Back in
-		// a few seconds, so that it hurts little where an outage was short.
 		hot := took[b] > max(hotRatio*mid, hotSLA*sla) || fails[b] > a.bad+hotFails
 		switch {
-		case fails[b] > a.bad+shunFails:
-			be.shun[b] = max(shunLeast, be.shun[b]*shunBy)
-		case fails[b] <= a.bad+hotFails:
-			be.shun[b] = min(1, be.shun[b]/shunBy)
-		}
-		switch {
 		case hot && a.now >= be.easedAt[b]+easeEvery:
 			be.relief[b], be.easedAt[b] = max(easeLeast, be.relief[b]*easeBy), a.now
 		case !hot && took[b] <= coolRatio*mid:
@@ -293,8 +287,9 @@
 
 // setTotal bounds the total of all levels under overload and lets go of it afterwards.
 func (a *Assigner) setTotal() {
-	all, served, late := 0.0, 0.0, a.took/a.sla()
+	all, served, heard, late := 0.0, 0.0, 0, a.took/a.sla()
 	for _, p := range a.in {
+		heard += either(p.heard, 1, 0)
 		for k, u := range p.use {
 			if a.now > p.newsAt[k]+useStale { // what came to nothing, or fell silent, is not reported
 				p.use[k], p.voided[k] = u*useKeep, p.voided[k]*useKeep
@@ -302,16 +297,20 @@
 			all, served = all+u, served+max(a.admitted(p, k)-p.voided[k], 0)
 		}
 	}
-	a.served = cmp.Or(a.served, served)
-	a.served += (served - a.served) / smooth
 	// Backends that come or go change the total from outside, in step with their listed weight, and so do
 	// proxies that join elsewhere. Guards a controller that starts over: what its first few bring is no total.
 	if _, _, able := a.reach(Product{}); able > 0 && len(a.in) > 0 {
 		able *= a.share()
 		if a.able > 0 {
-			a.total, a.knee = a.total*able/a.able, a.knee*able/a.able
+			a.total, a.knee, a.served = a.total*able/a.able, a.knee*able/a.able, a.served*able/a.able
+		}
+		// While most are not heard of yet, what they are said to get is all there is: neither goes on from it.
+		if a.able = able; 2*heard < len(a.in) {
+			a.served, a.pace = served, served/able
 		}
-		if a.able = able; a.light || a.pace == 0 {
+		a.served = cmp.Or(a.served, served)
+		a.served += (served - a.served) / smooth
+		if a.light {
 			a.pace = max(a.pace, a.served/able)
 		}
 	}
--- a/choice/state.go
+++ b/choice/state.go
@@ -37,6 +37,7 @@
 	told               []bool    // ... its use was reported
 	newsAt             []Time    // ... when last, or when it joined
 	leftAt             Time
+	said               float64 // txns/s that it was said to get
 	held               []tbl     // by group: what was ordered
 	picked             []bool    // by backend: may have a line
 	sent               []message // within the counting span, or on their way
@@ -52,8 +53,7 @@
 type fleet struct { // parallel arrays under the door's index of backends
 	zone, kind      []int
 	status          []Status
-	weight          []float64 // listed
-	relief, shun    []float64 // the part of it that a hot one keeps; that one keeps which voids most
+	weight, relief  []float64 // listed; the part of it that a hot one keeps
 	rampAt, easedAt []Time    // when its ramp began; the last step of relief
 	held            []float64 // txns that a probe said it holds since the last tick
 	tries, voided   []float64 // fading
@@ -110,7 +110,6 @@
 	for be := &a.be; len(be.zone) < n; {
 		be.zone, be.kind, be.status = append(be.zone, 0), append(be.kind, 0), append(be.status, Gone)
 		be.weight, be.rampAt, be.relief = append(be.weight, 0), append(be.rampAt, never), append(be.relief, 1)
-		be.shun = append(be.shun, 1)
 		be.easedAt, be.fresh = append(be.easedAt, never), append(be.fresh, false)
 		be.tries, be.voided = append(be.tries, 0), append(be.voided, 0)
 		be.good, be.spent, be.held = append(be.good, 0), append(be.spent, 0), append(be.held, 0)
