Places of backends that are gone for 30 s are given back; their last lines go, with the shut-out

Now what is gone for 30 s loses its lines at the tick, with the order that lets it back, so that one that comes again finds nothing of it; then the desk frees the place, takes its name away, so that no late report is another backend's, and tells the module, whose state of the index begins anew. At fault: desk.hearList's append, told, tables; diff's keeping of lines that are shut out. A test first found one line written more than charged.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -42,13 +42,14 @@
 	useMany, useSlow  = 5.0, 0.4    // txns/s; under that, mostly chance, it is kept for longer, to such a pace
 	letChance         = 0.5         // txns/s: the most that a level is raised for what comes by chance
 
-	fewTries            = 4.0        // fewer tries say nothing of a backend
-	hotRatio, hotSLA    = 1.35, 0.35 // relieved: its time over the median, and over the SLA time
-	hotFails            = 0.2        // ... or voided over the median's
-	deadFails           = 0.6        // voided over the median's from which one that the list dropped is gone
-	easeBy, easeLeast   = 0.8, 0.3   // a step of relief, down to this
-	easeEvery           = 3 * Second // ... once in so long: what is heard now was done before the last step
-	returnBy, coolRatio = 1.03, 1.01 // a tick, back, while its time over the median is under that
+	fewTries            = 4.0         // fewer tries say nothing of a backend
+	hotRatio, hotSLA    = 1.35, 0.35  // relieved: its time over the median, and over the SLA time
+	hotFails            = 0.2         // ... or voided over the median's
+	deadFails           = 0.6         // voided over the median's from which one that the list dropped is gone
+	easeBy, easeLeast   = 0.8, 0.3    // a step of relief, down to this
+	easeEvery           = 3 * Second  // ... once in so long: what is heard now was done before the last step
+	goneKeep            = 30 * Second // that what is gone keeps its lines: it may come again
+	returnBy, coolRatio = 1.03, 1.01  // a tick, back, while its time over the median is under that
 
 	slowChan             = 0.3      // part of its pace that a slowed channel is held to keep
 	roomUrgent, roomRest = 0.8, 0.5 // part of the lines and messages allowed that urgent orders, others may use
@@ -82,6 +83,8 @@
 		switch e := e.(type) {
 		case Listed:
 			a.hearList(e)
+		case Dropped:
+			a.forget(e.Backend)
 		case Joined:
 			p := a.proxy(e.Proxy)
 			p.joined, p.bound, p.zone, p.sent = true, false, a.ownZone(e.Zone), nil
@@ -178,7 +181,9 @@
 		// Where gone alone does not bind, a backend merely dropped from the list stays in use until tries there
 		// fail too: lists that drop running backends and backends that die unseen look alike.
 		if missing := !listed && (named || e.Kind != ListChange); missing && (a.d.GoneBinds || s != Ready) {
-			be.status[b] = Gone
+			if be.status[b] = Gone; s != Gone {
+				be.goneAt[b] = a.now
+			}
 		} else if missing {
 			be.dropped[b] = true
 		}
@@ -645,9 +650,12 @@
 			h, out, urgency := held.weight[b], a.be.out[b], mayWait
 			cold = cold || w > 0 && a.ramp(b) < 1
 			switch {
-			case w == h || w > 0 && h > 0 && math.Abs(w-h) < leastChange*h && !out, out && a.be.status[b] != Ready:
+			case w == h || w > 0 && h > 0 && math.Abs(w-h) < leastChange*h && !out,
+				out && a.be.status[b] != Ready && (a.be.status[b] != Gone || a.now < a.be.goneAt[b]+goneKeep):
 				next.weight[b] = h // what is shut out keeps its line
 				continue
+			case w == 0 && out && a.be.status[b] == Gone:
+				d.settles++ // it is let back as its last line goes, so that nothing of it remains
 			case w > 0 && bare:
 				urgency = mustHave
 			case w < h && (out || a.ramp(b) < 1):
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"reflect"
 	"slices"
 	"testing"
 )
@@ -59,6 +60,46 @@
 	}
 }
 
+// What is gone for long stands in no table, and its index begins anew when it is dropped: as one that was never
+// used.
+func TestDropped(t *testing.T) {
+	r := start(t, deployment())
+	slow := reports(15, calm, 1000)
+	slow = append(slow, Heard{Backend: 0, Tries: 30, Voided: 30})
+	cold := ready(0, 0)
+	cold.Up = r.now
+	r.second(append(slow, Listed{Entries: []Entry{cold}})...)
+	r.second(Listed{Entries: []Entry{{Backend: 0, Status: Gone}}})
+	lines := func() (n int) {
+		for _, table := range r.tables {
+			if table[0] > 0 {
+				n++
+			}
+		}
+		return n
+	}
+	r.second()
+	kept := lines()
+	for r.now < 1000*Second+goneKeep+5*Second {
+		r.second(reports(15, calm, 1000)...)
+	}
+	if kept == 0 || lines() > 0 {
+		t.Errorf("%d lines of a backend that may come again, %d of one that is gone for good", kept, lines())
+	}
+	r.step(Dropped{Backend: 0}, Dropped{Backend: 99})
+	fresh := newRig(t, deployment())
+	fresh.a.grow(1)
+	used, unused := reflect.ValueOf(r.a.be), reflect.ValueOf(fresh.a.be)
+	for i := range used.NumField() {
+		if got, want := used.Field(i).Index(0), unused.Field(i).Index(0); !got.Equal(want) {
+			t.Errorf("%s is %v, of an index never used %v", used.Type().Field(i).Name, got, want)
+		}
+	}
+	if r.a.px[0].picked[0] {
+		t.Error("it is still picked")
+	}
+}
+
 // What is known of a proxy: what it is said to get stands for each product until that is reported, and lets in
 // what comes by chance; it outlives a stream that breaks and comes again; without news it is no longer believed.
 func TestKnown(t *testing.T) {
--- a/choice/iface.go
+++ b/choice/iface.go
@@ -94,6 +94,10 @@
 	Entries []Entry
 }
 
+// Dropped says that a backend is gone for good and stands in no table: its index may mean another one from
+// the next list on.
+type Dropped struct{ Backend int }
+
 // Woken is the answer to a Wake.
 type Woken struct{ Name uint32 }
 
--- a/choice/state.go
+++ b/choice/state.go
@@ -59,6 +59,7 @@
 	good, spent     []float64 // answers and the time that they took, fading
 	fresh, out      []bool    // heard of since the last tick; withdrawn
 	dropped         []bool    // from the list, though that alone does not bind
+	goneAt          []Time
 }
 
 // Assigner decides for one controller.
@@ -113,6 +114,29 @@
 		be.tries, be.voided = append(be.tries, 0), append(be.voided, 0)
 		be.good, be.spent, be.held = append(be.good, 0), append(be.spent, 0), append(be.held, 0)
 		be.out, be.dropped = append(be.out, false), append(be.dropped, false)
+		be.goneAt = append(be.goneAt, never)
+	}
+}
+
+// forget makes an index as if no backend had ever had it.
+func (a *Assigner) forget(b int) {
+	be := &a.be
+	if b >= len(be.zone) {
+		return
+	}
+	be.zone[b], be.kind[b], be.status[b], be.weight[b], be.relief[b] = 0, 0, Gone, 0, 1
+	be.rampAt[b], be.easedAt[b], be.goneAt[b] = never, never, never
+	be.held[b], be.tries[b], be.voided[b], be.good[b], be.spent[b] = 0, 0, 0, 0, 0
+	be.fresh[b], be.out[b], be.dropped[b] = false, false, false
+	for i := range a.px {
+		if p := &a.px[i]; b < len(p.picked) {
+			p.picked[b] = false
+		}
+		for _, t := range a.px[i].held {
+			if b < len(t.weight) {
+				t.weight[b] = 0
+			}
+		}
 	}
 }
 
--- a/desk/carry.go
+++ b/desk/carry.go
@@ -135,6 +135,11 @@
 	return false
 }
 
+// changes says whether the line of a backend changes in this step.
+func (d *Desk) changes(p *proxy, b int) bool {
+	return slices.ContainsFunc(p.tables, func(id int) bool { return id != none && slices.Contains(d.tables[id].lines, b) })
+}
+
 // parts is the message to a proxy: who is shut out and who is back first, then its tables, those that it is
 // put on now as a whole and later changes by product.
 func (d *Desk) parts(p *proxy, mark int) []edge.Part {
@@ -168,6 +173,11 @@
 	unlaid := slices.Contains(p.tables, none) // it still goes by tables that it brought along
 	for b, name := range d.backends {
 		told, want := p.toldOf(b), shutFor(d.out[b])
+		if told == shutOut && !d.listed[b] && !d.holds(p, b) && d.changes(p, b) {
+			// Its last line goes with this message: what comes again finds nothing of it.
+			p.told[b], part.Back = shutIn, append(part.Back, name)
+			continue
+		}
 		brought := told == shutUnknown && want == shutIn && unlaid && !slices.Contains(d.told, b)
 		if told == want || brought || !d.holds(p, b) {
 			continue
--- a/desk/desk.go
+++ b/desk/desk.go
@@ -74,7 +74,8 @@
 
 const (
 	none      = -1
-	mostMarks = 256 // that a proxy may still answer
+	mostMarks = 256                // that a proxy may still answer
+	keepPlace = 30 * choice.Second // for one that is gone, and may come again
 	longest   = choice.Time(1) << 50
 )
 
@@ -86,9 +87,12 @@
 	lists    Lists
 	log      *logrus.Entry
 
-	backends []string
+	backends []string // by place; none where it is free
 	index    map[string]int
-	out      []bool // by backend: withdrawn
+	free     []int
+	out      []bool        // by place: withdrawn
+	listed   []bool        // ... on the list
+	goneAt   []choice.Time // ... when it left the list
 	proxies  []proxy
 	owners   map[Stream]int  // the proxy of each stream that ever joined
 	sources  map[Stream]bool // collectors
@@ -290,7 +294,7 @@
 	}
 	statuses := map[string]choice.Status{registry.Serving: choice.Ready, registry.Draining: choice.Draining,
 		registry.Deleted: choice.Gone}
-	entries := make([]choice.Entry, 0, len(l.Members))
+	entries, seen := make([]choice.Entry, 0, len(l.Members)), map[int]bool{}
 	var odd []registry.Member
 	for _, m := range l.Members {
 		status, ok := statuses[m.Phase]
@@ -304,9 +308,9 @@
 			continue
 		}
 		if !listed {
-			at = len(d.backends)
-			d.index[m.ID], d.backends, d.out = at, append(d.backends, m.ID), append(d.out, false)
+			at = d.place(m.ID)
 		}
+		seen[at] = status != choice.Gone
 		e := choice.Entry{Backend: at, Zone: zone, Kind: slices.Index(d.names.Kinds, m.Kind),
 			Status: status, Weight: max(m.Size, 0)}
 		if up := m.UpSince * float64(choice.Second) / 1000; up > 0 {
@@ -318,9 +322,52 @@
 		d.log.WithFields(logrus.Fields{"count": len(odd), "first": odd[0].ID, "phase": odd[0].Phase,
 			"zone": odd[0].Zone}).Warn("entries of the list are read past")
 	}
+	for at, was := range d.listed {
+		on, named := seen[at]
+		if d.listed[at] = on || was && !named && !l.Whole; was && !d.listed[at] {
+			d.goneAt[at] = d.now
+		}
+	}
 	d.events = append(d.events, choice.Listed{Kind: kind, Entries: entries})
 }
 
+// place gives a backend a place of its own, one that was given back where there is one.
+func (d *Desk) place(id string) (at int) {
+	if n := len(d.free); n > 0 {
+		at, d.free = d.free[n-1], d.free[:n-1]
+	} else {
+		at = len(d.backends)
+		d.backends, d.out, d.listed = append(d.backends, ""), append(d.out, false), append(d.listed, false)
+		d.goneAt = append(d.goneAt, 0)
+	}
+	d.index[id], d.backends[at], d.goneAt[at] = at, id, d.now
+	return at
+}
+
+// giveBack frees the places of backends that are gone for long and that no proxy has a line of: ids never come
+// to an end. What is heard of such a one later names nobody.
+func (d *Desk) giveBack() {
+	for at, id := range d.backends {
+		holds := func(p proxy) bool { return p.stream != nil && d.holds(&p, at) }
+		if id == "" || d.listed[at] || d.now < d.goneAt[at]+keepPlace || slices.ContainsFunc(d.proxies, holds) {
+			continue
+		}
+		delete(d.index, id)
+		d.backends[at], d.out[at], d.free = "", false, append(d.free, at)
+		for i := range d.proxies {
+			if told := d.proxies[i].told; at < len(told) {
+				told[at] = shutUnknown
+			}
+		}
+		for _, t := range d.tables { // of proxies that left
+			if at < len(t.weight) {
+				t.weight[at] = 0
+			}
+		}
+		d.events = append(d.events, choice.Dropped{Backend: at})
+	}
+}
+
 // Step lets the module decide on what was heard since the last one, and sends what it orders.
 func (d *Desk) Step(now choice.Time) {
 	d.now = max(now, d.now)
@@ -337,4 +384,5 @@
 	events := d.events
 	d.events = nil
 	d.carry(d.assigner.Step(d.now, events))
+	d.giveBack()
 }
--- a/desk/desk_test.go
+++ b/desk/desk_test.go
@@ -322,6 +322,62 @@
 
 const fleetSize, proxyCount, tableCount = 5, 3, 6
 
+// Thousands of backends come, drain and go under new ids, proxies leave and come: places are given back when
+// no proxy has a line of them, what is told of a place that is used again is as for a new one, and no late
+// report is taken for another backend's.
+func TestReplaced(t *testing.T) {
+	d, source, now := newDesk(3), &line{}, 1000*choice.Second
+	mark := func(l *line) (n int) {
+		_, text, _ := strings.Cut(strings.Join(l.take(), ""), "ticket=")
+		n, _ = strconv.Atoi(strings.TrimSpace(strings.SplitN(text, "\r", 2)[0]))
+		return n
+	}
+	zone := func(m registry.Member, at int) registry.Member {
+		m.Zone = names.Zones[at%2]
+		return m
+	}
+	d.Known(list(true, zone(serving("s-0"), 0), zone(serving("s-1"), 1)))
+	d.Hear(News{source, edge.Source{Zone: "a"}})
+	proxies := make([]*line, 3)
+	most := 0
+	for i := range 4000 {
+		at, id := i%3, fmt.Sprint("s-", i)
+		if i%10 < 3 {
+			if proxies[at] != nil {
+				d.Hear(News{proxies[at], edge.Ended{}})
+			}
+			proxies[at] = &line{since: uint64(i)}
+			d.Hear(News{proxies[at], edge.Joined{Proxy: at, Zone: "a", Rate: 5, Fresh: i%20 < 10}})
+		}
+		d.Hear(News{Said: list(false, zone(serving(fmt.Sprint("s-", i+2)), i))})
+		gone := registry.Member{ID: id, Zone: names.Zones[i%2], Kind: "s", Phase: registry.Draining, Size: 1}
+		if i%2 == 0 {
+			gone.Phase = registry.Deleted
+		}
+		d.Hear(News{Said: list(false, gone)})
+		for range 4 {
+			now += choice.Second / 2
+			d.Step(now)
+			for p, l := range proxies {
+				if l != nil && len(l.sent) > 0 {
+					d.Hear(News{l, edge.Fenced{Proxy: p, Number: mark(l)}})
+				}
+			}
+		}
+		gone.Phase = registry.Deleted
+		d.Hear(News{Said: list(false, gone)})
+		d.Hear(News{source, edge.Heard{Zone: "a", Backend: fmt.Sprint("s-", i-60), Tries: 9, Took: 500}})
+		for _, e := range d.events {
+			if heard, ok := e.(choice.Heard); ok && i > 60 {
+				t.Fatalf("%d: heard of place %d, which is %s now", i, heard.Backend, d.backends[heard.Backend])
+			}
+		}
+		if most = max(most, len(d.backends)); most > 40 || len(d.index) > 40 || len(d.owners) > 3 || len(d.proxies[at].told) > 40 {
+			t.Fatalf("%d: %d places, %d names, %d streams", i, most, len(d.index), len(d.owners))
+		}
+	}
+}
+
 // What a proxy goes by after the text is what the orders mean, whatever it brought along.
 func TestMeaning(t *testing.T) {
 	same := func(seed int64) bool {
@@ -497,6 +553,9 @@
 					if !held && d.proxies[owner[o.Table]].brought == shutUnknown {
 						charge[owner[o.Table]]++ // which settles a shut-out that it may have brought
 					}
+					if o.Weight == 0 && d.out[o.Backend] && !d.listed[o.Backend] {
+						charge[owner[o.Table]]++ // which lets back what is gone
+					}
 				case choice.Clear:
 					charge[owner[o.Table]]++
 					cleared[o.Table] = true
