The total rises each second while answers take under half of what is overload

A probe showed the total at 133 to 150/s for 4 s with answers at 0.16 to 0.18, waiting for its 3 s. At fault: setTotal's one step in 3 s however quick answers are.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -26,6 +26,7 @@
 	cutLate              = 0.5              // ... while answers take more than the SLA time
 	cutAgain             = 6 * Second       // time-outs of before a cut are heard of for some seconds
 	riseBy, riseEvery    = 1.1, 5 * Second  // (design)
+	riseFast, fastPart   = Second, 0.5      // ... while answers take under this part of what is overload
 	riseQuick, quickPart = 3 * Second, 0.75 // ... while answers take under this part of what is overload
 	loosenAt             = 1.5              // total over demand from which it is unbounded (design)
 
@@ -181,9 +182,7 @@
 		// Where gone alone does not bind, a backend merely dropped from the list stays in use until tries there
 		// fail too: lists that drop running backends and backends that die unseen look alike.
 		if missing := !listed && (named || e.Kind != ListChange); missing && (a.d.GoneBinds || s != Ready) {
-			if be.status[b] = Gone; s != Gone {
-				be.goneAt[b] = a.now
-			}
+			be.status[b], be.goneAt[b] = Gone, either(s == Gone, be.goneAt[b], a.now)
 		} else if missing {
 			be.dropped[b] = true
 		}
@@ -312,7 +311,8 @@
 			a.pace = max(a.pace, min(a.served, served)/able)
 		}
 	}
-	rise := either(late < quickPart*overSLA, riseQuick, riseEvery) // else a third was declined for long after
+	// Else a third is declined for long after what was no overload, and callers ask again and again.
+	rise := either(late < quickPart*overSLA, either(late < fastPart*overSLA, riseFast, riseQuick), riseEvery)
 	switch {
 	case a.d.Levels == LevelNone || all <= 0:
 	case a.over && (a.total == 0 || a.now-a.cutAt >= cutAgain):
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -312,6 +312,13 @@
 	if r.a.total != r.a.knee || r.gate(0, 0).Tries != TryUnrun {
 		t.Errorf("total %v, knee %v: quick answers did not end the cut", r.a.total, r.a.knee)
 	}
+	knee := r.a.total
+	for range 5 { // callers whose txns were declined ask again meanwhile
+		r.second(reports(80, calm, 1000)...)
+	}
+	if r.a.total < 1.4*knee {
+		t.Errorf("total rose from %v to %v in 5 s of answers that are far from late", knee, r.a.total)
+	}
 	for range 120 {
 		r.second(reports(20, calm, 1000)...)
 	}
