--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -338,6 +338,59 @@
 	}
 }
 
+// All proxies of a wide fleet come to one controller at once: the busiest are seen to first, nothing goes over the
+// channel's limit, each has its tables after a few seconds, and then a calm second orders next to nothing.
+func TestWide(t *testing.T) {
+	const proxies, backends = 400, 30
+	d := deployment()
+	d.Proxies, d.ConnsLeast = proxies, 500
+	r := newRig(t, d)
+	var list []Entry
+	for b := range backends {
+		list = append(list, ready(b, b%2))
+	}
+	r.step(Listed{Kind: ListCached, Entries: list})
+	var joins []Event
+	for p := range proxies {
+		joins = append(joins, Joined{Proxy: p, Zone: p % 2, Rate: 1 + float64(p%40), Brings: true})
+	}
+	lines := func(orders []Order) (first, least, n float64) {
+		for _, o := range orders {
+			switch o := o.(type) {
+			case Use:
+				rate := 1 + float64(o.Proxy%40)
+				if n += d.LinesHead; least == 0 {
+					first = rate
+				}
+				least = rate
+			case Line, Gate, Clear, Fence:
+				n++
+			}
+		}
+		return first, least, n
+	}
+	waits, seconds := 0.0, 0
+	for bound := 0; bound < proxies; seconds++ {
+		first, least, n := lines(r.second(joins...))
+		joins = nil
+		if waits = max(waits-d.LinesPerS, 0) + n; waits > d.LinesMost || first < least {
+			t.Fatalf("second %d: %v lines wait, one of %v/s before one of %v/s", seconds, waits, first, least)
+		}
+		bound = 0
+		for p := range r.a.px {
+			if r.a.px[p].bound {
+				bound++
+			}
+		}
+		if seconds > 12 {
+			t.Fatalf("%d of %d proxies have tables after %d s", bound, proxies, seconds)
+		}
+	}
+	if _, _, n := lines(r.second()); n > d.LinesPerS/2 {
+		t.Errorf("%v lines in a calm second", n)
+	}
+}
+
 // A controller that starts while others die: proxies join one by one, the busiest first. What is held to be
 // served, and the most for a unit of weight, follow them; a first cut is not made from a part of the fleet.
 func TestServedFollowsProxies(t *testing.T) {
--- a/desk/desk_test.go
+++ b/desk/desk_test.go
@@ -7,6 +7,7 @@
 	"maps"
 	"math/rand"
 	"reflect"
+	"runtime"
 	"slices"
 	"strconv"
 	"strings"
@@ -339,8 +340,11 @@
 	d.Known(list(true, zone(serving("s-0"), 0), zone(serving("s-1"), 1)))
 	d.Hear(News{source, edge.Source{Zone: "a"}})
 	proxies := make([]*line, 3)
-	most := 0
+	most, early := 0, uint64(0)
 	for i := range 4000 {
+		if i == 500 {
+			early = live()
+		}
 		at, id := i%3, fmt.Sprint("s-", i)
 		if i%10 < 3 {
 			if proxies[at] != nil {
@@ -376,6 +380,19 @@
 			t.Fatalf("%d: %d places, %d names, %d streams", i, most, len(d.index), len(d.owners))
 		}
 	}
+	late := live()
+	runtime.KeepAlive(d)
+	if late > early+256<<10 {
+		t.Errorf("%d bytes live after 500 backends, %d after 4,000", early, late)
+	}
+}
+
+// live is the heap after a collection.
+func live() uint64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
 }
 
 // What a proxy goes by after the text is what the orders mean, whatever it brought along.
