--- /dev/null
+++ b/registry/consul/consul.go
@@ -0,0 +1,309 @@
+// Package consul asks Consul's key-value store by its published HTTP API, with reads that block. What it hears
+// it hands to a roster.Roster, which decides. The API tells no deletions and no changes, only an index: a small
+// read blocks on that, and the Roster asks for the whole list when it has moved.
+package consul
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"elmfold/registry"
+	"elmfold/roster"
+)
+
+const (
+	mostAnswer = 128 << 20 // bytes
+	dialWithin = 1500 * time.Millisecond
+	wait       = time.Second            // that a read blocks: silence is noticed after that
+	grace      = 800 * time.Millisecond // more: Consul adds a sixteenth by chance
+)
+
+// Source asks a cluster. Use New.
+type Source struct {
+	endpoints []string
+	prefix    string
+	access    registry.Access
+	answer    time.Duration
+
+	mu     sync.Mutex
+	client *fasthttp.HostClient
+	at     int // endpoint of client
+	token  string
+}
+
+// New makes a Source of the keys under a prefix; endpoints are HOST:PORT. answer is what a read of the whole
+// list may take.
+func New(endpoints []string, prefix string, access registry.Access, answer time.Duration) *Source {
+	return &Source{endpoints: endpoints, prefix: prefix, access: access, answer: answer}
+}
+
+// Leave drops the connections.
+func (s *Source) Leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leave()
+}
+
+func (s *Source) leave() {
+	if s.client != nil {
+		s.client.CloseIdleConnections()
+	}
+	s.client = nil
+}
+
+// Close drops them; calls under way end within their time.
+func (s *Source) Close() { s.Leave() }
+
+func (s *Source) dial(endpoint int) (*fasthttp.HostClient, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.client != nil && s.at == endpoint {
+		return s.client, nil
+	}
+	s.leave()
+	addr := s.endpoints[endpoint]
+	dialer := &fasthttp.TCPDialer{}
+	c := &fasthttp.HostClient{Addr: addr, MaxConns: 4, MaxResponseBodySize: mostAnswer, MaxIdemponentCallAttempts: 1,
+		NoDefaultUserAgentHeader: true,
+		Dial:                     func(addr string) (net.Conn, error) { return dialer.DialDualStackTimeout(addr, dialWithin) }}
+	if f := s.access.TLS; f != nil {
+		host, _, _ := net.SplitHostPort(addr)
+		conf, err := f.Load(host)
+		if err != nil {
+			return nil, &failure{roster.Certificate, err.Error()}
+		}
+		c.IsTLS, c.TLSConfig = true, conf
+	}
+	s.client, s.at = c, endpoint
+	return c, nil
+}
+
+// failure is an error whose kind is known.
+type failure struct {
+	why  roster.Why
+	text string
+}
+
+func (f *failure) Error() string { return f.text }
+
+func why(err error) roster.Why {
+	var f *failure
+	var alert *net.OpError
+	switch {
+	case errors.As(err, &f):
+		return f.why
+	case errors.Is(err, fasthttp.ErrTimeout), errors.Is(err, fasthttp.ErrDialTimeout), errors.Is(err, fasthttp.ErrTLSHandshakeTimeout):
+		return roster.Silent
+	case registry.Refuses(err):
+		return roster.Certificate
+	case errors.As(err, &alert):
+		return roster.Lost
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		return roster.Odd
+	}
+	var record tls.RecordHeaderError
+	if errors.As(err, &record) {
+		return roster.Certificate
+	}
+	return roster.Lost
+}
+
+// refused tells what a status with its text means.
+func refused(code int, body []byte) error {
+	text := strings.TrimSpace(string(body[:min(len(body), 200)]))
+	f := &failure{roster.Odd, fmt.Sprintf("status %d: %s", code, text)}
+	switch {
+	case code == fasthttp.StatusForbidden && strings.Contains(text, "ACL not found"), code == fasthttp.StatusUnauthorized:
+		f.why = roster.Token
+	case code == fasthttp.StatusForbidden && strings.Contains(text, "auth method"):
+		f.why = roster.Password
+	case code == fasthttp.StatusForbidden:
+		f.why = roster.Forbidden
+	case code >= 500, code == fasthttp.StatusTooManyRequests:
+		f.why = roster.Lost // no leader, or too busy
+	}
+	return f
+}
+
+// secret gives the token, one that it logs in for where there is none.
+func (s *Source) secret(c *fasthttp.HostClient) (string, error) {
+	s.mu.Lock()
+	token := s.token
+	s.mu.Unlock()
+	if token != "" || s.access.TokenFile == "" && s.access.Method == "" {
+		return token, nil
+	}
+	var err error
+	if s.access.TokenFile != "" {
+		if token, err = registry.Secret(s.access.TokenFile); err != nil {
+			return "", &failure{roster.Token, err.Error()}
+		}
+	} else if token, err = s.login(c); err != nil {
+		return "", err
+	}
+	s.mu.Lock()
+	s.token = token
+	s.mu.Unlock()
+	return token, nil
+}
+
+// login changes a bearer for a token.
+func (s *Source) login(c *fasthttp.HostClient) (string, error) {
+	bearer, err := registry.Secret(s.access.BearerFile)
+	if err != nil {
+		return "", &failure{roster.Password, err.Error()}
+	}
+	body, _ := json.Marshal(map[string]string{"AuthMethod": s.access.Method, "BearerToken": bearer})
+	var said struct{ SecretID string }
+	_, _, err = s.send(c, "POST", "/v1/acl/login", "", body, s.answer, &said)
+	var f *failure
+	switch {
+	case errors.As(err, &f) && f.why >= roster.Password:
+		return "", &failure{roster.Password, "the log-in: " + f.text}
+	case err != nil:
+		return "", err
+	case said.SecretID == "":
+		return "", &failure{roster.Odd, "the log-in gave no token"}
+	}
+	return said.SecretID, nil
+}
+
+// send makes a call and reads its answer; none is there where the status is 404.
+func (s *Source) send(c *fasthttp.HostClient, method, path, token string, body []byte, within time.Duration,
+	into any) (index int64, found bool, err error) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	scheme := "http://"
+	if c.IsTLS {
+		scheme = "https://"
+	}
+	req.SetRequestURI(scheme + c.Addr + path)
+	req.Header.SetMethod(method)
+	if token != "" {
+		req.Header.Set("X-Consul-Token", token)
+	}
+	req.SetBody(body)
+	if err := c.DoTimeout(req, resp, within); err != nil {
+		return 0, false, err
+	}
+	code := resp.StatusCode()
+	if code != fasthttp.StatusOK && code != fasthttp.StatusNotFound {
+		return 0, false, refused(code, resp.Body())
+	}
+	if string(resp.Header.Peek("X-Consul-Results-Filtered-By-ACLs")) == "true" {
+		return 0, false, &failure{roster.Forbidden, "the token may not see all of the list"}
+	}
+	if text := resp.Header.Peek("X-Consul-Index"); len(text) > 0 {
+		if index, err = strconv.ParseInt(string(text), 10, 64); err != nil || index < 0 {
+			return 0, false, &failure{roster.Odd, fmt.Sprintf("X-Consul-Index %.40q", text)}
+		}
+	}
+	if code == fasthttp.StatusNotFound {
+		return index, false, nil
+	}
+	if err := json.Unmarshal(resp.Body(), into); err != nil {
+		return 0, false, &failure{roster.Odd, "an answer that is not readable: " + err.Error()}
+	}
+	return index, true, nil
+}
+
+// get makes a call with a token; one that has expired is renewed, once.
+func (s *Source) get(endpoint int, path string, within time.Duration, into any) (index int64, found bool, err error) {
+	c, err := s.dial(endpoint)
+	if err != nil {
+		return 0, false, err
+	}
+	for again := false; ; again = true {
+		token, err := s.secret(c)
+		if err == nil {
+			index, found, err = s.send(c, "GET", path, token, nil, within, into)
+		}
+		if err == nil || why(err) != roster.Token || again {
+			return index, found, err
+		}
+		s.mu.Lock()
+		s.token = ""
+		s.mu.Unlock()
+	}
+}
+
+// Do carries out an order; see follow.Source. A call cannot be broken off: when ctx ends its answer is nobody's.
+func (s *Source) Do(ctx context.Context, o roster.Order, say func(roster.Event)) {
+	answer := make(chan roster.Event, 1)
+	wait := func(f func() roster.Event) (e roster.Event, ok bool) {
+		go func() { answer <- f() }()
+		select {
+		case e = <-answer:
+			return e, true
+		case <-ctx.Done():
+			return nil, false
+		}
+	}
+	switch o := o.(type) {
+	case roster.Read:
+		if e, ok := wait(func() roster.Event { return s.read(o) }); ok {
+			say(e)
+		}
+	case roster.Watch:
+		for {
+			e, ok := wait(func() roster.Event { return s.watch(o) })
+			if !ok {
+				return
+			}
+			say(e)
+			if p, ok := e.(roster.Progress); !ok || p.Revision != o.After {
+				return // the Roster goes on from here
+			}
+		}
+	}
+}
+
+// The prefix is asked for without its slash and with a separator, which folds all that is below into one
+// entry; the index is that of all.
+func (s *Source) watch(o roster.Watch) roster.Event {
+	// An index of 0 would not block, and below 1 none is valid.
+	path := fmt.Sprintf("/v1/kv/%s?keys&separator=%%2F&index=%d&wait=%dms", escape(s.prefix), max(o.After, 1), wait.Milliseconds())
+	var keys []string
+	index, _, err := s.get(o.Endpoint, path, wait+grace, &keys)
+	if err != nil {
+		return roster.Broken{Try: o.Try, Why: why(err), Err: err}
+	}
+	return roster.Progress{Try: o.Try, Revision: index}
+}
+
+// read reads the whole list of the same prefix, so that both have the same index, and leaves out what merely
+// begins alike.
+func (s *Source) read(o roster.Read) roster.Event {
+	var pairs []struct {
+		Key         string
+		Value       []byte
+		ModifyIndex int64
+	}
+	index, _, err := s.get(o.Endpoint, "/v1/kv/"+escape(s.prefix)+"?recurse&consistent", s.answer, &pairs)
+	if err != nil {
+		return roster.Broken{Try: o.Try, Why: why(err), Err: err}
+	}
+	p := roster.Page{Try: o.Try, Revision: index}
+	for _, kv := range pairs {
+		if strings.HasPrefix(kv.Key, s.prefix+"/") && kv.Key != s.prefix+"/" { // folders have keys of their own
+			p.Entries = append(p.Entries, roster.Raw{Key: kv.Key, Value: kv.Value, Mod: kv.ModifyIndex})
+		}
+	}
+	return p
+}
+
+func escape(prefix string) string {
+	return (&url.URL{Path: prefix}).EscapedPath()
+}
--- a/roster/settle.go
+++ b/roster/settle.go
@@ -549,7 +549,11 @@
 // ones in the order of their revisions, then who left.
 func (r *Roster) settle() {
 	pages := map[string]bool{}
-	same := !r.other && r.pagesOf == r.history && r.pagesAt >= r.revision
+	same := !r.other && r.pagesOf == r.history
+	if r.pagesAt < r.revision {
+		// Consul's index goes back when it forgets deletions; the list is the one held then, to the last entry.
+		same = same && !r.plan.Changes && len(r.pages) == r.keys()
+	}
 	for _, c := range r.pages {
 		pages[c.Key] = true
 		if c.Mod <= r.revision {
@@ -597,6 +601,16 @@
 	r.shrunk(before)
 }
 
+// keys counts those that the registry has.
+func (r *Roster) keys() (n int) {
+	for _, e := range r.entries {
+		if e.present {
+			n++
+		}
+	}
+	return n
+}
+
 // hold lets a drain or an end that was known stand against what a list of another history says.
 func (r *Roster) hold(e *entry) {
 	drained := e.told.Phase == Draining && e.now.Phase == Serving
