Controller as a package, elmfold-full with sub-commands; roster's hard cases

The controller becomes a package that two programs hold: elmfold, as the platform starts it, and elmfold-full, which it becomes when it is given an argument or an operator file. Sources of the list are exchanged on SIGHUP without undoing anything: the new one takes over with its first whole list. operator/ reads sections of one directive a line.

--- /dev/null
+++ b/cmd/elmfold-full/main.go
@@ -0,0 +1,10 @@
+// Elmfold-full is elmfold with all sub-commands and everything that an operator file can turn on.
+package main
+
+import (
+	"os"
+
+	"elmfold/command"
+)
+
+func main() { os.Exit(command.Run(os.Args[1:], os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/command/registry.go
@@ -0,0 +1,141 @@
+package command
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"strconv"
+	"strings"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/spf13/cobra"
+
+	"elmfold/controller"
+	"elmfold/operator"
+	"elmfold/registry/consul"
+	"elmfold/registry/etcd"
+	"elmfold/registry/follow"
+	"elmfold/roster"
+)
+
+// Follower makes a follower of a registry. Its chance depends on the controller's name and on when it was made.
+func Follower(o operator.Registry, name string, tell func(any), log *logrus.Entry) *follow.Follower {
+	plan := o.Plan
+	plan.Seed = name + " " + strconv.FormatInt(time.Now().UnixNano(), 36)
+	var s follow.Source
+	if o.Kind == operator.Consul {
+		s = consul.New(o.Endpoints, plan.Prefix, o.Access, plan.Answer)
+	} else {
+		s = etcd.New(o.Endpoints, plan.Prefix, o.Access)
+	}
+	return follow.New(plan, s, o.Endpoints, tell, log)
+}
+
+// OpenRegistry is the controller.OpenRegistry of this program.
+func OpenRegistry(o operator.Registry, name string, tell func(any), log *logrus.Entry) controller.Source {
+	f := Follower(o, name, tell, log)
+	go f.Run()
+	return f
+}
+
+func registryCommand(file *string, out, errs io.Writer) *cobra.Command {
+	c := &cobra.Command{Use: "registry", Short: "look at the list of backends in the registry"}
+	var within time.Duration
+	list := &cobra.Command{Use: "list", Short: "print the whole list once", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error { return look(*file, out, errs, within, false) }}
+	list.Flags().DurationVar(&within, "within", 10*time.Second, "time that the registry may take")
+	watch := &cobra.Command{Use: "watch", Short: "print each change as it comes, until a signal",
+		Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error { return look(*file, out, errs, 0, true) }}
+	c.AddCommand(list, watch)
+	return c
+}
+
+// look follows the registry of an operator file as a controller would, and prints what it is told.
+func look(file string, out, errs io.Writer, within time.Duration, on bool) error {
+	if file == "" {
+		return fmt.Errorf("name the operator file with --operator FILE or EDGE_OPERATOR")
+	}
+	f, err := operator.Read(file)
+	if err != nil {
+		_, _ = fmt.Fprintln(errs, err)
+		return exit(2)
+	}
+	if f.Registry == nil {
+		return fmt.Errorf("%s: no section registry; add one such as: registry etcd", file)
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard) // notes are printed here
+	orders := make(chan roster.Order, 1024)
+	follower := Follower(*f.Registry, "command", func(any) {}, logrus.NewEntry(log))
+	follower.See(func(o roster.Order) { orders <- o })
+	go follower.Run()
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(stop)
+	var over <-chan time.Time
+	if within > 0 {
+		over = time.After(within)
+	}
+	p := printer{out: out, errs: errs, now: time.Now}
+	for {
+		select {
+		case o := <-orders:
+			if p.print(o, on) && !on {
+				return nil
+			}
+		case <-over:
+			_, _ = fmt.Fprintf(errs, "elmfold: no whole list within %v\n", within)
+			return exit(1)
+		case <-stop:
+			return nil
+		}
+	}
+}
+
+// printer prints what a Roster tells.
+type printer struct {
+	out, errs io.Writer
+	now       func() time.Time
+}
+
+// print prints an order; whole is whether it was a whole list.
+func (p printer) print(o roster.Order, stamped bool) (whole bool) {
+	stamp := ""
+	if stamped {
+		stamp = p.now().Format("15:04:05.000 ")
+	}
+	switch o := o.(type) {
+	case roster.Note:
+		words := []string{o.Text}
+		for _, w := range []string{o.Key, o.Reason} {
+			if w != "" {
+				words = append(words, w)
+			}
+		}
+		_, _ = fmt.Fprintf(p.errs, "%srevision %d: %s\n", stamp, o.Revision, strings.Join(words, ": "))
+	case roster.Tell:
+		if o.Whole {
+			_, _ = fmt.Fprintf(p.out, "%srevision %d: whole list, %d backends\n", stamp, o.Revision, len(o.Members))
+		}
+		table := tabwriter.NewWriter(p.out, 0, 0, 2, ' ', 0)
+		for _, m := range o.Members {
+			up := "long ago"
+			if m.UpSince > 0 {
+				up = time.UnixMilli(int64(m.UpSince)).UTC().Format(time.RFC3339)
+			}
+			if o.Whole {
+				_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%g\t%s\n", m.ID, m.Phase, m.Zone, m.Kind, m.Size, up)
+			} else {
+				_, _ = fmt.Fprintf(table, "%srevision %d: %s\t%s\t%s\t%s\t%g\t%s\n", stamp, o.Revision, m.ID, m.Phase, m.Zone,
+					m.Kind, m.Size, up)
+			}
+		}
+		_ = table.Flush()
+		return o.Whole
+	}
+	return false
+}
--- /dev/null
+++ b/controller/controller.go
@@ -0,0 +1,193 @@
+// Package controller holds a whole controller: it listens for proxies and collectors, follows discovery or a
+// key-value registry, and lets the module decide.
+package controller
+
+import (
+	"errors"
+	"math"
+	"os"
+	"os/signal"
+	"reflect"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"elmfold/choice"
+	"elmfold/desk"
+	"elmfold/launch"
+	"elmfold/operator"
+	"elmfold/registry"
+	"elmfold/roster"
+	"elmfold/stream"
+)
+
+const (
+	queueLength = 4096
+	heapPart    = 0.7 // of the memory allowed, that the collector of garbage aims to stay under
+)
+
+// Run reads what the controller is told and holds it until a signal ends it or its listener fails; it returns
+// the exit code. path is that of the operator file, empty for none; openRegistry may be nil in a program that
+// follows no registry.
+func Run(path string, openRegistry OpenRegistry) int {
+	again := make(chan os.Signal, 1)
+	signal.Notify(again, syscall.SIGHUP)
+	log := logrus.New()
+	log.SetFormatter(&logrus.TextFormatter{FullTimestamp: true, TimestampFormat: "15:04:05.000"})
+	sheet, err := launch.Read(os.Getenv, os.ReadFile)
+	if err != nil {
+		log.WithField("reason", "settings").Error(err)
+		return 2
+	}
+	entry := log.WithField("name", sheet.Name)
+	var file operator.File
+	if path != "" {
+		if file, err = operator.Read(path); err != nil {
+			faulty(entry, "the start ends", err)
+			return 2
+		}
+	}
+
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	c := &controller{sheet: sheet, path: path, file: file, openRegistry: openRegistry, log: entry}
+	if err := c.open(); err != nil {
+		entry.WithField("reason", "listen").Error(err)
+		return 1
+	}
+	failed := make(chan error, 1)
+	go func() { failed <- c.streams.Serve() }()
+	for {
+		select {
+		case s := <-stop:
+			entry.WithField("reason", s.String()).Info("stopping")
+			return 0
+		case err := <-failed:
+			entry.WithField("reason", "listen").Error(err)
+			return 1
+		case <-again:
+			c.reload()
+		}
+	}
+}
+
+// faulty logs a line for each fault of an operator file.
+func faulty(log *logrus.Entry, text string, err error) {
+	var faults operator.Faults
+	if !errors.As(err, &faults) {
+		log.WithField("reason", "operator").Errorf("%s: %v", text, err)
+	}
+	for _, f := range faults {
+		log.WithField("reason", "operator").Errorf("%s: %v", text, f)
+	}
+}
+
+// controller is what runs, and what it was told last.
+type controller struct {
+	sheet        launch.Sheet
+	path         string // of the operator file
+	file         operator.File
+	openRegistry OpenRegistry
+	lists        *sources
+	streams      *stream.Listener
+	log          *logrus.Entry
+}
+
+// allow sets the limits of the process.
+func allow(s launch.Sheet) {
+	runtime.GOMAXPROCS(max(1, int(math.Round(s.Cores))))
+	debug.SetMemoryLimit(int64(heapPart * float64(s.MemoryMB) * (1 << 20)))
+}
+
+// open starts the parts. The desk has the list known at the start before anyone can connect.
+func (c *controller) open() error {
+	sheet, log := c.sheet, c.log
+	allow(sheet)
+	queue := make(chan desk.News, queueLength)
+	c.lists = &sources{queue: queue, log: log}
+	if c.file.Registry == nil {
+		c.discover(sheet.Known)
+	} else {
+		c.follow()
+	}
+	d := desk.New(sheet.Deployment, sheet.Names, c.lists, log)
+	d.Known(sheet.Known)
+	d.Step(clock())
+	go d.Run(queue, sheet.Tick, clock)
+
+	hear := func(from *stream.Conn, said any) { queue <- desk.News{From: from, Said: said} }
+	ln, err := stream.Listen(sheet.Listen, sheet.MemoryMB<<20, sheet.Sockets, hear, log)
+	if err != nil {
+		return err
+	}
+	log.WithFields(logrus.Fields{"listen": ln.Addr().String(), "discovery": sheet.Discovery,
+		"backends": len(sheet.Known.Members), "proxies": sheet.Deployment.Proxies,
+		"revision": sheet.Known.Revision}).Info("ready")
+	c.streams = ln
+	return nil
+}
+
+// discover follows the platform's discovery, on from a list that is known.
+func (c *controller) discover(known roster.List) {
+	c.lists.begin(func(tell func(any)) Source {
+		r := registry.New(c.sheet.Discovery, tell, c.log)
+		r.From(known)
+		go r.Run(!c.sheet.Deployment.Asked || !known.Whole)
+		return r
+	})
+}
+
+// follow follows the key-value registry of the operator file.
+func (c *controller) follow() {
+	c.lists.begin(func(tell func(any)) Source {
+		return c.openRegistry(*c.file.Registry, c.sheet.Name, tell, c.log)
+	})
+}
+
+// reload takes over a file that was replaced. One that is broken, half written or missing changes nothing;
+// streams, tables and the list held stay in any case.
+func (c *controller) reload() {
+	next, err := launch.Read(os.Getenv, os.ReadFile)
+	if err != nil {
+		c.log.WithField("reason", "settings").Errorf("the configuration stays as it was: %v", err)
+		return
+	}
+	if keys := c.sheet.Kept(next); len(keys) > 0 {
+		c.log.WithField("keys", keys).Warn("these changes wait for a restart")
+	}
+	file, err := c.file, error(nil)
+	if c.path != "" {
+		if file, err = operator.Read(c.path); err != nil {
+			faulty(c.log, "the configuration stays as it was", err)
+			return
+		}
+	}
+	moved := next.Discovery != c.sheet.Discovery
+	c.sheet.Discovery = next.Discovery
+	switch was := c.file.Registry; {
+	case !reflect.DeepEqual(was, file.Registry):
+		if c.file = file; file.Registry != nil {
+			c.follow()
+		} else {
+			c.discover(roster.List{})
+		}
+	case moved && was == nil:
+		if r, ok := c.lists.source().(*registry.Registry); ok {
+			r.Move(next.Discovery)
+		}
+	}
+	allow(next)
+	c.streams.Allow(next.MemoryMB<<20, next.Sockets)
+	c.log.WithFields(logrus.Fields{"discovery": next.Discovery, "memory_mb": next.MemoryMB, "sockets": next.Sockets,
+		"cores": next.Cores}).Info("configuration taken over")
+}
+
+var began = time.Now()
+
+// clock is the wall's time at the start and what has passed since, so that it never goes back.
+func clock() choice.Time {
+	return choice.Time((began.UnixNano() + time.Since(began).Nanoseconds()) / (1e9 / int64(choice.Second)))
+}
--- a/cmd/elmfold/main_test.go
+++ b/controller/controller_test.go
@@ -1,4 +1,4 @@
-package main
+package controller
 
 import (
 	"bufio"
@@ -20,8 +20,7 @@
 // The test's own binary is the controller when it is told so.
 func TestMain(m *testing.M) {
 	if os.Getenv("ELMFOLD_SERVE") != "" {
-		main()
-		os.Exit(0)
+		os.Exit(Run(os.Getenv("EDGE_OPERATOR"), nil))
 	}
 	os.Exit(m.Run())
 }
--- /dev/null
+++ b/controller/sources.go
@@ -0,0 +1,81 @@
+package controller
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"github.com/sirupsen/logrus"
+
+	"elmfold/desk"
+	"elmfold/operator"
+	"elmfold/roster"
+)
+
+// Source is where the list of backends comes from: the platform's discovery, or a key-value registry.
+type Source interface {
+	desk.Lists
+	Stop()
+}
+
+// OpenRegistry begins to follow a key-value registry and hands on each roster.List and roster.Failed.
+type OpenRegistry func(o operator.Registry, name string, tell func(any), log *logrus.Entry) Source
+
+// slot is a Source that is followed; it is known before the Source tells anything.
+type slot struct{ Source }
+
+// sources is the one way from Sources to the desk. Of two the new one takes the old one's place with its first
+// whole list: until then the old one is followed, so nothing is undone by one that cannot be reached.
+type sources struct {
+	queue chan<- desk.News
+	log   *logrus.Entry
+	now   atomic.Pointer[slot] // the desk asks here and never waits
+
+	mu   sync.Mutex
+	next *slot
+}
+
+// begin follows a further Source; the first one holds at once.
+func (s *sources) begin(open func(tell func(any)) Source) {
+	at := &slot{}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if old := s.next; old != nil {
+		go old.Stop()
+	}
+	if s.now.Load() == nil {
+		s.now.Store(at)
+	} else {
+		s.next = at
+	}
+	at.Source = open(func(said any) { s.tell(at, said) })
+}
+
+func (s *sources) tell(from *slot, said any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if l, ok := said.(roster.List); ok && l.Whole && from == s.next {
+		old := s.now.Swap(from)
+		s.next = nil
+		go old.Stop() // it may wait for this very call
+		s.log.WithFields(logrus.Fields{"revision": l.Revision, "backends": len(l.Members)}).
+			Info("the list comes from the new source")
+	}
+	if from == s.now.Load() {
+		s.queue <- desk.News{Said: said}
+	}
+}
+
+// Follow and Reload are the desk's.
+func (s *sources) Follow(on bool) { s.now.Load().Follow(on) }
+
+func (s *sources) Reload() { s.now.Load().Reload() }
+
+// source is the one that holds, or that is to hold.
+func (s *sources) source() Source {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.next != nil {
+		return s.next.Source
+	}
+	return s.now.Load().Source
+}
--- /dev/null
+++ b/operator/operator.go
@@ -0,0 +1,280 @@
+package operator
+
+import (
+	"fmt"
+	"maps"
+	"net"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"elmfold/registry"
+	"elmfold/roster"
+)
+
+// File is what an operator file says. What it has no section for is off.
+type File struct {
+	Registry *Registry
+}
+
+// Registry is a key-value registry that holds the list of backends.
+type Registry struct {
+	Kind      string // Etcd or Consul
+	Endpoints []string
+	Access    registry.Access
+	Plan      roster.Plan // without a seed
+}
+
+// Kinds of registry.
+const (
+	Etcd   = "etcd"
+	Consul = "consul"
+)
+
+// Read takes a file from disk. The error is Faults.
+func Read(path string) (File, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return File{}, Faults{{File: path, What: err.Error(), Mend: "name a file that can be read"}}
+	}
+	return Parse(path, string(text))
+}
+
+// Parse takes a file's text; name stands in the errors, which are Faults.
+func Parse(name, text string) (File, error) {
+	r := &reader{file: name}
+	var f File
+	seen := map[string]int{}
+	for _, s := range r.sections(text) {
+		if first := seen[s.name]; first > 0 {
+			r.fault(s.line, "put both into one", "a second section %s; the first is in line %d", s.name, first)
+			continue
+		}
+		seen[s.name] = s.line
+		switch s.name {
+		case "registry":
+			f.Registry = r.registry(s)
+		default:
+			r.fault(s.line, nearest(s.name, []string{"registry"}), "no section is named %q", s.name)
+		}
+	}
+	if len(r.faults) > 0 {
+		slices.SortStableFunc(r.faults, func(a, b Fault) int { return a.Line - b.Line })
+		return File{}, r.faults
+	}
+	return f, nil
+}
+
+// rule reads one directive's words into where it belongs. least and most bound how many there are.
+type rule struct {
+	least, most int
+	example     string
+	read        func(d directive, words []string)
+}
+
+// obey reads the directives of a section; each may stand once, unless its rule takes any number of words.
+func (r *reader) obey(s section, rules map[string]rule) (at map[string]int) {
+	at = map[string]int{}
+	for _, d := range s.inner {
+		rule, ok := rules[d.name]
+		switch first := at[d.name]; {
+		case !ok:
+			r.fault(d.line, nearest(d.name, slices.Sorted(maps.Keys(rules))), "%s has no directive %q", s.name, d.name)
+			continue
+		case first > 0 && rule.most < many:
+			r.fault(d.line, "take one of them out", "%s stands in line %d already", d.name, first)
+			continue
+		case len(d.words) < rule.least:
+			r.fault(d.line, "write "+d.name+" "+rule.example, "%s says too little", d.name)
+		case len(d.words) > rule.most:
+			r.fault(d.line, "write "+d.name+" "+rule.example, "%s says too much: %q", d.name, d.words[rule.most])
+		default:
+			rule.read(d, d.words)
+		}
+		if at[d.name] == 0 {
+			at[d.name] = d.line
+		}
+	}
+	return at
+}
+
+const many = 64
+
+// span reads a time of at least one and at most another.
+func (r *reader) span(into *time.Duration, least, most time.Duration) rule {
+	return rule{1, 1, least.String(), func(d directive, w []string) {
+		v, err := time.ParseDuration(w[0])
+		if _, plain := strconv.ParseFloat(w[0], 64); plain == nil && w[0] != "0" {
+			r.fault(d.line, fmt.Sprintf("write %s %ss or %sms, as is meant", d.name, w[0], w[0]), "%s %q has no unit", d.name, w[0])
+		} else if err != nil {
+			r.fault(d.line, "write a span such as "+d.name+" 1.5s", "%s %q is no span of time", d.name, w[0])
+		} else if v < least || v > most {
+			r.fault(d.line, fmt.Sprintf("write a span from %v to %v", least, most), "%s %v is out of range", d.name, v)
+		} else {
+			*into = v
+		}
+	}}
+}
+
+func (r *reader) count(into *int, least, most int) rule {
+	return rule{1, 1, strconv.Itoa(least), func(d directive, w []string) {
+		v, err := strconv.Atoi(w[0])
+		if err != nil || v < least || v > most {
+			r.fault(d.line, fmt.Sprintf("write a whole number from %d to %d", least, most), "%s %q is none", d.name, w[0])
+			return
+		}
+		*into = v
+	}}
+}
+
+var sizes = []struct {
+	unit  string
+	bytes int
+}{{"KB", 1 << 10}, {"MB", 1 << 20}, {"B", 1}}
+
+func (r *reader) size(into *int, least, most int) rule {
+	return rule{1, 1, "64KB", func(d directive, w []string) {
+		for _, s := range sizes {
+			text, ok := strings.CutSuffix(w[0], s.unit)
+			if v, err := strconv.Atoi(text); ok && err == nil && v >= 0 && v <= most/s.bytes && v*s.bytes >= least {
+				*into = v * s.bytes
+				return
+			}
+		}
+		r.fault(d.line, fmt.Sprintf("write a size from %dB to %dKB", least, most>>10), "%s %q is none", d.name, w[0])
+	}}
+}
+
+// part reads a percentage; 0% is never.
+func (r *reader) part(into *float64) rule {
+	return rule{1, 1, "50%", func(d directive, w []string) {
+		text, ok := strings.CutSuffix(w[0], "%")
+		v, err := strconv.ParseFloat(text, 64)
+		if !ok || err != nil || !(v >= 0 && v <= 100) {
+			r.fault(d.line, "write a part from 0% to 100%", "%s %q is none", d.name, w[0])
+			return
+		}
+		*into = v / 100
+	}}
+}
+
+// word reads a name or a path, which need not be there yet.
+func (r *reader) word(into *string, example string) rule {
+	return rule{1, 1, example, func(_ directive, w []string) { *into = w[0] }}
+}
+
+// addresses reads any number of HOST:PORT.
+func (r *reader) addresses(into *[]string) rule {
+	return rule{1, many, "10.0.0.1:2379", func(d directive, w []string) {
+		for _, a := range w {
+			host, port, err := net.SplitHostPort(a)
+			n, bad := strconv.ParseUint(port, 10, 16)
+			switch {
+			case err != nil || host == "" || bad != nil || n == 0:
+				r.fault(d.line, "write HOST:PORT, and [HOST]:PORT for IPv6", "%s %q is no address", d.name, a)
+			case slices.Contains(*into, a):
+				r.fault(d.line, "take one of them out", "%s %s stands there twice", d.name, a)
+			default:
+				*into = append(*into, a)
+			}
+		}
+	}}
+}
+
+func (r *reader) registry(s section) *Registry {
+	g := &Registry{Plan: roster.Usual()}
+	if len(s.words) == 1 {
+		g.Kind = s.words[0]
+	}
+	p, a := &g.Plan, &g.Access
+	p.Prefix = "elmfold/backends"
+	switch g.Kind {
+	case Etcd:
+		p.Changes, p.Checks, p.Prefix = true, true, "/elmfold/backends"
+	case Consul:
+		p.Answer, p.Audit = 4*time.Second, 0 // the whole list comes in one answer
+	default:
+		r.fault(s.line, "write registry etcd or registry consul", "registry %q is of no known kind", strings.Join(s.words, " "))
+		return nil
+	}
+	var files registry.Files
+	tls, quietest := false, 200*time.Millisecond
+	if g.Kind == Consul {
+		quietest = 1500 * time.Millisecond // a read there blocks for a second
+	}
+	rules := map[string]rule{
+		"endpoint":      r.addresses(&g.Endpoints),
+		"prefix":        r.word(&p.Prefix, "/elmfold/backends"),
+		"token-file":    r.word(&a.TokenFile, "/etc/elmfold/token"),
+		"tls":           {0, 0, "", func(directive, []string) { tls = true }},
+		"tls-ca":        r.word(&files.CA, "/etc/elmfold/ca.pem"),
+		"tls-cert":      r.word(&files.Cert, "/etc/elmfold/cert.pem"),
+		"tls-key":       r.word(&files.Key, "/etc/elmfold/key.pem"),
+		"tls-name":      r.word(&files.Name, "registry.example"),
+		"value-limit":   r.size(&p.MostValue, 64, 1<<20),
+		"keys-limit":    r.count(&p.MostKeys, 1, 1_000_000),
+		"answer":        r.span(&p.Answer, 100*time.Millisecond, time.Minute),
+		"silence":       r.span(&p.Silence, quietest, 10*time.Second),
+		"pause":         r.span(&p.Pause, time.Millisecond, 10*time.Second),
+		"pause-limit":   r.span(&p.Pauses, time.Millisecond, time.Minute),
+		"refusal-limit": r.span(&p.Refusals, time.Millisecond, time.Hour),
+		"spread":        r.span(&p.Spread, 0, time.Minute),
+		"read-gap":      r.span(&p.ReadGap, 0, time.Minute),
+		"hold":          r.span(&p.Hold, 0, time.Hour),
+		"keep-ends":     r.span(&p.KeepEnds, time.Second, 240*time.Hour),
+		"ends-limit":    r.count(&p.MostEnds, 0, 1_000_000),
+		"shrink":        r.part(&p.Shrink),
+	}
+	if g.Kind == Etcd {
+		rules["user"] = r.word(&a.User, "elmfold")
+		rules["password-file"] = r.word(&a.PasswordFile, "/etc/elmfold/password")
+		rules["page"] = r.count(&p.Page, 1, 10000)
+		rules["ask"] = r.span(&p.Ask, 50*time.Millisecond, 10*time.Second)
+		rules["audit"] = r.span(&p.Audit, 0, 24*time.Hour)
+	} else {
+		rules["login"] = rule{2, 2, "METHOD /etc/elmfold/bearer", func(_ directive, w []string) { a.Method, a.BearerFile = w[0], w[1] }}
+	}
+	faults := len(r.faults)
+	at := r.obey(s, rules)
+	p.Prefix = strings.TrimSuffix(p.Prefix, "/")
+	p.Endpoints = len(g.Endpoints)
+	p.MostPage = max(p.MostPage, p.Page)
+	last := func(names ...string) (line int) {
+		for _, n := range names {
+			line = max(line, at[n])
+		}
+		return line
+	}
+	switch {
+	case len(r.faults) > faults: // what follows from them is no news
+	case at["endpoint"] == 0:
+		r.fault(s.line, "add a line such as: endpoint 10.0.0.1:2379", "registry %s has no endpoint", g.Kind)
+	case p.Prefix == "" || g.Kind == Consul && strings.HasPrefix(p.Prefix, "/"):
+		r.fault(last("prefix"), "write a prefix that is not empty, for Consul without the first /", "prefix %q is none", p.Prefix)
+	case (a.User == "") != (a.PasswordFile == ""):
+		r.fault(last("user", "password-file"), "write user and password-file, both", "half of a user and a password")
+	case a.TokenFile != "" && (a.User != "" || a.Method != ""):
+		r.fault(last("token-file", "user", "login"), "keep one of them", "a token and another way to be let in")
+	case (files.Cert == "") != (files.Key == ""):
+		r.fault(last("tls-cert", "tls-key"), "write tls-cert and tls-key, both", "half of a certificate and its key")
+	case g.Kind == Etcd && p.Ask >= p.Silence:
+		r.fault(last("ask", "silence"), fmt.Sprintf("write ask under silence, which is %v", p.Silence), "ask %v leaves no time to answer", p.Ask)
+	case p.Pause > p.Pauses:
+		r.fault(last("pause", "pause-limit"), fmt.Sprintf("write pause up to pause-limit, which is %v", p.Pauses), "pause %v is over its limit", p.Pause)
+	}
+	if tls || files != (registry.Files{}) {
+		a.TLS = &files
+	}
+	return g
+}
+
+// String says in a few words what a file turns on.
+func (f File) String() string {
+	if f.Registry == nil {
+		return "it turns on nothing"
+	}
+	return fmt.Sprintf("the list of backends comes from %s, %d endpoints, prefix %s", f.Registry.Kind,
+		len(f.Registry.Endpoints), f.Registry.Plan.Prefix)
+}
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -33,6 +33,7 @@
 	moves    chan string // the address to go on at
 	log      *logrus.Entry
 	down     bool
+	stop     chan struct{}
 
 	wait, grace time.Duration
 }
@@ -48,7 +49,7 @@
 // New makes a Registry; tell is given each roster.List and each roster.Failed.
 func New(addr string, tell func(any), log *logrus.Entry) *Registry {
 	return &Registry{client: clientFor(addr), tell: tell, orders: make(chan order, 16), moves: make(chan string, 1),
-		log: log, wait: wait, grace: grace}
+		stop: make(chan struct{}), log: log, wait: wait, grace: grace}
 }
 
 func clientFor(addr string) *fasthttp.HostClient {
@@ -107,7 +108,10 @@
 	}
 }
 
-// Run asks until the program ends.
+// Stop ends Run, at the latest when the call in hand has ended.
+func (r *Registry) Stop() { close(r.stop) }
+
+// Run asks until Stop.
 func (r *Registry) Run(following bool) {
 	for {
 		select {
@@ -124,6 +128,8 @@
 			continue
 		case addr := <-r.moves:
 			r.move(addr)
+		case <-r.stop:
+			return
 		default:
 		}
 		if !following {
@@ -132,6 +138,8 @@
 				r.send(o)
 			case addr := <-r.moves:
 				r.move(addr)
+			case <-r.stop:
+				return
 			}
 			continue
 		}
--- a/standin/consul/consul.go
+++ b/standin/consul/consul.go
@@ -125,11 +125,10 @@
 
 const base = 10 // of the index: other parts of Consul have used it before
 
-func (s *Server) index(prefix string) int64 {
+func (s *Server) index(prefix string, revision int64) int64 {
 	s.mu.Lock()
 	forgotten := s.forgotten
 	s.mu.Unlock()
-	_, revision, _, _, _ := s.store.State()
 	to := prefix + "\xff"
 	if forgotten {
 		entries, _ := s.store.Range(prefix, to, revision, 0)
@@ -139,7 +138,7 @@
 		}
 		return at + base
 	}
-	return s.store.Last(prefix, to) + base
+	return s.store.Last(prefix, to, revision) + base
 }
 
 type pair struct {
@@ -210,7 +209,7 @@
 	}
 	_, revision, _, _, _ := s.store.State()
 	entries, _ := s.store.Range(prefix, prefix+"\xff", revision, 0)
-	ctx.Response.Header.Set("X-Consul-Index", strconv.FormatInt(s.index(prefix), 10))
+	ctx.Response.Header.Set("X-Consul-Index", strconv.FormatInt(s.index(prefix, revision), 10))
 	ctx.Response.Header.Set("X-Consul-KnownLeader", "true")
 	if len(entries) == 0 {
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
@@ -239,8 +238,8 @@
 	defer over.Stop()
 	_, _, _, began, _ := s.store.State()
 	for {
-		_, _, _, epoch, changed := s.store.State()
-		if s.index(prefix) > after || epoch != began {
+		_, revision, _, epoch, changed := s.store.State()
+		if s.index(prefix, revision) > after || epoch != began {
 			return
 		}
 		select {
--- a/standin/kv/kv.go
+++ b/standin/kv/kv.go
@@ -185,12 +185,13 @@
 	return entries
 }
 
-// Last is the revision of the newest change among the keys from one on and before another, deletions too.
-func (s *Store) Last(from, to string) (revision int64) {
+// Last is the revision, up to one, of the newest change among the keys from one on and before another, deletions
+// too.
+func (s *Store) Last(from, to string, revision int64) int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for i := len(s.log) - 1; i >= 0; i-- {
-		if e := s.log[i]; e.Key >= from && e.Key < to {
+		if e := s.log[i]; e.Mod <= revision && e.Key >= from && e.Key < to {
 			return e.Mod
 		}
 	}
