Hard cases of the registry client on sockets; dialers end with their client

The cases of the issue need sockets: cuts and silence at any byte, compaction during a break and between pages, restored registries, an emptied list, bad values, refused passwords, tokens and certificates, leases.

Found by the leak check: fasthttp's TCPDialer keeps a goroutine for good, one for each client that is made, so each reconnect to Consul and each move of the platform's discovery left one. Both dial with net.Dialer now.

--- a/registry/consul/consul.go
+++ b/registry/consul/consul.go
@@ -38,7 +38,8 @@
 
 	mu     sync.Mutex
 	client *fasthttp.HostClient
-	at     int // endpoint of client
+	at     int  // endpoint of client
+	heard  bool // it has answered
 	token  string
 }
 
@@ -73,10 +74,10 @@
 	}
 	s.leave()
 	addr := s.endpoints[endpoint]
-	dialer := &fasthttp.TCPDialer{}
+	dialer := net.Dialer{Timeout: dialWithin} // fasthttp's own keeps a goroutine for good
 	c := &fasthttp.HostClient{Addr: addr, MaxConns: 4, MaxResponseBodySize: mostAnswer, MaxIdemponentCallAttempts: 1,
 		NoDefaultUserAgentHeader: true,
-		Dial:                     func(addr string) (net.Conn, error) { return dialer.DialDualStackTimeout(addr, dialWithin) }}
+		Dial:                     func(addr string) (net.Conn, error) { return dialer.Dial("tcp", addr) }}
 	if f := s.access.TLS; f != nil {
 		host, _, _ := net.SplitHostPort(addr)
 		conf, err := f.Load(host)
@@ -85,7 +86,7 @@
 		}
 		c.IsTLS, c.TLSConfig = true, conf
 	}
-	s.client, s.at = c, endpoint
+	s.client, s.at, s.heard = c, endpoint, false
 	return c, nil
 }
 
@@ -99,16 +100,15 @@
 
 func why(err error) roster.Why {
 	var f *failure
-	var alert *net.OpError
+	var late net.Error
 	switch {
 	case errors.As(err, &f):
 		return f.why
-	case errors.Is(err, fasthttp.ErrTimeout), errors.Is(err, fasthttp.ErrDialTimeout), errors.Is(err, fasthttp.ErrTLSHandshakeTimeout):
+	case errors.Is(err, fasthttp.ErrTimeout), errors.Is(err, fasthttp.ErrTLSHandshakeTimeout),
+		errors.As(err, &late) && late.Timeout():
 		return roster.Silent
 	case registry.Refuses(err):
 		return roster.Certificate
-	case errors.As(err, &alert):
-		return roster.Lost
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		return roster.Odd
 	}
@@ -196,8 +196,11 @@
 	}
 	req.SetBody(body)
 	if err := c.DoTimeout(req, resp, within); err != nil {
-		return 0, false, err
+		return 0, false, s.shut(c, err)
 	}
+	s.mu.Lock()
+	s.heard = true
+	s.mu.Unlock()
 	code := resp.StatusCode()
 	if code != fasthttp.StatusOK && code != fasthttp.StatusNotFound {
 		return 0, false, refused(code, resp.Body())
@@ -219,6 +222,19 @@
 	return index, true, nil
 }
 
+// shut tells a connection that ends right after the TLS handshake, before any answer, from one that broke: a
+// server that refuses our certificate says so then, in a message that the reset often overtakes.
+func (s *Source) shut(c *fasthttp.HostClient, err error) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var op *net.OpError
+	early := errors.Is(err, fasthttp.ErrConnectionClosed) || errors.As(err, &op) && op.Op != "dial"
+	if c.IsTLS && !s.heard && early {
+		return &failure{roster.Certificate, "closed after the handshake, as by one that refuses our certificate: " + err.Error()}
+	}
+	return err
+}
+
 // get makes a call with a token; one that has expired is renewed, once.
 func (s *Source) get(endpoint int, path string, within time.Duration, into any) (index int64, found bool, err error) {
 	c, err := s.dial(endpoint)
--- a/registry/etcd/etcd.go
+++ b/registry/etcd/etcd.go
@@ -157,6 +157,15 @@
 	return roster.Odd
 }
 
+// shut tells a connection that ends right after the TLS handshake from one that broke: a server that refuses
+// our certificate says so then, in a message that the reset often overtakes.
+func (s *Source) shut(err error) error {
+	if s.access.TLS != nil && strings.Contains(err.Error(), "error reading server preface") {
+		return &refusal{roster.Certificate, plain(err)}
+	}
+	return err
+}
+
 // plain is an error's text without gRPC's frame.
 func plain(err error) error {
 	if st, ok := status.FromError(err); ok && st.Code() != codes.Unknown {
@@ -237,6 +246,7 @@
 	if err == nil || ctx.Err() != nil {
 		return
 	}
+	err = s.shut(err)
 	reason := why(err)
 	if reason == roster.Token {
 		s.forget()
--- /dev/null
+++ b/registry/follow/cases_test.go
@@ -0,0 +1,621 @@
+package follow_test
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"fmt"
+	"io"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"go.uber.org/goleak"
+
+	"elmfold/registry"
+	"elmfold/registry/consul"
+	"elmfold/registry/etcd"
+	"elmfold/registry/follow"
+	"elmfold/roster"
+	standconsul "elmfold/standin/consul"
+	standetcd "elmfold/standin/etcd"
+	"elmfold/standin/kv"
+	"elmfold/standin/link"
+)
+
+// What fasthttp keeps ends by itself, within 10 s.
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m,
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*HostClient).connsCleaner"),
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*workerPool).Start.func2"),
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.updateServerDate.func1"))
+}
+
+const (
+	prefix = "elm/b"
+	limit  = 30 * time.Second // that nothing here comes near
+)
+
+func value(phase string, size int) string {
+	return fmt.Sprintf(`{"locality":"a","flavor":"m","phase":%q,"size":%d}`, phase, size)
+}
+
+// server is a stand-in of either kind.
+type server interface {
+	Addr() string
+	Stop()
+	Silent(bool)
+	Expire()
+}
+
+// rig is a stand-in registry, a link to it and a follower, with what that tells.
+type rig struct {
+	*testing.T
+	kind   string
+	store  *kv.Store
+	server server
+	link   *link.Link
+	f      *follow.Follower
+	tells  chan roster.Tell
+	notes  chan roster.Note
+	list   map[string]roster.Member
+	at     int64
+	doubts int
+}
+
+// kinds runs a test against both kinds of registry.
+func kinds(t *testing.T, f func(t *testing.T, kind string)) {
+	for _, kind := range []string{"etcd", "consul"} {
+		t.Run(kind, func(t *testing.T) { f(t, kind) })
+	}
+}
+
+func newRig(t *testing.T, kind string, conf *tls.Config) *rig {
+	t.Helper()
+	r := &rig{T: t, kind: kind, store: kv.New(7), list: map[string]roster.Member{}}
+	var err error
+	if kind == "etcd" {
+		r.server, err = standetcd.Start(r.store, conf)
+	} else {
+		r.server, err = standconsul.Start(r.store, conf)
+	}
+	if err == nil {
+		t.Cleanup(r.server.Stop)
+		r.link, err = link.New(r.server.Addr(), nil)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.link.Close)
+	return r
+}
+
+// plan is quick: its spans are counted in turns of a schedule, not in what a test waits for.
+func (r *rig) plan() roster.Plan {
+	p := roster.Usual()
+	p.Seed, p.Prefix, p.Page = "n1", prefix, 3
+	p.Pause, p.Pauses, p.Refusals, p.Spread, p.ReadGap = time.Millisecond, 20*time.Millisecond, 20*time.Millisecond, time.Millisecond, time.Millisecond
+	p.Changes, p.Checks = r.kind == "etcd", r.kind == "etcd"
+	if r.kind == "consul" {
+		p.Audit = 0
+	}
+	return p
+}
+
+func (r *rig) source(endpoints []string, a registry.Access) follow.Source {
+	if r.kind == "etcd" {
+		return etcd.New(endpoints, prefix, a)
+	}
+	return consul.New(endpoints, prefix, a, 2*time.Second)
+}
+
+func (r *rig) begin(p roster.Plan, a registry.Access) {
+	r.tells, r.notes = make(chan roster.Tell, 10000), make(chan roster.Note, 10000)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	endpoints := []string{r.link.Addr()}
+	r.f = follow.New(p, r.source(endpoints, a), endpoints, func(any) {}, logrus.NewEntry(log))
+	r.f.See(func(o roster.Order) {
+		switch o := o.(type) {
+		case roster.Tell:
+			r.tells <- o
+		case roster.Note:
+			r.notes <- o
+		}
+	})
+	go r.f.Run()
+	r.Cleanup(r.f.Stop)
+}
+
+// hear takes one Tell: each member must be a change, and revisions must not go back.
+func (r *rig) hear(o roster.Tell) {
+	r.Helper()
+	if o.Whole {
+		clear(r.list)
+	}
+	if o.Revision < r.at && !o.Whole && r.doubts == 0 {
+		r.Errorf("revision %d is told after %d", o.Revision, r.at)
+	}
+	r.at = o.Revision
+	for _, m := range o.Members {
+		was, there := r.list[m.ID]
+		if gone := m.Phase == roster.Deleted; gone && !there || !gone && there && was == m {
+			r.Errorf("%+v is told twice", m)
+		}
+		if r.list[m.ID] = m; m.Phase == roster.Deleted {
+			delete(r.list, m.ID)
+		}
+	}
+}
+
+// until hears what is told until the list is as wanted.
+func (r *rig) until(want map[string]string) {
+	r.Helper()
+	over := time.After(limit)
+	for !r.is(want) {
+		select {
+		case o := <-r.tells:
+			r.hear(o)
+		case <-over:
+			r.Fatalf("the list is %+v, want %v", r.list, want)
+		}
+	}
+}
+
+func (r *rig) is(want map[string]string) bool {
+	for id, phase := range want {
+		if r.list[id].Phase != phase {
+			return false
+		}
+	}
+	return len(r.list) == len(want)
+}
+
+// note waits for a line that holds some words.
+func (r *rig) note(words string) roster.Note {
+	r.Helper()
+	over := time.After(limit)
+	for {
+		select {
+		case n := <-r.notes:
+			if strings.Contains(n.Text+" "+n.Reason, words) {
+				return n
+			}
+		case <-over:
+			r.Fatalf("no line holds %q", words)
+		}
+	}
+}
+
+func (r *rig) put(id, phase string) { r.store.Put(prefix+"/"+id, value(phase, 1)) }
+
+// Cut at each byte of what the registry sends, in pieces of any size, the list comes out as the registry holds
+// it, each change told once and in order.
+func TestCase1CutAtAnyByte(t *testing.T) {
+	kinds(t, func(t *testing.T, kind string) {
+		step := int64(11)
+		if testing.Short() {
+			step = 101
+		}
+		for at := int64(0); at < 1500; at += step {
+			r := newRig(t, kind, nil)
+			if m, ok := r.server.(*standetcd.Member); ok {
+				m.Fragment(1)
+			}
+			r.link.Become(func(n int) link.Script {
+				s := link.Calm
+				s.Split = 1 + int(at+int64(n))%40
+				if n%2 == 0 && n < 6 {
+					s.Down = link.Fate{After: at, Kind: link.Cut}
+				}
+				return s
+			})
+			for _, id := range []string{"a", "b", "c", "d"} {
+				r.put(id, roster.Serving)
+			}
+			r.begin(r.plan(), registry.Access{})
+			r.until(map[string]string{"a": "SERVING", "b": "SERVING", "c": "SERVING", "d": "SERVING"})
+			r.put("a", roster.Draining)
+			r.store.Txn(kv.Change{Key: prefix + "/b", Gone: true}, kv.Change{Key: prefix + "/c", Value: []byte(value(roster.Draining, 1))},
+				kv.Change{Key: prefix + "/e", Value: []byte(value(roster.Serving, 1))})
+			r.put("d", roster.Draining)
+			r.until(map[string]string{"a": "DRAINING", "c": "DRAINING", "d": "DRAINING", "e": "SERVING"})
+			r.f.Stop()
+			r.link.Close()
+			r.server.Stop()
+			if t.Failed() {
+				t.Fatalf("cut at byte %d", at)
+			}
+		}
+	})
+}
+
+// Silence with the connection open, at any byte, is noticed without TCP; what comes twice is told once.
+func TestCase1Silence(t *testing.T) {
+	kinds(t, func(t *testing.T, kind string) {
+		for _, at := range []int64{0, 9, 150, 400, 700, 1100} {
+			r := newRig(t, kind, nil)
+			if m, ok := r.server.(*standetcd.Member); ok {
+				m.Twice(true)
+			}
+			r.link.Become(func(n int) link.Script {
+				s := link.Calm
+				if n < 2 {
+					s.Down = link.Fate{After: at, Kind: link.Silence}
+				}
+				return s
+			})
+			r.put("a", roster.Serving)
+			p := r.plan()
+			p.Ask, p.Answer = 50*time.Millisecond, 300*time.Millisecond
+			if kind == "etcd" {
+				p.Silence = 200 * time.Millisecond
+			}
+			r.begin(p, registry.Access{})
+			r.until(map[string]string{"a": "SERVING"})
+			r.put("a", roster.Draining)
+			r.put("b", roster.Serving)
+			r.until(map[string]string{"a": "DRAINING", "b": "SERVING"})
+			r.server.Silent(true)
+			r.note("silent")
+			r.store.Delete(prefix + "/b")
+			r.server.Silent(false)
+			r.until(map[string]string{"a": "DRAINING"})
+			r.f.Stop()
+		}
+	})
+}
+
+// The revision held is compacted during a break, and again between the pages of the whole list; what became
+// draining or was deleted meanwhile is told, and nothing else.
+func TestCase2And3CompactedDuringABreak(t *testing.T) {
+	r := newRig(t, "etcd", nil)
+	for i := range 20 {
+		r.put(fmt.Sprint("s-", i), roster.Serving)
+	}
+	r.begin(r.plan(), registry.Access{})
+	want := map[string]string{}
+	for i := range 20 {
+		want[fmt.Sprint("s-", i)] = roster.Serving
+	}
+	r.until(want)
+	r.link.Refuse(true)
+	r.link.CutAll()
+	r.note("registry fails")
+	r.put("s-3", roster.Draining)
+	r.store.Delete(prefix + "/s-4")
+	r.put("s-5", roster.Serving) // as it is
+	r.store.Compact(0)
+	compactions := 0
+	r.server.(*standetcd.Member).Pages(func(int) {
+		if compactions < 4 { // each answer of a page is overtaken
+			compactions++
+			r.put("s-6", roster.Serving)
+			r.store.Compact(0)
+		}
+	})
+	r.link.Refuse(false)
+	want["s-3"] = roster.Draining
+	delete(want, "s-4")
+	r.until(want)
+	r.note("compacted while the whole list was read")
+	if len(r.tells) > 0 {
+		t.Errorf("more is told: %+v", <-r.tells)
+	}
+}
+
+// A watch that lags behind a compaction is told so with the least revision, and the whole list follows.
+func TestCase2WatchCancelled(t *testing.T) {
+	r := newRig(t, "etcd", nil)
+	r.put("a", roster.Serving)
+	r.begin(r.plan(), registry.Access{})
+	r.until(map[string]string{"a": "SERVING"})
+	r.server.Silent(true)
+	for range 5 {
+		r.put("a", roster.Draining)
+		r.put("a", roster.Serving)
+	}
+	r.put("a", roster.Draining)
+	r.store.Compact(0)
+	r.server.Silent(false)
+	r.note("compacted away")
+	r.until(map[string]string{"a": "DRAINING"})
+}
+
+// A registry that is restored from a snapshot, with its id or another: drains and ends known stand for the
+// hold, the held list stays until the new one is there, and what changes then is told at once.
+func TestCase4Restored(t *testing.T) {
+	kinds(t, func(t *testing.T, kind string) {
+		for _, id := range []uint64{7, 8} {
+			r := newRig(t, kind, nil)
+			r.put("a", roster.Serving)
+			r.put("b", roster.Serving)
+			r.put("c", roster.Serving)
+			old := r.store.Save()
+			p := r.plan()
+			p.Hold = 400 * time.Millisecond
+			r.begin(p, registry.Access{})
+			r.until(map[string]string{"a": "SERVING", "b": "SERVING", "c": "SERVING"})
+			r.put("a", roster.Draining)
+			r.put("c", roster.Draining)
+			r.store.Delete(prefix + "/b")
+			r.put("d", roster.Serving)
+			r.until(map[string]string{"a": "DRAINING", "c": "DRAINING", "d": "SERVING"})
+			r.doubts++
+			r.store.Restore(old, id)
+			r.note("of another history")
+			r.until(map[string]string{"a": "DRAINING", "c": "DRAINING"})
+			r.put("c", roster.Serving) // by its own hand
+			r.until(map[string]string{"a": "DRAINING", "c": "SERVING"})
+			r.note("stand no longer")
+			r.until(map[string]string{"a": "SERVING", "b": "SERVING", "c": "SERVING"})
+			r.f.Stop()
+		}
+	})
+}
+
+// Consul cleans up old deletions and its index goes back: nothing is told, and the next change is.
+func TestCase4IndexGoesBackAlone(t *testing.T) {
+	r := newRig(t, "consul", nil)
+	r.put("a", roster.Serving)
+	r.put("b", roster.Serving)
+	r.begin(r.plan(), registry.Access{})
+	r.until(map[string]string{"a": "SERVING", "b": "SERVING"})
+	r.store.Delete(prefix + "/b")
+	r.until(map[string]string{"a": "SERVING"})
+	r.server.(*standconsul.Server).Forget(true)
+	r.note("went back")
+	r.put("a", roster.Draining)
+	r.doubts++
+	r.until(map[string]string{"a": "DRAINING"})
+	for len(r.notes) > 0 {
+		if n := <-r.notes; strings.Contains(n.Text, "history") {
+			t.Errorf("note %+v", n)
+		}
+	}
+}
+
+// Emptied by mistake and filled again: people are told, and the list is as the registry says.
+func TestCase5Emptied(t *testing.T) {
+	kinds(t, func(t *testing.T, kind string) {
+		r := newRig(t, kind, nil)
+		all := map[string]string{}
+		for i := range 10 {
+			id := fmt.Sprint("s-", i)
+			r.put(id, roster.Serving)
+			all[id] = roster.Serving
+		}
+		r.begin(r.plan(), registry.Access{})
+		r.until(all)
+		var gone []kv.Change
+		for id := range all {
+			gone = append(gone, kv.Change{Key: prefix + "/" + id, Gone: true})
+		}
+		r.store.Txn(gone...)
+		if n := r.note("shrank"); n.Count != 10 {
+			t.Errorf("note %+v", n)
+		}
+		r.until(map[string]string{})
+		for id := range all {
+			r.put(id, roster.Serving)
+		}
+		r.until(all)
+	})
+}
+
+// Bad values cost their entry and a line each, over the wire too; of a key that goes to and fro within one
+// answer each turn is told by etcd, and the last by Consul.
+func TestCase7BadValues(t *testing.T) {
+	kinds(t, func(t *testing.T, kind string) {
+		r := newRig(t, kind, nil)
+		r.put("good", roster.Serving)
+		r.store.Put(prefix+"/nojson", "{")
+		r.store.Put(prefix+"/long", `{"locality":"`+strings.Repeat("x", 70000)+`"}`)
+		r.store.Put(prefix+"/alias", `{"id":"good","locality":"a","phase":"SERVING"}`)
+		r.store.Put(prefix+"2/other", value(roster.Serving, 1)) // begins alike
+		if m, ok := r.server.(*standetcd.Member); ok {
+			m.Outside(true)
+			m.Largest(2) // pages of three do not fit
+		}
+		r.begin(r.plan(), registry.Access{})
+		r.until(map[string]string{"good": "SERVING"})
+		faults := map[string]bool{}
+		for len(faults) < 3 {
+			faults[r.note("read past").Key] = true
+		}
+		if kind == "etcd" {
+			r.server.Silent(true)
+		}
+		r.put("good", roster.Draining)
+		r.put("good", roster.Serving)
+		r.put("good", roster.Draining)
+		if kind == "etcd" {
+			r.server.Silent(false)
+		}
+		r.until(map[string]string{"good": "DRAINING"})
+		if kind == "etcd" {
+			r.note("outside the prefix")
+		}
+	})
+}
+
+// authority makes certificates for tests.
+type authority struct {
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+	pem  []byte
+}
+
+func newAuthority(t *testing.T) *authority {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := &authority{key: key, cert: &x509.Certificate{SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "test"}, IsCA: true,
+		BasicConstraintsValid: true, NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour), KeyUsage: x509.KeyUsageCertSign}}
+	der, err := x509.CreateCertificate(rand.Reader, a.cert, a.cert, &key.PublicKey, key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a.pem = pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der})
+	return a
+}
+
+// issue writes a certificate and its key and gives the paths.
+func (a *authority) issue(t *testing.T, dir, name string) (cert, key string) {
+	k, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := &x509.Certificate{SerialNumber: big.NewInt(2), Subject: pkix.Name{CommonName: name}, NotBefore: time.Now().Add(-time.Hour),
+		NotAfter: time.Now().Add(time.Hour), IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}}
+	der, err := x509.CreateCertificate(rand.Reader, c, a.cert, &k.PublicKey, a.key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, err := x509.MarshalECPrivateKey(k)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return file(t, dir, name+".pem", pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der})),
+		file(t, dir, name+".key", pem.EncodeToMemory(&pem.Block{Type: "EC PRIVATE KEY", Bytes: text}))
+}
+
+func file(t *testing.T, dir, name string, text []byte) string {
+	path := filepath.Join(dir, name)
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// A wrong password and a token that is not known leave one line that names which; the list stays, and when the
+// secret's file is right it goes on. A bearer that expires is renewed without a word.
+func TestCase8Refused(t *testing.T) {
+	kinds(t, func(t *testing.T, kind string) {
+		dir := t.TempDir()
+		secret := file(t, dir, "secret", []byte("wrong\n"))
+		r := newRig(t, kind, nil)
+		r.put("a", roster.Serving)
+		var a registry.Access
+		switch s := r.server.(type) {
+		case *standetcd.Member:
+			s.Users(map[string]string{"elm": "right"})
+			a = registry.Access{User: "elm", PasswordFile: secret}
+		case *standconsul.Server:
+			s.Bearer("right")
+			a = registry.Access{Method: "jwt", BearerFile: secret}
+		}
+		r.begin(r.plan(), a)
+		if n := r.note("registry fails"); !strings.Contains(n.Reason, "password: ") {
+			t.Errorf("the line says %q", n.Reason)
+		}
+		file(t, dir, "secret", []byte("right\n"))
+		r.until(map[string]string{"a": "SERVING"})
+		r.note("answers again")
+		r.server.Expire()
+		r.link.CutAll()
+		r.put("a", roster.Draining)
+		r.until(map[string]string{"a": "DRAINING"})
+		for len(r.notes) > 0 {
+			if n := <-r.notes; strings.Contains(n.Reason, "token") {
+				t.Errorf("the renewal left %+v", n)
+			}
+		}
+	})
+}
+
+func TestCase8Token(t *testing.T) {
+	r := newRig(t, "consul", nil)
+	s := r.server.(*standconsul.Server)
+	s.Tokens("t-2")
+	r.put("a", roster.Serving)
+	dir := t.TempDir()
+	path := file(t, dir, "token", []byte("t-1"))
+	r.begin(r.plan(), registry.Access{TokenFile: path})
+	if n := r.note("registry fails"); !strings.Contains(n.Reason, "token: ") || !strings.Contains(n.Reason, "ACL not found") {
+		t.Errorf("the line says %q", n.Reason)
+	}
+	file(t, dir, "token", []byte("t-2"))
+	r.until(map[string]string{"a": "SERVING"})
+}
+
+// A certificate that either side refuses leaves one line that says so; with the right files it works.
+func TestCase8Certificate(t *testing.T) {
+	kinds(t, func(t *testing.T, kind string) {
+		dir := t.TempDir()
+		ours, theirs := newAuthority(t), newAuthority(t)
+		cert, key := ours.issue(t, dir, "server")
+		conf, err := registry.Files{Cert: cert, Key: key}.Load("")
+		if err != nil {
+			t.Fatal(err)
+		}
+		pool := x509.NewCertPool()
+		pool.AppendCertsFromPEM(ours.pem)
+		conf.ClientAuth, conf.ClientCAs = tls.RequireAndVerifyClientCert, pool
+		mine, myKey := ours.issue(t, dir, "client")
+		alien, alienKey := theirs.issue(t, dir, "alien")
+		good := file(t, dir, "ca.pem", ours.pem)
+		bad := file(t, dir, "other.pem", theirs.pem)
+		for name, files := range map[string]registry.Files{
+			"server refused": {CA: bad, Cert: mine, Key: myKey}, "client refused": {CA: good, Cert: alien, Key: alienKey},
+			"no such file": {CA: dir + "/none"},
+		} {
+			t.Run(name, func(t *testing.T) {
+				r := newRig(t, kind, conf.Clone())
+				r.put("a", roster.Serving)
+				r.begin(r.plan(), registry.Access{TLS: &files})
+				if n := r.note("registry fails"); !strings.Contains(n.Reason, "certificate: ") {
+					t.Errorf("the line says %q", n.Reason)
+				}
+			})
+		}
+		r := newRig(t, kind, conf.Clone())
+		r.put("a", roster.Serving)
+		r.begin(r.plan(), registry.Access{TLS: &registry.Files{CA: good, Cert: mine, Key: myKey}})
+		r.until(map[string]string{"a": "SERVING"})
+	})
+}
+
+// Keys under a lease go with it, all at one revision.
+func TestLease(t *testing.T) {
+	r := newRig(t, "etcd", nil)
+	m := r.server.(*standetcd.Member)
+	r.put("stays", roster.Serving)
+	grant(t, m, 9, prefix+"/x", prefix+"/y")
+	r.begin(r.plan(), registry.Access{})
+	r.until(map[string]string{"stays": "SERVING", "x": "SERVING", "y": "SERVING"})
+	m.EndLease(9)
+	r.until(map[string]string{"stays": "SERVING"})
+}
+
+// No leader is an outage like any other; Reload asks for the whole list and tells nothing that is known.
+func TestNoLeaderAndReload(t *testing.T) {
+	r := newRig(t, "consul", nil)
+	s := r.server.(*standconsul.Server)
+	r.put("a", roster.Serving)
+	s.Leaderless(true)
+	r.begin(r.plan(), registry.Access{})
+	if n := r.note("registry fails"); !strings.Contains(n.Reason, "lost: status 500") {
+		t.Errorf("the line says %q", n.Reason)
+	}
+	s.Leaderless(false)
+	r.until(map[string]string{"a": "SERVING"})
+	before, _, _ := s.Asked()
+	r.f.Reload()
+	for n := before; n == before; n, _, _ = s.Asked() {
+		r.put("b", roster.Serving) // each change is told once
+		r.put("b", roster.Draining)
+		r.until(map[string]string{"a": "SERVING", "b": "DRAINING"})
+	}
+}
--- /dev/null
+++ b/registry/follow/helper_test.go
@@ -0,0 +1,24 @@
+package follow_test
+
+import (
+	"context"
+	"testing"
+
+	pb "go.etcd.io/etcd/api/v3/etcdserverpb"
+
+	"elmfold/roster"
+	standetcd "elmfold/standin/etcd"
+)
+
+// grant puts keys under a lease as a server of its own would.
+func grant(t *testing.T, m *standetcd.Member, id int64, keys ...string) {
+	t.Helper()
+	if _, err := m.LeaseGrant(context.Background(), &pb.LeaseGrantRequest{ID: id, TTL: 10}); err != nil {
+		t.Fatal(err)
+	}
+	for _, key := range keys {
+		if _, err := m.Put(context.Background(), &pb.PutRequest{Key: []byte(key), Value: []byte(value(roster.Serving, 1)), Lease: id}); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -53,10 +53,10 @@
 }
 
 func clientFor(addr string) *fasthttp.HostClient {
-	dialer := &fasthttp.TCPDialer{}
+	dialer := net.Dialer{Timeout: dialWithin} // fasthttp's own keeps a goroutine for good, one for each move
 	return &fasthttp.HostClient{
 		Addr: addr, MaxConns: 2, MaxResponseBodySize: mostBytes, MaxIdemponentCallAttempts: 1,
-		Dial: func(addr string) (net.Conn, error) { return dialer.DialTimeout(addr, dialWithin) },
+		Dial: func(addr string) (net.Conn, error) { return dialer.Dial("tcp", addr) },
 	}
 }
 
