Operator file and broken ones, commands check and registry, moves under SIGHUP

Operators need to check a file before it is taken and to look at the registry as a controller sees it. Rules are held at the proxy too: an older or emptied list goes through the real desk and module, with gone binding and not.

Measured: 20 broken files give one line each with file, line and mend; SIGHUP from etcd to another prefix, to a Consul that is away and back leaves the proxy's shut-outs as each list in force says, in a process of its own.

--- /dev/null
+++ b/command/command_test.go
@@ -0,0 +1,270 @@
+package command
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"elmfold/roster"
+	"elmfold/standin/consul"
+	"elmfold/standin/etcd"
+	"elmfold/standin/kv"
+	"elmfold/standin/link"
+)
+
+// The test's own binary is the program when it is told so.
+func TestMain(m *testing.M) {
+	if os.Getenv("ELMFOLD_SERVE") != "" {
+		os.Exit(Run(os.Args[1:], os.Stdout, os.Stderr))
+	}
+	os.Exit(m.Run())
+}
+
+func write(t *testing.T, name, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), name)
+	rewrite(t, path, text)
+	return path
+}
+
+func rewrite(t *testing.T, path, text string) {
+	t.Helper()
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// A good file ends with 0, each broken one with 2 and one line that names file, line and mend; the shipped
+// file is in order.
+func TestCheck(t *testing.T) {
+	broken, _ := filepath.Glob("../operator/testdata/broken/*.conf")
+	if len(broken) < 10 {
+		t.Fatalf("%d broken files", len(broken))
+	}
+	for _, path := range append(broken, "../operator/testdata/good.conf", "../deploy/elmfold.conf") {
+		var out, errs bytes.Buffer
+		code := Run([]string{"check", path}, &out, &errs)
+		if bad := strings.Contains(path, "broken"); bad && (code != 2 || strings.Count(errs.String(), "\n") != 1 || !strings.HasPrefix(errs.String(), path+":")) ||
+			!bad && (code != 0 || !strings.Contains(out.String(), "in order")) {
+			t.Errorf("%s: exit %d, %q, %q", path, code, out.String(), errs.String())
+		}
+	}
+}
+
+func TestWrongLines(t *testing.T) {
+	t.Setenv("EDGE_OPERATOR", "")
+	for _, args := range [][]string{{"chekc"}, {"check"}, {"registry", "list"}, {"registry", "list", "--operator", "none.conf"},
+		{"registry", "watch", "--operator", "../deploy/elmfold.conf"}, {"--none"}, {"run", "x"}} {
+		var out, errs bytes.Buffer
+		if code := Run(args, &out, &errs); code != 2 || strings.Count(errs.String(), "\n") != 1 {
+			t.Errorf("%v: exit %d, %q", args, code, errs.String())
+		}
+	}
+}
+
+func value(phase string) string { return fmt.Sprintf(`{"locality":"a","flavor":"s","phase":%q}`, phase) }
+
+// The whole list is printed with its revision; one that cannot be had ends with 1.
+func TestList(t *testing.T) {
+	store := kv.New(1)
+	store.Put("/elmfold/backends/s-1", value(roster.Serving))
+	store.Put("/elmfold/backends/s-2", value(roster.Draining))
+	store.Put("/elmfold/backends/s-3", "-")
+	m, err := etcd.Start(store, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	file := write(t, "op.conf", "registry etcd\n  endpoint "+m.Addr()+"\n")
+	var out, errs bytes.Buffer
+	if code := Run([]string{"registry", "list", "--operator", file}, &out, &errs); code != 0 ||
+		!strings.Contains(out.String(), "revision 3: whole list, 2 backends") || !strings.Contains(out.String(), "s-2  DRAINING  a") ||
+		!strings.Contains(errs.String(), "/elmfold/backends/s-3: not a JSON object") {
+		t.Errorf("exit %d, %q, %q", code, out.String(), errs.String())
+	}
+	m.Stop()
+	errs.Reset()
+	if code := Run([]string{"registry", "list", "--operator", file, "--within", "300ms"}, &out, &errs); code != 1 ||
+		!strings.Contains(errs.String(), "lost: ") || !strings.Contains(errs.String(), "no whole list within 300ms") {
+		t.Errorf("exit %d, %q", code, errs.String())
+	}
+}
+
+// child is the program, run as a process of its own.
+type child struct {
+	*testing.T
+	*exec.Cmd
+	log *bufio.Reader
+}
+
+func start(t *testing.T, stdout bool, env []string, args ...string) *child {
+	t.Helper()
+	c := exec.Command(os.Args[0], args...)
+	c.Env = append(append(os.Environ(), "ELMFOLD_SERVE=1"), env...)
+	pipe := c.StderrPipe
+	if stdout {
+		pipe = c.StdoutPipe
+	}
+	out, err := pipe()
+	if err == nil {
+		err = c.Start()
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Process.Kill(); _ = c.Wait() })
+	return &child{t, c, bufio.NewReader(out)}
+}
+
+// find reads on until a line holds all words.
+func find(t *testing.T, in *bufio.Reader, words ...string) string {
+	t.Helper()
+	for {
+		line, err := in.ReadString('\n')
+		has := true
+		for _, w := range words {
+			has = has && strings.Contains(line, w)
+		}
+		if has && line != "" {
+			return line
+		}
+		if err != nil {
+			t.Fatalf("no line with %q before %v", words, err)
+		}
+	}
+}
+
+// Each change is shown as it comes, with its revision, and what was decided about a list of another history.
+func TestWatch(t *testing.T) {
+	store := kv.New(1)
+	store.Put("elm/s-1", value(roster.Serving))
+	old := store.Save()
+	m, err := etcd.Start(store, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer m.Stop()
+	file := write(t, "op.conf", "registry etcd\n  endpoint "+m.Addr()+"\n  prefix elm\n  spread 10ms\n")
+	c := start(t, true, nil, "registry", "watch", "--operator", file)
+	find(t, c.log, "revision 1: whole list, 1 backends")
+	store.Put("elm/s-1", value(roster.Draining))
+	find(t, c.log, "revision 2: s-1", "DRAINING")
+	store.Put("elm/s-2", value(roster.Serving))
+	find(t, c.log, "revision 3: s-2", "SERVING")
+	store.Restore(old, 2)
+	find(t, c.log, "revision 1: s-2", "DELETED")
+}
+
+// shuts reads orders until who is shut out is as wanted, and gives the last line.
+func shuts(t *testing.T, in *bufio.Reader, out map[string]bool, want ...string) string {
+	t.Helper()
+	for {
+		line, err := in.ReadString('\n')
+		if err != nil {
+			t.Fatalf("out are %v, not %v: %v", out, want, err)
+		}
+		for _, word := range strings.Fields(line) {
+			name, ids, _ := strings.Cut(word, "=")
+			for _, id := range strings.Split(ids, ",") {
+				if name == "out" {
+					out[id] = true
+				} else if name == "back" {
+					delete(out, id)
+				}
+			}
+		}
+		same := len(out) == len(want)
+		for _, id := range want {
+			same = same && out[id]
+		}
+		if same {
+			return line
+		}
+	}
+}
+
+const settings = `{"name":"n3","listen":"127.0.0.1:0","discovery":"127.0.0.1:9","limits":{"cores":1,"memory_mb":192,"sockets":64},
+ "known":{"revision":1,"complete":true,"members":[
+  {"id":"s-1","locality":"a","flavor":"s","phase":"SERVING","size":1.0,"up_since_ms":0},
+  {"id":"s-2","locality":"a","flavor":"s","phase":"SERVING","size":1.0,"up_since_ms":0},
+  {"id":"s-3","locality":"a","flavor":"s","phase":"SERVING","size":1.0,"up_since_ms":0}]},
+ "settings":{"Zones":["a"],"Shapes":["s"],"Classes":[{"Name":"look","Credit":1,"Promise":800000}],"Discovery":"automatic",
+  "Guarantees":{"Cold":17000000,"StartCapacity":0.2,"TipMultiple":3},
+  "Specifics":{"ProxyCount":4,"ThrottleBy":"rps","LinesPerS":3000,"PendingMax":3000,"Overhead":6,"SmallestConnTable":500}}}`
+
+// SIGHUP moves from etcd to another prefix, to Consul that cannot be reached at first, and back to the
+// platform's discovery, with a proxy joined: nothing is undone before the new source has told its whole list,
+// the old one is followed till then, and drains of each reach the proxy.
+func TestCase9Moves(t *testing.T) {
+	first, second := kv.New(1), kv.New(2)
+	for _, id := range []string{"s-1", "s-2", "s-3"} {
+		first.Put("one/"+id, value(roster.Serving))
+		first.Put("two/"+id, value(roster.Serving))
+		second.Put("three/"+id, value(roster.Serving))
+	}
+	first.Put("two/s-1", value(roster.Draining))
+	m, err := etcd.Start(first, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer m.Stop()
+	s, err := consul.Start(second, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Stop()
+	l, err := link.New(s.Addr(), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	l.Refuse(true)
+
+	config := write(t, "config.json", settings)
+	file := write(t, "op.conf", "registry etcd\n  endpoint "+m.Addr()+"\n  prefix one\n")
+	c := start(t, false, []string{"EDGE_CONFIG=" + config, "EDGE_OPERATOR=" + file})
+	_, addr, _ := strings.Cut(find(t, c.log, "msg=ready"), `listen="`)
+	addr, _, _ = strings.Cut(addr, `"`)
+	stream, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stream.Close()
+	_ = stream.SetDeadline(time.Now().Add(time.Minute))
+	in := bufio.NewReader(stream)
+	_, _ = io.WriteString(stream, "SUBSCRIBE node=2 locality=a w=5 cold=1\r\n")
+	find(t, in, "whole=1", "s-1:1", "s-2:1", "s-3:1")
+	again := func(text string, words ...string) {
+		t.Helper()
+		rewrite(t, file, text)
+		_ = c.Process.Signal(syscall.SIGHUP)
+		find(t, c.log, words...)
+	}
+	out := map[string]bool{}
+	first.Put("one/s-2", value(roster.Draining))
+	shuts(t, in, out, "s-2")
+	again("registry etcd\n  endpont "+m.Addr()+"\n", "stays as it was", "op.conf:2", "write endpoint")
+	again("registry etcd\n  endpoint "+m.Addr()+"\n  prefix two\n", "the list comes from the new source")
+	shuts(t, in, out, "s-1") // s-2 serves on the new list
+	again("registry consul\n  endpoint "+l.Addr()+"\n  prefix three\n", "registry fails", l.Addr())
+	first.Put("two/s-3", value(roster.Draining)) // the old source is followed while the new one is away
+	shuts(t, in, out, "s-1", "s-3")
+	l.Refuse(false)
+	find(t, c.log, "the list comes from the new source")
+	shuts(t, in, out)
+	second.Put("three/s-2", value(roster.Draining))
+	shuts(t, in, out, "s-2")
+	// What the sources before still say is nobody's.
+	first.Put("two/s-1", value(roster.Serving))
+	again("", "configuration taken over")
+	_ = c.Process.Signal(syscall.SIGTERM)
+	find(t, c.log, "stopping")
+}
--- /dev/null
+++ b/operator/operator_test.go
@@ -0,0 +1,111 @@
+package operator
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"reflect"
+	"regexp"
+	"strings"
+	"testing"
+	"testing/quick"
+	"time"
+
+	"math/rand"
+
+	"elmfold/registry"
+	"elmfold/roster"
+)
+
+func TestGood(t *testing.T) {
+	f, err := Read("testdata/good.conf")
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := roster.Usual()
+	want.Endpoints, want.Prefix, want.Changes, want.Checks = 3, "/elmfold/back ends", true, true
+	want.Page, want.MostValue, want.Hold, want.Shrink, want.Audit = 1000, 4<<10, 45*time.Second, 0.3, 0
+	if g := f.Registry; g.Kind != Etcd || g.Plan != want || !reflect.DeepEqual(g.Endpoints, []string{"10.3.0.1:2379", "10.3.0.2:2379", "[fd00::3]:2379"}) ||
+		!reflect.DeepEqual(g.Access, registry.Access{User: "elmfold", PasswordFile: "/etc/elmfold/password", TLS: &registry.Files{CA: "/etc/elmfold/ca.pem"}}) {
+		t.Errorf("read %+v", g)
+	}
+	f, err = Read("testdata/good-consul.conf")
+	if g := f.Registry; err != nil || g.Kind != Consul || g.Plan.Changes || g.Plan.Prefix != "elmfold/backends" || g.Access.TokenFile == "" || g.Access.TLS != nil {
+		t.Errorf("read %+v, %v", g, err)
+	}
+	if f, err = Read("testdata/empty.conf"); err != nil || f.Registry != nil {
+		t.Errorf("read %+v, %v", f, err)
+	}
+}
+
+// Each broken file gives one line that names the file and the line, and the mend.
+func TestBroken(t *testing.T) {
+	want := map[string]string{
+		"section": `:1: no section is named "registri"; write registry`, "kind": ":1: .*zookeeper.*; write registry etcd",
+		"directive": `:3: .*"hodl"; write hold`, "unit": ":3: .*no unit; write hold 2.5s or 2.5ms", "range": ":3: .*out of range; .* to 10s",
+		"address": ":2: .*no address; write HOST:PORT", "missing": ":1: .*no endpoint; add a line", "twice": ":4: hold stands in line 3 already; take",
+		"quote": ":3: a quote is not ended; ", "nosection": ":1: .*in no section; begin", "half": ":3: .*; write user and password-file, both",
+		"words": `:3: hold says too much: "2s"; write hold`, "little": ":3: hold says too little; write hold", "part": ":3: shrink .*; write a part",
+		"size": ":3: value-limit .*; write a size", "ask": ":3: ask 2s leaves .*; write ask under silence", "foreign": `:3: registry has no directive "user"; `,
+		"secondsection": ":3: a second section registry; the first is in line 1; put", "prefix": ":3: prefix .*; write a prefix",
+		"binary": ":3: byte 13 is no text; write",
+	}
+	files, _ := filepath.Glob("testdata/broken/*.conf")
+	if len(files) != len(want) {
+		t.Errorf("%d files, %d wanted", len(files), len(want))
+	}
+	for _, path := range files {
+		_, err := Read(path)
+		var faults Faults
+		if !errors.As(err, &faults) || len(faults) != 1 || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v", path, err)
+			continue
+		}
+		name := strings.TrimSuffix(filepath.Base(path), ".conf")
+		if !regexp.MustCompile("^" + path + want[name] + ".*$").MatchString(err.Error()) {
+			t.Errorf("%s: %v, want %s", path, err, want[name])
+		}
+	}
+	if _, err := Read("testdata/none.conf"); err == nil || !strings.Contains(err.Error(), "testdata/none.conf: ") {
+		t.Errorf("no file: %v", err)
+	}
+}
+
+// Whatever a file holds, reading ends with a File or with faults that each have a line of it and a mend.
+func TestAnyText(t *testing.T) {
+	good, err := os.ReadFile("testdata/good.conf")
+	if err != nil {
+		t.Fatal(err)
+	}
+	spoil := func(seed int64) bool {
+		chance := rand.New(rand.NewSource(seed))
+		text := []byte(string(good))
+		for range 1 + chance.Intn(6) {
+			switch at := chance.Intn(len(text)); chance.Intn(3) {
+			case 0:
+				text[at] = byte(chance.Intn(256))
+			case 1:
+				text = append(text[:at], text[min(len(text), at+1+chance.Intn(20)):]...)
+			case 2:
+				text = append(text[:at:at], append([]byte("\n\""), text[at:]...)...)
+			}
+		}
+		f, err := Parse("f", string(text))
+		var faults Faults
+		if err == nil {
+			return f.Registry == nil || f.Registry.Plan.Endpoints > 0
+		}
+		if !errors.As(err, &faults) || len(faults) == 0 {
+			return false
+		}
+		for _, one := range faults {
+			if one.Line < 1 || one.Line > strings.Count(string(text), "\n")+1 || one.Mend == "" || one.What == "" {
+				return false
+			}
+		}
+		return true
+	}
+	if err := quick.Check(spoil, &quick.Config{MaxCount: 5000, Rand: rand.New(rand.NewSource(16))}); err != nil {
+		t.Error(err)
+	}
+}
--- /dev/null
+++ b/roster/rules_test.go
@@ -0,0 +1,216 @@
+package roster_test
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"elmfold/choice"
+	"elmfold/deployment"
+	"elmfold/desk"
+	"elmfold/edge"
+	"elmfold/roster"
+)
+
+// proxy is a joined stream that does as it is told.
+type proxy struct {
+	lines map[string]string
+	out   map[string]bool
+}
+
+func (p *proxy) Since() uint64 { return 1 }
+func (p *proxy) Known(string)  {}
+func (p *proxy) Replaced()     {}
+func (p *proxy) Refused()      {}
+func (p *proxy) Fault(error)   {}
+
+func (p *proxy) Send(message []byte) {
+	for part := range strings.Lines(string(message)) {
+		words := map[string]string{}
+		for _, w := range strings.Fields(part)[1:] {
+			name, value, _ := strings.Cut(w, "=")
+			words[name] = value
+		}
+		if words["whole"] == "1" {
+			clear(p.lines)
+		}
+		for _, l := range strings.FieldsFunc(words["lines"], func(c rune) bool { return c == ',' }) {
+			id, weight, _ := strings.Cut(l, ":")
+			if p.lines[id] = weight; weight == "0" {
+				delete(p.lines, id)
+			}
+		}
+		for _, id := range strings.FieldsFunc(words["out"], func(c rune) bool { return c == ',' }) {
+			p.out[id] = true
+		}
+		for _, id := range strings.FieldsFunc(words["back"], func(c rune) bool { return c == ',' }) {
+			delete(p.out, id)
+		}
+	}
+}
+
+// picks is where the proxy may send.
+func (p *proxy) picks() (ids []string) {
+	for _, id := range slices.Sorted(maps.Keys(p.lines)) {
+		if !p.out[id] {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+type nobody struct{}
+
+func (nobody) Follow(bool) {}
+func (nobody) Reload()     {}
+
+// house is a Roster before a desk with the real module and one proxy, in virtual time.
+type house struct {
+	*testing.T
+	r   *roster.Roster
+	d   *desk.Desk
+	p   *proxy
+	now time.Duration
+	try int
+	out []roster.Order
+}
+
+func newHouse(t *testing.T, binds bool) *house {
+	plan := roster.Usual()
+	plan.Seed, plan.Prefix, plan.Changes = "n1", "p", true
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	h := &house{T: t, r: roster.New(plan), p: &proxy{lines: map[string]string{}, out: map[string]bool{}}, now: time.Hour}
+	h.d = desk.New(choice.Deployment{Products: []choice.Product{{Revenue: 1, SLA: 8000}}, Zones: 1, Proxies: 1, GoneBinds: binds,
+		Cold: choice.Second, ColdCapacity: 0.5, ColdMultiple: 3, ConnsLeast: 5000, LinesPerS: 3000, LinesMost: 3000, LinesHead: 6,
+		MessagesOver: 10 * choice.Second},
+		deployment.Names{Products: []string{"look"}, Zones: []string{"a"}, Kinds: []string{"m"}}, nobody{}, logrus.NewEntry(log))
+	h.d.Hear(desk.News{From: h.p, Said: edge.Joined{Proxy: 0, Zone: "a", Rate: 10, Fresh: true}})
+	return h
+}
+
+// step lets the Roster, then the desk, take their turn.
+func (h *house) step(events ...roster.Event) {
+	h.out = h.r.Step(h.now, events)
+	for _, o := range h.out {
+		switch o := o.(type) {
+		case roster.Tell:
+			h.d.Hear(desk.News{Said: o.List})
+		case roster.Read:
+			h.try = o.Try
+		case roster.Watch:
+			h.try = o.Try
+		}
+	}
+	h.d.Step(choice.Time(h.now / (100 * time.Microsecond)))
+}
+
+// pass lets time go by in steps, the source speaking.
+func (h *house) pass(span time.Duration, history uint64, revision int64) {
+	for end := h.now + span; h.now < end; {
+		h.now += 100 * time.Millisecond
+		h.step(roster.Progress{Try: h.try, History: history, Revision: revision})
+	}
+}
+
+func entry(id, phase string, mod int64) roster.Raw {
+	return roster.Raw{Key: "p/" + id, Mod: mod, Value: fmt.Appendf(nil, `{"locality":"a","flavor":"m","phase":%q}`, phase)}
+}
+
+func ids(from, to int) (all []string) {
+	for i := from; i < to; i++ {
+		all = append(all, fmt.Sprintf("s-%02d", i))
+	}
+	return all
+}
+
+// begin reads the whole list, of n serving backends but the first, which drains.
+func (h *house) begin(n int) {
+	entries := []roster.Raw{entry("s-00", roster.Draining, 50)}
+	for i, id := range ids(1, n) {
+		entries = append(entries, entry(id, roster.Serving, int64(i+1)))
+	}
+	h.step()
+	h.step(roster.Page{Try: h.try, History: 7, Revision: 50, Entries: entries})
+	h.pass(5*time.Second, 7, 50)
+	if got := h.p.picks(); !slices.Equal(got, ids(1, n)) {
+		h.Fatalf("the proxy picks from %v", got)
+	}
+}
+
+// A restored list without two backends, on which the draining one serves: the drain stands; who it lacks stays
+// in the tables where gone alone does not bind, and leaves them where it does. The proxy always has somewhere
+// to go.
+func TestOlderListAtTheProxy(t *testing.T) {
+	for _, binds := range []bool{false, true} {
+		h := newHouse(t, binds)
+		h.begin(8)
+		h.step(roster.Broken{Try: h.try, Why: roster.Lost, Err: errors.New("reset")})
+		for before := h.try; h.try == before; h.now += 10 * time.Millisecond {
+			h.step()
+		}
+		if got := h.p.picks(); !slices.Equal(got, ids(1, 8)) {
+			t.Errorf("a break leaves %v", got)
+		}
+		h.step(roster.Opened{Try: h.try, History: 9, Revision: 6})
+		for before := h.try; h.try == before; h.now += 10 * time.Millisecond {
+			h.step()
+		}
+		older := []roster.Raw{entry("s-00", roster.Serving, 1)}
+		for i, id := range ids(1, 6) {
+			older = append(older, entry(id, roster.Serving, int64(i+1)))
+		}
+		h.step(roster.Page{Try: h.try, History: 9, Revision: 6, Entries: older})
+		h.pass(2*time.Second, 9, 6)
+		want := ids(1, 8)
+		if binds {
+			want = ids(1, 6)
+		}
+		if got := h.p.picks(); !slices.Equal(got, want) || !h.p.out["s-00"] && h.p.lines["s-00"] != "" {
+			t.Errorf("gone binds %v: 2 s after the older list %v, want %v", binds, got, want)
+		}
+		h.pass(26*time.Second, 9, 6)
+		if slices.Contains(h.p.picks(), "s-00") {
+			t.Errorf("the drain is undone within the hold")
+		}
+		h.pass(10*time.Second, 9, 6)
+		if !slices.Contains(h.p.picks(), "s-00") {
+			t.Errorf("after the hold the proxy picks from %v", h.p.picks())
+		}
+	}
+}
+
+// A registry that is emptied by mistake looks like a fleet that died: where gone alone does not bind, who
+// answers stays; where it binds, all who were there go, and come back with the list.
+func TestEmptiedListAtTheProxy(t *testing.T) {
+	for _, binds := range []bool{false, true} {
+		h := newHouse(t, binds)
+		h.begin(11)
+		var gone, back []roster.Raw
+		for i, id := range ids(1, 10) {
+			gone = append(gone, roster.Raw{Key: "p/" + id, Gone: true, Mod: 51})
+			back = append(back, entry(id, roster.Serving, int64(60+i)))
+		}
+		h.step(roster.Changes{Try: h.try, History: 7, Changes: gone})
+		h.pass(2*time.Second, 7, 51)
+		want := ids(1, 11)
+		if binds {
+			want = ids(10, 11)
+		}
+		if got := h.p.picks(); !slices.Equal(got, want) {
+			t.Errorf("gone binds %v: emptied, the proxy picks from %v, want %v", binds, got, want)
+		}
+		h.step(roster.Changes{Try: h.try, History: 7, Changes: back})
+		h.pass(10*time.Second, 7, 70)
+		if got := h.p.picks(); !slices.Equal(got, ids(1, 11)) {
+			t.Errorf("gone binds %v: filled again, the proxy picks from %v", binds, got)
+		}
+	}
+}
