--- a/command/command_test.go
+++ b/command/command_test.go
@@ -71,7 +71,9 @@
 	}
 }
 
-func value(phase string) string { return fmt.Sprintf(`{"locality":"a","flavor":"s","phase":%q}`, phase) }
+func value(phase string) string {
+	return fmt.Sprintf(`{"locality":"a","flavor":"s","phase":%q}`, phase)
+}
 
 // The whole list is printed with its revision; one that cannot be had ends with 1.
 func TestList(t *testing.T) {
--- a/registry/consul/consul.go
+++ b/registry/consul/consul.go
@@ -273,8 +273,8 @@
 			say(e)
 		}
 	case roster.Watch:
-		for {
-			e, ok := wait(func() roster.Event { return s.watch(o) })
+		for block := !o.AtOnce; ; block = true {
+			e, ok := wait(func() roster.Event { return s.watch(o, block) })
 			if !ok {
 				return
 			}
@@ -288,9 +288,11 @@
 
 // The prefix is asked for without its slash and with a separator, which folds all that is below into one
 // entry; the index is that of all.
-func (s *Source) watch(o roster.Watch) roster.Event {
-	// An index of 0 would not block, and below 1 none is valid.
-	path := fmt.Sprintf("/v1/kv/%s?keys&separator=%%2F&index=%d&wait=%dms", escape(s.prefix), max(o.After, 1), wait.Milliseconds())
+func (s *Source) watch(o roster.Watch, block bool) roster.Event {
+	path := fmt.Sprintf("/v1/kv/%s?keys&separator=%%2F", escape(s.prefix))
+	if block { // an index of 0 would not, and below 1 none is valid
+		path += fmt.Sprintf("&index=%d&wait=%dms", max(o.After, 1), wait.Milliseconds())
+	}
 	var keys []string
 	index, _, err := s.get(o.Endpoint, path, wait+grace, &keys)
 	if err != nil {
--- a/roster/cases_test.go
+++ b/roster/cases_test.go
@@ -233,6 +233,43 @@
 	}
 }
 
+// The same where only an index is told: after a break it is asked for without waiting, as one that went back
+// would not come.
+func TestCase3DrainDuringABreakByIndex(t *testing.T) {
+	for seed := range 200 {
+		for _, back := range []int64{9, 3} {
+			b := newBench(t, func(p *Plan) {
+				p.Seed, p.Endpoints, p.Page, p.Changes, p.Checks = fmt.Sprint("n", seed), 1+seed%3, 100, false, false
+			})
+			for range 5 {
+				b.s.put("p/a", value(Serving, 1), false)
+			}
+			b.up()
+			b.lost()
+			for began := b.now; b.now < began+time.Minute; {
+				if b.due(); len(find[Watch](b)) > 0 {
+					b.lost()
+				}
+			}
+			there := b.now
+			for len(find[Watch](b)) == 0 {
+				b.due()
+			}
+			if w := one[Watch](b); !w.AtOnce {
+				t.Fatalf("after a break %+v", w)
+			}
+			b.step(Progress{Try: b.r.try, History: 7, Revision: back})
+			for len(find[Read](b)) == 0 {
+				b.due()
+			}
+			b.step(Page{Try: b.r.try, History: 7, Revision: back, Entries: []Raw{{Key: "p/a", Value: []byte(value(Draining, 1)), Mod: back}}})
+			if got := told(one[Tell](b)); b.now-there > 2*time.Second || !slices.Equal(got, []string{"a DRAINING"}) || one[Watch](b).AtOnce {
+				t.Fatalf("seed %d: told %v after %v", seed, got, b.now-there)
+			}
+		}
+	}
+}
+
 // An older list undoes no drain and no end until the entry changes in the new history or the hold is over;
 // who it lacks is told as gone.
 func TestCase4OlderHistory(t *testing.T) {
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -167,10 +167,12 @@
 	Revision      int64
 }
 
-// Watch asks for all that changed after a revision.
+// Watch asks for all that changed after a revision. AtOnce asks, of a watch that brings no changes, for a first
+// Progress without waiting for one.
 type Watch struct {
 	Try, Endpoint int
 	After         int64
+	AtOnce        bool
 }
 
 // Ask asks a watch for progress.
--- a/roster/settle.go
+++ b/roster/settle.go
@@ -203,7 +203,8 @@
 func (r *Roster) watch() {
 	r.phase, r.heard, r.asked, r.auditing = watching, r.now, false, false
 	r.auditAt = r.now + r.plan.Audit
-	r.order(Watch{Try: r.try, Endpoint: r.endpoint(), After: r.revision})
+	// After a break an index may have gone back: one that is waited for would not come.
+	r.order(Watch{Try: r.try, Endpoint: r.endpoint(), After: r.revision, AtOnce: !r.plan.Changes && !r.sure})
 }
 
 // check asks whether the registry remembers the list as we do. A registry that was restored and has since
@@ -369,6 +370,7 @@
 
 func (r *Roster) hearProgress(e Progress) {
 	r.word()
+	r.sure = true
 	switch {
 	case e.History != r.history:
 		r.doubt("progress is another registry's; its whole list is read", e.Revision)
