--- a/registry/follow/cases_test.go
+++ b/registry/follow/cases_test.go
@@ -239,6 +239,34 @@
 	})
 }
 
+// Cuts drawn from a seed, with each write delayed and split, at every connection but one in four.
+func TestCase1Drawn(t *testing.T) {
+	kinds(t, func(t *testing.T, kind string) {
+		for seed := range uint64(12) {
+			r := newRig(t, kind, nil)
+			r.link.Become(func(n int) link.Script {
+				s := link.Drawn(seed, n, 1200, link.Cut)
+				if s.Delay = 100 * time.Microsecond; n%4 == 3 {
+					s.Down.After = -1
+				}
+				return s
+			})
+			r.begin(r.plan(), registry.Access{})
+			want := map[string]string{}
+			for i := range 30 {
+				id, phase := fmt.Sprint("s-", i%7), []string{roster.Serving, roster.Draining}[i/7%2]
+				r.put(id, phase)
+				want[id] = phase
+				if i%5 == 0 {
+					r.until(want)
+				}
+			}
+			r.until(want)
+			r.f.Stop()
+		}
+	})
+}
+
 // Silence with the connection open, at any byte, is noticed without TCP; what comes twice is told once.
 func TestCase1Silence(t *testing.T) {
 	kinds(t, func(t *testing.T, kind string) {
