--- /dev/null
+++ b/cells/cells.go
@@ -0,0 +1,756 @@
+package cells
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"elmfold/choice"
+)
+
+// Event is one of the structs below, in the order in which they happened.
+type Event any
+
+// Listed is the whole list as it is now.
+type Listed struct{ Backends []Backend }
+
+// Joined and Left are those of the decisions.
+type (
+	Joined struct{ Proxy, Zone int }
+	Left   struct{ Proxy int }
+)
+
+// Used sums the txns of a product that came to a proxy in a span.
+type Used struct {
+	Proxy, Product int
+	Txns, Voided   float64
+	Counting       Time
+}
+
+// Heard sums what proxies met at a backend.
+type Heard struct {
+	Backend       int
+	Tries, Voided float64
+	Took          Time
+}
+
+// Planned brings another plan. A tenant whose cell differs moves there; the first plan holds at once.
+type Planned struct{ Plan Plan }
+
+// Move moves a tenant to a fixed cell; Undo takes a move that is under way back.
+type (
+	Move struct{ Tenant, Cell string }
+	Undo struct{ Tenant string }
+)
+
+// Order is a choice.Allowed or a Note.
+type Order any
+
+// Note is a line for people.
+type Note struct {
+	Warn bool
+	Text string
+}
+
+const (
+	tick      = choice.Second
+	lendUnder = 0.5  // part of its usual strength under which a cell is lent to
+	backOver  = 0.6  // ... over which loans go back
+	usualKeep = 0.99 // a tick, of the usual strength while there is less
+	newsKeep  = 0.5  // a tick, of what was heard of a backend and a proxy
+	fewTries  = 4.0
+	badOver   = 0.2 // voided over the others' median from which a cell is in trouble
+	slowOver  = 2.5 // time of answers over the others' median
+	troubled  = 2   // ticks in a row
+	cutBy     = 0.8
+	cutEvery  = 3 * choice.Second
+	riseBy    = 1.1
+	lostOver  = 1.5  // part of its backends that failed over that of the fleet, from which a tenant is at fault
+	freeOver  = 1.5  // bound over use from which there is none
+	leastTell = 0.12 // relative change of a bound that is worth telling
+)
+
+type phase uint8
+
+const (
+	steady phase = iota
+	prepared
+	moving
+)
+
+func (p phase) String() string { return [...]string{"settled", "prepared", "moving"}[p] }
+
+// place is where a product needs backends: the index of the need, and the zone or -1 for any.
+type place struct{ need, zone int }
+
+// loan is a backend lent to a tenant.
+type loan struct {
+	id    string
+	up    Time
+	until Time
+}
+
+type tenant struct {
+	Tenant
+	// A move: from is the cell that it leaves; the first done of its proxies are over, those up to both have both
+	// cells' lines.
+	phase      phase
+	from       string
+	done, both int
+	at         Time // of the last step of the move
+	calm       Time // no further tries up to then
+
+	own    []int             // backends when nothing is lent and nothing moves, sorted; of Cell
+	least  [][]float64       // ... the lowest score among them by need and zone; below 0 where more would be taken
+	former []int             // those of the cell that it leaves
+	usual  map[place]float64 // strength
+	loans  []loan
+	base   map[string]bool // its own before the failures of late
+	failAt Time            // the last of them
+	lost   []Time          // ends of backends given to it in the place of others, of late
+	shutIn bool            // guards a poisoned tenant that kills one backend after the other: a trickle of txns, and nobody new
+
+	bad   int // ticks in trouble
+	bound float64
+	cutAt Time
+}
+
+type proxy struct {
+	joined       bool
+	zone         int
+	tenant       int       // -1: none
+	txns, voided []float64 // a second, by product
+	told         choice.Allowed
+	ever         bool // it was told something
+}
+
+func sum(all []float64) (s float64) {
+	for _, v := range all {
+		s += v
+	}
+	return s
+}
+
+type news struct{ tries, voided, good, spent float64 }
+
+// Cells settles for one controller. Use New.
+type Cells struct {
+	plan    Plan
+	on      bool
+	now     Time
+	list    []Backend // in the order of ids
+	byAt    []Backend // without an id where there is none
+	needs   []choice.Product
+	tenants []*tenant
+	proxies []proxy
+	heard   map[int]*news
+	failed  []Time // ends of backends without a drain, of late
+	tickAt  Time
+	dirty   bool
+	out     []Order
+}
+
+// New makes Cells that confine nobody until a plan is there.
+func New(proxies int) *Cells {
+	c := &Cells{proxies: make([]proxy, proxies), heard: map[int]*news{}}
+	for i := range c.proxies {
+		c.proxies[i].tenant = -1
+	}
+	return c
+}
+
+// Next is the moment at which Step is due without an event; 0 where none is.
+func (c *Cells) Next() Time {
+	if !c.on {
+		return 0
+	}
+	return c.tickAt
+}
+
+// Step takes what happened in a moment.
+func (c *Cells) Step(now Time, events []Event) []Order {
+	c.now, c.out = max(now, c.now), nil
+	for _, e := range events {
+		c.hear(e)
+	}
+	if !c.on && !c.dirty {
+		return c.out
+	}
+	ticked := c.on && c.now >= c.tickAt
+	if ticked {
+		c.tickAt = c.now + tick
+		c.limit()
+	}
+	if ticked || c.dirty {
+		for _, t := range c.tenants {
+			c.advance(t)
+			c.lend(t)
+		}
+		c.tell()
+		c.dirty = false
+	}
+	return c.out
+}
+
+func (c *Cells) note(warn bool, format string, v ...any) {
+	c.out = append(c.out, Note{warn, fmt.Sprintf(format, v...)})
+}
+
+func (c *Cells) hear(e Event) {
+	switch e := e.(type) {
+	case Listed:
+		c.relist(e.Backends)
+	case Joined:
+		if p := c.at(e.Proxy); p != nil {
+			// What an earlier stream was told is no more: the decisions lay its tables anew.
+			p.joined, p.zone, p.ever, c.dirty = true, e.Zone, p.ever && p.told.Confined, true
+		}
+	case Left:
+		if p := c.at(e.Proxy); p != nil {
+			p.joined, p.txns, p.voided, c.dirty = false, nil, nil, true
+		}
+	case Used:
+		if p := c.at(e.Proxy); p != nil && e.Counting > 0 {
+			s := float64(e.Counting) / float64(choice.Second)
+			for len(p.txns) <= e.Product {
+				p.txns, p.voided = append(p.txns, 0), append(p.voided, 0)
+			}
+			p.txns[e.Product] = p.txns[e.Product]*newsKeep + max(e.Txns, 0)/s*(1-newsKeep)
+			p.voided[e.Product] = p.voided[e.Product]*newsKeep + max(e.Voided, 0)/s*(1-newsKeep)
+		}
+	case Heard:
+		n := c.heard[e.Backend]
+		if n == nil {
+			n = &news{}
+			c.heard[e.Backend] = n
+		}
+		tries := max(e.Tries, 0)
+		voided := min(max(e.Voided, 0), tries)
+		n.tries, n.voided, n.good = n.tries+tries, n.voided+voided, n.good+tries-voided
+		n.spent += (tries - voided) * float64(e.Took)
+	case Planned:
+		c.replan(e.Plan)
+	case Move:
+		c.begin(e.Tenant, e.Cell)
+	case Undo:
+		if t := c.named(e.Tenant); t != nil && t.phase != steady {
+			c.undo(t, "it was asked for")
+		}
+	}
+}
+
+// relist takes the list as it is now; only tenants that a change can concern are looked at anew.
+func (c *Cells) relist(all []Backend) {
+	before := c.byAt
+	c.list = slices.SortedFunc(slices.Values(all), func(a, b Backend) int { return cmp.Compare(a.ID, b.ID) })
+	c.byAt = nil
+	for _, b := range c.list {
+		c.byAt = append(c.byAt, make([]Backend, max(b.At+1-len(c.byAt), 0))...)
+		c.byAt[b.At] = b
+	}
+	var left, came, failed []Backend
+	for at := range max(len(before), len(c.byAt)) {
+		var was, is Backend
+		if at < len(before) {
+			was = before[at]
+		}
+		if at < len(c.byAt) {
+			is = c.byAt[at]
+		}
+		if was == is {
+			continue
+		}
+		if c.dirty = true; was.ID != is.ID {
+			delete(c.heard, at)
+		}
+		// Gone without a drain, or started anew while it served.
+		if was.Status == choice.Ready && (is.ID != was.ID || is.Status == choice.Gone || is.Up > was.Up) {
+			failed = append(failed, was)
+		}
+		// Heat and strength change no set.
+		if same := was.ID == is.ID && was.Zone == is.Zone && was.Kind == is.Kind && was.Status == is.Status; same {
+			continue
+		}
+		if was.ID != "" {
+			left = append(left, was)
+		}
+		if is.ID != "" {
+			came = append(came, is)
+		}
+	}
+	for _, b := range failed {
+		c.failed = append(c.failed, c.now)
+		for _, t := range c.tenants {
+			lent := slices.ContainsFunc(t.loans, func(l loan) bool { return l.id == b.ID })
+			if !lent && !has(t.own, b.At) && !has(t.former, b.At) {
+				continue
+			}
+			// That its own fail can have any cause, also all at once; that those fail which it got for them is a sign.
+			if t.failAt = c.now; lent || !t.base[b.ID] {
+				t.lost = append(t.lost, c.now)
+			}
+		}
+	}
+	for _, t := range c.tenants {
+		concerns := func(b Backend) bool { return c.plan.moves(t, b, b.Status == choice.Ready) }
+		if t.phase != steady || slices.ContainsFunc(left, concerns) || slices.ContainsFunc(came, concerns) {
+			c.settle(t)
+		}
+	}
+}
+
+// settle works out a tenant's own set.
+func (c *Cells) settle(t *tenant) {
+	own := c.plan.Own(t.Tenant, c.list)
+	if t.shutIn { // it gets nobody new
+		own = slices.DeleteFunc(own, func(at int) bool { return !has(t.own, at) })
+	}
+	t.own, t.former, c.dirty = own, nil, true
+	if t.failAt == 0 || c.now > t.failAt+c.plan.LostOver {
+		t.base, t.failAt = map[string]bool{}, 0
+		for _, at := range own {
+			t.base[c.byAt[at].ID] = true
+		}
+	}
+	if t.phase != steady {
+		was := t.Tenant
+		was.Cell = t.from
+		t.former = c.plan.Own(was, c.list)
+	}
+	if !c.plan.Shuffle {
+		return
+	}
+	size, seed := cmp.Or(t.Size, c.plan.Size), tenantSeed(t.Name)
+	t.least = nil
+	for _, need := range c.needs {
+		scores := make([][]float64, c.plan.Zones)
+		for _, at := range t.own {
+			if b := c.byAt[at]; fits(need, b) {
+				scores[b.Zone] = append(scores[b.Zone], score(seed, b.ID))
+			}
+		}
+		least := slices.Repeat([]float64{-1}, c.plan.Zones)
+		for z, all := range scores {
+			if slices.Sort(all); len(all) >= size { // others are there for another need
+				least[z] = all[len(all)-size]
+			}
+		}
+		t.least = append(t.least, least)
+	}
+}
+
+func (c *Cells) at(proxy int) *proxy {
+	if proxy < 0 || proxy >= len(c.proxies) {
+		return nil
+	}
+	return &c.proxies[proxy]
+}
+
+func (c *Cells) named(name string) *tenant {
+	for _, t := range c.tenants {
+		if t.Name == name {
+			return t
+		}
+	}
+	return nil
+}
+
+// replan takes another plan. What is known of a tenant that stays goes on; one whose cell differs moves.
+func (c *Cells) replan(p Plan) {
+	before := map[string]*tenant{}
+	for _, t := range c.tenants {
+		before[t.Name] = t
+	}
+	first := !c.on
+	if c.plan, c.on, c.dirty = p, len(p.Tenants) > 0, true; first {
+		c.tickAt = c.now + tick
+	}
+	c.tenants, c.needs = nil, p.needs()
+	for i := range c.proxies {
+		c.proxies[i].tenant = -1
+	}
+	for i, said := range p.Tenants {
+		t, known := before[said.Name]
+		if !known {
+			t = &tenant{Tenant: said}
+		}
+		cell := t.Cell
+		if t.Tenant = said; known && cell != said.Cell {
+			t.Cell = cell
+		}
+		c.tenants = append(c.tenants, t)
+		for _, at := range said.Proxies {
+			if q := c.at(at); q != nil {
+				q.tenant = i
+			}
+		}
+		t.usual = map[place]float64{}
+		if known && cell != said.Cell {
+			c.begin(said.Name, said.Cell)
+		}
+		c.settle(t)
+	}
+}
+
+// begin orders a move. One that is under way is turned round or ended first by its own steps.
+func (c *Cells) begin(name, cell string) {
+	t := c.named(name)
+	named := func(one Cell) bool { return one.Name == cell }
+	switch {
+	case t == nil:
+		c.note(true, "no tenant %s to move", name)
+	case c.plan.Shuffle || !slices.ContainsFunc(c.plan.Cells, named):
+		c.note(true, "tenant %s cannot move: no fixed cell %s", name, cell)
+	case t.phase != steady:
+		c.note(true, "tenant %s moves already, from %s to %s", name, t.from, t.Cell)
+	case t.Cell == cell:
+	default:
+		t.phase, t.from, t.Cell, t.done, t.both, t.at, c.dirty = prepared, t.Cell, cell, 0, 0, c.now, true
+		c.note(false, "tenant %s is to move from %s to %s", name, t.from, cell)
+		c.settle(t)
+	}
+}
+
+func (c *Cells) undo(t *tenant, why string) {
+	c.note(true, "tenant %s stays in %s: the move to %s is undone at %d of %d proxies, %s", t.Name, t.from, t.Cell, t.both,
+		len(t.Proxies), why)
+	t.phase, t.Cell, t.from, t.done, t.both, t.usual = steady, t.from, "", 0, 0, map[place]float64{}
+	t.calm = c.now + c.plan.Settle
+	c.settle(t)
+}
+
+// warm is the strength of a set for a product that is ready and no longer cold, in a zone or in all (-1).
+func (c *Cells) warm(s []int, need choice.Product, zone int) (ready, warm float64) {
+	for _, at := range s {
+		if b := c.byAt[at]; b.Status == choice.Ready && fits(need, b) && (zone < 0 || b.Zone == zone) {
+			ready += b.Weight
+			if c.isWarm(b) {
+				warm += b.Weight
+			}
+		}
+	}
+	return ready, warm
+}
+
+func (c *Cells) isWarm(b Backend) bool { return b.Up == 0 || c.now >= b.Up+c.plan.Cold }
+
+// advance takes a move its next step. Guards a cell of freshly started backends: it is entered when most of it is
+// warm, by a part of the proxies at a time; and a cell that dies under a move, which is undone.
+func (c *Cells) advance(t *tenant) {
+	if t.phase == steady {
+		return
+	}
+	fit := true
+	for _, need := range c.needs {
+		for _, zone := range c.zonesOf(t, need) {
+			ready, warm := c.warm(t.own, need, zone)
+			fit = fit && warm > 0 && warm >= lendUnder*ready
+		}
+	}
+	part := max(1, int(c.plan.Part*float64(len(t.Proxies))+0.5))
+	switch {
+	case t.phase == prepared && !fit:
+		if c.now >= t.at+c.plan.Prepare {
+			c.undo(t, "the cell did not become warm")
+		}
+	case !fit:
+		c.undo(t, "the cell has lost what a product needs")
+	case t.phase == prepared:
+		t.phase, t.both, t.at = moving, min(part, len(t.Proxies)), c.now
+	case c.now < t.at+c.plan.Settle:
+	case t.done < t.both:
+		t.done, t.at = t.both, c.now
+		t.both = min(t.done+part, len(t.Proxies))
+		if t.done == len(t.Proxies) {
+			c.note(false, "tenant %s has moved from %s to %s, %d proxies", t.Name, t.from, t.Cell, t.done)
+			t.phase, t.from, t.calm, t.former = steady, "", c.now+c.plan.Settle, nil
+			t.usual = map[place]float64{}
+		}
+	default: // of no proxies
+		t.phase, t.from, t.former = steady, "", nil
+	}
+}
+
+// zonesOf are those in which a product of a tenant needs backends: each of its joined proxies' where it must stay
+// at home, else any.
+func (c *Cells) zonesOf(t *tenant, need choice.Product) (zones []int) {
+	if !need.OwnZone {
+		return []int{-1}
+	}
+	for _, at := range t.Proxies {
+		if p := c.at(at); p != nil && p.joined && !slices.Contains(zones, p.zone) {
+			zones = append(zones, p.zone)
+		}
+	}
+	slices.Sort(zones)
+	return zones
+}
+
+// lend gives a tenant that has lost much of its cell backends of others, the next in its order that are warm. A
+// loan lasts for a while at least, and goes back when the cell is there again. A tenant
+// that is shut in gets one for each need, so that rule 1 is kept.
+func (c *Cells) lend(t *tenant) {
+	t.loans = slices.DeleteFunc(t.loans, func(l loan) bool {
+		b := c.found(l.id)
+		return b.Status != choice.Ready || b.Up > l.up
+	})
+	c.judge(t)
+	own, lent := union(t.own, t.former), c.lent(t)
+	most := c.plan.Loan
+	short := false
+	for i, need := range c.needs {
+		for _, zone := range c.zonesOf(t, need) {
+			at, keep := place{i, zone}, 1.0
+			if c.now == c.tickAt-tick {
+				keep = usualKeep
+			}
+			ready, warm := c.warm(own, need, zone)
+			usual := t.usual[at] * keep
+			if t.phase == steady { // two cells' strength is not usual
+				usual = max(ready, usual)
+			}
+			t.usual[at] = usual
+			short = short || warm < backOver*usual || warm == 0
+			want := lendUnder * usual
+			enough := func() bool {
+				_, more := c.warm(lent, need, zone)
+				return warm+more > 0 && (warm+more >= want || t.shutIn || len(t.loans) >= most)
+			}
+			if enough() {
+				continue
+			}
+			for _, b := range ranked(t.Name, c.list) {
+				if enough() {
+					break
+				}
+				if !has(own, b.At) && !has(lent, b.At) && b.Status == choice.Ready && c.isWarm(b) && fits(need, b) && (zone < 0 || b.Zone == zone) {
+					t.loans = append(t.loans, loan{b.ID, b.Up, c.now + c.plan.LoanFor})
+					lent = c.lent(t)
+					c.note(true, "tenant %s is lent %s: %.1f of its usual %.1f are ready and warm", t.Name, b.ID, warm, usual)
+				}
+			}
+		}
+	}
+	if !short {
+		t.loans = slices.DeleteFunc(t.loans, func(l loan) bool {
+			if over := c.now >= l.until; over {
+				c.note(false, "tenant %s gives %s back", t.Name, l.id)
+				return true
+			}
+			return false
+		})
+	}
+}
+
+// judge shuts a tenant in when too many of the backends that it was given have failed of late, and a far larger
+// part of them than of the fleet: a bad release fails everywhere and is no tenant's fault.
+func (c *Cells) judge(t *tenant) {
+	old := func(at Time) bool { return c.now > at+c.plan.LostOver }
+	t.lost, c.failed = slices.DeleteFunc(t.lost, old), slices.DeleteFunc(c.failed, old)
+	n, all := float64(len(t.lost)), float64(len(c.failed))
+	part, fleet := n/max(n+float64(len(t.own)), 1), all/max(all+float64(len(c.list)), 1)
+	shut := c.plan.Lost > 0 && len(t.lost) >= c.plan.Lost && (t.shutIn || part > lostOver*fleet)
+	if shut == t.shutIn {
+		return
+	}
+	if t.shutIn = shut; shut {
+		c.note(true, "tenant %s is shut in: %d of the backends given to it have failed, %d in all; %.1f txns/s a proxy", t.Name,
+			len(t.lost), len(c.failed), c.plan.Trickle)
+	} else {
+		c.note(false, "tenant %s is no longer shut in", t.Name)
+	}
+	c.settle(t)
+}
+
+// lent are the backends lent to a tenant.
+func (c *Cells) lent(t *tenant) (set []int) {
+	for _, l := range t.loans {
+		if b := c.found(l.id); b.ID != "" {
+			set = append(set, b.At)
+		}
+	}
+	slices.Sort(set)
+	return set
+}
+
+// found is a backend of the list; one without an id where it is not there.
+func (c *Cells) found(id string) Backend {
+	if i, ok := slices.BinarySearchFunc(c.list, id, func(b Backend, id string) int { return cmp.Compare(b.ID, id) }); ok {
+		return c.list[i]
+	}
+	return Backend{}
+}
+
+// limit judges each cell against the others, once a tick, and bounds what the tenants of one in trouble let in.
+func (c *Cells) limit() {
+	// By index; below 0 where too little was heard.
+	fails, took := slices.Repeat([]float64{-1}, len(c.byAt)), slices.Repeat([]float64{-1}, len(c.byAt))
+	for at, n := range c.heard {
+		if at < len(c.byAt) && n.tries >= fewTries {
+			fails[at] = n.voided / n.tries
+			if n.good > 0 {
+				took[at] = n.spent / n.good
+			}
+		}
+		n.tries, n.voided, n.good, n.spent = n.tries*newsKeep, n.voided*newsKeep, n.good*newsKeep, n.spent*newsKeep
+	}
+	badAll, allFails := median(fails, nil, nil)
+	slowAll, allTook := median(took, nil, nil)
+	for _, t := range c.tenants {
+		badIn, n := median(fails, t.own, nil)
+		slowIn, m := median(took, t.own, nil)
+		badOut, others, slowOut, othersToo := badAll, allFails-n, slowAll, allTook-m
+		if 4*len(t.own) > len(c.list) { // else it weighs little among all, and all are known already
+			badOut, others = median(fails, nil, t.own)
+			slowOut, othersToo = median(took, nil, t.own)
+		}
+		switch {
+		case n > 0 && others > 0 && badIn > badOut+badOver, m > 0 && othersToo > 0 && slowIn > slowOver*slowOut:
+			t.bad++
+		default:
+			t.bad = 0
+		}
+		use, served := 0.0, 0.0
+		for _, at := range t.Proxies {
+			if p := c.at(at); p != nil && p.joined {
+				use, served = use+sum(p.txns), served+max(sum(p.txns)-sum(p.voided), 0)
+			}
+		}
+		switch {
+		case t.bad >= troubled && (t.bound == 0 || c.now >= t.cutAt+cutEvery):
+			if t.bound == 0 {
+				t.bound = max(served, c.plan.Trickle)
+				c.note(true, "tenant %s is bounded: its cell voids %.0f%% beside %.0f%%, answers take %.1f ms beside %.1f", t.Name,
+					100*badIn, 100*badOut, slowIn/10, slowOut/10)
+			}
+			t.bound, t.cutAt = max(t.bound*cutBy, c.plan.Trickle*float64(len(t.Proxies))), c.now
+		case t.bad == 0 && t.bound > 0:
+			if t.bound *= riseBy; t.bound > freeOver*use {
+				c.note(false, "tenant %s is no longer bounded: %.0f txns/s", t.Name, t.bound)
+				t.bound = 0
+			}
+		}
+	}
+}
+
+// median is that of the values of a set, or of all, that are known, less those of another set.
+func median(of []float64, set, less []int) (float64, int) {
+	var all []float64
+	if set == nil {
+		for at, v := range of {
+			if v >= 0 && !has(less, at) {
+				all = append(all, v)
+			}
+		}
+	}
+	for _, at := range set {
+		if at < len(of) && of[at] >= 0 {
+			all = append(all, of[at])
+		}
+	}
+	if len(all) == 0 {
+		return 0, 0
+	}
+	slices.Sort(all)
+	return all[len(all)/2], len(all)
+}
+
+// tell orders what differs from what each joined proxy was told.
+func (c *Cells) tell() {
+	for _, t := range c.tenants {
+		lent := c.lent(t)
+		settled, leaving := union(t.own, lent), union(t.former, lent)
+		shares := c.split(t)
+		for i, at := range t.Proxies {
+			p := c.at(at)
+			if p == nil || !p.joined {
+				continue
+			}
+			may := settled
+			if t.phase != steady && i >= t.both {
+				may = leaving
+			} else if t.phase != steady && i >= t.done {
+				may = union(settled, leaving)
+			}
+			c.send(p, choice.Allowed{Proxy: at, Confined: true, Backends: may, Most: shares[i],
+				Still: c.now < t.calm || t.bad >= troubled || t.phase == moving && i < t.both})
+		}
+	}
+	for i := range c.proxies {
+		if p := &c.proxies[i]; p.tenant < 0 && p.joined && p.ever && p.told.Confined {
+			c.send(p, choice.Allowed{Proxy: i})
+		}
+	}
+}
+
+// split shares what a tenant may let in among its proxies: none gets more than it is asked for while others lack.
+func (c *Cells) split(t *tenant) []float64 {
+	shares := make([]float64, len(t.Proxies))
+	total := t.bound
+	if t.shutIn {
+		for i := range shares {
+			shares[i] = c.plan.Trickle
+		}
+		return shares
+	}
+	if total == 0 {
+		return shares
+	}
+	left, open := total, []int{}
+	for i, at := range t.Proxies {
+		if p := c.at(at); p != nil && p.joined {
+			open = append(open, i)
+		}
+	}
+	slices.SortStableFunc(open, func(i, j int) int {
+		return cmp.Compare(sum(c.proxies[t.Proxies[i]].txns), sum(c.proxies[t.Proxies[j]].txns))
+	})
+	for n, i := range open {
+		part := left / float64(len(open)-n)
+		shares[i] = max(min(part, sum(c.proxies[t.Proxies[i]].txns)), c.plan.Trickle)
+		if n == len(open)-1 {
+			shares[i] = max(part, c.plan.Trickle)
+		}
+		left -= min(shares[i], left)
+	}
+	return shares
+}
+
+func (c *Cells) send(p *proxy, o choice.Allowed) {
+	was := p.told
+	near := was.Most > 0 && o.Most > 0 && o.Most < was.Most*(1+leastTell) && o.Most > was.Most*(1-leastTell)
+	if p.ever && was.Confined == o.Confined && was.Still == o.Still && slices.Equal(was.Backends, o.Backends) && (near || was.Most == o.Most) {
+		return
+	}
+	p.told, p.ever = o, true
+	c.out = append(c.out, o)
+}
+
+// State is what people see of a tenant.
+type State struct {
+	Tenant, Cell, Phase string
+	From                string
+	Moved, Proxies      int // of its proxies, those that have left the former cell
+	Backends, Lent      []string
+	ShutIn              bool
+	Bound               float64 // txns/s; 0: none
+	Radius
+}
+
+// Show tells how each tenant stands, in the order of the plan.
+func (c *Cells) Show() (all []State) {
+	radii, _ := c.plan.Radii(c.list)
+	for i, t := range c.tenants {
+		s := State{Tenant: t.Name, Cell: t.Cell, Phase: t.phase.String(), From: t.from, Moved: t.done, Proxies: len(t.Proxies),
+			ShutIn: t.shutIn, Bound: t.bound, Radius: radii[i]}
+		for _, at := range t.own {
+			s.Backends = append(s.Backends, c.byAt[at].ID)
+		}
+		for _, l := range t.loans {
+			s.Lent = append(s.Lent, l.id)
+		}
+		slices.Sort(s.Backends)
+		all = append(all, s)
+	}
+	return all
+}
--- /dev/null
+++ b/cells/plan.go
@@ -0,0 +1,244 @@
+// Package cells settles which backends each tenant's proxies may be given, so that one tenant's trouble, or one
+// bad backend, harms few others; what is lent to a cell that has lost its backends; how a tenant moves from one
+// cell to another; and how much a tenant whose cell is in trouble may let in. It holds no socket, clock, file or
+// goroutine. Every controller comes to the same sets from the same list and plan. State table and reasons stand in
+// docs/notes/cells.md.
+package cells
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+
+	"github.com/zeebo/xxh3"
+
+	"elmfold/choice"
+)
+
+// Time is a moment or a span as the module of decisions has it.
+type Time = choice.Time
+
+// Plan is what an operator file says of cells.
+type Plan struct {
+	Shuffle bool
+	Size    int // of shuffle: backends of each zone for a tenant
+	Cells   []Cell
+	Tenants []Tenant
+
+	Loan     int     // backends lent to a tenant at once, at most
+	LoanFor  Time    // ... for so long at least
+	Lost     int     // lent backends that may fail within LostOver, until the tenant is shut in
+	LostOver Time    //
+	Trickle  float64 // txns/s that each proxy of a tenant that is shut in may let in
+	Part     float64 // of a tenant's proxies that move at a time
+	Settle   Time    // that a moving part keeps both its old and its new lines
+	Prepare  Time    // that a move waits for its new cell to be warm
+	Warn     float64 // part of the others' strength that one tenant may touch without a warning
+
+	Products []choice.Product // where each may go
+	Zones    int
+	Cold     Time
+}
+
+// Cell is a fixed cell; Part is its share of the backends beside the others'.
+type Cell struct {
+	Name string
+	Part float64
+}
+
+// Tenant is a group of proxies. Cell names a fixed one; Size is another size than the plan's.
+type Tenant struct {
+	Name    string
+	Proxies []int
+	Cell    string
+	Size    int
+}
+
+// Usual is a Plan with every figure that may be left out.
+func Usual() Plan {
+	return Plan{Size: 4, Loan: 4, LoanFor: 30 * choice.Second, Lost: 4, LostOver: 600 * choice.Second, Trickle: 0.5,
+		Part: 0.25, Settle: 4 * choice.Second, Prepare: 120 * choice.Second, Warn: 0.25}
+}
+
+// Backend is one of the list, at the index that the decisions have it at.
+type Backend struct {
+	At         int
+	ID         string
+	Zone, Kind int
+	Status     choice.Status
+	Weight     float64
+	Up         Time
+}
+
+// score orders backends for a name by chance, the same everywhere (rendezvous hashing): who comes or goes moves
+// nobody else.
+func score(name uint64, id string) float64 {
+	return (float64(xxh3.HashStringSeed(id, name)>>11) + 0.5) / (1 << 53)
+}
+
+func tenantSeed(name string) uint64 { return xxh3.HashString("tenant " + name) }
+
+// cellOf is the fixed cell that a backend belongs to, by weighted rendezvous hashing.
+func (p *Plan) cellOf(id string) string {
+	best, most := "", math.Inf(-1)
+	for _, c := range p.Cells {
+		if s := c.Part / -math.Log(score(xxh3.HashString("cell "+c.Name), id)); s > most {
+			best, most = c.Name, s
+		}
+	}
+	return best
+}
+
+// ranked are the backends in a tenant's order.
+func ranked(name string, all []Backend) []Backend {
+	seed := tenantSeed(name)
+	type scored struct {
+		at    int
+		score float64
+	}
+	order := make([]scored, len(all))
+	for i, b := range all {
+		order[i] = scored{i, score(seed, b.ID)}
+	}
+	slices.SortFunc(order, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(all[a.at].ID, all[b.at].ID))
+	})
+	sorted := make([]Backend, len(all))
+	for i, o := range order {
+		sorted[i] = all[o.at]
+	}
+	return sorted
+}
+
+// union merges two sorted sets of backends by index.
+func union(a, b []int) []int {
+	if len(b) == 0 {
+		return a
+	}
+	all := append(slices.Clone(a), b...)
+	slices.Sort(all)
+	return slices.Compact(all)
+}
+
+func has(set []int, at int) bool {
+	_, ok := slices.BinarySearch(set, at)
+	return ok
+}
+
+// Own are the backends of a tenant, sorted by index, when nothing is lent to it and it does not move. With shuffle
+// sharding they are the first in its order of each zone, and of each kind that a product is confined to, so that
+// each product has somewhere to go.
+func (p *Plan) Own(t Tenant, list []Backend) []int {
+	own := []int{}
+	if !p.Shuffle {
+		for _, b := range list {
+			if b.Status == choice.Ready && p.cellOf(b.ID) == t.Cell {
+				own = append(own, b.At)
+			}
+		}
+		slices.Sort(own)
+		return own
+	}
+	size := cmp.Or(t.Size, p.Size)
+	order := ranked(t.Name, list)
+	for _, r := range p.needs() {
+		got := make([]int, p.Zones)
+		for _, b := range order {
+			if b.Status == choice.Ready && fits(r, b) && got[b.Zone] < size {
+				own = append(own, b.At)
+				got[b.Zone]++
+			}
+		}
+	}
+	slices.Sort(own)
+	return slices.Compact(own)
+}
+
+// moves says whether a backend that came, left or changed can change a tenant's own set, which is own now, with
+// the least score of it in each zone.
+func (p *Plan) moves(t *tenant, b Backend, ready bool) bool {
+	switch {
+	case has(t.own, b.At):
+		return true
+	case !ready:
+		return false
+	case !p.Shuffle:
+		return p.cellOf(b.ID) == t.Cell
+	}
+	at := score(tenantSeed(t.Name), b.ID)
+	for i, need := range p.needs() {
+		if fits(need, b) && at >= t.least[i][b.Zone] {
+			return true
+		}
+	}
+	return false
+}
+
+// needs are the different places that products ask for.
+func (p *Plan) needs() (all []choice.Product) {
+	seen := map[string]bool{}
+	for _, r := range p.Products {
+		if place := fmt.Sprint(r.OwnZone, r.OnlyZones, r.OnlyKinds); !seen[place] {
+			seen[place], all = true, append(all, r)
+		}
+	}
+	if len(all) == 0 {
+		all = append(all, choice.Product{})
+	}
+	return all
+}
+
+// fits says whether a product may go to a backend from somewhere.
+func fits(r choice.Product, b Backend) bool {
+	return (r.OnlyZones == nil || slices.Contains(r.OnlyZones, b.Zone)) && (r.OnlyKinds == nil || slices.Contains(r.OnlyKinds, b.Kind))
+}
+
+// Radius is what one tenant can harm.
+type Radius struct {
+	Tenant   string
+	Backends int
+	Mean     float64 // of the other tenants' strength, the part that it can touch
+	Most     float64 // ... of the tenant that shares the most with it
+	With     string  // that tenant
+}
+
+// Radii says of each tenant which part of the others' strength it can touch, in the order of the plan, and of
+// each backend, by index, which part of all tenants' strength it is.
+func (p *Plan) Radii(list []Backend) (tenants []Radius, backends map[int]float64) {
+	own := make([][]int, len(p.Tenants))
+	weight := map[int]float64{}
+	for _, b := range list {
+		weight[b.At] = b.Weight
+	}
+	strength := func(s, also []int) (sum float64) {
+		for _, at := range s {
+			if also == nil || has(also, at) {
+				sum += weight[at]
+			}
+		}
+		return sum
+	}
+	backends = map[int]float64{}
+	for i, t := range p.Tenants {
+		own[i] = p.Own(t, list)
+		for _, at := range own[i] {
+			backends[at] += weight[at] / max(strength(own[i], nil), 1e-9) / float64(len(p.Tenants))
+		}
+	}
+	for i, t := range p.Tenants {
+		r := Radius{Tenant: t.Name, Backends: len(own[i])}
+		for j, u := range p.Tenants {
+			if i == j {
+				continue
+			}
+			part := strength(own[j], own[i]) / max(strength(own[j], nil), 1e-9)
+			r.Mean += part / float64(len(p.Tenants)-1)
+			if part > r.Most {
+				r.Most, r.With = part, u.Name
+			}
+		}
+		tenants = append(tenants, r)
+	}
+	return tenants, backends
+}
--- /dev/null
+++ b/choice/allowed_test.go
@@ -0,0 +1,86 @@
+package choice
+
+import "testing"
+
+// A confined proxy has lines to what it is allowed only, and keeps it over broken streams; where none of that is
+// open it may go anywhere, so that rule 1 goes before confinement; free again it has lines to all.
+func TestAllowed(t *testing.T) {
+	r := start(t, deployment())
+	r.second(reports(15, calm, 1000)...)
+	r.step(Allowed{Proxy: 0, Confined: true, Backends: []int{1, 2}})
+	r.second(reports(15, calm, 1000)...)
+	lines := func(proxy, product int) (all [4]bool) {
+		for b := range 4 {
+			all[b] = r.weight(proxy, product, b) > 0
+		}
+		return all
+	}
+	for k := range 3 { // product 1 keeps to its zone, product 2 to zone 0: backend 1 is there
+		if got := lines(0, k); got[0] || got[3] || !got[1] && !got[2] || k > 0 && !got[1] {
+			t.Errorf("product %d of the confined proxy: %v", k, got)
+		}
+	}
+	if got := lines(1, 0); !got[2] || !got[3] {
+		t.Errorf("the free proxy: %v", got)
+	}
+	r.step(Left{Proxy: 0}, Joined{Proxy: 0, Zone: 0, Rate: 50, Brings: true})
+	if got := lines(0, 1); got[0] || !got[1] {
+		t.Errorf("joined again: %v", got)
+	}
+	r.second(append(reports(15, calm, 1000), Listed{Entries: []Entry{{Backend: 1, Status: Draining, Weight: 1}}})...)
+	r.second(reports(15, calm, 1000)...)
+	if got := lines(0, 1); !got[0] || got[1] {
+		t.Errorf("with nothing open at home inside: %v", got)
+	}
+	r.second(append(reports(15, calm, 1000), Listed{Entries: []Entry{ready(1, 0)}})...)
+	for range 3 {
+		r.second(reports(15, calm, 1000)...)
+	}
+	if got := lines(0, 1); got[0] || !got[1] {
+		t.Errorf("open again inside: %v", got)
+	}
+	r.step(Allowed{Proxy: 0})
+	for range 3 {
+		r.second(reports(15, calm, 1000)...)
+	}
+	if got := lines(0, 1); !got[0] || !got[1] {
+		t.Errorf("free again: %v", got)
+	}
+	r.step(Allowed{Proxy: 0, Confined: true, Backends: []int{3}}, Listed{Entries: []Entry{{Backend: 3, Status: Gone}}}, Dropped{Backend: 3})
+	if r.a.px[0].may(3) {
+		t.Error("an index that is given back is still allowed")
+	}
+}
+
+// A confined proxy's own bound declines its own txns, in step with what each product is asked for, and Still ends
+// its further tries; no other proxy hears of either.
+func TestAllowedBounds(t *testing.T) {
+	r := start(t, deployment())
+	for range 3 {
+		r.second(reports(30, calm, 1000)...)
+	}
+	if r.gate(0, 0).Level < 30 || r.gate(0, 0).Tries != TryUnrun {
+		t.Fatalf("at first %+v", r.gate(0, 0))
+	}
+	r.step(Allowed{Proxy: 0, Confined: true, Backends: []int{0, 1, 2, 3}, Most: 45, Still: true})
+	for range 3 {
+		r.second(reports(30, calm, 1000)...)
+	}
+	sum := 0.0
+	for k := range 3 {
+		sum += r.gate(0, k).Level
+		if r.gate(0, k).Tries != TryOnce {
+			t.Errorf("product %d: %+v", k, r.gate(0, k))
+		}
+	}
+	if sum < 40 || sum > 50 || r.gate(1, 0).Level < 30 || r.gate(1, 0).Tries != TryUnrun {
+		t.Errorf("levels sum to %.1f; the other proxy has %+v", sum, r.gate(1, 0))
+	}
+	r.step(Allowed{Proxy: 0, Confined: true, Backends: []int{0, 1, 2, 3}})
+	for range 3 {
+		r.second(reports(30, calm, 1000)...)
+	}
+	if r.gate(0, 0).Level < 30 || r.gate(0, 0).Tries != TryUnrun {
+		t.Errorf("unbounded again %+v", r.gate(0, 0))
+	}
+}
--- /dev/null
+++ b/choice/before_test.go
@@ -0,0 +1,72 @@
+package choice
+
+import (
+	"fmt"
+	"hash/fnv"
+	"math/rand"
+	"testing"
+)
+
+// recorded plays a day drawn from a seed and gives a fingerprint of all orders.
+func recorded(seed int64) string {
+	chance := rand.New(rand.NewSource(seed))
+	a := New(Deployment{Products: []Product{{Revenue: 1, SLA: 8000}, {Revenue: 3, SLA: 20000, OwnZone: true},
+		{Revenue: 2, SLA: 8000, OnlyZones: []int{0, 1}, OnlyKinds: []int{1}}}, Zones: 3, Proxies: 14, GoneBinds: seed%2 == 0,
+		Levels: LevelKind(seed % 2), Cold: 10 * Second, ColdCapacity: 0.2, ColdMultiple: 3, ConnsLeast: 300, LinesPerS: 3000,
+		LinesMost: 3000, LinesHead: 6, MessagesMost: 30, MessagesOver: 10 * Second})
+	sum := fnv.New64a()
+	var events []Event
+	for b := range 30 {
+		events = append(events, Listed{Kind: ListChange, Entries: []Entry{{Backend: b, Zone: b % 3, Kind: b % 2, Status: Ready, Weight: 1 + float64(b%4)}}})
+	}
+	for p := range 14 {
+		events = append(events, Joined{Proxy: p, Zone: p % 3, Rate: 10, Brings: p%2 == 0})
+	}
+	for now, wake := Time(0), Second; now < 200*Second; now += Second / 4 {
+		if now >= wake {
+			events, wake = append(events, Woken{Name: 0}), now+Second
+			rush := 1 + 2*float64(now/(40*Second)%2)
+			for p := range 14 {
+				for k := range 3 {
+					events = append(events, Used{Proxy: p, Product: k, Txns: float64(chance.Intn(20)) * rush, Voided: float64(chance.Intn(3)), Counting: Second})
+				}
+			}
+			for b := range 30 {
+				events = append(events, Heard{Backend: b, Tries: 20, Voided: float64(chance.Intn(4)), Took: Time(500 + chance.Intn(int(2000*rush)))})
+			}
+		}
+		switch b, p := chance.Intn(30), chance.Intn(14); chance.Intn(24) {
+		case 0:
+			events = append(events, Listed{Kind: ListChange, Entries: []Entry{{Backend: b, Zone: b % 3, Kind: b % 2, Status: Draining, Weight: 1}}})
+		case 1, 2:
+			events = append(events, Listed{Kind: ListChange, Entries: []Entry{{Backend: b, Zone: b % 3, Kind: b % 2, Status: Ready, Weight: 2, Up: now}}})
+		case 3:
+			events = append(events, Listed{Kind: ListChange, Entries: []Entry{{Backend: b, Status: Gone}}})
+		case 4:
+			events = append(events, Left{Proxy: p}, Joined{Proxy: p, Zone: p % 3, Rate: 5, Brings: true})
+		}
+		orders := a.Step(now, events)
+		events = nil
+		_, _ = fmt.Fprint(sum, now, orders)
+		for _, o := range orders {
+			if f, ok := o.(Fence); ok {
+				for p := range 14 {
+					if chance.Intn(10) > 0 {
+						events = append(events, Fenced{Proxy: p, Number: f.Number})
+					}
+				}
+			}
+		}
+	}
+	return fmt.Sprintf("%016x", sum.Sum64())
+}
+
+// With no cells the orders are what they were before there were any: the fingerprints are of the module as it was
+// then, on the same events.
+func TestOrdersWithoutCells(t *testing.T) {
+	for seed, want := range map[int64]string{1: "752fb2f0a83c4ce9", 2: "40f8ab39608c6d72", 3: "6bf5e4140abb202d", 4: "717adaf425852737"} {
+		if got := recorded(seed); got != want {
+			t.Errorf("seed %d: %s, before %s", seed, got, want)
+		}
+	}
+}
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -101,6 +101,9 @@
 			if p := a.proxy(e.Proxy); p.joined {
 				p.joined, p.bound, p.leftAt, a.reset = false, false, a.now, true
 			}
+		case Allowed:
+			a.confine(e)
+			a.urgent = true
 		case Heard:
 			a.hearTries(e)
 		case Probed:
@@ -486,6 +489,9 @@
 		flow, need, home := make([]float64, len(in)), make([]float64, len(in)), 0.0
 		for i, p := range in {
 			p.picked = append(p.picked, make([]bool, len(be.zone)-len(p.picked))...)
+			for b := range p.picked {
+				p.picked[b] = p.picked[b] && p.may(b)
+			}
 			home += either(p.zone == y, float64(a.d.Zones)/float64(max(a.d.Proxies, 1)), 0)
 			for g, group := range a.groups {
 				r := a.spill[g][p.zone][y]
@@ -514,7 +520,7 @@
 				most, least, has, strength := -1, -1, 0.0, 0.0
 				for b, on := range p.picked {
 					switch {
-					case be.zone[b] != y || be.status[b] != Ready:
+					case be.zone[b] != y || be.status[b] != Ready || !p.may(b):
 					case on:
 						if has, strength = has+a.ramp(b), strength+a.sure(b); most < 0 || load[b] > load[most] {
 							most = b
@@ -551,8 +557,9 @@
 func (a *Assigner) plan(p *proxy, g int) tbl {
 	rule, be, row, can := a.groups[g].rule, &a.be, a.spill[g][p.zone], make([]float64, a.d.Zones)
 	t := tbl{weight: make([]float64, len(be.zone))}
-	home, bare, part := 1.0, true, noLevel
+	home, bare, inside, part := 1.0, true, false, noLevel
 	for b, y := range be.zone {
+		inside = inside || p.may(b) && a.open(rule, p.zone, b)
 		if p.picked[b] && row[y] > 0 && a.open(rule, p.zone, b) {
 			can[y], bare = can[y]+a.strength(b), false
 		}
@@ -562,9 +569,9 @@
 	}
 	for b, y := range be.zone {
 		switch {
-		case !a.open(rule, p.zone, b):
+		case !a.open(rule, p.zone, b) || inside && !p.may(b):
 		case bare:
-			t.weight[b] = a.strength(b) // wherever it is: no proxy is left without a line
+			t.weight[b] = a.strength(b) // wherever it is: no proxy is left without a line, confined or not
 		case p.picked[b] && row[y] > 0:
 			t.weight[b] = a.strength(b) / can[y] * row[y] * home
 		}
@@ -578,7 +585,7 @@
 	}
 	// Further tries only after proof that the first never ran, which takes effect once for any product, and only
 	// while answers are quick: after any failure, or between full backends, they feed an overload.
-	tries := either(a.light, TryUnrun, TryOnce)
+	tries := either(a.light && !p.still, TryUnrun, TryOnce)
 	for _, k := range a.groups[g].products {
 		t.gates = append(t.gates, Gate{Level: a.levelOf(p, k, part), Tries: tries, Products: 1 << k})
 	}
@@ -609,6 +616,9 @@
 	// A level equal to a use of about a txn a second would decline half of it.
 	most := capFor(letMost*p.use[k], p.use[k])
 	level = max(level, min(level+letChance, capFor(min(level, letMost*p.use[k]), p.use[k])))
+	if p.most > 0 && p.asked() > p.most { // a confined proxy that asks too much declines its own
+		level = min(level, p.most*p.use[k]/p.asked())
+	}
 	switch {
 	case a.d.Levels == LevelNone:
 		return noLevel
--- a/choice/iface.go
+++ b/choice/iface.go
@@ -114,6 +114,17 @@
 	Brings      bool // shut-outs of another controller, to be settled with the first line for each backend
 }
 
+// Allowed confines a proxy to some backends, until the next one: what is open elsewhere it is given only where
+// none of these is. Most is what it may let in of all products together, txns/s, 0 for no bound of its own; Still
+// says that it may make no further tries. One that was never told is free.
+type Allowed struct {
+	Proxy    int
+	Confined bool
+	Backends []int
+	Most     float64
+	Still    bool
+}
+
 // Left says that a proxy's stream broke.
 type Left struct{ Proxy int }
 
--- a/choice/state.go
+++ b/choice/state.go
@@ -40,6 +40,10 @@
 	held               []tbl     // by group: what was ordered
 	picked             []bool    // by backend: may have a line
 	sent               []message // within the counting span, or on their way
+
+	confined, still bool
+	cell            []bool // by backend: allowed
+	most            float64
 }
 
 type diff struct { // what a proxy lacks, and what it will hold then
@@ -132,6 +136,9 @@
 		if p := &a.px[i]; b < len(p.picked) {
 			p.picked[b] = false
 		}
+		if p := &a.px[i]; b < len(p.cell) {
+			p.cell[b] = false
+		}
 		for _, t := range a.px[i].held {
 			if b < len(t.weight) {
 				t.weight[b] = 0
@@ -140,6 +147,19 @@
 	}
 }
 
+func (a *Assigner) confine(e Allowed) {
+	p := a.proxy(e.Proxy)
+	p.confined, p.most, p.still, p.cell = e.Confined, e.Most, e.Still, nil
+	for _, b := range e.Backends {
+		a.grow(b + 1)
+		p.cell = append(p.cell, make([]bool, max(b+1-len(p.cell), 0))...)
+		p.cell[b] = true
+	}
+}
+
+// may says whether a backend is one of those that a proxy is confined to.
+func (p *proxy) may(b int) bool { return !p.confined || b < len(p.cell) && p.cell[b] }
+
 // share is the part of all proxies that is joined here.
 func (a *Assigner) share() float64 {
 	return float64(len(a.in)) / float64(max(a.d.Proxies, len(a.in), 1))
--- /dev/null
+++ b/desk/confine.go
@@ -0,0 +1,65 @@
+package desk
+
+import (
+	"elmfold/cells"
+	"elmfold/choice"
+)
+
+// ShowCells asks how each tenant stands; To must have room, as the desk does not wait.
+type ShowCells struct{ To chan<- []cells.State }
+
+func (d *Desk) show() []cells.State {
+	if d.cells == nil {
+		return nil
+	}
+	return d.cells.Show()
+}
+
+// fleet is the list as it is now. Where gone alone does not bind, who was dropped while serving counts on: a list
+// that was emptied by mistake ends no confinement.
+func (d *Desk) fleet() (all []cells.Backend) {
+	for at, on := range d.listed {
+		e := d.entries[at]
+		if on || !d.goneBinds && d.backends[at] != "" && e.Status == choice.Ready {
+			all = append(all, cells.Backend{At: at, ID: d.backends[at], Zone: e.Zone, Kind: e.Kind, Status: e.Status,
+				Weight: e.Weight, Up: e.Up})
+		}
+	}
+	return all
+}
+
+// confine lets cells settle what this moment changes, before the decisions: they hear of both at once.
+func (d *Desk) confine() {
+	events := d.asked
+	d.asked = nil
+	listed := false
+	for _, e := range d.events {
+		switch e := e.(type) {
+		case choice.Listed:
+			listed = listed || e.Kind != choice.ListFailed
+		case choice.Joined:
+			events = append(events, cells.Joined{Proxy: e.Proxy, Zone: e.Zone})
+		case choice.Left:
+			events = append(events, cells.Left{Proxy: e.Proxy})
+		case choice.Used:
+			events = append(events, cells.Used{Proxy: e.Proxy, Product: e.Product, Txns: e.Txns, Voided: e.Voided, Counting: e.Counting})
+		case choice.Heard:
+			events = append(events, cells.Heard{Backend: e.Backend, Tries: e.Tries, Voided: e.Voided, Took: e.Took})
+		}
+	}
+	if listed {
+		events = append(events, cells.Listed{Backends: d.fleet()})
+	}
+	for _, o := range d.cells.Step(d.now, events) {
+		switch o := o.(type) {
+		case cells.Note:
+			if o.Warn {
+				d.log.Warn(o.Text)
+			} else {
+				d.log.Info(o.Text)
+			}
+		default:
+			d.events = append(d.events, o)
+		}
+	}
+}
--- a/desk/desk.go
+++ b/desk/desk.go
@@ -12,6 +12,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"elmfold/cells"
 	"elmfold/choice"
 	"elmfold/deployment"
 	"elmfold/edge"
@@ -50,6 +51,7 @@
 
 type proxy struct {
 	stream  Stream // nil: not joined
+	zone    int
 	tables  []int  // by product; none
 	fresh   uint32 // products put on a table in this step
 	told    []shut // by backend
@@ -100,6 +102,11 @@
 	laid     []int // tables that changed in this step
 	told     []int // backends that it shut out or let back
 
+	goneBinds bool
+	cells     *cells.Cells   // nil: nobody is confined
+	entries   []choice.Entry // by place, as listed last; of use to cells only
+	asked     []cells.Event  // of people, for the next step
+
 	events []choice.Event
 	wakes  []wake
 	now    choice.Time
@@ -108,7 +115,7 @@
 
 // New makes a Desk.
 func New(d choice.Deployment, names deployment.Names, lists Lists, log *logrus.Entry) *Desk {
-	return &Desk{assigner: choice.New(d), products: len(d.Products), names: names, lists: lists, log: log,
+	return &Desk{assigner: choice.New(d), products: len(d.Products), goneBinds: d.GoneBinds, names: names, lists: lists, log: log,
 		index: map[string]int{}, proxies: make([]proxy, d.Proxies), owners: map[Stream]int{},
 		sources: map[Stream]bool{}}
 }
@@ -218,6 +225,19 @@
 		}
 		d.events = append(d.events, choice.Heard{Backend: b, Tries: said.Tries, Voided: said.Voided,
 			Took: said.Took})
+	case cells.Planned, cells.Move, cells.Undo:
+		if d.cells == nil {
+			d.cells = cells.New(len(d.proxies))
+			d.asked = append(d.asked, cells.Listed{Backends: d.fleet()})
+			for i := range d.proxies {
+				if p := &d.proxies[i]; p.stream != nil {
+					d.asked = append(d.asked, cells.Joined{Proxy: i, Zone: p.zone})
+				}
+			}
+		}
+		d.asked = append(d.asked, said)
+	case ShowCells:
+		said.To <- d.show()
 	case edge.Ended:
 		if at, ok := d.owners[from]; ok && d.proxies[at].stream == from {
 			d.leave(at)
@@ -277,7 +297,7 @@
 		old.Replaced()
 	}
 	from.Known(fmt.Sprint("proxy ", said.Proxy))
-	*p = proxy{stream: from, tables: slices.Repeat([]int{none}, d.products), brought: shutUnknown}
+	*p = proxy{stream: from, zone: zone, tables: slices.Repeat([]int{none}, d.products), brought: shutUnknown}
 	if said.Fresh {
 		p.brought = shutIn // nothing was ordered, so nothing is shut out
 	}
@@ -317,6 +337,10 @@
 			e.Up = choice.Time(math.Min(up, float64(longest)))
 		}
 		entries = append(entries, e)
+		d.entries = append(d.entries, make([]choice.Entry, max(at+1-len(d.entries), 0))...)
+		if status != choice.Gone {
+			d.entries[at] = e
+		}
 	}
 	if len(odd) > 0 {
 		d.log.WithFields(logrus.Fields{"count": len(odd), "first": odd[0].ID, "phase": odd[0].Phase,
@@ -378,9 +402,12 @@
 		}
 	}
 	d.wakes = slices.DeleteFunc(d.wakes, due)
-	if len(d.events) == 0 {
+	if len(d.events) == 0 && len(d.asked) == 0 {
 		return
 	}
+	if d.cells != nil {
+		d.confine()
+	}
 	events := d.events
 	d.events = nil
 	d.carry(d.assigner.Step(d.now, events))
