--- a/cells/plan.go
+++ b/cells/plan.go
@@ -242,3 +242,56 @@
 	}
 	return tenants, backends
 }
+
+// Lack says why a plan cannot hold for a tenant with a list.
+type Lack struct {
+	Tenant int // by place in the plan
+	Why    string
+}
+
+// leastShare is the part of a cell's even share of strength, by its proxies, under which it has too little.
+const leastShare = 0.5
+
+// Lacks says which tenants have no backend where a product of theirs needs one although the list has, and which
+// fixed cells have too little strength for the proxies in them.
+func (p *Plan) Lacks(list []Backend) (all []Lack) {
+	strength, proxies, total, totalProxies := map[string]float64{}, map[string]int{}, 0.0, 0
+	for _, b := range list {
+		if b.Status == choice.Ready {
+			strength[p.cellOf(b.ID)] += b.Weight
+			total += b.Weight
+		}
+	}
+	for _, t := range p.Tenants {
+		proxies[t.Cell] += len(t.Proxies)
+		totalProxies += len(t.Proxies)
+	}
+	for i, t := range p.Tenants {
+		own := p.Own(t, list)
+		why := ""
+		for _, need := range p.needs() {
+			there, mine := make([]bool, p.Zones), make([]bool, p.Zones)
+			for _, b := range list {
+				if b.Status == choice.Ready && fits(need, b) {
+					there[b.Zone], mine[b.Zone] = true, mine[b.Zone] || has(own, b.At)
+				}
+			}
+			for z := range there {
+				if need.OwnZone && there[z] && !mine[z] {
+					why = fmt.Sprintf("none of its backends is in zone %d, where a product must stay at home", z)
+				}
+			}
+			if !need.OwnZone && slices.Contains(there, true) && !slices.Contains(mine, true) {
+				why = "none of its backends may do one of the products"
+			}
+		}
+		if part, even := strength[t.Cell]/max(total, 1e-9), float64(proxies[t.Cell])/float64(max(totalProxies, 1)); why == "" && !p.Shuffle &&
+			total > 0 && part < leastShare*even {
+			why = fmt.Sprintf("its cell has %.0f%% of the strength for %.0f%% of the proxies", 100*part, 100*even)
+		}
+		if why != "" {
+			all = append(all, Lack{i, why})
+		}
+	}
+	return all
+}
--- a/command/command.go
+++ b/command/command.go
@@ -6,11 +6,16 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 
 	"github.com/spf13/cobra"
 
+	"elmfold/cells"
+	"elmfold/choice"
 	"elmfold/controller"
+	"elmfold/launch"
 	"elmfold/operator"
+	"elmfold/roster"
 )
 
 // exit is an exit code on its way to Run; what there was to say has been said.
@@ -35,7 +40,7 @@
 	}
 	root.RunE = run
 	root.AddCommand(&cobra.Command{Use: "run", Short: "run the controller until a signal ends it",
-		Args: cobra.NoArgs, RunE: run}, check(out, errs), registryCommand(&file, out, errs))
+		Args: cobra.NoArgs, RunE: run}, check(out, errs), registryCommand(&file, out, errs), cellsCommand(&file, out, errs))
 	root.SetArgs(args)
 	root.SetOut(out)
 	root.SetErr(errs)
@@ -51,13 +56,32 @@
 	return 2
 }
 
-// check reads operator files and says what is wrong with them, a line each.
+// check reads operator files and says what is wrong with them, a line each; beside a platform's configuration it
+// also says whether its cells can hold with the list there, and warns of tenants that can harm many.
 func check(out, errs io.Writer) *cobra.Command {
-	return &cobra.Command{Use: "check FILE...", Short: "check operator files", Args: cobra.MinimumNArgs(1),
+	var against string
+	c := &cobra.Command{Use: "check FILE...", Short: "check operator files", Args: cobra.MinimumNArgs(1),
 		RunE: func(_ *cobra.Command, files []string) error {
+			var sheet *launch.Sheet
+			if against != "" {
+				s, err := launch.Read(func(name string) string {
+					return map[string]string{"EDGE_CONFIG": against, "EDGE_NAME": "check", "EDGE_LISTEN": "127.0.0.1:0", "EDGE_DISCOVERY": "127.0.0.1:1"}[name]
+				}, os.ReadFile)
+				if err != nil {
+					return fmt.Errorf("%s: %w", against, err)
+				}
+				sheet = &s
+			}
 			code := exit(0)
 			for _, path := range files {
 				f, err := operator.Read(path)
+				if err == nil && sheet != nil && f.Cells != nil {
+					list := backendsOf(*sheet)
+					err = f.Cells.Lacks(sheet.Deployment, list)
+					for _, line := range f.Cells.Warnings(sheet.Deployment, list) {
+						_, _ = fmt.Fprintln(errs, line)
+					}
+				}
 				if err != nil {
 					_, _ = fmt.Fprintln(errs, err)
 					code = 2
@@ -70,4 +94,17 @@
 			}
 			return nil
 		}}
+	c.Flags().StringVar(&against, "against", "", "the platform's configuration, whose list and settings the cells must hold with")
+	return c
+}
+
+// backendsOf is the list that a configuration knows.
+func backendsOf(s launch.Sheet) (all []cells.Backend) {
+	for _, m := range s.Known.Members {
+		if zone := slices.Index(s.Names.Zones, m.Zone); zone >= 0 && m.Phase == roster.Serving {
+			all = append(all, cells.Backend{At: len(all), ID: m.ID, Zone: zone, Kind: slices.Index(s.Names.Kinds, m.Kind),
+				Status: choice.Ready, Weight: m.Size})
+		}
+	}
+	return all
 }
--- a/command/command_test.go
+++ b/command/command_test.go
@@ -9,11 +9,13 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
 	"time"
 
+	"elmfold/controller"
 	"elmfold/roster"
 	"elmfold/standin/consul"
 	"elmfold/standin/etcd"
@@ -270,3 +272,126 @@
 	_ = c.Process.Signal(syscall.SIGTERM)
 	find(t, c.log, "stopping")
 }
+
+// Cells on a running controller: a proxy is given its cell's backends only, a move ordered at the control socket
+// goes through both cells' lines, a file whose cell cannot hold is refused by file and line while the former plan
+// stays, and without the section the proxy is free.
+func TestCells(t *testing.T) {
+	members := ""
+	for i := range 12 {
+		members += fmt.Sprintf(`,{"id":"s-%02d","locality":"a","flavor":"s","phase":"SERVING","size":1,"up_since_ms":0}`, i)
+	}
+	config := write(t, "config.json", strings.Replace(settings, `"members":[`, `"members":[`+strings.TrimPrefix(members, ",")+",", 1))
+	socket := filepath.Join(t.TempDir(), "c")
+	text := "cells fixed\n  cell red\n  cell blue\n  settle 1s\ntenant acme\n  proxies 2\n  cell red\ncontrol\n  socket " + socket + "\n"
+	file := write(t, "op.conf", text)
+	c := start(t, false, []string{"EDGE_CONFIG=" + config, "EDGE_OPERATOR=" + file})
+	_, addr, _ := strings.Cut(find(t, c.log, "msg=ready"), `listen="`)
+	addr, _, _ = strings.Cut(addr, `"`)
+	var red, blue []string
+	for over := time.Now().Add(20 * time.Second); len(red) == 0 && time.Now().Before(over); {
+		if reply, err := send(socket, controller.Request{Do: controller.DoShow}); err == nil && len(reply.Cells) > 0 {
+			red = reply.Cells[0].Backends
+		}
+	}
+	for i := range 12 {
+		if id := fmt.Sprintf("s-%02d", i); !slices.Contains(red, id) {
+			blue = append(blue, id)
+		}
+	}
+	for _, id := range []string{"s-1", "s-2", "s-3"} {
+		if !slices.Contains(red, id) {
+			blue = append(blue, id)
+		}
+	}
+	if len(red) == 0 || len(blue) == 0 {
+		t.Fatalf("cells %v and %v", red, blue)
+	}
+	stream, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stream.Close()
+	_ = stream.SetDeadline(time.Now().Add(time.Minute))
+	in := bufio.NewReader(stream)
+	_, _ = io.WriteString(stream, "SUBSCRIBE node=2 locality=a w=5 cold=1\r\n")
+	held := map[string]bool{}
+	until := func(want []string) {
+		t.Helper()
+		for {
+			same := len(held) == len(want)
+			for _, id := range want {
+				same = same && held[id]
+			}
+			if same {
+				return
+			}
+			line, err := in.ReadString('\n')
+			if err != nil {
+				t.Fatalf("it holds %v, not %v: %v", held, want, err)
+			}
+			whole := strings.Contains(line, "whole=1")
+			if whole {
+				clear(held)
+			}
+			for _, word := range strings.Fields(line) {
+				if lines, ok := strings.CutPrefix(word, "lines="); ok {
+					for _, l := range strings.Split(lines, ",") {
+						id, weight, _ := strings.Cut(l, ":")
+						if held[id] = weight != "0"; weight == "0" {
+							delete(held, id)
+						}
+					}
+				}
+			}
+		}
+	}
+	until(red)
+	run := func(args ...string) (string, int) {
+		var out bytes.Buffer
+		code := Run(append(args, "--operator", file), &out, &out)
+		return out.String(), code
+	}
+	if text, code := run("cells", "move", "acme", "green"); code != 0 || !strings.Contains(text, "settled") {
+		t.Errorf("to nowhere: %d, %s", code, text)
+	}
+	find(t, c.log, "no fixed cell green")
+	if text, code := run("cells", "move", "none", "blue"); code != 1 || !strings.Contains(text, "no tenant none") {
+		t.Errorf("of nobody: %d, %s", code, text)
+	}
+	if text, code := run("cells", "move", "acme", "blue"); code != 0 || !strings.Contains(text, "red to blue") {
+		t.Errorf("the move: %d, %s", code, text)
+	}
+	until(append(slices.Clone(red), blue...))
+	until(blue)
+	find(t, c.log, "has moved from red to blue")
+	again := func(text string, words ...string) {
+		t.Helper()
+		rewrite(t, file, text)
+		_ = c.Process.Signal(syscall.SIGHUP)
+		find(t, c.log, words...)
+	}
+	again(strings.Replace(text, "cell blue", "cell blue part 0.001", 1)+"tenant two\n  proxies 3\n  cell blue\n", "stays as it was", "op.conf:10", "larger part")
+	again("control\n  socket "+socket+"\n", "configuration taken over")
+	until(append(slices.Clone(red), blue...))
+	if text, code := run("cells", "show"); code != 0 || strings.Contains(text, "acme") {
+		t.Errorf("without cells: %d, %s", code, text)
+	}
+}
+
+// A file is held against the platform's list: a tenant that can touch too much of the others' strength is a
+// warning, one that has nowhere to go a fault.
+func TestCheckAgainst(t *testing.T) {
+	config := write(t, "config.json", settings)
+	wide := write(t, "wide.conf", "cells shuffle\n  size 3\ntenant a\n  proxies 0\ntenant b\n  proxies 1\n")
+	var out, errs bytes.Buffer
+	if code := Run([]string{"check", "--against", config, wide}, &out, &errs); code != 0 ||
+		!strings.Contains(errs.String(), "wide.conf:3: warning: tenant a can touch 100% of the others' strength") {
+		t.Errorf("exit %d, %q, %q", code, out.String(), errs.String())
+	}
+	errs.Reset()
+	lacks := write(t, "lacks.conf", "cells fixed\n  cell red part 1000\n  cell blue part 0.001\ntenant a\n  proxies 0\n  cell blue\n")
+	if code := Run([]string{"check", "--against", config, lacks}, &out, &errs); code != 2 || !strings.Contains(errs.String(), "lacks.conf:4: tenant a: ") {
+		t.Errorf("exit %d, %q", code, errs.String())
+	}
+}
--- /dev/null
+++ b/controller/control.go
@@ -0,0 +1,145 @@
+package controller
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"elmfold/cells"
+	"elmfold/desk"
+)
+
+// Request is what an operator asks of a running controller, a line of JSON; the answer is a Reply, one too.
+type Request struct {
+	Do     string // DoShow, DoMove or DoUndo
+	Tenant string `json:",omitempty"`
+	Cell   string `json:",omitempty"`
+}
+
+// Reply answers a Request; Error is empty where it was done.
+type Reply struct {
+	Error string        `json:",omitempty"`
+	Cells []cells.State `json:",omitempty"`
+}
+
+// What a Request can ask for.
+const (
+	DoShow = "cells show"
+	DoMove = "cells move"
+	DoUndo = "cells undo"
+)
+
+const (
+	askWithin   = 5 * time.Second
+	longestAsk  = 64 << 10
+	controlMode = 0o600
+)
+
+// control answers operators at a socket of this machine until it is closed. It reaches the desk by the queue.
+type control struct {
+	listener net.Listener
+	queue    chan<- desk.News
+	log      *logrus.Entry
+}
+
+func openControl(path string, queue chan<- desk.News, log *logrus.Entry) (*control, error) {
+	// A socket that nobody answers at was left by one that was killed.
+	if c, err := net.DialTimeout("unix", path, time.Second); err == nil {
+		_ = c.Close()
+		return nil, errors.New(path + ": another controller answers there")
+	} else if errors.Is(err, os.ErrNotExist) {
+	} else if info, e := os.Lstat(path); e == nil && info.Mode()&os.ModeSocket != 0 {
+		_ = os.Remove(path)
+	}
+	ln, err := net.Listen("unix", path)
+	if err != nil {
+		return nil, err
+	}
+	if err := os.Chmod(path, controlMode); err != nil {
+		_ = ln.Close()
+		return nil, err
+	}
+	c := &control{ln, queue, log}
+	go c.serve()
+	return c, nil
+}
+
+func (c *control) close() { _ = c.listener.Close() }
+
+func (c *control) serve() {
+	for {
+		conn, err := c.listener.Accept()
+		if err != nil {
+			return
+		}
+		go c.answer(conn)
+	}
+}
+
+func (c *control) answer(conn net.Conn) {
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(askWithin))
+	line, err := bufio.NewReader(io.LimitReader(conn, longestAsk)).ReadBytes('\n')
+	if err != nil {
+		return
+	}
+	var r Request
+	reply := Reply{}
+	if err := json.Unmarshal(line, &r); err != nil {
+		reply.Error = "not a request: " + err.Error()
+	} else if reply, err = c.do(r); err != nil {
+		reply.Error = err.Error()
+	}
+	c.log.WithFields(logrus.Fields{"do": r.Do, "tenant": r.Tenant, "cell": r.Cell, "error": reply.Error}).Info("an operator asked")
+	_ = json.NewEncoder(conn).Encode(reply)
+}
+
+var errUnknown = errors.New("no such request")
+
+func (c *control) do(r Request) (reply Reply, err error) {
+	states, err := ask(c.queue, func(to chan []cells.State) any { return desk.ShowCells{To: to} })
+	if err != nil {
+		return reply, err
+	}
+	known := false
+	for _, s := range states {
+		known = known || s.Tenant == r.Tenant
+	}
+	switch r.Do {
+	case DoShow:
+		reply.Cells = states
+	case DoMove, DoUndo:
+		if !known {
+			return reply, errors.New("no tenant " + r.Tenant)
+		}
+		said := any(cells.Move{Tenant: r.Tenant, Cell: r.Cell})
+		if r.Do == DoUndo {
+			said = cells.Undo{Tenant: r.Tenant}
+		}
+		c.queue <- desk.News{Said: said}
+		// It counts from the next step on; what became of it is shown then.
+		time.Sleep(200 * time.Millisecond)
+		reply.Cells, err = ask(c.queue, func(to chan []cells.State) any { return desk.ShowCells{To: to} })
+	default:
+		return reply, errUnknown
+	}
+	return reply, err
+}
+
+// ask puts a question to the desk, which has room to answer and so does not wait.
+func ask[T any](queue chan<- desk.News, question func(to chan T) any) (answer T, err error) {
+	to := make(chan T, 1)
+	queue <- desk.News{Said: question(to)}
+	select {
+	case answer = <-to:
+		return answer, nil
+	case <-time.After(askWithin):
+		return answer, errors.New("the controller is busy")
+	}
+}
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -15,6 +15,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"elmfold/cells"
 	"elmfold/choice"
 	"elmfold/desk"
 	"elmfold/launch"
@@ -92,6 +93,8 @@
 	file         operator.File
 	openRegistry OpenRegistry
 	lists        *sources
+	queue        chan desk.News
+	control      *control // nil: operators are not answered
 	streams      *stream.Listener
 	log          *logrus.Entry
 }
@@ -107,7 +110,7 @@
 	sheet, log := c.sheet, c.log
 	allow(sheet)
 	queue := make(chan desk.News, queueLength)
-	c.lists = &sources{queue: queue, log: log}
+	c.queue, c.lists = queue, &sources{queue: queue, log: log}
 	if c.file.Registry == nil {
 		c.discover(sheet.Known)
 	} else {
@@ -127,6 +130,56 @@
 		"backends": len(sheet.Known.Members), "proxies": sheet.Deployment.Proxies,
 		"revision": sheet.Known.Revision}).Info("ready")
 	c.streams = ln
+	if f := c.file.Cells; f != nil {
+		c.plan(f)
+	}
+	if f := c.file.Control; f != nil {
+		if c.control, err = openControl(f.Path, queue, log); err != nil {
+			log.WithField("reason", "control").Errorf("operators are not answered: %v", err)
+		}
+	}
+	return nil
+}
+
+// plan hands the cells of the operator file to the desk; none free everybody.
+func (c *controller) plan(f *operator.Cells) {
+	if f == nil {
+		c.queue <- desk.News{Said: cells.Planned{}}
+		return
+	}
+	if names := f.Beyond(c.sheet.Deployment.Proxies); len(names) > 0 {
+		c.log.WithField("tenants", names).Warn("proxies of these tenants are not among the settings'")
+	}
+	c.queue <- desk.News{Said: cells.Planned{Plan: f.For(c.sheet.Deployment)}}
+}
+
+// replan takes over another operator file's cells and control. A plan that cannot hold with the list in force is
+// refused, and the former one stays.
+func (c *controller) replan(file operator.File) error {
+	if !reflect.DeepEqual(c.file.Cells, file.Cells) {
+		if file.Cells != nil {
+			list, err := ask(c.queue, func(to chan []cells.Backend) any { return desk.ShowFleet{To: to} })
+			if err == nil {
+				err = file.Cells.Lacks(c.sheet.Deployment, list)
+			}
+			if err != nil {
+				return err
+			}
+		}
+		c.plan(file.Cells)
+	}
+	if !reflect.DeepEqual(c.file.Control, file.Control) {
+		if c.control != nil {
+			c.control.close()
+			c.control = nil
+		}
+		if file.Control != nil {
+			var err error
+			if c.control, err = openControl(file.Control.Path, c.queue, c.log); err != nil {
+				c.log.WithField("reason", "control").Errorf("operators are not answered: %v", err)
+			}
+		}
+	}
 	return nil
 }
 
@@ -164,12 +217,18 @@
 			faulty(c.log, "the configuration stays as it was", err)
 			return
 		}
+		if err = c.replan(file); err != nil {
+			faulty(c.log, "the configuration stays as it was", err)
+			return
+		}
 	}
 	moved := next.Discovery != c.sheet.Discovery
 	c.sheet.Discovery = next.Discovery
-	switch was := c.file.Registry; {
+	was := c.file.Registry
+	c.file = file
+	switch {
 	case !reflect.DeepEqual(was, file.Registry):
-		if c.file = file; file.Registry != nil {
+		if file.Registry != nil {
 			c.follow()
 		} else {
 			c.discover(roster.List{})
--- a/desk/confine.go
+++ b/desk/confine.go
@@ -8,6 +8,9 @@
 // ShowCells asks how each tenant stands; To must have room, as the desk does not wait.
 type ShowCells struct{ To chan<- []cells.State }
 
+// ShowFleet asks for the list as cells see it; To must have room.
+type ShowFleet struct{ To chan<- []cells.Backend }
+
 func (d *Desk) show() []cells.State {
 	if d.cells == nil {
 		return nil
--- a/desk/desk.go
+++ b/desk/desk.go
@@ -238,6 +238,8 @@
 		d.asked = append(d.asked, said)
 	case ShowCells:
 		said.To <- d.show()
+	case ShowFleet:
+		said.To <- d.fleet()
 	case edge.Ended:
 		if at, ok := d.owners[from]; ok && d.proxies[at].stream == from {
 			d.leave(at)
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"elmfold/cells"
 	"elmfold/registry"
 	"elmfold/roster"
 )
@@ -17,6 +18,8 @@
 // File is what an operator file says. What it has no section for is off.
 type File struct {
 	Registry *Registry
+	Cells    *Cells
+	Control  *Control
 }
 
 // Registry is a key-value registry that holds the list of backends.
@@ -47,19 +50,34 @@
 	r := &reader{file: name}
 	var f File
 	seen := map[string]int{}
+	var tenants []cells.Tenant
+	var lines []int
 	for _, s := range r.sections(text) {
-		if first := seen[s.name]; first > 0 {
-			r.fault(s.line, "put both into one", "a second section %s; the first is in line %d", s.name, first)
+		name := s.name
+		if s.name == "tenant" && len(s.words) == 1 {
+			name += " " + s.words[0]
+		}
+		if first := seen[name]; first > 0 {
+			r.fault(s.line, "put both into one", "a second section %s; the first is in line %d", name, first)
 			continue
 		}
-		seen[s.name] = s.line
+		seen[name] = s.line
 		switch s.name {
 		case "registry":
 			f.Registry = r.registry(s)
+		case "cells":
+			f.Cells = r.cells(s)
+		case "tenant":
+			tenants, lines = append(tenants, r.tenant(s)), append(lines, s.line)
+		case "control":
+			f.Control = r.control(s)
 		default:
-			r.fault(s.line, nearest(s.name, []string{"registry"}), "no section is named %q", s.name)
+			r.fault(s.line, nearest(s.name, []string{"cells", "control", "registry", "tenant"}), "no section is named %q", s.name)
 		}
 	}
+	if len(r.faults) == 0 {
+		r.fit(&f, tenants, lines)
+	}
 	if len(r.faults) > 0 {
 		slices.SortStableFunc(r.faults, func(a, b Fault) int { return a.Line - b.Line })
 		return File{}, r.faults
@@ -272,9 +290,18 @@
 
 // String says in a few words what a file turns on.
 func (f File) String() string {
-	if f.Registry == nil {
+	var on []string
+	if g := f.Registry; g != nil {
+		on = append(on, fmt.Sprintf("the list of backends comes from %s, %d endpoints, prefix %s", g.Kind, len(g.Endpoints), g.Plan.Prefix))
+	}
+	if c := f.Cells; c != nil {
+		on = append(on, fmt.Sprintf("%d tenants are confined", len(c.Plan.Tenants)))
+	}
+	if f.Control != nil {
+		on = append(on, "operators are answered at "+f.Control.Path)
+	}
+	if len(on) == 0 {
 		return "it turns on nothing"
 	}
-	return fmt.Sprintf("the list of backends comes from %s, %d endpoints, prefix %s", f.Registry.Kind,
-		len(f.Registry.Endpoints), f.Registry.Plan.Prefix)
+	return strings.Join(on, "; ")
 }
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -13,6 +13,7 @@
 
 	"math/rand"
 
+	"elmfold/cells"
 	"elmfold/registry"
 	"elmfold/roster"
 )
@@ -33,6 +34,12 @@
 	if g := f.Registry; err != nil || g.Kind != Consul || g.Plan.Changes || g.Plan.Prefix != "elmfold/backends" || g.Access.TokenFile == "" || g.Access.TLS != nil {
 		t.Errorf("read %+v, %v", g, err)
 	}
+	f, err = Read("testdata/good-cells.conf")
+	if c := f.Cells; err != nil || c.Plan.Shuffle || len(c.Plan.Cells) != 2 || c.Plan.Cells[1].Part != 2 || c.Plan.Settle != 50000 ||
+		!reflect.DeepEqual(c.Plan.Tenants[0], cells.Tenant{Name: "acme", Proxies: []int{0, 1, 2, 3, 9}, Cell: "red"}) ||
+		c.Plan.Tenants[1].Name != "two words" || f.Control.Path != "/run/elmfold.sock" || !reflect.DeepEqual(c.Beyond(9), []string{"acme"}) {
+		t.Errorf("read %+v, %v", f, err)
+	}
 	if f, err = Read("testdata/empty.conf"); err != nil || f.Registry != nil {
 		t.Errorf("read %+v, %v", f, err)
 	}
@@ -48,6 +55,9 @@
 		"words": `:3: hold says too much: "2s"; write hold`, "little": ":3: hold says too little; write hold", "part": ":3: shrink .*; write a part",
 		"size": ":3: value-limit .*; write a size", "ask": ":3: ask 2s leaves .*; write ask under silence", "foreign": `:3: registry has no directive "user"; `,
 		"secondsection": ":3: a second section registry; the first is in line 1; put", "prefix": ":3: prefix .*; write a prefix",
+		"cells-way": ":1: .*random.*; write cells fixed or", "cells-one": ":1: 1 cells confine nobody; add", "cells-none": ":1: a tenant without cells; add",
+		"cells-cell": `:4: .*"bleu"; write blue`, "cells-proxy": ":4: proxy 3 is of tenant a and of tenant b; give", "cells-span": `:3: proxies "4-1" .*; write numbers`,
+		"cells-rate": ":2: trickle .*; write a rate", "cells-size": ":4: tenant a has a size .*; take", "cells-noproxy": ":2: .*no proxies; add", "control": ":1: .*no socket; add",
 		"binary": ":3: byte 13 is no text; write",
 	}
 	files, _ := filepath.Glob("testdata/broken/*.conf")
