Emulator of tenants in virtual time, three lab experiments; what they showed mended

What the first plays showed: cells by plain rendezvous hashing left zones empty (now bounded to an even share in each zone); trouble judged by relative time alone bounded tenants of healthy cells; a median over a shuffled set blamed neighbours; a poisoned tenant ate its way through replacements. A sick tenant's proxies come last in the channel, and each cell has a budget of further tries.

--- a/cells/cells.go
+++ b/cells/cells.go
@@ -59,12 +59,17 @@
 	usualKeep = 0.99 // a tick, of the usual strength while there is less
 	newsKeep  = 0.5  // a tick, of what was heard of a backend and a proxy
 	fewTries  = 4.0
-	badOver   = 0.2 // voided over the others' median from which a cell is in trouble
-	slowOver  = 2.5 // time of answers over the others' median
+	badOver   = 0.2  // voided over the others' median from which a cell is in trouble
+	slowOver  = 2.5  // time of answers over the others' median
+	lateFrom  = 0.4  // ... and over the SLA time
+	usualUse  = 0.95 // a tick, of what a tenant usually asks for
+	risen     = 2.0  // use over that, from which a tenant is the first to be bounded
+	cutRisen  = 0.4
+	triesPart = 0.1 // of a cell's txns that may be voided while further tries are made there
 	troubled  = 2   // ticks in a row
 	cutBy     = 0.8
 	cutEvery  = 3 * choice.Second
-	riseBy    = 1.1
+	riseBy    = 1.2
 	lostOver  = 1.5  // part of its backends that failed over that of the fleet, from which a tenant is at fault
 	freeOver  = 1.5  // bound over use from which there is none
 	leastTell = 0.12 // relative change of a bound that is worth telling
@@ -110,9 +115,12 @@
 	lost   []Time          // ends of backends given to it in the place of others, of late
 	shutIn bool            // guards a poisoned tenant that kills one backend after the other: a trickle of txns, and nobody new
 
-	bad   int // ticks in trouble
-	bound float64
-	cutAt Time
+	bad         int     // ticks in trouble
+	sick, spent bool    // in trouble; its cell's budget of further tries is used up
+	use, served float64 // txns/s
+	asks        float64 // usually
+	bound       float64
+	cutAt       Time
 }
 
 type proxy struct {
@@ -138,9 +146,11 @@
 	plan    Plan
 	on      bool
 	now     Time
-	list    []Backend // in the order of ids
-	byAt    []Backend // without an id where there is none
+	list    []Backend      // in the order of ids
+	split   map[int]string // the fixed cell of each
+	byAt    []Backend      // without an id where there is none
 	needs   []choice.Product
+	aim     float64 // the least SLA time
 	tenants []*tenant
 	proxies []proxy
 	heard   map[int]*news
@@ -278,6 +288,7 @@
 			came = append(came, is)
 		}
 	}
+	c.resplit()
 	for _, b := range failed {
 		c.failed = append(c.failed, c.now)
 		for _, t := range c.tenants {
@@ -299,9 +310,15 @@
 	}
 }
 
+func (c *Cells) resplit() {
+	if c.split = nil; !c.plan.Shuffle {
+		c.split = c.plan.split(c.list)
+	}
+}
+
 // settle works out a tenant's own set.
 func (c *Cells) settle(t *tenant) {
-	own := c.plan.Own(t.Tenant, c.list)
+	own := c.plan.own(t.Tenant, c.list, c.split)
 	if t.shutIn { // it gets nobody new
 		own = slices.DeleteFunc(own, func(at int) bool { return !has(t.own, at) })
 	}
@@ -315,7 +332,7 @@
 	if t.phase != steady {
 		was := t.Tenant
 		was.Cell = t.from
-		t.former = c.plan.Own(was, c.list)
+		t.former = c.plan.own(was, c.list, c.split)
 	}
 	if !c.plan.Shuffle {
 		return
@@ -365,7 +382,13 @@
 	if c.plan, c.on, c.dirty = p, len(p.Tenants) > 0, true; first {
 		c.tickAt = c.now + tick
 	}
-	c.tenants, c.needs = nil, p.needs()
+	c.tenants, c.needs, c.aim = nil, p.needs(), 0
+	c.resplit()
+	for _, r := range p.Products {
+		if c.aim == 0 || float64(r.SLA) < c.aim {
+			c.aim = float64(r.SLA)
+		}
+	}
 	for i := range c.proxies {
 		c.proxies[i].tenant = -1
 	}
@@ -594,55 +617,86 @@
 		}
 		n.tries, n.voided, n.good, n.spent = n.tries*newsKeep, n.voided*newsKeep, n.good*newsKeep, n.spent*newsKeep
 	}
-	badAll, allFails := median(fails, nil, nil)
-	slowAll, allTook := median(took, nil, nil)
+	badAll, allFails := middle(fails, nil)
+	slowAll, allTook := middle(took, nil)
 	for _, t := range c.tenants {
-		badIn, n := median(fails, t.own, nil)
-		slowIn, m := median(took, t.own, nil)
+		// All of its backends but a few are in trouble, not those alone that it shares with one who is.
+		badIn, n := low(fails, t.own)
+		slowIn, m := low(took, t.own)
 		badOut, others, slowOut, othersToo := badAll, allFails-n, slowAll, allTook-m
 		if 4*len(t.own) > len(c.list) { // else it weighs little among all, and all are known already
-			badOut, others = median(fails, nil, t.own)
-			slowOut, othersToo = median(took, nil, t.own)
+			badOut, others = middle(fails, t.own)
+			slowOut, othersToo = middle(took, t.own)
 		}
-		switch {
-		case n > 0 && others > 0 && badIn > badOut+badOver, m > 0 && othersToo > 0 && slowIn > slowOver*slowOut:
-			t.bad++
-		default:
-			t.bad = 0
-		}
-		use, served := 0.0, 0.0
+		t.use, t.served = 0, 0
 		for _, at := range t.Proxies {
 			if p := c.at(at); p != nil && p.joined {
-				use, served = use+sum(p.txns), served+max(sum(p.txns)-sum(p.voided), 0)
+				t.use, t.served = t.use+sum(p.txns), t.served+max(sum(p.txns)-sum(p.voided), 0)
 			}
 		}
-		switch {
-		case t.bad >= troubled && (t.bound == 0 || c.now >= t.cutAt+cutEvery):
-			if t.bound == 0 {
-				t.bound = max(served, c.plan.Trickle)
-				c.note(true, "tenant %s is bounded: its cell voids %.0f%% beside %.0f%%, answers take %.1f ms beside %.1f", t.Name,
-					100*badIn, 100*badOut, slowIn/10, slowOut/10)
-			}
-			t.bound, t.cutAt = max(t.bound*cutBy, c.plan.Trickle*float64(len(t.Proxies))), c.now
-		case t.bad == 0 && t.bound > 0:
-			if t.bound *= riseBy; t.bound > freeOver*use {
-				c.note(false, "tenant %s is no longer bounded: %.0f txns/s", t.Name, t.bound)
-				t.bound = 0
+		if t.sick = n > 0 && others > 0 && badIn > badOut+badOver ||
+			m > 0 && othersToo > 0 && slowIn > slowOver*slowOut && slowIn > lateFrom*c.aim; !t.sick {
+			t.bad = 0
+			if t.asks == 0 || t.bound == 0 {
+				t.asks = either(t.asks == 0, t.use, t.asks*usualUse+t.use*(1-usualUse))
 			}
+		} else if t.bad++; t.bad == troubled {
+			c.note(true, "tenant %s: its cell voids %.0f%% beside %.0f%%, answers take %.1f ms beside %.1f; it asks for %.1f/s, usually %.1f", t.Name,
+				100*badIn, 100*badOut, slowIn/10, slowOut/10, t.use, t.asks)
 		}
 	}
+	type sums struct{ use, served float64 }
+	pools := map[string]sums{} // of the tenants in a fixed cell; a shuffled one is a pool of its own
+	pool := func(t *tenant) string { return either(c.plan.Shuffle, "tenant "+t.Name, "cell "+t.Cell) }
+	for _, t := range c.tenants {
+		c.bind(t)
+		at := pools[pool(t)]
+		pools[pool(t)] = sums{at.use + t.use, at.served + t.served}
+	}
+	for _, t := range c.tenants {
+		at := pools[pool(t)]
+		t.spent = at.use-at.served > triesPart*at.use
+	}
 }
 
-// median is that of the values of a set, or of all, that are known, less those of another set.
-func median(of []float64, set, less []int) (float64, int) {
-	var all []float64
-	if set == nil {
-		for at, v := range of {
-			if v >= 0 && !has(less, at) {
-				all = append(all, v)
-			}
+// bind bounds a tenant whose cell is in trouble. Of several in one cell those come first that ask for far more
+// than they usually do; the others are bounded when that has not helped.
+func (c *Cells) bind(t *tenant) {
+	least := func(u *tenant) float64 { return c.plan.Trickle * float64(len(u.Proxies)) }
+	rises := func(u *tenant) bool { return u.use > risen*u.asks }
+	blamed := func(u *tenant) bool {
+		return u != t && u.bad >= troubled && rises(u) && slices.Equal(u.own, t.own) && (u.bound == 0 || u.bound > 2*least(u))
+	}
+	switch {
+	case t.bad >= troubled && !rises(t) && slices.ContainsFunc(c.tenants, blamed):
+	case t.bad >= troubled && (t.bound == 0 || c.now >= t.cutAt+cutEvery):
+		if t.bound == 0 {
+			t.bound = max(min(t.served, t.asks), least(t))
+			c.note(true, "tenant %s is bounded to %.1f/s", t.Name, t.bound)
 		}
+		t.bound, t.cutAt = max(t.bound*either(rises(t), cutRisen, cutBy), least(t)), c.now
+	case t.bad == 0 && t.bound > 0:
+		// While it asks for far more than usual, what made its cell sick is likely to be there still.
+		if !rises(t) {
+			t.bound *= riseBy
+		}
+		if t.bound > freeOver*t.use {
+			c.note(false, "tenant %s is no longer bounded: %.0f txns/s", t.Name, t.bound)
+			t.bound = 0
+		}
+	}
+}
+
+func either[T any](is bool, yes, no T) T {
+	if is {
+		return yes
 	}
+	return no
+}
+
+// low is the lower quartile of the values of a set that are known, and how many are.
+func low(of []float64, set []int) (float64, int) {
+	var all []float64
 	for _, at := range set {
 		if at < len(of) && of[at] >= 0 {
 			all = append(all, of[at])
@@ -652,6 +706,21 @@
 		return 0, 0
 	}
 	slices.Sort(all)
+	return all[len(all)/4], len(all)
+}
+
+// middle is the median of the values that are known, less those of a set.
+func middle(of []float64, less []int) (float64, int) {
+	var all []float64
+	for at, v := range of {
+		if v >= 0 && !has(less, at) {
+			all = append(all, v)
+		}
+	}
+	if len(all) == 0 {
+		return 0, 0
+	}
+	slices.Sort(all)
 	return all[len(all)/2], len(all)
 }
 
@@ -660,7 +729,7 @@
 	for _, t := range c.tenants {
 		lent := c.lent(t)
 		settled, leaving := union(t.own, lent), union(t.former, lent)
-		shares := c.split(t)
+		shares := c.shares(t)
 		for i, at := range t.Proxies {
 			p := c.at(at)
 			if p == nil || !p.joined {
@@ -673,7 +742,7 @@
 				may = union(settled, leaving)
 			}
 			c.send(p, choice.Allowed{Proxy: at, Confined: true, Backends: may, Most: shares[i],
-				Still: c.now < t.calm || t.bad >= troubled || t.phase == moving && i < t.both})
+				Still: c.now < t.calm || t.sick || t.spent || t.phase == moving && i < t.both})
 		}
 	}
 	for i := range c.proxies {
@@ -683,8 +752,8 @@
 	}
 }
 
-// split shares what a tenant may let in among its proxies: none gets more than it is asked for while others lack.
-func (c *Cells) split(t *tenant) []float64 {
+// shares parts what a tenant may let in among its proxies: none gets more than it is asked for while others lack.
+func (c *Cells) shares(t *tenant) []float64 {
 	shares := make([]float64, len(t.Proxies))
 	total := t.bound
 	if t.shutIn {
--- a/cells/cells_test.go
+++ b/cells/cells_test.go
@@ -521,3 +521,24 @@
 		c.Step(second, []Event{Listed{list[:499+at%2]}})
 	}
 }
+
+// A cell's budget of further tries: a tenth of its txns may be voided; beyond that its tenants make none, and
+// those of other cells go on.
+func TestRetryBudget(t *testing.T) {
+	p := fixed("red", "blue")
+	p.Tenants = []Tenant{{Name: "a", Proxies: []int{0}, Cell: "red"}, {Name: "b", Proxies: []int{1}, Cell: "red"}, {Name: "c", Proxies: []int{2}, Cell: "blue"}}
+	d := newDay(t, p, fleet(20, 2), 3)
+	news := func(voided float64) []Event {
+		return []Event{Used{Proxy: 0, Txns: 100, Voided: voided, Counting: second}, Used{Proxy: 1, Txns: 100, Counting: second},
+			Used{Proxy: 2, Txns: 100, Counting: second}}
+	}
+	for _, c := range []struct {
+		voided float64
+		still  bool
+	}{{15, false}, {40, true}, {5, false}} {
+		d.pass(8, news(c.voided)...)
+		if d.may[0].Still != c.still || d.may[1].Still != c.still || d.may[2].Still {
+			t.Errorf("%v of 200 voided: %v %v, the other cell %v", c.voided, d.may[0].Still, d.may[1].Still, d.may[2].Still)
+		}
+	}
+}
--- a/cells/plan.go
+++ b/cells/plan.go
@@ -8,7 +8,6 @@
 import (
 	"cmp"
 	"fmt"
-	"math"
 	"slices"
 
 	"github.com/zeebo/xxh3"
@@ -79,15 +78,59 @@
 
 func tenantSeed(name string) uint64 { return xxh3.HashString("tenant " + name) }
 
-// cellOf is the fixed cell that a backend belongs to, by weighted rendezvous hashing.
-func (p *Plan) cellOf(id string) string {
-	best, most := "", math.Inf(-1)
+// split says which fixed cell each backend belongs to, by index: in each zone each cell gets its part, to within
+// one, and who goes where is the best match by score (rendezvous hashing with a bound), so that a change of the
+// list moves few. Who is listed and does not serve keeps its place.
+func (p *Plan) split(list []Backend) map[int]string {
+	type match struct {
+		at    int
+		cell  int
+		score float64
+		id    string
+	}
+	of := map[int]string{}
+	total := 0.0
 	for _, c := range p.Cells {
-		if s := c.Part / -math.Log(score(xxh3.HashString("cell "+c.Name), id)); s > most {
-			best, most = c.Name, s
+		total += c.Part
+	}
+	for z := range p.Zones {
+		var matches []match
+		n := 0
+		for _, b := range list {
+			if b.Zone != z {
+				continue
+			}
+			n++
+			for i, c := range p.Cells {
+				matches = append(matches, match{b.At, i, score(xxh3.HashString("cell "+c.Name), b.ID), b.ID})
+			}
+		}
+		// Whole backends by part; what is left over goes to the cells that lack most, other ones in each zone.
+		room, left := make([]int, len(p.Cells)), n
+		order := make([]int, len(p.Cells))
+		for i, c := range p.Cells {
+			room[i] = int(c.Part / total * float64(n))
+			left -= room[i]
+			order[i] = i
+		}
+		lacks := func(i int) float64 {
+			return p.Cells[i].Part/total*float64(n) - float64(room[i]) + 1e-6*score(uint64(z), p.Cells[i].Name)
+		}
+		slices.SortFunc(order, func(i, j int) int { return cmp.Compare(lacks(j), lacks(i)) })
+		for _, i := range order[:min(left, len(order))] {
+			room[i]++
+		}
+		slices.SortFunc(matches, func(a, b match) int {
+			return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.id, b.id), cmp.Compare(a.cell, b.cell))
+		})
+		for _, m := range matches {
+			if _, taken := of[m.at]; !taken && room[m.cell] > 0 {
+				of[m.at] = p.Cells[m.cell].Name
+				room[m.cell]--
+			}
 		}
 	}
-	return best
+	return of
 }
 
 // ranked are the backends in a tenant's order.
@@ -130,10 +173,19 @@
 // sharding they are the first in its order of each zone, and of each kind that a product is confined to, so that
 // each product has somewhere to go.
 func (p *Plan) Own(t Tenant, list []Backend) []int {
+	var split map[int]string
+	if !p.Shuffle {
+		split = p.split(list)
+	}
+	return p.own(t, list, split)
+}
+
+// own is Own with the split of the list, which all tenants share.
+func (p *Plan) own(t Tenant, list []Backend, split map[int]string) []int {
 	own := []int{}
 	if !p.Shuffle {
 		for _, b := range list {
-			if b.Status == choice.Ready && p.cellOf(b.ID) == t.Cell {
+			if b.Status == choice.Ready && split[b.At] == t.Cell {
 				own = append(own, b.At)
 			}
 		}
@@ -161,10 +213,10 @@
 	switch {
 	case has(t.own, b.At):
 		return true
+	case !p.Shuffle: // the whole split may differ
+		return true
 	case !ready:
 		return false
-	case !p.Shuffle:
-		return p.cellOf(b.ID) == t.Cell
 	}
 	at := score(tenantSeed(t.Name), b.ID)
 	for i, need := range p.needs() {
@@ -220,8 +272,12 @@
 		return sum
 	}
 	backends = map[int]float64{}
+	split := map[int]string{}
+	if !p.Shuffle {
+		split = p.split(list)
+	}
 	for i, t := range p.Tenants {
-		own[i] = p.Own(t, list)
+		own[i] = p.own(t, list, split)
 		for _, at := range own[i] {
 			backends[at] += weight[at] / max(strength(own[i], nil), 1e-9) / float64(len(p.Tenants))
 		}
@@ -256,9 +312,10 @@
 // fixed cells have too little strength for the proxies in them.
 func (p *Plan) Lacks(list []Backend) (all []Lack) {
 	strength, proxies, total, totalProxies := map[string]float64{}, map[string]int{}, 0.0, 0
+	split := p.split(list)
 	for _, b := range list {
 		if b.Status == choice.Ready {
-			strength[p.cellOf(b.ID)] += b.Weight
+			strength[split[b.At]] += b.Weight
 			total += b.Weight
 		}
 	}
@@ -267,7 +324,7 @@
 		totalProxies += len(t.Proxies)
 	}
 	for i, t := range p.Tenants {
-		own := p.Own(t, list)
+		own := p.own(t, list, split)
 		why := ""
 		for _, need := range p.needs() {
 			there, mine := make([]bool, p.Zones), make([]bool, p.Zones)
--- a/choice/allowed_test.go
+++ b/choice/allowed_test.go
@@ -84,3 +84,27 @@
 		t.Errorf("unbounded again %+v", r.gate(0, 0))
 	}
 }
+
+// Where the channel has room for one, a proxy that is bounded waits for the one that is not, however busy it is.
+func TestAllowedChannel(t *testing.T) {
+	d := deployment()
+	d.LinesMost, d.LinesPerS = 60, 1 // little room, and it hardly empties
+	r := start(t, d)
+	for range 3 {
+		r.second(reports(15, calm, 1000)...)
+	}
+	r.step(Allowed{Proxy: 0, Confined: true, Backends: []int{0, 1, 2, 3}, Most: 1000})
+	first := -1
+	for range 40 {
+		r.a.urgent = true
+		for _, o := range r.second(append(reports(15, calm, 1000), Used{Proxy: 0, Txns: 500, Counting: Second},
+			Listed{Entries: []Entry{{Backend: 1, Zone: 0, Status: Ready, Weight: 3}, {Backend: 3, Zone: 1, Status: Ready, Weight: 3}}})...) {
+			if l, ok := o.(Line); ok && first < 0 {
+				first = l.Table / len(r.a.groups)
+			}
+		}
+	}
+	if first != 1 {
+		t.Errorf("the first lines went to proxy %d", first)
+	}
+}
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -737,12 +737,15 @@
 // gets its whole difference or nothing: what it holds was ordered with all that was known.
 func (a *Assigner) emit(todo []diff, part float64) (all bool) {
 	slices.SortStableFunc(todo, func(d, e diff) int {
-		return cmp.Or(cmp.Compare(d.urgency, e.urgency), cmp.Compare(a.px[e.proxy].asked(), a.px[d.proxy].asked()))
+		p, q := &a.px[d.proxy], &a.px[e.proxy]
+		return cmp.Or(cmp.Compare(d.urgency, e.urgency), cmp.Compare(either(p.most > 0, 1, 0), either(q.most > 0, 1, 0)),
+			cmp.Compare(q.asked(), p.asked()))
 	})
 	all = true
 	for _, d := range todo {
 		p, cost := &a.px[d.proxy], float64(len(d.orders))+d.settles
-		if !a.room(either(d.urgency == mustHave, roomHave, part), cost, p) {
+		// One that is bounded waits for what the others leave: a sick tenant takes no channel from them.
+		if !a.room(either(d.urgency == mustHave, roomHave, either(p.most > 0, min(part, roomRest), part)), cost, p) {
 			all = false
 			continue
 		}
--- /dev/null
+++ b/cmd/lab/cells.go
@@ -0,0 +1,239 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"path/filepath"
+	"slices"
+
+	"github.com/spf13/cobra"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"elmfold/cells"
+	"elmfold/choice"
+	"elmfold/emu"
+)
+
+const (
+	cellsCalm, cellsEnd, cellsAll = 20, 70, 90 // s: the poison's begin, its end, the day's
+	poisonWork                    = 20
+	harmedUnder                   = 0.95 // service over that of before
+)
+
+func cellsCommand() *cobra.Command {
+	var w where
+	c := &cobra.Command{Use: "cells", Short: "one tenant is poisoned: what the others get without cells, with fixed and with shuffled ones",
+		Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error { return playCells(w) }}
+	w.flags(c)
+	return c
+}
+
+func playCells(w where) error {
+	d := emu.Campus(w.seed)
+	ways := []struct {
+		name string
+		plan *cells.Plan
+	}{{"no cells", nil}, {"4 fixed cells", d.Confine(0, "red", "blue", "green", "gold")}, {"shuffled, 2 a zone", d.Confine(2)}}
+	r := newReport("cells", w.seed, fmt.Sprintf("60 proxies in 20 tenants, 24 backends, 500 txns/s; %s's txns take %d times the work and are repeated from %d to %d s",
+		emu.Tenant(7), poisonWork, cellsCalm, cellsEnd))
+	type figures struct{ mean, worst, own, before, harmed, doubled, tipped, bare any }
+	var all []figures
+	p := plot.New()
+	p.Title.Text = fmt.Sprintf("one tenant of 20 poisoned from %d to %d s, seed %d", cellsCalm, cellsEnd, w.seed)
+	p.X.Label.Text, p.Y.Label.Text = "s", "service of the other tenants"
+	p.Legend.Left = true
+	p.Add(plotter.NewGrid())
+	harmedBy := map[string]int{}
+	for i, way := range ways {
+		r.Columns = append(r.Columns, way.name)
+		d.Plan = way.plan
+		world := emu.New(d)
+		world.At(cellsCalm*choice.Second, func() { world.Poison[emu.Tenant(7)] = poisonWork })
+		world.At(cellsEnd*choice.Second, func() { world.Poison[emu.Tenant(7)] = 0 })
+		world.Run(cellsAll * choice.Second)
+		var others []float64
+		harmed, total, calm := 0, emu.Sum{}, emu.Sum{}
+		for n := range 20 {
+			if n == 7 {
+				continue
+			}
+			before, during := world.Over(emu.Tenant(n), 5, cellsCalm), world.Over(emu.Tenant(n), cellsCalm+3, cellsEnd)
+			total.Asked, total.Served = total.Asked+during.Asked, total.Served+during.Served
+			calm.Asked, calm.Served = calm.Asked+before.Asked, calm.Served+before.Served
+			others = append(others, during.Service())
+			if during.Service() < harmedUnder*before.Service() {
+				harmed++
+			}
+		}
+		harmedBy[way.name] = harmed
+		poisoned := world.Over(emu.Tenant(7), cellsCalm+3, cellsEnd)
+		all = append(all, figures{three(total.Service()), three(slices.Min(others)), three(poisoned.Service()), three(calm.Service()), harmed,
+			world.Doubled(), len(world.Tipped), world.Bare})
+		if world.Doubled() > 0 {
+			r.Missed = append(r.Missed, fmt.Sprintf("%s: %d effects doubled", way.name, world.Doubled()))
+		}
+		var line plotter.XYs
+		for s := range cellsAll {
+			sum := emu.Sum{}
+			for n := range 20 {
+				if one := world.Over(emu.Tenant(n), s, s+1); n != 7 {
+					sum.Asked, sum.Served = sum.Asked+one.Asked, sum.Served+one.Served
+				}
+			}
+			line = append(line, plotter.XY{X: float64(s), Y: sum.Service()})
+		}
+		l, err := plotter.NewLine(line)
+		if err != nil {
+			return err
+		}
+		l.Color, l.Width = plotutil.Color(i), vg.Points(1.5)
+		p.Add(l)
+		p.Legend.Add(way.name, l)
+	}
+	row := func(name string, f func(figures) any) {
+		var cells []any
+		for _, one := range all {
+			cells = append(cells, f(one))
+		}
+		r.row(name, cells...)
+	}
+	row("service of the 19 others before", func(f figures) any { return f.before })
+	row("service of the 19 others", func(f figures) any { return f.mean })
+	row("service of the one harmed worst", func(f figures) any { return f.worst })
+	row("harmed at all (5% under before)", func(f figures) any { return f.harmed })
+	row("service of the poisoned one", func(f figures) any { return f.own })
+	row("effects doubled (must be 0)", func(f figures) any { return f.doubled })
+	row("cold backends pushed over", func(f figures) any { return f.tipped })
+	row("txns without a line", func(f figures) any { return f.bare })
+	if harmedBy[ways[2].name] > harmedBy[ways[0].name] {
+		r.Missed = append(r.Missed, "shuffled cells harm more tenants than none")
+	}
+	r.Figure = fmt.Sprintf("seed %d: service of the others %v without cells, %v fixed, %v shuffled; harmed %v, %v, %v of 19", w.seed,
+		all[0].mean, all[1].mean, all[2].mean, all[0].harmed, all[1].harmed, all[2].harmed)
+	if err := r.leave(w.out); err != nil {
+		return err
+	}
+	if w.out != "" {
+		return p.Save(16*vg.Centimeter, 10*vg.Centimeter, filepath.Join(w.out, fmt.Sprintf("cells-seed%d.png", w.seed)))
+	}
+	return nil
+}
+
+func three(v float64) string { return fmt.Sprintf("%.3f", v) }
+
+const (
+	moveEvery  = 4 * choice.Second // a move begins
+	moveCount  = 40
+	moveSettle = 2 * choice.Second
+)
+
+func movesCommand() *cobra.Command {
+	var w where
+	c := &cobra.Command{Use: "cells-move", Short: "40 moves of tenants under load, with cuts and controllers killed",
+		Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error { return playMoves(w) }}
+	w.flags(c)
+	return c
+}
+
+func playMoves(w where) error {
+	d := emu.Campus(w.seed)
+	chance := rand.New(rand.NewPCG(w.seed, 5))
+	names := []string{"red", "blue", "green"}
+	d.Plan = d.Confine(0, names...)
+	d.Plan.Settle, d.Plan.Part = moveSettle, 0.34
+	// The file that a controller which starts anew reads; a move by hand is written into it, too.
+	file := *d.Plan
+	file.Tenants = slices.Clone(file.Tenants)
+	world := emu.New(d)
+	cuts, kills := 0, 0
+	type moved struct {
+		tenant string
+		at     int
+	}
+	var moves []moved
+	for i := range moveCount {
+		at := 15*choice.Second + choice.Time(i)*moveEvery
+		n := i % 20
+		cell := names[(i/20+n+1)%len(names)]
+		tenant := emu.Tenant(n)
+		moves = append(moves, moved{tenant, int(at / choice.Second)})
+		world.At(at, func() {
+			file.Tenants = slices.Clone(file.Tenants)
+			file.Tenants[n].Cell = cell
+			world.Say(cells.Move{Tenant: tenant, Cell: cell})
+		})
+		for range 2 { // proxies of the tenant lose their streams in mid-move
+			proxy, when := 3*n+chance.IntN(3), at+choice.Time(chance.Int64N(int64(7*choice.Second)))
+			cuts++
+			world.At(when, func() { world.CutProxy(proxy) })
+		}
+		if i%8 == 3 {
+			which, when := kills%2, at+choice.Time(chance.Int64N(int64(6*choice.Second)))
+			kills++
+			world.At(when, func() {
+				now := file
+				world.Kill(which, 2*choice.Second, &now)
+			})
+		}
+		if i%10 == 6 { // the target's backends have just started
+			id := d.Backends[chance.IntN(len(d.Backends))].ID
+			world.At(at-choice.Second, func() { world.Restart(id, 500*choice.Second/1000) })
+		}
+	}
+	end := 15 + moveCount*int(moveEvery/choice.Second) + 25
+	world.Run(choice.Time(end) * choice.Second)
+
+	before, during, worst := emu.Sum{}, emu.Sum{}, 1.0
+	for _, m := range moves {
+		b, a := world.Over(m.tenant, m.at-8, m.at), world.Over(m.tenant, m.at, m.at+8)
+		before.Asked, before.Served = before.Asked+b.Asked, before.Served+b.Served
+		during.Asked, during.Served = during.Asked+a.Asked, during.Served+a.Served
+		worst = min(worst, a.Service())
+	}
+	// Who moved is in its cell now: each proxy's lines are those of the file.
+	wrong := 0
+	plan := file
+	plan.Products = []choice.Product{{}, {OwnZone: true}}
+	plan.Zones = d.Zones
+	var list []cells.Backend
+	for i, b := range d.Backends {
+		list = append(list, cells.Backend{At: i, ID: b.ID, Zone: b.Zone, Status: choice.Ready, Weight: 1})
+	}
+	for _, t := range plan.Tenants {
+		own := map[string]bool{}
+		for _, at := range plan.Own(t, list) {
+			own[list[at].ID] = true
+		}
+		for _, proxy := range t.Proxies {
+			for k := range d.Products {
+				for _, id := range world.Lines(proxy, k) {
+					if !own[id] {
+						wrong++
+					}
+				}
+			}
+		}
+	}
+	r := newReport("cells-move", w.seed, fmt.Sprintf("%d moves of 20 tenants among 3 cells at 500 txns/s, %d streams cut and %d controllers killed in mid-move", moveCount, cuts, kills), "elmfold")
+	r.expect("effects doubled", world.Doubled(), 0)
+	r.expect("txns that found no line", world.Bare, 0)
+	r.expect("cold backends pushed over", len(world.Tipped), 0)
+	r.expect("lines outside the cell at the end", wrong, 0)
+	total := emu.Sum{}
+	for n := range 20 {
+		s := world.Over(emu.Tenant(n), 5, end)
+		total.Asked, total.Served, total.Voided, total.Declined = total.Asked+s.Asked, total.Served+s.Served, total.Voided+s.Voided, total.Declined+s.Declined
+	}
+	r.row("txns asked", total.Asked)
+	r.row("txns voided, all day", total.Voided)
+	r.row("effects in the ledger", len(world.Effects))
+	r.row("service of the moved tenant, 8 s before", three(before.Service()))
+	r.row("service of the moved tenant, 8 s from the move", three(during.Service()))
+	r.row("... of the worst move", three(worst))
+	r.Figure = fmt.Sprintf("seed %d: doubled %d, without a line %d, pushed over %d; service of the moved tenant %s before, %s during", w.seed, world.Doubled(),
+		world.Bare, len(world.Tipped), three(before.Service()), three(during.Service()))
+	return r.leave(w.out)
+}
--- /dev/null
+++ b/cmd/lab/step.go
@@ -0,0 +1,131 @@
+package main
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"elmfold/cells"
+	"elmfold/choice"
+)
+
+const (
+	stepProxies, stepBackends, stepSize = 5000, 500, 2
+)
+
+func stepCommand() *cobra.Command {
+	var w where
+	c := &cobra.Command{Use: "cells-step", Short: "time of a step at 5,000 proxies and 500 backends when one backend comes, when one tenant moves",
+		Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error { return playSteps(w) }}
+	w.flags(c)
+	return c
+}
+
+// stage is cells before the decisions, as the desk has them.
+type stage struct {
+	c   *cells.Cells
+	a   *choice.Assigner
+	now choice.Time
+}
+
+// step gives the time that each took and how many proxies were told of another set.
+func (s *stage) step(events []cells.Event, also []choice.Event) (inCells, inChoice time.Duration, told int) {
+	s.now += choice.Second
+	began := time.Now()
+	orders := s.c.Step(s.now, events)
+	inCells = time.Since(began)
+	for _, o := range orders {
+		if a, ok := o.(choice.Allowed); ok {
+			also = append(also, a)
+			told++
+		}
+	}
+	began = time.Now()
+	s.a.Step(s.now, append(also, choice.Woken{}))
+	return inCells, time.Since(began), told
+}
+
+func stageFor(plan cells.Plan, list []cells.Backend) *stage {
+	d := choice.Deployment{Products: []choice.Product{{Revenue: 1, SLA: 8000}, {Revenue: 2, SLA: 8000, OwnZone: true}}, Zones: 2, Proxies: stepProxies,
+		GoneBinds: true, Cold: 10 * choice.Second, ColdCapacity: 0.3, ColdMultiple: 3, ConnsLeast: 4000, LinesPerS: 1e6, LinesMost: 1e7, LinesHead: 6,
+		MessagesOver: 10 * choice.Second}
+	plan.Products, plan.Zones, plan.Cold = d.Products, 2, d.Cold
+	s := &stage{c: cells.New(stepProxies), a: choice.New(d), now: 1000 * choice.Second}
+	events := []cells.Event{cells.Listed{Backends: list}, cells.Planned{Plan: plan}}
+	var also []choice.Event
+	entries := make([]choice.Entry, 0, len(list))
+	for _, b := range list {
+		entries = append(entries, choice.Entry{Backend: b.At, Zone: b.Zone, Status: choice.Ready, Weight: 1})
+	}
+	also = append(also, choice.Listed{Kind: choice.ListFull, Entries: entries})
+	for i := range stepProxies {
+		events = append(events, cells.Joined{Proxy: i, Zone: i % 2})
+		also = append(also, choice.Joined{Proxy: i, Zone: i % 2, Rate: 5})
+	}
+	s.step(events, also)
+	for range 3 {
+		s.step(nil, nil)
+	}
+	return s
+}
+
+func playSteps(w where) error {
+	var list []cells.Backend
+	for i := range stepBackends {
+		list = append(list, cells.Backend{At: i, ID: fmt.Sprintf("s-%d-%03d", w.seed, i), Zone: i % 2, Status: choice.Ready, Weight: 1})
+	}
+	shuffled, moved := cells.Usual(), cells.Usual()
+	shuffled.Shuffle, shuffled.Size = true, stepSize
+	for i := range 20 {
+		moved.Cells = append(moved.Cells, cells.Cell{Name: fmt.Sprint("c", i), Part: 1})
+	}
+	for i := range stepProxies {
+		shuffled.Tenants = append(shuffled.Tenants, cells.Tenant{Name: fmt.Sprint("t", i), Proxies: []int{i}})
+	}
+	for i := range 500 {
+		t := cells.Tenant{Name: fmt.Sprint("t", i), Cell: fmt.Sprint("c", i%20)}
+		for j := range 10 {
+			t.Proxies = append(t.Proxies, i*10+j)
+		}
+		moved.Tenants = append(moved.Tenants, t)
+	}
+	r := newReport("cells-step", w.seed, fmt.Sprintf("%d proxies, %d backends", stepProxies, stepBackends), "cells, ms", "choice, ms", "proxies told", "least possible")
+	millis := func(d time.Duration) string { return ms(float64(d) / float64(time.Millisecond)) }
+
+	s := stageFor(shuffled, list[:stepBackends-1])
+	quiet, quietChoice, told := s.step(nil, nil)
+	r.row("shuffled, nothing happens", millis(quiet), millis(quietChoice), told, 0)
+	enter := 0
+	plan := shuffled
+	plan.Products, plan.Zones = []choice.Product{{}, {OwnZone: true}}, 2
+	for _, t := range plan.Tenants {
+		if slices.Contains(plan.Own(t, list), stepBackends-1) {
+			enter++
+		}
+	}
+	inCells, inChoice, told := s.step([]cells.Event{cells.Listed{Backends: list}},
+		[]choice.Event{choice.Listed{Entries: []choice.Entry{{Backend: stepBackends - 1, Zone: 1, Status: choice.Ready, Weight: 1}}}})
+	r.row("shuffled, one backend comes", millis(inCells), millis(inChoice), told, enter)
+	if told != enter {
+		r.Missed = append(r.Missed, fmt.Sprintf("%d proxies are told, the sets of %d change", told, enter))
+	}
+	s = stageFor(moved, list)
+	quiet, quietChoice, told = s.step(nil, nil)
+	r.row("20 fixed cells, nothing happens", millis(quiet), millis(quietChoice), told, 0)
+	inCells, inChoice, told = s.step([]cells.Event{cells.Move{Tenant: "t0", Cell: "c1"}}, nil)
+	r.row("20 fixed cells, a tenant of 10 proxies begins to move", millis(inCells), millis(inChoice), told, 3)
+	worst, all := time.Duration(0), 0
+	for range 30 {
+		a, _, n := s.step(nil, nil)
+		worst, all = max(worst, a), all+n
+	}
+	r.row("... its other steps, the longest, all told", millis(worst), "", all, 17)
+	inCells, inChoice, told = s.step([]cells.Event{cells.Listed{Backends: list[:stepBackends-1]}},
+		[]choice.Event{choice.Listed{Entries: []choice.Entry{{Backend: stepBackends - 1, Status: choice.Gone}}}})
+	r.row("20 fixed cells, one backend goes", millis(inCells), millis(inChoice), told, 250)
+	r.Figure = fmt.Sprintf("one backend that comes to %d: %s ms in cells, %d of %d proxies told, %d is the least", stepBackends, r.Rows[1].Figures[0],
+		enter, stepProxies, enter)
+	return r.leave(w.out)
+}
--- /dev/null
+++ b/emu/emu.go
@@ -0,0 +1,509 @@
+// Package emu plays clients, proxies and backends in virtual time before the real desk, decisions, cells and text,
+// with late sums and late lists. The same seed gives the same day. It knows what the public protocol and this
+// project's notes say, and measures one thing that benches elsewhere cannot show: tenants beside each other.
+package emu
+
+import (
+	"container/heap"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/sirupsen/logrus"
+
+	"elmfold/cells"
+	"elmfold/choice"
+	"elmfold/deployment"
+	"elmfold/desk"
+	"elmfold/edge"
+	"elmfold/roster"
+)
+
+// Time is a virtual moment.
+type Time = choice.Time
+
+const (
+	ms     = choice.Second / 1000
+	second = choice.Second
+)
+
+// Safety says what a repeat of a product's txn can do.
+type Safety uint8
+
+// Kinds of Safety. A keyed one carries a mark, at which the backends of one zone drop a repeat for a while.
+const (
+	Safe Safety = iota
+	Keyed
+	Unsafe
+)
+
+// Product is a class of txns.
+type Product struct {
+	Name          string
+	Part          float64 // of all txns
+	Work          float64 // seconds of a core of speed 1
+	SLA, Deadline Time
+	Safety        Safety
+	OwnZone       bool
+}
+
+// Proxy is one of a tenant's.
+type Proxy struct {
+	Zone   int
+	Tenant string
+	Rate   float64 // txns/s
+}
+
+// Backend is a server.
+type Backend struct {
+	ID    string
+	Zone  int
+	Cores int
+	Speed float64
+}
+
+// Day is what is played.
+type Day struct {
+	Seed        uint64
+	Zones       int
+	Products    []Product
+	Proxies     []Proxy
+	Backends    []Backend
+	Controllers int
+	Plan        *cells.Plan // nil: nobody is confined
+	Cold        Time
+	ColdLeast   float64 // capacity of one that has just started
+	ColdMost    float64 // multiple of its capacity that tips it
+	TipAfter    Time
+	MarkFor     Time // that a zone's backends drop a repeat
+	ReportLate  Time
+	ListLate    Time
+	Dial        Time // until a proxy whose stream broke has joined again
+	Again       int  // times that a poisoned tenant's clients repeat what failed
+	Careless    bool // proxies try again after any failure, as none of ours may: to see that the ledger notices
+}
+
+// Sum is what became of a tenant's txns.
+type Sum struct{ Asked, Served, Late, Declined, Voided int }
+
+// Service is the part that was served in its SLA time.
+func (s Sum) Service() float64 { return float64(s.Served) / math.Max(float64(s.Asked), 1) }
+
+type action struct {
+	at  Time
+	seq int
+	do  func()
+}
+
+type agenda []action
+
+func (a agenda) Len() int { return len(a) }
+func (a agenda) Less(i, j int) bool {
+	return a[i].at < a[j].at || a[i].at == a[j].at && a[i].seq < a[j].seq
+}
+func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+func (a *agenda) Push(x any)   { *a = append(*a, x.(action)) }
+func (a *agenda) Pop() any {
+	old := *a
+	last := old[len(old)-1]
+	*a = old[:len(old)-1]
+	return last
+}
+
+// World is a day under way.
+type World struct {
+	Day
+	Now      Time
+	Poison   map[string]float64 // work of a tenant's txns, times so much
+	Bad      map[string]bool    // backends that answer at once with errors
+	Sums     map[string][]Sum   // by tenant and second
+	Effects  map[int]int        // by txn that is not safe: how often it took effect
+	Tipped   []string           // backends that were pushed over
+	Bare     int                // txns that found no line
+	Notes    []string           // of the controllers
+	Moved    int                // messages to proxies
+	chance   *rand.Rand
+	agenda   agenda
+	seq      int
+	txns     int
+	proxies  []*proxy
+	backends []*backend
+	byID     map[string]*backend
+	control  []*controller
+	revision int64
+}
+
+type controller struct {
+	w       *World
+	desk    *desk.Desk
+	sources []*stream
+	down    bool
+	epoch   int
+}
+
+// stream is a connection to a controller; proxy is -1 for a collector.
+type stream struct {
+	c     *controller
+	since uint64
+	proxy int
+	over  bool
+}
+
+func (s *stream) Since() uint64 { return s.since }
+func (s *stream) Known(string)  {}
+func (s *stream) Fault(error)   {}
+func (s *stream) Replaced()     { s.over = true }
+func (s *stream) Refused()      { s.over = true }
+
+// Send is an order on its way: a few ms later the proxy has it, if the stream is still there.
+func (s *stream) Send(message []byte) {
+	if s.proxy < 0 || s.over {
+		return
+	}
+	w, text := s.c.w, string(message)
+	w.Moved++
+	w.after(3*ms, func() {
+		if p := w.proxies[s.proxy]; p.stream == s && !s.over {
+			p.obey(text)
+		}
+	})
+}
+
+type table struct {
+	weight map[string]float64
+	level  float64
+	tries  int
+	room   float64 // txns that the level lets in now
+	at     Time
+}
+
+type proxy struct {
+	w      *World
+	i      int
+	zone   int
+	tenant string
+	rate   float64
+	stream *stream
+	home   int // controller
+	tables []table
+	out    map[string]bool
+	busy   map[string]int // its own tries under way
+	fails  map[string]int // in a row
+	shun   map[string]Time
+	since  map[string]*met // since the last report
+	used   []struct{ txns, voided int }
+	ever   bool
+}
+
+type met struct {
+	tries, voided int
+	took          Time
+}
+
+type job struct {
+	txn, product int
+	work         float64
+	done         func(ok bool)
+}
+
+type backend struct {
+	w       *World
+	spec    Backend
+	dead    bool
+	listed  string
+	up      Time
+	queue   []job
+	running int
+	epoch   int
+	asked   []Time // of the last second: work that came, for tipping
+	overAt  Time
+	marks   map[int]Time
+}
+
+// New sets a day up; Run plays it.
+func New(d Day) *World {
+	w := &World{Day: d, Now: 1000 * second, Poison: map[string]float64{}, Bad: map[string]bool{}, Sums: map[string][]Sum{},
+		Effects: map[int]int{}, chance: rand.New(rand.NewPCG(d.Seed, 17)), byID: map[string]*backend{}, revision: 1}
+	for _, b := range d.Backends {
+		x := &backend{w: w, spec: b, listed: roster.Serving, marks: map[int]Time{}}
+		w.backends, w.byID[b.ID] = append(w.backends, x), x
+	}
+	for range max(d.Controllers, 1) {
+		c := &controller{w: w}
+		w.control = append(w.control, c)
+		c.start(d.Plan)
+	}
+	for i, p := range d.Proxies {
+		x := &proxy{w: w, i: i, zone: p.Zone, tenant: p.Tenant, rate: p.Rate, home: i % len(w.control), out: map[string]bool{},
+			busy: map[string]int{}, fails: map[string]int{}, shun: map[string]Time{}, since: map[string]*met{},
+			tables: make([]table, len(d.Products)), used: make([]struct{ txns, voided int }, len(d.Products))}
+		for k := range x.tables {
+			x.tables[k] = table{weight: map[string]float64{}, level: math.Inf(1)}
+		}
+		w.proxies = append(w.proxies, x)
+		x.join()
+		x.arrive()
+		w.every(second, Time(i)*7*ms, x.report)
+	}
+	return w
+}
+
+func (w *World) after(span Time, do func()) {
+	w.seq++
+	heap.Push(&w.agenda, action{w.Now + max(span, 0), w.seq, do})
+}
+
+func (w *World) every(span, first Time, do func()) {
+	var again func()
+	again = func() { do(); w.after(span, again) }
+	w.after(first, again)
+}
+
+// At does something so long after the begin of the day.
+func (w *World) At(span Time, do func()) { w.after(1000*second+span-w.Now, do) }
+
+// Run plays a span of the day.
+func (w *World) Run(span Time) {
+	for end := w.Now + span; len(w.agenda) > 0 && w.agenda[0].at < end; {
+		a := heap.Pop(&w.agenda).(action)
+		w.Now = a.at
+		a.do()
+	}
+}
+
+// since is the time since the begin of the day.
+func (w *World) elapsed() Time { return w.Now - 1000*second }
+
+func (w *World) zone(z int) string { return string(rune('a' + z)) }
+
+// note takes a controller's log line.
+func (w *World) Write(line []byte) (int, error) {
+	w.Notes = append(w.Notes, fmt.Sprintf("%.1f %s", float64(w.elapsed())/float64(second), strings.TrimSpace(string(line))))
+	return len(line), nil
+}
+
+// start begins a controller that knows the list and the file only.
+func (c *controller) start(plan *cells.Plan) {
+	w := c.w
+	c.epoch++
+	c.down = false
+	log := logrus.New()
+	log.SetOutput(w)
+	log.SetFormatter(&logrus.TextFormatter{DisableTimestamp: true, DisableQuote: true})
+	if w.Plan == nil {
+		log.SetOutput(io.Discard)
+	}
+	names := deployment.Names{Kinds: []string{"m"}}
+	dep := choice.Deployment{Zones: w.Zones, Proxies: len(w.Proxies), GoneBinds: true, Cold: w.Cold, ColdCapacity: w.ColdLeast,
+		ColdMultiple: w.ColdMost, ConnsLeast: 2000, LinesPerS: 3000, LinesMost: 6000, LinesHead: 6, MessagesMost: 60, MessagesOver: 10 * second}
+	for z := range w.Zones {
+		names.Zones = append(names.Zones, w.zone(z))
+	}
+	for _, p := range w.Products {
+		names.Products = append(names.Products, p.Name)
+		dep.Products = append(dep.Products, choice.Product{Revenue: 1, SLA: p.SLA, OwnZone: p.OwnZone})
+	}
+	c.desk = desk.New(dep, names, nobody{}, logrus.NewEntry(log))
+	c.desk.Known(w.list())
+	if plan != nil {
+		p := *plan
+		p.Products, p.Zones, p.Cold = dep.Products, w.Zones, w.Cold
+		c.desk.Hear(desk.News{Said: cells.Planned{Plan: p}})
+	}
+	c.sources = nil
+	for z := range w.Zones {
+		s := &stream{c: c, proxy: -1}
+		c.desk.Hear(desk.News{From: s, Said: edge.Source{Zone: w.zone(z)}})
+		c.sources = append(c.sources, s)
+	}
+	epoch := c.epoch
+	var turn func()
+	turn = func() {
+		if c.epoch == epoch && !c.down {
+			c.desk.Step(w.Now)
+			w.after(20*ms, turn)
+		}
+	}
+	w.after(0, turn)
+}
+
+type nobody struct{}
+
+func (nobody) Follow(bool) {}
+func (nobody) Reload()     {}
+
+func (w *World) list() roster.List {
+	l := roster.List{Revision: w.revision, Whole: true}
+	for _, b := range w.backends {
+		if b.listed != roster.Deleted {
+			l.Members = append(l.Members, b.member())
+		}
+	}
+	return l
+}
+
+func (b *backend) member() roster.Member {
+	return roster.Member{ID: b.spec.ID, Zone: b.w.zone(b.spec.Zone), Kind: "m", Phase: b.listed, Size: float64(b.spec.Cores) * b.spec.Speed,
+		UpSince: float64(b.up) / float64(ms)}
+}
+
+// tell hands a change of the list to each controller, late.
+func (w *World) tell(b *backend) {
+	w.revision++
+	l := roster.List{Revision: w.revision, Members: []roster.Member{b.member()}}
+	for _, c := range w.control {
+		epoch := c.epoch
+		w.after(w.ListLate, func() {
+			if c.epoch == epoch && !c.down {
+				c.desk.Hear(desk.News{Said: l})
+			}
+		})
+	}
+}
+
+// Say hands something to each controller, as an operator does.
+func (w *World) Say(said any) {
+	for _, c := range w.control {
+		if !c.down {
+			c.desk.Hear(desk.News{Said: said})
+		}
+	}
+}
+
+// Kill ends a controller; it begins anew from a file after a while. Its proxies dial another meanwhile.
+func (w *World) Kill(i int, away Time, file *cells.Plan) {
+	c := w.control[i]
+	c.down = true
+	c.epoch++
+	for _, p := range w.proxies {
+		if p.stream != nil && p.stream.c == c {
+			p.Cut()
+		}
+	}
+	w.after(away, func() { c.start(file) })
+}
+
+// CutProxy breaks a proxy's stream.
+func (w *World) CutProxy(i int) { w.proxies[i].Cut() }
+
+// Restart lets a backend die and come back cold.
+func (w *World) Restart(id string, away Time) {
+	b := w.byID[id]
+	b.die()
+	w.after(away, func() {
+		b.dead, b.up, b.listed, b.overAt = false, w.Now, roster.Serving, 0
+		w.tell(b)
+	})
+}
+
+func (b *backend) die() {
+	b.dead, b.listed = true, roster.Deleted
+	b.epoch++
+	queue := b.queue
+	b.queue, b.running = nil, 0
+	for _, j := range queue {
+		j.done(false)
+	}
+	b.w.tell(b)
+}
+
+// Drain marks a backend draining, or serving again.
+func (w *World) Drain(id string, on bool) {
+	b := w.byID[id]
+	if b.listed = roster.Serving; on {
+		b.listed = roster.Draining
+	}
+	w.tell(b)
+}
+
+// Lines are the backends that a proxy may pick for a product.
+func (w *World) Lines(proxy, product int) (ids []string) {
+	p := w.proxies[proxy]
+	for id, weight := range p.tables[product].weight {
+		if weight > 0 && !p.out[id] {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func (p *proxy) join() {
+	w := p.w
+	for range w.control { // the next one that is there
+		if !w.control[p.home].down {
+			break
+		}
+		p.home = (p.home + 1) % len(w.control)
+	}
+	c := w.control[p.home]
+	if c.down {
+		w.after(w.Dial, p.join)
+		return
+	}
+	w.seq++
+	p.stream = &stream{c: c, since: uint64(w.seq), proxy: p.i}
+	c.desk.Hear(desk.News{From: p.stream, Said: edge.Joined{Proxy: p.i, Zone: w.zone(p.zone), Rate: p.rate, Fresh: !p.ever}})
+}
+
+// Cut breaks the stream; the proxy keeps its tables and dials again.
+func (p *proxy) Cut() {
+	s := p.stream
+	if s == nil {
+		return
+	}
+	p.stream = nil
+	if !s.c.down {
+		s.c.desk.Hear(desk.News{From: s, Said: edge.Ended{}})
+	}
+	p.home = (p.home + 1) % len(p.w.control)
+	p.w.after(p.w.Dial, p.join)
+}
+
+// obey takes a message of one or more parts.
+func (p *proxy) obey(text string) {
+	p.ever = true
+	for part := range strings.Lines(text) {
+		words := map[string]string{}
+		for _, word := range strings.Fields(part)[1:] {
+			name, value, _ := strings.Cut(word, "=")
+			words[name] = value
+		}
+		for k, product := range p.w.Products {
+			if names, some := words["classes"]; some && !slices.Contains(strings.Split(names, "+"), product.Name) {
+				continue
+			}
+			t := &p.tables[k]
+			if words["whole"] == "1" {
+				t.weight, t.level = map[string]float64{}, math.Inf(1)
+			}
+			for _, l := range strings.FieldsFunc(words["lines"], func(c rune) bool { return c == ',' }) {
+				id, weight, _ := strings.Cut(l, ":")
+				t.weight[id], _ = strconv.ParseFloat(weight, 64)
+			}
+			if level, ok := words["level"]; ok {
+				t.level, _ = strconv.ParseFloat(level, 64)
+				t.tries, _ = strconv.Atoi(words["retry"])
+			}
+		}
+		for _, id := range strings.FieldsFunc(words["out"], func(c rune) bool { return c == ',' }) {
+			p.out[id] = true
+		}
+		for _, id := range strings.FieldsFunc(words["back"], func(c rune) bool { return c == ',' }) {
+			delete(p.out, id)
+		}
+		if ticket, ok := words["ticket"]; ok {
+			n, _ := strconv.Atoi(ticket)
+			s := p.stream
+			p.w.after(3*ms, func() {
+				if p.stream == s && s != nil {
+					s.c.desk.Hear(desk.News{From: s, Said: edge.Fenced{Proxy: p.i, Number: n}})
+				}
+			})
+		}
+	}
+}
