--- a/emu/emu_test.go
+++ b/emu/emu_test.go
@@ -242,3 +242,30 @@
 	}
 	return q
 }
+
+// Case 7: a tenant of one proxy with half of the load has its own set only: with a size for it it is served, and
+// the others are either way.
+func TestCase7HalfTheLoad(t *testing.T) {
+	for _, size := range []int{1, 6} {
+		d := Campus(5)
+		d.Proxies[0].Tenant, d.Proxies[0].Rate = "large", 250
+		for i := 1; i < 60; i++ {
+			d.Proxies[i].Rate = 250.0 / 59
+		}
+		d.Plan = d.Confine(2)
+		for i := range d.Plan.Tenants {
+			if d.Plan.Tenants[i].Name == "large" {
+				d.Plan.Tenants[i].Size = size
+			}
+		}
+		w := New(d)
+		w.Run(40 * second)
+		own, worst := w.Over("large", 8, 40).Service(), 1.0
+		for i := range 20 {
+			worst = min(worst, w.Over(Tenant(i), 8, 40).Service())
+		}
+		if size == 6 && own < 0.95 || size == 1 && own > 0.95 || worst < 0.9 || len(w.Tipped) > 0 {
+			t.Errorf("size %d: the large one %.3f, the worst of the others %.3f, pushed over %v", size, own, worst, w.Tipped)
+		}
+	}
+}
