--- a/cells/cells.go
+++ b/cells/cells.go
@@ -806,20 +806,40 @@
 	Radius
 }
 
-// Show tells how each tenant stands, in the order of the plan.
-func (c *Cells) Show() (all []State) {
-	radii, _ := c.plan.Radii(c.list)
+// Touch is what a backend is to the tenants: the part of all their strength, and how many have it.
+type Touch struct {
+	Backend string
+	Part    float64
+	Tenants int
+}
+
+// View is all of it: tenants in the order of the plan, backends in that of their ids.
+type View struct {
+	Tenants  []State
+	Backends []Touch
+}
+
+// Show tells how tenants and backends stand.
+func (c *Cells) Show() (v View) {
+	radii, parts := c.plan.Radii(c.list)
+	having := map[int]int{}
 	for i, t := range c.tenants {
 		s := State{Tenant: t.Name, Cell: t.Cell, Phase: t.phase.String(), From: t.from, Moved: t.done, Proxies: len(t.Proxies),
 			ShutIn: t.shutIn, Bound: t.bound, Radius: radii[i]}
 		for _, at := range t.own {
 			s.Backends = append(s.Backends, c.byAt[at].ID)
+			having[at]++
 		}
 		for _, l := range t.loans {
 			s.Lent = append(s.Lent, l.id)
 		}
 		slices.Sort(s.Backends)
-		all = append(all, s)
+		v.Tenants = append(v.Tenants, s)
+	}
+	for _, b := range c.list {
+		if having[b.At] > 0 {
+			v.Backends = append(v.Backends, Touch{b.ID, parts[b.At], having[b.At]})
+		}
 	}
-	return all
+	return v
 }
--- a/command/cells.go
+++ b/command/cells.go
@@ -78,11 +78,11 @@
 	return reply, json.NewDecoder(bufio.NewReader(conn)).Decode(&reply)
 }
 
-// show prints tenants as a table.
-func show(out io.Writer, states []cells.State) {
+// show prints tenants, then backends, as tables.
+func show(out io.Writer, v cells.View) {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	_, _ = fmt.Fprintln(w, "tenant\tcell\tstands\tmoved\tbackends\tlent\tbound\ttouches of the others\tmost")
-	for _, s := range states {
+	for _, s := range v.Tenants {
 		cell, bound, lent, stands := s.Cell, "none", "none", s.Phase
 		if cell == "" {
 			cell = "shuffled"
@@ -103,4 +103,14 @@
 			strings.Join(s.Backends, ","), lent, bound, 100*s.Mean, 100*s.Most, s.With)
 	}
 	_ = w.Flush()
+	if len(v.Backends) == 0 {
+		return
+	}
+	_, _ = fmt.Fprintln(out)
+	w = tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, "backend\tof all tenants' strength\ttenants that have it")
+	for _, b := range v.Backends {
+		_, _ = fmt.Fprintf(w, "%s\t%.1f%%\t%d of %d\n", b.Backend, 100*b.Part, b.Tenants, len(v.Tenants))
+	}
+	_ = w.Flush()
 }
--- a/command/command_test.go
+++ b/command/command_test.go
@@ -290,8 +290,8 @@
 	addr, _, _ = strings.Cut(addr, `"`)
 	var red, blue []string
 	for over := time.Now().Add(20 * time.Second); len(red) == 0 && time.Now().Before(over); {
-		if reply, err := send(socket, controller.Request{Do: controller.DoShow}); err == nil && len(reply.Cells) > 0 {
-			red = reply.Cells[0].Backends
+		if reply, err := send(socket, controller.Request{Do: controller.DoShow}); err == nil && len(reply.Cells.Tenants) > 0 {
+			red = reply.Cells.Tenants[0].Backends
 		}
 	}
 	for i := range 12 {
@@ -356,6 +356,9 @@
 		t.Errorf("to nowhere: %d, %s", code, text)
 	}
 	find(t, c.log, "no fixed cell green")
+	if text, code := run("cells", "show"); code != 0 || !strings.Contains(text, red[0]+"  ") || !strings.Contains(text, "1 of 1") {
+		t.Errorf("show: %d, %s", code, text)
+	}
 	if text, code := run("cells", "move", "none", "blue"); code != 1 || !strings.Contains(text, "no tenant none") {
 		t.Errorf("of nobody: %d, %s", code, text)
 	}
--- a/controller/control.go
+++ b/controller/control.go
@@ -24,8 +24,8 @@
 
 // Reply answers a Request; Error is empty where it was done.
 type Reply struct {
-	Error string        `json:",omitempty"`
-	Cells []cells.State `json:",omitempty"`
+	Error string `json:",omitempty"`
+	Cells cells.View
 }
 
 // What a Request can ask for.
@@ -103,17 +103,17 @@
 var errUnknown = errors.New("no such request")
 
 func (c *control) do(r Request) (reply Reply, err error) {
-	states, err := ask(c.queue, func(to chan []cells.State) any { return desk.ShowCells{To: to} })
+	view, err := ask(c.queue, func(to chan cells.View) any { return desk.ShowCells{To: to} })
 	if err != nil {
 		return reply, err
 	}
 	known := false
-	for _, s := range states {
+	for _, s := range view.Tenants {
 		known = known || s.Tenant == r.Tenant
 	}
 	switch r.Do {
 	case DoShow:
-		reply.Cells = states
+		reply.Cells = view
 	case DoMove, DoUndo:
 		if !known {
 			return reply, errors.New("no tenant " + r.Tenant)
@@ -125,7 +125,7 @@
 		c.queue <- desk.News{Said: said}
 		// It counts from the next step on; what became of it is shown then.
 		time.Sleep(200 * time.Millisecond)
-		reply.Cells, err = ask(c.queue, func(to chan []cells.State) any { return desk.ShowCells{To: to} })
+		reply.Cells, err = ask(c.queue, func(to chan cells.View) any { return desk.ShowCells{To: to} })
 	default:
 		return reply, errUnknown
 	}
--- a/desk/confine.go
+++ b/desk/confine.go
@@ -5,15 +5,15 @@
 	"elmfold/choice"
 )
 
-// ShowCells asks how each tenant stands; To must have room, as the desk does not wait.
-type ShowCells struct{ To chan<- []cells.State }
+// ShowCells asks how tenants and backends stand; To must have room, as the desk does not wait.
+type ShowCells struct{ To chan<- cells.View }
 
 // ShowFleet asks for the list as cells see it; To must have room.
 type ShowFleet struct{ To chan<- []cells.Backend }
 
-func (d *Desk) show() []cells.State {
+func (d *Desk) show() cells.View {
 	if d.cells == nil {
-		return nil
+		return cells.View{}
 	}
 	return d.cells.Show()
 }
