The list survives a crash: store in the operator file, commands state

With a registry that is away a controller that starts has no list at all. Where the operator file names a store the list, with drains and ends, is kept as it is told; a start believes what is younger than the grace, counted from when the source last answered, and says what it refuses.

Measured: a process killed with -9 whose registry died too lays the first table from the store, without the drained backend; out of the grace, or with a clock that went back, nothing is believed.

--- a/cmd/elmfold/main.go
+++ b/cmd/elmfold/main.go
@@ -14,7 +14,7 @@
 
 func main() {
 	if len(os.Args) == 1 && os.Getenv("EDGE_OPERATOR") == "" {
-		os.Exit(controller.Run("", nil))
+		os.Exit(controller.Run("", controller.Parts{}))
 	}
 	self, err := os.Executable()
 	if err == nil {
--- /dev/null
+++ b/command/memory.go
@@ -0,0 +1,222 @@
+package command
+
+import (
+	"cmp"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/spf13/cobra"
+
+	"elmfold/controller"
+	"elmfold/operator"
+	"elmfold/recall"
+	"elmfold/roster"
+	"elmfold/store"
+)
+
+const (
+	seenEvery = time.Second      // while the source answers, the list is known to hold
+	healthy   = 30 * time.Second // that a program must run not to be in a crash loop
+	seenKey   = ""               // no backend has an empty id
+)
+
+// memory keeps the list in a store.
+type memory struct {
+	store *store.Store
+	now   func() time.Time
+	known roster.List
+	ok    bool
+
+	mu     sync.Mutex
+	listed map[string]roster.Member
+	holds  bool // the source answers
+	at     int64
+}
+
+// OpenMemory is the controller.OpenMemory of this program.
+func OpenMemory(o operator.Store, name string, log *logrus.Entry) (controller.Memory, error) {
+	s, records, err := store.Open(o.Path, name, int64(o.Limit), log)
+	if s == nil {
+		return nil, err
+	}
+	if err != nil {
+		log.WithField("reason", "store").Warn(err)
+	}
+	m := &memory{store: s, now: time.Now, listed: map[string]roster.Member{}}
+	var refused []recall.Refuse
+	m.known, refused, m.ok = believed(records, name, o.Grace, m.now())
+	for _, r := range refused {
+		log.WithFields(logrus.Fields{"reason": r.Reason, "count": r.Count}).Warn("facts of the store are refused")
+	}
+	for _, x := range m.known.Members {
+		m.listed[x.ID] = x
+	}
+	go m.run()
+	return m, nil
+}
+
+// facts are those of records at a moment. The list as a whole was known to hold when it was last seen.
+func facts(records []store.Record, name string, now time.Time) (all []recall.Fact) {
+	seen := int64(0)
+	for _, r := range records {
+		if r.Kind == recall.Backend && r.Key == seenKey {
+			seen = r.At
+		}
+	}
+	for _, r := range records {
+		if r.Key == seenKey {
+			continue
+		}
+		at := r.At
+		if r.Kind == recall.Backend {
+			at = max(at, seen)
+		}
+		all = append(all, recall.Fact{Kind: r.Kind, Key: r.Key, State: r.State, Value: r.Value, Note: r.Note, Revision: r.Revision,
+			Age: time.Duration(now.UnixMilli()-at) * time.Millisecond, Origin: name})
+	}
+	return all
+}
+
+// believed is the list that records give.
+func believed(records []store.Record, name string, grace time.Duration, now time.Time) (l roster.List, refused []recall.Refuse, ok bool) {
+	plan := recall.Usual()
+	plan.Name, plan.Grace = name, grace
+	l.Whole = true
+	for _, o := range recall.New(plan).Step(0, []recall.Event{recall.Offered{Source: "store", Facts: facts(records, name, now)}}) {
+		switch o := o.(type) {
+		case recall.Refuse:
+			refused = append(refused, o)
+		case recall.Believe:
+			var m roster.Member
+			if o.Kind != recall.Backend || json.Unmarshal([]byte(o.Note), &m) != nil {
+				continue
+			}
+			ok, l.Revision = true, max(l.Revision, o.Revision)
+			if m.Phase = o.State; m.Phase != roster.Deleted {
+				l.Members = append(l.Members, m)
+			}
+		}
+	}
+	return l, refused, ok
+}
+
+// Known is what the store held at the start.
+func (m *memory) Known() (roster.List, bool) { return m.known, m.ok }
+
+// Keep hands on what has changed.
+func (m *memory) Keep(said any) {
+	l, ok := said.(roster.List)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.holds = ok; !ok {
+		return
+	}
+	at := m.now().UnixMilli()
+	var records []store.Record
+	record := func(x roster.Member) {
+		note, _ := json.Marshal(x)
+		records = append(records, store.Record{Kind: recall.Backend, Key: x.ID, State: x.Phase, Note: string(note), Revision: l.Revision, At: at})
+	}
+	named := map[string]bool{}
+	for _, x := range l.Members {
+		if x.ID == "" {
+			continue
+		}
+		named[x.ID] = true
+		if was, there := m.listed[x.ID]; !there || was != x {
+			record(x)
+		}
+		if m.listed[x.ID] = x; x.Phase == roster.Deleted {
+			delete(m.listed, x.ID)
+		}
+	}
+	for id, x := range m.listed {
+		if l.Whole && !named[id] {
+			x.Phase = roster.Deleted
+			record(x)
+			delete(m.listed, id)
+		}
+	}
+	m.store.Put(append(records, store.Record{Kind: recall.Backend, Key: seenKey, At: at})...)
+}
+
+// run notes that the list holds, and after a while that the program does.
+func (m *memory) run() {
+	began := m.now()
+	for settled := false; ; time.Sleep(seenEvery) {
+		m.mu.Lock()
+		holds := m.holds
+		m.mu.Unlock()
+		if holds {
+			m.store.Put(store.Record{Kind: recall.Backend, Key: seenKey, At: m.now().UnixMilli()})
+		}
+		if !settled && m.now().Sub(began) > healthy {
+			settled = m.store.Healthy() == nil
+		}
+	}
+}
+
+func stateCommand(file *string, out, errs io.Writer) *cobra.Command {
+	c := &cobra.Command{Use: "state", Short: "look at what is kept over crashes"}
+	look := func(do func(o operator.Store, name string, records []store.Record) error) func(*cobra.Command, []string) error {
+		return func(*cobra.Command, []string) error {
+			if *file == "" {
+				return errors.New("name the operator file with --operator FILE or EDGE_OPERATOR")
+			}
+			f, err := operator.Read(*file)
+			if err != nil {
+				_, _ = fmt.Fprintln(errs, err)
+				return exit(2)
+			}
+			if f.Store == nil {
+				return fmt.Errorf("%s: no section store; add one with a line such as: file /var/lib/elmfold/state", *file)
+			}
+			name, records, err := store.Look(f.Store.Path)
+			if err != nil {
+				_, _ = fmt.Fprintf(errs, "elmfold: %v\n", err)
+				return exit(1)
+			}
+			slices.SortFunc(records, func(a, b store.Record) int { return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Key, b.Key)) })
+			return do(*f.Store, name, records)
+		}
+	}
+	c.AddCommand(
+		&cobra.Command{Use: "check", Short: "check that the store is whole", Args: cobra.NoArgs,
+			RunE: look(func(o operator.Store, name string, records []store.Record) error {
+				_, _ = fmt.Fprintf(out, "%s: in order; of %s, %d facts\n", o.Path, name, len(records))
+				return nil
+			})},
+		&cobra.Command{Use: "show", Short: "print what is kept, and what of it a start would believe", Args: cobra.NoArgs,
+			RunE: look(func(o operator.Store, name string, records []store.Record) error {
+				w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+				_, _ = fmt.Fprintln(w, "kind\tkey\tstate\trevision\tage\tat a start")
+				for _, f := range facts(records, name, time.Now()) {
+					use := "believed"
+					if f.Age > o.Grace {
+						use = fmt.Sprintf("refused: older than the grace of %v", o.Grace)
+					} else if f.Age < 0 {
+						use = "refused: from the future"
+					}
+					_, _ = fmt.Fprintf(w, "%v\t%s\t%s\t%d\t%v\t%s\n", f.Kind, f.Key, f.State, f.Revision, f.Age.Round(time.Second), use)
+				}
+				return w.Flush()
+			})},
+		&cobra.Command{Use: "export", Short: "print all facts as JSON, one a line", Args: cobra.NoArgs,
+			RunE: look(func(_ operator.Store, _ string, records []store.Record) error {
+				to := json.NewEncoder(out)
+				for _, r := range records {
+					if err := to.Encode(r); err != nil {
+						return err
+					}
+				}
+				return nil
+			})})
+	return c
+}
--- /dev/null
+++ b/command/memory_test.go
@@ -0,0 +1,112 @@
+package command
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"elmfold/recall"
+	"elmfold/roster"
+	"elmfold/standin/etcd"
+	"elmfold/standin/kv"
+	"elmfold/store"
+)
+
+// A controller is killed and its registry dies with it: the next one starts on the list that was held, with the
+// drain, and a proxy that joins is given the others. state shows what a start would believe.
+func TestKilled(t *testing.T) {
+	held := kv.New(1)
+	for _, id := range []string{"s-1", "s-2", "s-7"} {
+		held.Put("elm/"+id, value(roster.Serving))
+	}
+	m, err := etcd.Start(held, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	file := write(t, "op.conf", "registry etcd\n  endpoint "+m.Addr()+"\n  prefix elm\nstore\n  file "+filepath.Join(dir, "state")+"\n")
+	config := write(t, "config.json", settings)
+	env := []string{"EDGE_CONFIG=" + config, "EDGE_OPERATOR=" + file}
+	first := start(t, false, env)
+	_, addr, _ := strings.Cut(find(t, first.log, "msg=ready"), `listen="`)
+	addr, _, _ = strings.Cut(addr, `"`)
+	in := join(t, addr)
+	find(t, in, "s-7:1")
+	held.Put("elm/s-2", value(roster.Draining))
+	find(t, in, "out=s-2")
+	state := func(what string) string {
+		var out bytes.Buffer
+		Run([]string{"state", what, "--operator", file}, &out, &out)
+		return out.String()
+	}
+	if text := state("show"); !strings.Contains(text, "a controller holds it") {
+		t.Errorf("while it runs state shows %q", text)
+	}
+	// The batch with the drain goes out within half a second; a kill before that loses that batch and no more.
+	for over := time.Now().Add(20 * time.Second); time.Now().Before(over); time.Sleep(600 * time.Millisecond) {
+		_ = first.Process.Kill()
+		_ = first.Wait()
+		if strings.Contains(state("show"), "s-2  DRAINING") {
+			break
+		}
+		first = start(t, false, env)
+		find(t, first.log, "msg=ready")
+	}
+	m.Stop()
+	if text := state("check"); !strings.Contains(text, "in order; of n3, 4 facts") {
+		t.Errorf("state check: %q", text)
+	}
+	if text := state("export"); strings.Count(text, "\n") != 4 {
+		t.Errorf("state export: %q", text)
+	}
+	second := start(t, false, env)
+	if line := find(t, second.log, "from the store"); !strings.Contains(line, "backends=3") {
+		t.Errorf("the next start: %q", line)
+	}
+	_, addr, _ = strings.Cut(find(t, second.log, "msg=ready"), `listen="`)
+	addr, _, _ = strings.Cut(addr, `"`)
+	table := find(t, join(t, addr), "whole=1")
+	if !strings.Contains(table, "s-1:") || !strings.Contains(table, "s-7:") || strings.Contains(table, "s-2:") {
+		t.Errorf("the first table is %q", table)
+	}
+}
+
+func join(t *testing.T, addr string) *bufio.Reader {
+	t.Helper()
+	stream, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = stream.Close() })
+	_ = stream.SetDeadline(time.Now().Add(time.Minute))
+	_, _ = io.WriteString(stream, "SUBSCRIBE node=2 locality=a w=5 cold=1\r\n")
+	return bufio.NewReader(stream)
+}
+
+// Case 5: the list counts from when it was last seen to hold, and is refused after the grace; a clock that went
+// back refuses it too.
+func TestGrace(t *testing.T) {
+	began := time.UnixMilli(1_000_000_000)
+	var records []store.Record
+	for i, phase := range []string{roster.Serving, roster.Draining, roster.Deleted} {
+		records = append(records, store.Record{Kind: recall.Backend, Key: fmt.Sprint("s-", i), State: phase, Revision: int64(i + 1),
+			Note: fmt.Sprintf(`{"id":"s-%d","locality":"a","phase":%q}`, i, phase), At: began.UnixMilli()})
+	}
+	seen := began.Add(time.Hour)
+	records = append(records, store.Record{Kind: recall.Backend, Key: seenKey, At: seen.UnixMilli()})
+	l, refused, ok := believed(records, "n1", time.Minute, seen.Add(59*time.Second))
+	if !ok || len(refused) > 0 || len(l.Members) != 2 || l.Members[1].Phase != roster.Draining || l.Revision != 3 || !l.Whole {
+		t.Errorf("within the grace %+v, %v", l, refused)
+	}
+	for at, why := range map[time.Duration]string{61 * time.Second: "older than the grace", -time.Second: "from the future"} {
+		if l, refused, ok := believed(records, "n1", time.Minute, seen.Add(at)); ok || len(l.Members) > 0 || len(refused) != 1 || refused[0].Reason != why || refused[0].Count != 3 {
+			t.Errorf("at %v %+v, %+v", at, l, refused)
+		}
+	}
+}
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -31,9 +31,8 @@
 )
 
 // Run reads what the controller is told and holds it until a signal ends it or its listener fails; it returns
-// the exit code. path is that of the operator file, empty for none; openRegistry may be nil in a program that
-// follows no registry.
-func Run(path string, openRegistry OpenRegistry) int {
+// the exit code. path is that of the operator file, empty for none.
+func Run(path string, parts Parts) int {
 	again := make(chan os.Signal, 1)
 	signal.Notify(again, syscall.SIGHUP)
 	log := logrus.New()
@@ -54,7 +53,7 @@
 
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
-	c := &controller{sheet: sheet, path: path, file: file, openRegistry: openRegistry, log: entry}
+	c := &controller{sheet: sheet, path: path, file: file, parts: parts, log: entry}
 	if err := c.open(); err != nil {
 		entry.WithField("reason", "listen").Error(err)
 		return 1
@@ -88,15 +87,15 @@
 
 // controller is what runs, and what it was told last.
 type controller struct {
-	sheet        launch.Sheet
-	path         string // of the operator file
-	file         operator.File
-	openRegistry OpenRegistry
-	lists        *sources
-	queue        chan desk.News
-	control      *control // nil: operators are not answered
-	streams      *stream.Listener
-	log          *logrus.Entry
+	sheet   launch.Sheet
+	path    string // of the operator file
+	file    operator.File
+	parts   Parts
+	lists   *sources
+	queue   chan desk.News
+	control *control // nil: operators are not answered
+	streams *stream.Listener
+	log     *logrus.Entry
 }
 
 // allow sets the limits of the process.
@@ -111,13 +110,26 @@
 	allow(sheet)
 	queue := make(chan desk.News, queueLength)
 	c.queue, c.lists = queue, &sources{queue: queue, log: log}
+	held := sheet.Known
+	if f := c.file.Store; f != nil {
+		memory, err := c.parts.Memory(*f, sheet.Name, log)
+		if err != nil {
+			log.WithField("reason", "store").Errorf("nothing is kept over crashes: %v", err)
+		} else if l, ok := memory.Known(); ok && (c.file.Registry != nil || l.Revision >= held.Revision) {
+			held = l
+			log.WithFields(logrus.Fields{"revision": l.Revision, "backends": len(l.Members)}).Info("the list held last is from the store")
+		}
+		if err == nil {
+			c.lists.memory = memory
+		}
+	}
 	if c.file.Registry == nil {
-		c.discover(sheet.Known)
+		c.discover(held)
 	} else {
 		c.follow()
 	}
 	d := desk.New(sheet.Deployment, sheet.Names, c.lists, log)
-	d.Known(sheet.Known)
+	d.Known(held)
 	d.Step(clock())
 	go d.Run(queue, sheet.Tick, clock)
 
@@ -127,8 +139,8 @@
 		return err
 	}
 	log.WithFields(logrus.Fields{"listen": ln.Addr().String(), "discovery": sheet.Discovery,
-		"backends": len(sheet.Known.Members), "proxies": sheet.Deployment.Proxies,
-		"revision": sheet.Known.Revision}).Info("ready")
+		"backends": len(held.Members), "proxies": sheet.Deployment.Proxies,
+		"revision": held.Revision}).Info("ready")
 	c.streams = ln
 	if f := c.file.Cells; f != nil {
 		c.plan(f)
@@ -196,7 +208,7 @@
 // follow follows the key-value registry of the operator file.
 func (c *controller) follow() {
 	c.lists.begin(func(tell func(any)) Source {
-		return c.openRegistry(*c.file.Registry, c.sheet.Name, tell, c.log)
+		return c.parts.Registry(*c.file.Registry, c.sheet.Name, tell, c.log)
 	})
 }
 
--- a/controller/sources.go
+++ b/controller/sources.go
@@ -20,15 +20,31 @@
 // OpenRegistry begins to follow a key-value registry and hands on each roster.List and roster.Failed.
 type OpenRegistry func(o operator.Registry, name string, tell func(any), log *logrus.Entry) Source
 
+// Memory keeps the list over crashes. Neither method waits.
+type Memory interface {
+	Known() (l roster.List, ok bool) // what was held last, where it is young enough
+	Keep(said any)                   // each roster.List and roster.Failed that the desk is told
+}
+
+// OpenMemory opens what an operator file names; without an error there is a Memory.
+type OpenMemory func(o operator.Store, name string, log *logrus.Entry) (Memory, error)
+
+// Parts are what the full program adds to a controller; nil in the bare one.
+type Parts struct {
+	Registry OpenRegistry
+	Memory   OpenMemory
+}
+
 // slot is a Source that is followed; it is known before the Source tells anything.
 type slot struct{ Source }
 
 // sources is the one way from Sources to the desk. Of two the new one takes the old one's place with its first
 // whole list: until then the old one is followed, so nothing is undone by one that cannot be reached.
 type sources struct {
-	queue chan<- desk.News
-	log   *logrus.Entry
-	now   atomic.Pointer[slot] // the desk asks here and never waits
+	queue  chan<- desk.News
+	memory Memory // nil: nothing is kept
+	log    *logrus.Entry
+	now    atomic.Pointer[slot] // the desk asks here and never waits
 
 	mu   sync.Mutex
 	next *slot
@@ -61,6 +77,9 @@
 			Info("the list comes from the new source")
 	}
 	if from == s.now.Load() {
+		if s.memory != nil {
+			s.memory.Keep(said)
+		}
 		s.queue <- desk.News{Said: said}
 	}
 }
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -20,6 +20,14 @@
 	Registry *Registry
 	Cells    *Cells
 	Control  *Control
+	Store    *Store
+}
+
+// Store is where what is known is kept over crashes.
+type Store struct {
+	Path  string
+	Limit int // bytes
+	Grace time.Duration
 }
 
 // Registry is a key-value registry that holds the list of backends.
@@ -71,8 +79,10 @@
 			tenants, lines = append(tenants, r.tenant(s)), append(lines, s.line)
 		case "control":
 			f.Control = r.control(s)
+		case "store":
+			f.Store = r.store(s)
 		default:
-			r.fault(s.line, nearest(s.name, []string{"cells", "control", "registry", "tenant"}), "no section is named %q", s.name)
+			r.fault(s.line, nearest(s.name, []string{"cells", "control", "registry", "store", "tenant"}), "no section is named %q", s.name)
 		}
 	}
 	if len(r.faults) == 0 {
@@ -201,6 +211,20 @@
 	}}
 }
 
+// store reads the section store.
+func (r *reader) store(s section) *Store {
+	f := &Store{Limit: 64 << 20, Grace: 10 * time.Minute}
+	at := r.obey(s, map[string]rule{
+		"file":  r.word(&f.Path, "/var/lib/elmfold/state"),
+		"limit": r.size(&f.Limit, 1<<20, 1<<30),
+		"grace": r.span(&f.Grace, time.Second, 24*time.Hour),
+	})
+	if at["file"] == 0 {
+		r.fault(s.line, "add a line such as: file /var/lib/elmfold/state", "store has no file")
+	}
+	return f
+}
+
 func (r *reader) registry(s section) *Registry {
 	g := &Registry{Plan: roster.Usual()}
 	if len(s.words) == 1 {
@@ -300,6 +324,9 @@
 	if f.Control != nil {
 		on = append(on, "operators are answered at "+f.Control.Path)
 	}
+	if f.Store != nil {
+		on = append(on, "what is known is kept in "+f.Store.Path)
+	}
 	if len(on) == 0 {
 		return "it turns on nothing"
 	}
--- a/recall/recall.go
+++ b/recall/recall.go
@@ -56,7 +56,8 @@
 	Key      string
 	State    string
 	Value    float64
-	Revision int64 // of the list that a backend's state is from; 0: none
+	Note     string // whatever else goes with it, unread here
+	Revision int64  // of the list that a backend's state is from; 0: none
 	Age      Time
 	Origin   string
 	Doubt    float64
@@ -242,7 +243,7 @@
 		}
 		b, other := r.join(h)
 		was, told := r.told[at]
-		if told && was.State == b.State && was.Revision == b.Revision && was.Sources == b.Sources && math.Abs(was.Value-b.Value) <= 0.01*was.Value {
+		if told && was.State == b.State && was.Note == b.Note && was.Revision == b.Revision && was.Sources == b.Sources && math.Abs(was.Value-b.Value) <= 0.01*was.Value {
 			continue // only older
 		}
 		r.told[at] = b
--- a/store/store.go
+++ b/store/store.go
@@ -30,6 +30,7 @@
 	Value    float64     `cbor:"4,keyasint,omitempty"`
 	Revision int64       `cbor:"5,keyasint,omitempty"`
 	At       int64       `cbor:"6,keyasint"`
+	Note     string      `cbor:"7,keyasint,omitempty"`
 }
 
 // Why a store is not used; errors.Is tells them apart.
@@ -165,6 +166,51 @@
 	return &Store{db: db}, records, nil
 }
 
+// Look reads a store without changing it; it waits for nobody, so not while a controller holds it.
+func Look(path string) (name string, records []Record, err error) {
+	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
+	defer func() {
+		if p := recover(); p != nil {
+			err = fmt.Errorf("%s: %w: %v", path, ErrBroken, p)
+		}
+	}()
+	if _, err := os.Stat(path); err != nil {
+		return "", nil, err
+	}
+	if !ours(path) {
+		return "", nil, fmt.Errorf("%s: %w: not a store", path, ErrForeign)
+	}
+	db, err := bbolt.Open(path, 0o600, &bbolt.Options{ReadOnly: true, Timeout: 300 * time.Millisecond})
+	if errors.Is(err, bbolt.ErrTimeout) {
+		return "", nil, fmt.Errorf("%s: a controller holds it", path)
+	} else if err != nil {
+		return "", nil, fmt.Errorf("%s: %w: %w", path, ErrBroken, err)
+	}
+	defer db.Close()
+	err = db.View(func(tx *bbolt.Tx) error {
+		meta, facts := tx.Bucket(metaBucket), tx.Bucket(factBucket)
+		if meta == nil || facts == nil {
+			return fmt.Errorf("%s: %w: no facts in it", path, ErrForeign)
+		}
+		if n, _ := binary.Uvarint(meta.Get(versionKey)); n > Version {
+			return fmt.Errorf("%s: %w: %d, we know %d", path, ErrNewer, n, Version)
+		}
+		name = string(meta.Get(nameKey))
+		for problem := range tx.Check() {
+			return fmt.Errorf("%s: %w: %w", path, ErrBroken, problem)
+		}
+		return facts.ForEach(func(k, v []byte) error {
+			r, err := Decode(v)
+			if err != nil {
+				return fmt.Errorf("%s: the fact %q: %w", path, k, err)
+			}
+			records = append(records, r)
+			return nil
+		})
+	})
+	return name, records, err
+}
+
 // ours says whether a file begins as the library's do.
 func ours(path string) bool {
 	f, err := os.Open(path)
