--- /dev/null
+++ b/cmd/lab/kills.go
@@ -0,0 +1,144 @@
+package main
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/spf13/cobra"
+
+	"elmfold/recall"
+	"elmfold/store"
+)
+
+const (
+	killCount = 1000
+	killKeys  = 400
+	killBatch = 40
+	killName  = "lab"
+)
+
+func killsCommand() *cobra.Command {
+	var w where
+	c := &cobra.Command{Use: "store-kills", Short: "a process that writes facts is killed 1,000 times at random moments",
+		Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error { return playKills(w) }}
+	w.flags(c)
+	return c
+}
+
+// storerCommand writes batches until it is killed, and says after each that it is written.
+func storerCommand() *cobra.Command {
+	var path string
+	var from int
+	c := &cobra.Command{Use: "storer", Hidden: true, Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error {
+		s, _, err := store.Open(path, killName, 0, silent())
+		if err != nil {
+			return err
+		}
+		if err := s.Healthy(); err != nil { // it is killed on purpose
+			return err
+		}
+		for n := from; ; n += killBatch {
+			var batch []store.Record
+			for i := range killBatch {
+				batch = append(batch, store.Record{Kind: recall.Use, Key: strconv.Itoa((n + i) % killKeys), Value: float64(n + i), At: int64(n + i)})
+			}
+			s.Put(batch...)
+			if err := s.Flush(); err != nil {
+				return err
+			}
+			fmt.Println(n + killBatch)
+		}
+	}}
+	c.Flags().StringVar(&path, "path", "", "of the store")
+	c.Flags().IntVar(&from, "from", 0, "number of the first fact")
+	return c
+}
+
+func silent() *logrus.Entry {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return logrus.NewEntry(log)
+}
+
+func playKills(w where) error {
+	dir, err := os.MkdirTemp("", "kills")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	path := filepath.Join(dir, "state")
+	chance := rand.New(rand.NewPCG(w.seed, 18))
+	written, lost, corrupt, half, batches := 0, 0, 0, 0, 0
+	began := time.Now()
+	for range killCount {
+		c := exec.Command(os.Args[0], "storer", "--path", path, "--from", strconv.Itoa(written))
+		out, err := c.StdoutPipe()
+		if err == nil {
+			err = c.Start()
+		}
+		if err != nil {
+			return err
+		}
+		said := make(chan int, 1)
+		go func() {
+			last := 0
+			for in := bufio.NewScanner(out); in.Scan(); {
+				if n, err := strconv.Atoi(strings.TrimSpace(in.Text())); err == nil {
+					last = n
+				}
+			}
+			said <- last
+		}()
+		time.Sleep(time.Duration(5+chance.IntN(60)) * time.Millisecond)
+		_ = c.Process.Kill()
+		last := <-said
+		_ = c.Wait()
+		_, records, err := store.Look(path)
+		if err != nil {
+			if last > 0 || written > 0 || !(errors.Is(err, os.ErrNotExist) || errors.Is(err, store.ErrForeign)) {
+				corrupt++
+			}
+			continue // it was killed before the store was made
+		}
+		newest := 0
+		values := map[int]bool{}
+		for _, r := range records {
+			newest = max(newest, int(r.Value))
+			values[int(r.Value)] = true
+		}
+		if len(records) == 0 {
+			newest = -1
+		}
+		batches += max(last-written, 0) / killBatch
+		if newest+1 < max(last, written) {
+			lost++
+		}
+		// A batch is there whole or not at all: the last 400 facts, without a gap.
+		for v := max(0, newest+1-killKeys); v <= newest; v++ {
+			if !values[v] {
+				half++
+				break
+			}
+		}
+		written = newest + 1
+	}
+	r := newReport("store-kills", w.seed, fmt.Sprintf("a process that writes batches of %d facts without a pause, killed %d times after 5 to 65 ms", killBatch, killCount), "elmfold")
+	r.expect("kills after which a fact that was said to be written is lost", lost, 0)
+	r.expect("kills that left half a batch", half, 0)
+	r.expect("kills that left a store which does not open or check", corrupt, 0)
+	r.row("batches written", batches)
+	r.row("facts written", written)
+	r.row("seconds", fmt.Sprintf("%.0f", time.Since(began).Seconds()))
+	r.Figure = fmt.Sprintf("seed %d: %d kills, lost %d, half %d, corrupt %d, %d facts written", w.seed, killCount, lost, half, corrupt, written)
+	return r.leave(w.out)
+}
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -40,6 +40,10 @@
 		c.Plan.Tenants[1].Name != "two words" || f.Control.Path != "/run/elmfold.sock" || !reflect.DeepEqual(c.Beyond(9), []string{"acme"}) {
 		t.Errorf("read %+v, %v", f, err)
 	}
+	f, err = Read("testdata/good-store.conf")
+	if err != nil || *f.Store != (Store{Path: "/var/lib/elmfold/state", Limit: 8 << 20, Grace: 5 * time.Minute}) {
+		t.Errorf("read %+v, %v", f.Store, err)
+	}
 	if f, err = Read("testdata/empty.conf"); err != nil || f.Registry != nil {
 		t.Errorf("read %+v, %v", f, err)
 	}
@@ -57,7 +61,7 @@
 		"secondsection": ":3: a second section registry; the first is in line 1; put", "prefix": ":3: prefix .*; write a prefix",
 		"cells-way": ":1: .*random.*; write cells fixed or", "cells-one": ":1: 1 cells confine nobody; add", "cells-none": ":1: a tenant without cells; add",
 		"cells-cell": `:4: .*"bleu"; write blue`, "cells-proxy": ":4: proxy 3 is of tenant a and of tenant b; give", "cells-span": `:3: proxies "4-1" .*; write numbers`,
-		"cells-rate": ":2: trickle .*; write a rate", "cells-size": ":4: tenant a has a size .*; take", "cells-noproxy": ":2: .*no proxies; add", "control": ":1: .*no socket; add",
+		"cells-rate": ":2: trickle .*; write a rate", "cells-size": ":4: tenant a has a size .*; take", "cells-noproxy": ":2: .*no proxies; add", "control": ":1: .*no socket; add", "store": ":1: .*no file; add",
 		"binary": ":3: byte 13 is no text; write",
 	}
 	files, _ := filepath.Glob("testdata/broken/*.conf")
--- a/store/store.go
+++ b/store/store.go
@@ -59,6 +59,8 @@
 	log  *logrus.Entry
 	most int64 // bytes
 
+	flushing sync.Mutex // one batch at a time: who flushes knows all that was handed over before to be written
+
 	mu      sync.Mutex
 	waiting map[string]Record
 	dropped int
@@ -310,6 +312,8 @@
 
 // Flush writes what waits as one batch, all or nothing. What could not be written waits on.
 func (s *Store) Flush() error {
+	s.flushing.Lock()
+	defer s.flushing.Unlock()
 	s.mu.Lock()
 	batch := s.waiting
 	s.waiting = map[string]Record{}
