--- a/controller/controller.go
+++ b/controller/controller.go
@@ -236,6 +236,9 @@
 	}
 	moved := next.Discovery != c.sheet.Discovery
 	c.sheet.Discovery = next.Discovery
+	if !reflect.DeepEqual(c.file.Store, file.Store) {
+		c.log.WithField("keys", "store").Warn("these changes wait for a restart")
+	}
 	was := c.file.Registry
 	c.file = file
 	switch {
