Peers: an instance that starts asks running ones for the list, in parts that resume

Where no disk lasts, and in a mass restart, the only ones that know are those that run. peer/ tells and asks in frames of cbor; recall/ settles what counts, so hearsay keeps its origin and age. Off without its section.

--- a/command/memory.go
+++ b/command/memory.go
@@ -5,7 +5,9 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"slices"
+	"strconv"
 	"sync"
 	"text/tabwriter"
 	"time"
@@ -15,52 +17,102 @@
 
 	"elmfold/controller"
 	"elmfold/operator"
+	"elmfold/peer"
 	"elmfold/recall"
 	"elmfold/roster"
 	"elmfold/store"
 )
 
 const (
-	seenEvery = time.Second      // while the source answers, the list is known to hold
-	healthy   = 30 * time.Second // that a program must run not to be in a crash loop
-	seenKey   = ""               // no backend has an empty id
+	seenEvery  = time.Second // while the source answers, the list is known to hold
+	usualGrace = 10 * time.Minute
+	healthy    = 30 * time.Second // that a program must run not to be in a crash loop
+	seenKey    = ""               // no backend has an empty id
 )
 
-// memory keeps the list in a store.
+// memory keeps the list in a store, and tells it to peers.
 type memory struct {
-	store *store.Store
+	name  string
+	store *store.Store // nil: nothing is kept
 	now   func() time.Time
+	began time.Time
 	known roster.List
 	ok    bool
 
-	mu     sync.Mutex
-	listed map[string]roster.Member
-	holds  bool // the source answers
-	at     int64
+	mu       sync.Mutex
+	recall   *recall.Recall
+	listed   map[string]roster.Member
+	revision int64
+	holds    bool      // the source answers
+	seen     time.Time // ... when it did last; zero: not yet
 }
 
-// OpenMemory is the controller.OpenMemory of this program.
-func OpenMemory(o operator.Store, name string, log *logrus.Entry) (controller.Memory, error) {
-	s, records, err := store.Open(o.Path, name, int64(o.Limit), log)
-	if s == nil {
-		return nil, err
+// OpenMemory is the controller.OpenMemory of this program. It takes as long as the peers are given to answer.
+func OpenMemory(f operator.File, name string, log *logrus.Entry) (controller.Memory, error) {
+	m := &memory{name: name, now: time.Now, listed: map[string]roster.Member{}}
+	plan := recall.Usual()
+	plan.Name, plan.Grace = name, usualGrace
+	var events []recall.Event
+	if o := f.Store; o != nil {
+		plan.Grace = o.Grace
+		s, records, err := store.Open(o.Path, name, int64(o.Limit), log)
+		if s == nil && f.Peers == nil {
+			return nil, err
+		}
+		if err != nil {
+			log.WithField("reason", "store").Warn(err)
+		}
+		m.store = s
+		events = append(events, recall.Offered{Source: "store", Facts: facts(records, name, m.now())})
 	}
-	if err != nil {
-		log.WithField("reason", "store").Warn(err)
+	began := m.now()
+	if p := f.Peers; p != nil {
+		seed := name + " " + strconv.FormatInt(began.UnixNano(), 36)
+		for _, a := range peer.Ask(p.Ask, name, seed, p.Within, func(o recall.Offered) { events = append(events, o) }) {
+			log.WithFields(logrus.Fields{"peer": a.Source, "facts": a.Facts, "error": a.Err}).Info("a peer was asked")
+		}
 	}
-	m := &memory{store: s, now: time.Now, listed: map[string]roster.Member{}}
+	m.recall, m.began = recall.New(plan), began
 	var refused []recall.Refuse
-	m.known, refused, m.ok = believed(records, name, o.Grace, m.now())
+	m.known, refused, m.ok = m.believe(events)
 	for _, r := range refused {
-		log.WithFields(logrus.Fields{"reason": r.Reason, "count": r.Count}).Warn("facts of the store are refused")
+		log.WithFields(logrus.Fields{"source": r.Source, "reason": r.Reason, "count": r.Count}).Warn("facts are refused")
 	}
 	for _, x := range m.known.Members {
 		m.listed[x.ID] = x
 	}
-	go m.run()
+	if p := f.Peers; p != nil && p.Listen != "" {
+		if _, err := peer.Listen(p.Listen, m.tell, log); err != nil {
+			log.WithField("reason", "peers").Errorf("nothing is told to peers: %v", err)
+		}
+	}
+	if m.store != nil {
+		go m.run()
+	}
 	return m, nil
 }
 
+// tell is what a peer may know: the list at first hand while our source answers; until it has, what we were told
+// ourselves, at its age and by whom.
+func (m *memory) tell() (all []recall.Fact) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.seen.IsZero() {
+		m.recall.Step(m.now().Sub(m.began), nil)
+		return m.recall.Facts()
+	}
+	age := time.Duration(0)
+	if !m.holds {
+		age = m.now().Sub(m.seen)
+	}
+	for _, id := range slices.Sorted(maps.Keys(m.listed)) {
+		x := m.listed[id]
+		note, _ := json.Marshal(x)
+		all = append(all, recall.Fact{Kind: recall.Backend, Key: id, State: x.Phase, Note: string(note), Revision: m.revision, Age: age, Origin: m.name})
+	}
+	return all
+}
+
 // facts are those of records at a moment. The list as a whole was known to hold when it was last seen.
 func facts(records []store.Record, name string, now time.Time) (all []recall.Fact) {
 	seen := int64(0)
@@ -83,23 +135,21 @@
 	return all
 }
 
-// believed is the list that records give.
-func believed(records []store.Record, name string, grace time.Duration, now time.Time) (l roster.List, refused []recall.Refuse, ok bool) {
-	plan := recall.Usual()
-	plan.Name, plan.Grace = name, grace
+// believe is the list that what was offered gives.
+func (m *memory) believe(events []recall.Event) (l roster.List, refused []recall.Refuse, ok bool) {
 	l.Whole = true
-	for _, o := range recall.New(plan).Step(0, []recall.Event{recall.Offered{Source: "store", Facts: facts(records, name, now)}}) {
+	for _, o := range m.recall.Step(m.now().Sub(m.began), events) {
 		switch o := o.(type) {
 		case recall.Refuse:
 			refused = append(refused, o)
 		case recall.Believe:
-			var m roster.Member
-			if o.Kind != recall.Backend || json.Unmarshal([]byte(o.Note), &m) != nil {
+			var x roster.Member
+			if o.Kind != recall.Backend || json.Unmarshal([]byte(o.Note), &x) != nil {
 				continue
 			}
 			ok, l.Revision = true, max(l.Revision, o.Revision)
-			if m.Phase = o.State; m.Phase != roster.Deleted {
-				l.Members = append(l.Members, m)
+			if x.Phase = o.State; x.Phase != roster.Deleted {
+				l.Members = append(l.Members, x)
 			}
 		}
 	}
@@ -114,9 +164,15 @@
 	l, ok := said.(roster.List)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.holds = ok; !ok {
+	if !ok {
+		if m.holds {
+			m.seen = m.now()
+		}
+		m.holds = false
 		return
 	}
+	m.holds = true
+	m.revision, m.seen = l.Revision, m.now()
 	at := m.now().UnixMilli()
 	var records []store.Record
 	record := func(x roster.Member) {
@@ -143,7 +199,9 @@
 			delete(m.listed, id)
 		}
 	}
-	m.store.Put(append(records, store.Record{Kind: recall.Backend, Key: seenKey, At: at})...)
+	if m.store != nil {
+		m.store.Put(append(records, store.Record{Kind: recall.Backend, Key: seenKey, At: at})...)
+	}
 }
 
 // run notes that the list holds, and after a while that the program does.
--- a/command/memory_test.go
+++ b/command/memory_test.go
@@ -66,7 +66,7 @@
 		t.Errorf("state export: %q", text)
 	}
 	second := start(t, false, env)
-	if line := find(t, second.log, "from the store"); !strings.Contains(line, "backends=3") {
+	if line := find(t, second.log, "from the store or from peers"); !strings.Contains(line, "backends=3") {
 		t.Errorf("the next start: %q", line)
 	}
 	_, addr, _ = strings.Cut(find(t, second.log, "msg=ready"), `listen="`)
@@ -100,13 +100,90 @@
 	}
 	seen := began.Add(time.Hour)
 	records = append(records, store.Record{Kind: recall.Backend, Key: seenKey, At: seen.UnixMilli()})
-	l, refused, ok := believed(records, "n1", time.Minute, seen.Add(59*time.Second))
+	believed := func(at time.Time) (roster.List, []recall.Refuse, bool) {
+		plan := recall.Usual()
+		plan.Grace = time.Minute
+		m := &memory{now: func() time.Time { return at }, began: at, recall: recall.New(plan)}
+		return m.believe([]recall.Event{recall.Offered{Source: "store", Facts: facts(records, "n1", at)}})
+	}
+	l, refused, ok := believed(seen.Add(59 * time.Second))
 	if !ok || len(refused) > 0 || len(l.Members) != 2 || l.Members[1].Phase != roster.Draining || l.Revision != 3 || !l.Whole {
 		t.Errorf("within the grace %+v, %v", l, refused)
 	}
 	for at, why := range map[time.Duration]string{61 * time.Second: "older than the grace", -time.Second: "from the future"} {
-		if l, refused, ok := believed(records, "n1", time.Minute, seen.Add(at)); ok || len(l.Members) > 0 || len(refused) != 1 || refused[0].Reason != why || refused[0].Count != 3 {
+		if l, refused, ok := believed(seen.Add(at)); ok || len(l.Members) > 0 || len(refused) != 1 || refused[0].Reason != why || refused[0].Count != 3 {
 			t.Errorf("at %v %+v, %+v", at, l, refused)
 		}
 	}
 }
+
+// A controller that starts without a store or a registry that answers begins with what a running one tells it; of
+// two that start together, neither of which knows anything, neither is made sure.
+func TestPeers(t *testing.T) {
+	held := kv.New(1)
+	held.Put("elm/s-7", value(roster.Serving))
+	held.Put("elm/s-8", value(roster.Draining))
+	m, err := etcd.Start(held, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	free := func() string {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer ln.Close()
+		return ln.Addr().String()
+	}
+	at := free()
+	config := write(t, "config.json", settings)
+	running := start(t, false, []string{"EDGE_CONFIG=" + config, "EDGE_OPERATOR=" + write(t, "a.conf",
+		"registry etcd\n  endpoint "+m.Addr()+"\n  prefix elm\npeers\n  listen "+at+"\n")})
+	_, addr, _ := strings.Cut(find(t, running.log, "msg=ready"), `listen="`)
+	addr, _, _ = strings.Cut(addr, `"`)
+	find(t, join(t, addr), "s-7:")
+	m.Stop()
+	file := func(listen, ask string) string {
+		return write(t, "b.conf", "registry etcd\n  endpoint "+m.Addr()+"\n  prefix elm\npeers\n  listen "+listen+"\n  ask "+ask+"\n")
+	}
+	second := start(t, false, []string{"EDGE_CONFIG=" + config, "EDGE_OPERATOR=" + file(free(), at)})
+	if line := find(t, second.log, "from the store or from peers"); !strings.Contains(line, "backends=2") {
+		t.Errorf("with a peer: %q", line)
+	}
+	if line := find(t, second.log, "msg=ready"); !strings.Contains(line, "backends=2") {
+		t.Errorf("with a peer: %q", line)
+	}
+	one, two := free(), free()
+	third := start(t, false, []string{"EDGE_CONFIG=" + config, "EDGE_OPERATOR=" + file(one, two)})
+	fourth := start(t, false, []string{"EDGE_CONFIG=" + config, "EDGE_OPERATOR=" + file(two, one)})
+	for _, c := range []*child{third, fourth} {
+		if line := find(t, c.log, "msg=ready"); !strings.Contains(line, "backends=3") { // those of the platform's file
+			t.Errorf("of two that start together: %q", line)
+		}
+	}
+}
+
+// What was heard of others is told on as theirs, at its age, also when our own source fails; what our source told
+// is ours, and grows old from when it failed.
+func TestHearsay(t *testing.T) {
+	at := time.UnixMilli(1_000_000_000)
+	m := &memory{name: "n1", now: func() time.Time { return at }, began: at, recall: recall.New(recall.Usual()), listed: map[string]roster.Member{}}
+	note := `{"id":"s-1","locality":"a","phase":"SERVING"}`
+	m.believe([]recall.Event{recall.Offered{Source: "x", Facts: []recall.Fact{{Kind: recall.Backend, Key: "s-1", State: roster.Serving, Note: note,
+		Age: 5 * time.Second, Origin: "n2"}}}})
+	m.Keep(roster.Failed{})
+	at = at.Add(10 * time.Second)
+	if f := m.tell(); len(f) != 1 || f[0].Origin != "n2" || f[0].Age != 15*time.Second {
+		t.Errorf("before our source answers %+v", f)
+	}
+	m.Keep(roster.List{Revision: 3, Whole: true, Members: []roster.Member{{ID: "s-2", Zone: "a", Phase: roster.Draining}}})
+	at = at.Add(10 * time.Second)
+	if f := m.tell(); len(f) != 1 || f[0].Key != "s-2" || f[0].Origin != "n1" || f[0].Age != 0 || f[0].Revision != 3 {
+		t.Errorf("while it does %+v", f)
+	}
+	m.Keep(roster.Failed{})
+	at = at.Add(20 * time.Second)
+	if f := m.tell(); len(f) != 1 || f[0].Age != 20*time.Second {
+		t.Errorf("when it failed %+v", f)
+	}
+}
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -111,13 +111,13 @@
 	queue := make(chan desk.News, queueLength)
 	c.queue, c.lists = queue, &sources{queue: queue, log: log}
 	held := sheet.Known
-	if f := c.file.Store; f != nil {
-		memory, err := c.parts.Memory(*f, sheet.Name, log)
+	if c.file.Store != nil || c.file.Peers != nil {
+		memory, err := c.parts.Memory(c.file, sheet.Name, log)
 		if err != nil {
 			log.WithField("reason", "store").Errorf("nothing is kept over crashes: %v", err)
 		} else if l, ok := memory.Known(); ok && (c.file.Registry != nil || l.Revision >= held.Revision) {
 			held = l
-			log.WithFields(logrus.Fields{"revision": l.Revision, "backends": len(l.Members)}).Info("the list held last is from the store")
+			log.WithFields(logrus.Fields{"revision": l.Revision, "backends": len(l.Members)}).Info("the list to begin with is from the store or from peers")
 		}
 		if err == nil {
 			c.lists.memory = memory
@@ -236,8 +236,8 @@
 	}
 	moved := next.Discovery != c.sheet.Discovery
 	c.sheet.Discovery = next.Discovery
-	if !reflect.DeepEqual(c.file.Store, file.Store) {
-		c.log.WithField("keys", "store").Warn("these changes wait for a restart")
+	if !reflect.DeepEqual(c.file.Store, file.Store) || !reflect.DeepEqual(c.file.Peers, file.Peers) {
+		c.log.WithField("keys", "store, peers").Warn("these changes wait for a restart")
 	}
 	was := c.file.Registry
 	c.file = file
--- a/controller/sources.go
+++ b/controller/sources.go
@@ -26,8 +26,8 @@
 	Keep(said any)                   // each roster.List and roster.Failed that the desk is told
 }
 
-// OpenMemory opens what an operator file names; without an error there is a Memory.
-type OpenMemory func(o operator.Store, name string, log *logrus.Entry) (Memory, error)
+// OpenMemory opens the store that an operator file names and asks its peers; without an error there is a Memory.
+type OpenMemory func(o operator.File, name string, log *logrus.Entry) (Memory, error)
 
 // Parts are what the full program adds to a controller; nil in the bare one.
 type Parts struct {
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -21,6 +21,14 @@
 	Cells    *Cells
 	Control  *Control
 	Store    *Store
+	Peers    *Peers
+}
+
+// Peers are instances that tell each other what they know.
+type Peers struct {
+	Listen string   // where we tell; empty: we do not
+	Ask    []string // whom we ask at a start
+	Within time.Duration
 }
 
 // Store is where what is known is kept over crashes.
@@ -81,8 +89,10 @@
 			f.Control = r.control(s)
 		case "store":
 			f.Store = r.store(s)
+		case "peers":
+			f.Peers = r.peers(s)
 		default:
-			r.fault(s.line, nearest(s.name, []string{"cells", "control", "registry", "store", "tenant"}), "no section is named %q", s.name)
+			r.fault(s.line, nearest(s.name, []string{"cells", "control", "peers", "registry", "store", "tenant"}), "no section is named %q", s.name)
 		}
 	}
 	if len(r.faults) == 0 {
@@ -225,6 +235,24 @@
 	return f
 }
 
+// peers reads the section peers.
+func (r *reader) peers(s section) *Peers {
+	p := &Peers{Within: 3 * time.Second}
+	var listen []string
+	at := r.obey(s, map[string]rule{
+		"listen": r.addresses(&listen),
+		"ask":    r.addresses(&p.Ask),
+		"within": r.span(&p.Within, 100*time.Millisecond, time.Minute),
+	})
+	if p.Listen = strings.Join(listen, " "); len(listen) > 1 {
+		r.fault(at["listen"], "write one address", "listen says too much: %q", listen[1])
+	}
+	if len(listen) == 0 && len(p.Ask) == 0 {
+		r.fault(s.line, "add a line such as: ask 10.0.0.2:7947", "peers neither listen nor ask")
+	}
+	return p
+}
+
 func (r *reader) registry(s section) *Registry {
 	g := &Registry{Plan: roster.Usual()}
 	if len(s.words) == 1 {
@@ -327,6 +355,9 @@
 	if f.Store != nil {
 		on = append(on, "what is known is kept in "+f.Store.Path)
 	}
+	if f.Peers != nil {
+		on = append(on, fmt.Sprintf("%d instances are asked at a start", len(f.Peers.Ask)))
+	}
 	if len(on) == 0 {
 		return "it turns on nothing"
 	}
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -61,7 +61,7 @@
 		"secondsection": ":3: a second section registry; the first is in line 1; put", "prefix": ":3: prefix .*; write a prefix",
 		"cells-way": ":1: .*random.*; write cells fixed or", "cells-one": ":1: 1 cells confine nobody; add", "cells-none": ":1: a tenant without cells; add",
 		"cells-cell": `:4: .*"bleu"; write blue`, "cells-proxy": ":4: proxy 3 is of tenant a and of tenant b; give", "cells-span": `:3: proxies "4-1" .*; write numbers`,
-		"cells-rate": ":2: trickle .*; write a rate", "cells-size": ":4: tenant a has a size .*; take", "cells-noproxy": ":2: .*no proxies; add", "control": ":1: .*no socket; add", "store": ":1: .*no file; add",
+		"cells-rate": ":2: trickle .*; write a rate", "cells-size": ":4: tenant a has a size .*; take", "cells-noproxy": ":2: .*no proxies; add", "control": ":1: .*no socket; add", "store": ":1: .*no file; add", "peers": ":1: .*neither listen nor ask; add",
 		"binary": ":3: byte 13 is no text; write",
 	}
 	files, _ := filepath.Glob("testdata/broken/*.conf")
