--- a/standin/link/link.go
+++ b/standin/link/link.go
@@ -4,6 +4,7 @@
 package link
 
 import (
+	"io"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -158,21 +159,23 @@
 		l.mu.Lock()
 		l.conns[c], l.conns[s] = true, true
 		l.mu.Unlock()
-		go l.pass(s, c, script.Down, script, true)
-		go l.pass(c, s, script.Up, script, false)
+		go func() {
+			var ways sync.WaitGroup
+			ways.Go(func() { l.pass(s, c, script.Down, script, true) })
+			ways.Go(func() { l.pass(c, s, script.Up, script, false) })
+			ways.Wait()
+			_, _ = c.Close(), s.Close()
+			l.mu.Lock()
+			delete(l.conns, c)
+			delete(l.conns, s)
+			l.mu.Unlock()
+		}()
 	}
 }
 
-// pass copies one direction until it ends, and then resets both.
+// pass copies one direction. An end is passed on as an end, unless the direction is silent; whatever else stops
+// it resets both sides.
 func (l *Link) pass(from, to net.Conn, fate Fate, script Script, down bool) {
-	defer func() {
-		reset(from)
-		reset(to)
-		l.mu.Lock()
-		delete(l.conns, from)
-		delete(l.conns, to)
-		l.mu.Unlock()
-	}()
 	buf := make([]byte, 32<<10)
 	var passed int64
 	silent := false
@@ -197,6 +200,8 @@
 				k = min(k, script.Split)
 			}
 			if _, e := to.Write(part[:k]); e != nil {
+				reset(from)
+				reset(to)
 				return
 			}
 			if down {
@@ -206,7 +211,15 @@
 			}
 			part = part[k:]
 		}
-		if cut || err != nil {
+		switch t, ok := to.(*net.TCPConn); {
+		case cut || err != nil && err != io.EOF:
+			reset(from)
+			reset(to)
+			return
+		case err != nil:
+			if ok && !silent {
+				_ = t.CloseWrite()
+			}
 			return
 		}
 	}
