--- a/command/command_test.go
+++ b/command/command_test.go
@@ -128,6 +128,14 @@
 	return &child{t, c, bufio.NewReader(out)}
 }
 
+// listens waits until it is ready and gives its address.
+func (c *child) listens() string {
+	c.Helper()
+	_, addr, _ := strings.Cut(find(c.T, c.log, "msg=ready"), `listen="`)
+	addr, _, _ = strings.Cut(addr, `"`)
+	return addr
+}
+
 // find reads on until a line holds all words.
 func find(t *testing.T, in *bufio.Reader, words ...string) string {
 	t.Helper()
@@ -235,8 +243,7 @@
 	config := write(t, "config.json", settings)
 	file := write(t, "op.conf", "registry etcd\n  endpoint "+m.Addr()+"\n  prefix one\n")
 	c := start(t, false, []string{"EDGE_CONFIG=" + config, "EDGE_OPERATOR=" + file})
-	_, addr, _ := strings.Cut(find(t, c.log, "msg=ready"), `listen="`)
-	addr, _, _ = strings.Cut(addr, `"`)
+	addr := c.listens()
 	stream, err := net.Dial("tcp", addr)
 	if err != nil {
 		t.Fatal(err)
@@ -286,8 +293,7 @@
 	text := "cells fixed\n  cell red\n  cell blue\n  settle 1s\ntenant acme\n  proxies 2\n  cell red\ncontrol\n  socket " + socket + "\n"
 	file := write(t, "op.conf", text)
 	c := start(t, false, []string{"EDGE_CONFIG=" + config, "EDGE_OPERATOR=" + file})
-	_, addr, _ := strings.Cut(find(t, c.log, "msg=ready"), `listen="`)
-	addr, _, _ = strings.Cut(addr, `"`)
+	addr := c.listens()
 	var red, blue []string
 	for over := time.Now().Add(20 * time.Second); len(red) == 0 && time.Now().Before(over); {
 		if reply, err := send(socket, controller.Request{Do: controller.DoShow}); err == nil && len(reply.Cells.Tenants) > 0 {
--- a/command/memory_test.go
+++ b/command/memory_test.go
@@ -34,8 +34,7 @@
 	config := write(t, "config.json", settings)
 	env := []string{"EDGE_CONFIG=" + config, "EDGE_OPERATOR=" + file}
 	first := start(t, false, env)
-	_, addr, _ := strings.Cut(find(t, first.log, "msg=ready"), `listen="`)
-	addr, _, _ = strings.Cut(addr, `"`)
+	addr := first.listens()
 	in := join(t, addr)
 	find(t, in, "s-7:1")
 	held.Put("elm/s-2", value(roster.Draining))
@@ -69,8 +68,7 @@
 	if line := find(t, second.log, "from the store or from peers"); !strings.Contains(line, "backends=3") {
 		t.Errorf("the next start: %q", line)
 	}
-	_, addr, _ = strings.Cut(find(t, second.log, "msg=ready"), `listen="`)
-	addr, _, _ = strings.Cut(addr, `"`)
+	addr = second.listens()
 	table := find(t, join(t, addr), "whole=1")
 	if !strings.Contains(table, "s-1:") || !strings.Contains(table, "s-7:") || strings.Contains(table, "s-2:") {
 		t.Errorf("the first table is %q", table)
@@ -139,8 +137,7 @@
 	config := write(t, "config.json", settings)
 	running := start(t, false, []string{"EDGE_CONFIG=" + config, "EDGE_OPERATOR=" + write(t, "a.conf",
 		"registry etcd\n  endpoint "+m.Addr()+"\n  prefix elm\npeers\n  listen "+at+"\n")})
-	_, addr, _ := strings.Cut(find(t, running.log, "msg=ready"), `listen="`)
-	addr, _, _ = strings.Cut(addr, `"`)
+	addr := running.listens()
 	find(t, join(t, addr), "s-7:")
 	m.Stop()
 	file := func(listen, ask string) string {
--- a/roster/cases_test.go
+++ b/roster/cases_test.go
@@ -485,6 +485,20 @@
 			waiting += n
 		}
 	}
+	// The naive client reads all each second, by a clock of its own, whether there is anything new or not.
+	ours, naive := map[int]int{}, map[int]int{} // whole reads by second after it is back
+	for at, n := range reads {
+		ours[int((at-Time(down/(100*time.Millisecond)))/10)] += n
+	}
+	for i := range controllers {
+		for at := Time(chance("naive", uint64(i)) * float64(time.Second)); at < 10*time.Second; at += time.Second {
+			naive[int(at/time.Second)]++
+		}
+	}
+	t.Logf("whole reads by second after it is back: %v, of the naive client %v", ours, naive)
+	if sum := ours[0] + ours[1]; sum != controllers || len(ours) > 2 || naive[9] != controllers {
+		t.Errorf("whole reads by second %v, naive %v", ours, naive)
+	}
 	perSecond := float64(waiting) / 15 / controllers
 	t.Logf("whole reads in a tenth of a second: %d at most of %d; %.2f calls a second each while it is away; told %v after it was back",
 		most, controllers, perSecond, latest)
