A moment costs what changed: tables of proxies that lack nothing are left to the tick

Each moment with a join or a change of the list worked out picks, plan and diff of every joined proxy over every backend (choice.go, setPicks and reconcile), with ramp and strength anew for each pair; desk.carry asked all proxies for each line (touch), giveBack for each backend that is gone. Ruled out: the sockets and the parse of lines (one report between ticks is under 0.02 ms). Change: ramp, strength and places are worked out once for a step; between ticks only proxies without a usable line in some group are looked at, on top of the load that the tick left; shut-outs go before picks, so that these are known. The desk keeps who is on a table, sends from one buffer, gives places back once a second.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -56,7 +56,6 @@
 	roomUrgent, roomRest = 0.8, 0.5 // part of the lines and messages allowed that urgent orders, others may use
 	roomHave             = 0.9      // ... and lines that a proxy needs
 	fences               = 1 << 15  // numbers in turn; far more than are ever on the way
-	anyZone              = -1
 )
 
 // New makes an Assigner that knows its deployment and nothing else.
@@ -78,8 +77,41 @@
 
 // Step takes the events of one moment and returns the orders.
 func (a *Assigner) Step(now Time, events []Event) []Order {
-	a.now, a.in, a.orders = now, nil, nil
-	tick := false
+	tick := a.hear(now, events)
+	if a.refollow && (tick || !a.began) {
+		a.refollow = false
+		a.order(Follow{On: true})
+	}
+	if tick || !a.began {
+		a.order(Wake{After: tickEvery})
+	}
+	if a.began = true; tick {
+		for b, s := range a.be.status {
+			if s == Ready && a.d.Probes && len(a.d.Gauges) > 0 {
+				a.order(Probe{Backend: b})
+			}
+		}
+		a.judge()
+		a.setTotal()
+		a.setLevels()
+	}
+	if tick || a.urgent {
+		a.setSpill()
+		before := a.drain()
+		a.withdraw()
+		a.setPicks(tick)
+		a.reconcile(tick)
+		if a.queue > before {
+			a.batch++
+			a.order(Fence{Number: a.batch % fences})
+		}
+	}
+	return a.orders
+}
+
+// hear takes events in; it says whether a tick is among them.
+func (a *Assigner) hear(now Time, events []Event) (tick bool) {
+	a.now, a.orders = now, nil
 	for _, e := range events {
 		switch e := e.(type) {
 		case Listed:
@@ -89,7 +121,7 @@
 		case Joined:
 			p := a.proxy(e.Proxy)
 			p.joined, p.bound, p.zone, p.sent = true, false, a.ownZone(e.Zone), nil
-			p.brings = e.Brings
+			p.brings, p.counted, p.bare = e.Brings, false, true
 			p.held = make([]tbl, len(a.groups))
 			// Guards what is known of a proxy against streams that break and come again: it gets what it got.
 			for k := 0; k < len(p.use) && a.now > p.leftAt+useStale; k++ {
@@ -119,29 +151,8 @@
 		}
 	}
 	a.gather()
-	if a.refollow && (tick || !a.began) {
-		a.refollow = false
-		a.order(Follow{On: true})
-	}
-	if tick || !a.began {
-		a.order(Wake{After: tickEvery})
-	}
-	if a.began = true; tick {
-		for b, s := range a.be.status {
-			if s == Ready && a.d.Probes && len(a.d.Gauges) > 0 {
-				a.order(Probe{Backend: b})
-			}
-		}
-		a.judge()
-		a.setTotal()
-		a.setLevels()
-	}
-	if tick || a.urgent {
-		a.setSpill()
-		a.setPicks(tick)
-		a.reconcile(tick)
-	}
-	return a.orders
+	a.weigh()
+	return tick
 }
 
 func (a *Assigner) hearUse(e Used) {
@@ -192,29 +203,28 @@
 	}
 }
 
-// ramp is the part of its weight that a backend may have now.
-func (a *Assigner) ramp(b int) float64 {
+// rampNow is the part of its weight that a backend may have now.
+func (a *Assigner) rampNow(b int) float64 {
 	age := max(a.now-a.be.rampAt[b], 0)
 	sure := a.d.ColdCapacity + (1-a.d.ColdCapacity)*float64(age)/float64(max(a.d.Cold, 1))
 	return min(1, max(rampStart*math.Exp2(float64(min(age/rampTurn, 10))), sure))
 }
 
-// strength is what a backend counts for in tables: its listed weight, less while it is cold or hot.
-func (a *Assigner) strength(b int) float64 { return a.be.weight[b] * a.ramp(b) * a.be.relief[b] }
+// strengthNow is what a backend counts for in tables: its listed weight, less while it is cold or hot.
+func (a *Assigner) strengthNow(b int) float64 { return a.be.weight[b] * a.rampNow(b) * a.be.relief[b] }
 
-// open says whether products under the rule may go from a zone to a backend now.
-func (a *Assigner) open(rule Product, zone, b int) bool {
-	return a.be.status[b] == Ready && (!rule.OwnZone || zone == anyZone || a.be.zone[b] == zone) &&
-		(rule.OnlyZones == nil || slices.Contains(rule.OnlyZones, a.be.zone[b])) &&
+// opens says whether products under the rule may go from some zone to a backend now.
+func (a *Assigner) opens(rule Product, b int) bool {
+	return a.be.status[b] == Ready && (rule.OnlyZones == nil || slices.Contains(rule.OnlyZones, a.be.zone[b])) &&
 		(rule.OnlyKinds == nil || slices.Contains(rule.OnlyKinds, a.be.kind[b]))
 }
 
-// reach is the strength open to products under the rule, by zone and in all, and without relief.
-func (a *Assigner) reach(rule Product) (by []float64, all, able float64) {
+// reach is the strength open to a group, or to any for none, by zone and in all, and without relief.
+func (a *Assigner) reach(open []bool) (by []float64, all, able float64) {
 	by = make([]float64, a.d.Zones)
 	for b, y := range a.be.zone {
-		if a.open(rule, anyZone, b) {
-			by[y], all, able = by[y]+a.strength(b), all+a.strength(b), able+a.be.weight[b]*a.ramp(b)
+		if open[b] {
+			by[y], all, able = by[y]+a.strength[b], all+a.strength[b], able+a.be.weight[b]*a.ramp[b]
 		}
 	}
 	return by, all, able
@@ -253,7 +263,7 @@
 			allTook = append(allTook, took[b])
 			// What a probe says that it holds over what it is sent in a tick, or can do, is the time of its next
 			// txn: known sooner. Reports in answers come too often from busy moments.
-			sent := max(be.tries[b]*(1-newsKeep), a.pace*a.strength(b), 1e-9)
+			sent := max(be.tries[b]*(1-newsKeep), a.pace*a.strength[b], 1e-9)
 			allNext = append(allNext, max(took[b], be.held[b]/sent*float64(tickEvery)))
 		}
 	}
@@ -283,6 +293,7 @@
 		a.over = a.took > overSLA*sla || a.bad > overFails && (a.took == 0 || a.took > hotSLA*sla)
 		a.light = a.took > 0 && !a.over
 	}
+	a.weigh()
 }
 
 // setTotal bounds the total of all levels under overload and lets go of it afterwards.
@@ -299,7 +310,7 @@
 	}
 	// Backends that come or go change the total from outside, in step with their listed weight, and so do
 	// proxies that join elsewhere. Guards a controller that starts over: what its first few bring is no total.
-	if _, _, able := a.reach(Product{}); able > 0 && len(a.in) > 0 {
+	if _, _, able := a.reach(a.ready); able > 0 && len(a.in) > 0 {
 		able *= a.share()
 		if a.able > 0 {
 			a.total, a.knee, a.served = a.total*able/a.able, a.knee*able/a.able, a.served*able/a.able
@@ -409,7 +420,7 @@
 // setSpill works out which part of each group's txns leaves its zone. The design lets other zones join when
 // under half a zone is usable; here they join for what it is asked for over its part of the fleet's strength.
 func (a *Assigner) setSpill() {
-	room, all, _ := a.reach(Product{})
+	room, all, _ := a.reach(a.ready)
 	in, sum, demand := a.in, 0.0, make([][]float64, len(a.groups))
 	if all == 0 || len(in) == 0 {
 		return
@@ -434,7 +445,7 @@
 		room[z] *= sum / all
 	}
 	for g, group := range a.groups { // each is placed in the room that the zones have, and taken off it
-		can, canAll, _ := a.reach(group.rule)
+		can, canAll, _ := a.reach(group.open)
 		away, to, excess, free := make([]float64, a.d.Zones), make([]float64, a.d.Zones), 0.0, 0.0
 		for z, d := range demand[g] {
 			switch over := d - max(room[z], 0); {
@@ -474,25 +485,29 @@
 }
 
 // setPicks keeps for each proxy a steady part of each zone's backends, where lines to all would fill the
-// backends with connections. The least loaded is added, the most loaded dropped, one changed a tick.
+// backends with connections. The least loaded is added, the most loaded dropped, one changed a tick. Between
+// ticks only proxies that have nothing usable are given more, on top of the load that the tick left.
 func (a *Assigner) setPicks(tick bool) {
-	be, in, size, load := &a.be, a.in, 0.0, make([]float64, len(a.be.zone))
-	for b := range be.zone {
-		if a.open(Product{}, anyZone, b) {
-			size += connPart * a.d.ConnsLeast / float64(max(a.d.Proxies, 1))
-		}
+	be, who, size, homes := &a.be, a.in, 0.0, make([]float64, a.d.Zones)
+	if a.asked = append(a.asked, make([]float64, len(be.zone)-len(a.asked))...); tick {
+		clear(a.asked)
+	} else {
+		who = a.needy()
+	}
+	for _, ready := range a.ready {
+		size += either(ready, connPart*a.d.ConnsLeast/float64(max(a.d.Proxies, 1)), 0)
 	}
 	if size = max(size, picksLeast); a.d.ConnsLeast == 0 {
 		size = math.Inf(1)
 	}
-	for y := range a.d.Zones {
-		flow, need, home := make([]float64, len(in)), make([]float64, len(in)), 0.0
-		for i, p := range in {
+	for _, p := range a.in {
+		homes[p.zone] += float64(a.d.Zones) / float64(max(a.d.Proxies, 1))
+	}
+	load, flow, need := a.asked, make([]float64, len(who)), make([]float64, len(who))
+	for y, here := range a.byZone {
+		for i, p := range who {
+			flow[i], need[i] = 0, 0
 			p.picked = append(p.picked, make([]bool, len(be.zone)-len(p.picked))...)
-			for b := range p.picked {
-				p.picked[b] = p.picked[b] && p.may(b)
-			}
-			home += either(p.zone == y, float64(a.d.Zones)/float64(max(a.d.Proxies, 1)), 0)
 			for g, group := range a.groups {
 				r := a.spill[g][p.zone][y]
 				for _, k := range group.products {
@@ -503,26 +518,26 @@
 				}
 			}
 			strength := [2]float64{} // in use, and with what is still shut out: until then the first bears all
-			for b, on := range p.picked {
-				if on && be.zone[b] == y && be.status[b] == Ready {
-					strength[0] += either(be.out[b], 0, a.sure(b))
-					strength[1] += a.sure(b)
+			for _, b := range here {
+				if p.picked[b] = p.picked[b] && p.may(b); p.picked[b] && be.status[b] == Ready {
+					strength[0] += either(be.out[b], 0, a.sure[b])
+					strength[1] += a.sure[b]
 				}
 			}
-			for b, on := range p.picked {
-				if on && be.zone[b] == y {
+			for _, b := range here {
+				if p.picked[b] && (tick || !p.counted) {
 					load[b] += flow[i] / max(either(be.out[b], strength[1], strength[0]), 1e-9)
 				}
 			}
 		}
-		for i, p := range in {
+		for i, p := range who {
 			for swap := tick; need[i] > 0; {
 				most, least, has, strength := -1, -1, 0.0, 0.0
-				for b, on := range p.picked {
+				for _, b := range here {
 					switch {
-					case be.zone[b] != y || be.status[b] != Ready || !p.may(b):
-					case on:
-						if has, strength = has+a.ramp(b), strength+a.sure(b); most < 0 || load[b] > load[most] {
+					case be.status[b] != Ready || !p.may(b):
+					case p.picked[b]:
+						if has, strength = has+a.ramp[b], strength+a.sure[b]; most < 0 || load[b] > load[most] {
 							most = b
 						}
 					case least < 0 || load[b] < load[least]:
@@ -531,8 +546,8 @@
 				}
 				if least >= 0 && has < need[i] {
 					p.picked[least] = true
-					load[least] += flow[i] / max(strength, min(need[i], picksLeast)*a.sure(least))
-				} else if most >= 0 && (has-a.ramp(most) >= need[i] ||
+					load[least] += flow[i] / max(strength, min(need[i], picksLeast)*a.sure[least])
+				} else if most >= 0 && (has-a.ramp[most] >= need[i] ||
 					swap && least >= 0 && load[most] > pickSwap*load[least]+flow[i]/strength) {
 					p.picked[most], swap = false, false
 					load[most] -= flow[i] / strength
@@ -541,27 +556,33 @@
 				}
 			}
 		}
-		for b := range load { // as if the proxies that are joined elsewhere did the same
-			load[b] /= either(be.zone[b] == y, max(a.share(), min(home, 1), 1e-9), 1)
-		}
 	}
-	a.load = load
+	for _, p := range who {
+		p.counted = true
+	}
+	for b, l := range load { // as if the proxies that are joined elsewhere did the same
+		a.load[b] = l / max(a.share(), min(homes[be.zone[b]], 1), 1e-9)
+	}
 }
 
-// sure is its strength for the load of others: proxies shun what voids, and what is cold gets its part too.
-func (a *Assigner) sure(b int) float64 {
-	return a.strength(b) * either(a.ramp(b) < 1, 1, 1-a.bad)
+// sureNow is its strength for the load of others: proxies shun what voids, and what is cold gets its part too.
+func (a *Assigner) sureNow(b int) float64 {
+	return a.strengthNow(b) * either(a.rampNow(b) < 1, 1, 1-a.bad)
 }
 
-// plan is the table that a proxy should hold for a group: lines at home carry their listed weights.
+// plan is the table that a proxy should hold for a group: lines at home carry their listed weights. It holds until
+// the next one of the group.
 func (a *Assigner) plan(p *proxy, g int) tbl {
-	rule, be, row, can := a.groups[g].rule, &a.be, a.spill[g][p.zone], make([]float64, a.d.Zones)
-	t := tbl{weight: make([]float64, len(be.zone))}
+	group, be, row, can := &a.groups[g], &a.be, a.spill[g][p.zone], make([]float64, a.d.Zones)
+	t := tbl{weight: append(group.next.weight[:0], make([]float64, len(be.zone))...), gates: group.next.gates[:0]}
 	home, bare, inside, part := 1.0, true, false, noLevel
 	for b, y := range be.zone {
-		inside = inside || p.may(b) && a.open(rule, p.zone, b)
-		if p.picked[b] && row[y] > 0 && a.open(rule, p.zone, b) {
-			can[y], bare = can[y]+a.strength(b), false
+		if !group.open[b] || group.rule.OwnZone && y != p.zone {
+			continue
+		}
+		inside = inside || p.may(b)
+		if p.picked[b] && row[y] > 0 {
+			can[y], bare = can[y]+a.strength[b], false
 		}
 	}
 	if can[p.zone] > 0 {
@@ -569,26 +590,25 @@
 	}
 	for b, y := range be.zone {
 		switch {
-		case !a.open(rule, p.zone, b) || inside && !p.may(b):
+		case !group.open[b] || group.rule.OwnZone && y != p.zone || inside && !p.may(b):
 		case bare:
-			t.weight[b] = a.strength(b) // wherever it is: no proxy is left without a line, confined or not
+			t.weight[b] = a.strength[b] // wherever it is: no proxy is left without a line, confined or not
 		case p.picked[b] && row[y] > 0:
-			t.weight[b] = a.strength(b) / can[y] * row[y] * home
+			t.weight[b] = a.strength[b] / can[y] * row[y] * home
 		}
-	}
-	// While it has a cold line, it lets in what its lines can take of what all proxies here ask of them. Answers
-	// a zone or fleet that comes back at once: ramped weights alone do nothing where all lines are cold.
-	for b, w := range t.weight {
-		if w > 0 && a.load[b] > 0 && a.ramp(b) < 1 && a.pace > 0 {
+		// While it has a cold line, it lets in what its lines can take of what all proxies here ask of them. Answers
+		// a zone or fleet that comes back at once: ramped weights alone do nothing where all lines are cold.
+		if t.weight[b] > 0 && a.load[b] > 0 && a.ramp[b] < 1 && a.pace > 0 {
 			part = min(part, coldMost*a.d.ColdMultiple*a.pace/a.load[b])
 		}
 	}
 	// Further tries only after proof that the first never ran, which takes effect once for any product, and only
 	// while answers are quick: after any failure, or between full backends, they feed an overload.
 	tries := either(a.light && !p.still, TryUnrun, TryOnce)
-	for _, k := range a.groups[g].products {
+	for _, k := range group.products {
 		t.gates = append(t.gates, Gate{Level: a.levelOf(p, k, part), Tries: tries, Products: 1 << k})
 	}
+	group.next = t
 	return t
 }
 
@@ -648,7 +668,7 @@
 		d.orders, d.urgency = append(d.orders, o), min(d.urgency, urgency)
 	}
 	for g, group := range a.groups {
-		next, held, id, bare := a.plan(p, g), p.held[g], i*groups+g, true
+		next, held, id, bare := a.plan(p, g), &p.held[g], i*groups+g, true
 		if held.weight = append(held.weight, make([]float64, len(next.weight)-len(held.weight))...); !p.bound {
 			need(Clear{Table: id}, mustHave) // of an earlier stream's lines
 		}
@@ -658,7 +678,7 @@
 		cold := false
 		for b, w := range next.weight {
 			h, out, urgency := held.weight[b], a.be.out[b], mayWait
-			cold = cold || w > 0 && a.ramp(b) < 1
+			cold = cold || w > 0 && a.ramp[b] < 1
 			switch {
 			case w == h || w > 0 && h > 0 && math.Abs(w-h) < leastChange*h && !out,
 				out && a.be.status[b] != Ready && (a.be.status[b] != Gone || a.now < a.be.goneAt[b]+goneKeep):
@@ -668,7 +688,7 @@
 				d.settles++ // it is let back as its last line goes, so that nothing of it remains
 			case w > 0 && bare:
 				urgency = mustHave
-			case w < h && (out || a.ramp(b) < 1):
+			case w < h && (out || a.ramp[b] < 1):
 				urgency = mustEase
 			}
 			if need(Line{Table: id, Backend: b, Weight: w}, urgency); p.brings && h == 0 {
@@ -684,10 +704,15 @@
 			}
 			need(*w, either(cold && held.gates != nil && w.Level < held.gates[j].Level, mustEase, mayWait))
 		}
-		if d.next = append(d.next, next); !p.bound {
+		if !p.bound {
 			need(Use{Proxy: i, Table: id, Products: group.mask}, mustHave)
 		}
 	}
+	if d.urgency < nothing {
+		for _, group := range a.groups {
+			d.next = append(d.next, tbl{weight: slices.Clone(group.next.weight), gates: slices.Clone(group.next.gates)})
+		}
+	}
 	return d
 }
 
@@ -730,6 +755,9 @@
 		a.be.out[b] = out
 		a.order(Withdraw{Backend: b, Out: out})
 	}
+	for _, p := range to {
+		p.bare = a.isBare(p)
+	}
 	return true
 }
 
@@ -752,12 +780,13 @@
 		a.orders = append(a.orders, d.orders...)
 		a.charge(p, cost)
 		p.held, p.bound = d.next, true
+		p.bare = a.isBare(p)
 	}
 	return all
 }
 
-// reconcile emits what the proxies lack, the most urgent first.
-func (a *Assigner) reconcile(tick bool) {
+// drain works out which lines may still wait in the channel.
+func (a *Assigner) drain() float64 {
 	// Fences show what has left; a slowed channel keeps part of its pace. Answers a channel that was quiet for
 	// long: only what waits can have left, and each proxy answers for its own messages.
 	waits := 0.0
@@ -773,19 +802,25 @@
 	}
 	a.queue -= slowChan * a.d.LinesPerS * float64(a.now-a.queueAt) / float64(Second)
 	a.queue, a.queueAt = min(max(a.queue, 0), waits), a.now
-	before := a.queue
+	return a.queue
+}
+
+// withdraw shuts out what drains or is gone. Picks come after it: who has nothing usable is known then.
+func (a *Assigner) withdraw() {
 	a.urgent = false
-	var back []int
 	for b, s := range a.be.status {
-		if out := a.be.out[b]; s != Ready && !out && a.be.weight[b] > 0 && !a.shut(true, 1, b) {
+		if s != Ready && !a.be.out[b] && a.be.weight[b] > 0 && !a.shut(true, 1, b) {
 			a.urgent = true // with the next events
-		} else if s == Ready && out {
-			back = append(back, b)
 		}
 	}
+}
+
+// reconcile emits what the proxies lack, the most urgent first.
+func (a *Assigner) reconcile(tick bool) {
 	var urgent, rest []diff
 	for i := 0; i < len(a.px) && a.d.Slices == 0; i++ { // tables of slices belong to the store
-		if a.px[i].joined {
+		// Between ticks only what a proxy must have goes out, which those want that have nothing usable.
+		if a.px[i].joined && (tick || a.px[i].bare) {
 			if d := a.diff(i); d.urgency == mustHave || tick && d.urgency == mustEase {
 				urgent = append(urgent, d)
 			} else if tick && d.urgency < nothing {
@@ -796,11 +831,13 @@
 	// Backends come back in once all lines that are too heavy for them are out, and all of them together: those
 	// let in alone would get what their tables hold for the others.
 	if a.emit(urgent, roomUrgent) && tick {
+		var back []int
+		for b, out := range a.be.out {
+			if out && a.ready[b] {
+				back = append(back, b)
+			}
+		}
 		a.shut(false, roomUrgent, back...)
 	}
 	a.emit(rest, roomRest)
-	if a.queue > before {
-		a.batch++
-		a.order(Fence{Number: a.batch % fences})
-	}
 }
--- a/choice/state.go
+++ b/choice/state.go
@@ -15,6 +15,8 @@
 	mask     uint16
 	rule     Product
 	places   string
+	open     []bool // by backend: its products may go there from some zone, in this step
+	next     tbl    // of the proxy looked at
 }
 
 type tbl struct { // a table: weights by backend, gates by place in the group
@@ -39,6 +41,7 @@
 	leftAt             Time
 	held               []tbl     // by group: what was ordered
 	picked             []bool    // by backend: may have a line
+	counted, bare      bool      // what it asks is in Assigner.asked; it lacks a usable line in some group
 	sent               []message // within the counting span, or on their way
 
 	confined, still bool
@@ -79,7 +82,12 @@
 	in     []*proxy // that are joined
 	be     fleet
 	spill  [][][]float64 // by group, zone of the proxies, zone of the backends: part of their txns
-	load   []float64     // by backend: txns/s asked of it by proxies here for a unit of strength
+	load   []float64     // by backend: txns/s asked of it for a unit of strength, as if all proxies did as those here
+	asked  []float64     // ... by the proxies here alone, at the last tick and since
+
+	ramp, strength, sure []float64 // by backend, in this step
+	ready                []bool
+	byZone               [][]int // backends
 
 	total, knee   float64 // txns/s; total 0 is unbounded; the knee is what the backends are held to manage
 	served        float64 // txns/s answered, smoothed
@@ -195,8 +203,58 @@
 	a.queue += lines
 }
 
+// weigh works out once for a step what many proxies ask of each backend.
+func (a *Assigner) weigh() {
+	n := len(a.be.zone)
+	for len(a.ramp) < n {
+		a.ramp, a.strength, a.sure = append(a.ramp, 0), append(a.strength, 0), append(a.sure, 0)
+		a.ready, a.load = append(a.ready, false), append(a.load, 0)
+	}
+	for y := range a.byZone {
+		a.byZone[y] = a.byZone[y][:0]
+	}
+	for b, y := range a.be.zone {
+		a.ramp[b], a.strength[b], a.sure[b] = a.rampNow(b), a.strengthNow(b), a.sureNow(b)
+		a.ready[b], a.byZone[y] = a.be.status[b] == Ready, append(a.byZone[y], b)
+	}
+	for g := range a.groups {
+		group := &a.groups[g]
+		group.open = append(group.open, make([]bool, n-len(group.open))...)
+		for b := range group.open {
+			group.open[b] = a.opens(group.rule, b)
+		}
+	}
+}
+
+// isBare says whether a proxy holds no line in some group that is not shut out.
+func (a *Assigner) isBare(p *proxy) bool {
+	for _, t := range p.held {
+		usable := false
+		for b, w := range t.weight {
+			if usable = w > 0 && !a.be.out[b]; usable {
+				break
+			}
+		}
+		if !usable {
+			return true
+		}
+	}
+	return !p.bound
+}
+
+// needy are the joined proxies that lack a usable line.
+func (a *Assigner) needy() (who []*proxy) {
+	for _, p := range a.in {
+		if p.bare {
+			who = append(who, p)
+		}
+	}
+	return who
+}
+
 // gather lists the proxies that are joined.
 func (a *Assigner) gather() {
+	a.in = a.in[:0]
 	for i := range a.px {
 		if a.px[i].joined {
 			a.in = append(a.in, &a.px[i])
@@ -206,6 +264,7 @@
 
 // stayHome is where the groups' txns go at first: nowhere else.
 func (a *Assigner) stayHome() {
+	a.byZone = make([][]int, a.d.Zones)
 	for g := range a.groups {
 		a.spill = append(a.spill, make([][]float64, a.d.Zones))
 		for z := range a.d.Zones {
--- a/desk/carry.go
+++ b/desk/carry.go
@@ -12,11 +12,14 @@
 func (d *Desk) carry(orders []choice.Order) {
 	mark, all := none, false
 	var to []int
-	touch := func(concerned func(p *proxy) bool) {
-		for i := range d.proxies {
-			if p := &d.proxies[i]; p.stream != nil && !p.touched && concerned(p) {
-				p.touched, to = true, append(to, i)
-			}
+	touch := func(i int) {
+		if p := &d.proxies[i]; p.stream != nil && !p.touched {
+			p.touched, to = true, append(to, i)
+		}
+	}
+	touchUsers := func(table int) { // not every proxy: there are as many tables as proxies, or more
+		for _, i := range d.tables[table].users {
+			touch(i)
 		}
 	}
 	for _, o := range orders {
@@ -25,13 +28,13 @@
 			t := d.table(o.Table)
 			t.weight = append(t.weight, make([]float64, max(o.Backend+1-len(t.weight), 0))...)
 			t.weight[o.Backend], t.lines = o.Weight, append(t.lines, o.Backend)
-			touch(func(p *proxy) bool { return p.products(o.Table) > 0 })
+			touchUsers(o.Table)
 		case choice.Clear:
 			t := d.table(o.Table)
 			clear(t.weight)
 			clear(t.gated)
 			t.cleared, t.lines, t.changed = true, nil, 0
-			touch(func(p *proxy) bool { return p.products(o.Table) > 0 })
+			touchUsers(o.Table)
 		case choice.Gate:
 			t := d.table(o.Table)
 			for k := range d.products {
@@ -39,22 +42,28 @@
 					t.gates[k], t.gated[k], t.changed = o, true, t.changed|1<<k
 				}
 			}
-			touch(func(p *proxy) bool { return p.products(o.Table) > 0 })
+			touchUsers(o.Table)
 		case choice.Use:
 			p := &d.proxies[o.Proxy]
 			if p.stream == nil {
 				continue
 			}
 			d.table(o.Table)
+			d.unuse(o.Proxy)
 			for k := range p.tables {
 				if o.Products == 0 || o.Products>>k&1 > 0 {
 					p.tables[k], p.fresh = o.Table, p.fresh|1<<k
 				}
 			}
-			touch(func(q *proxy) bool { return q == p })
+			d.use(o.Proxy)
+			touch(o.Proxy)
 		case choice.Withdraw:
 			d.out[o.Backend], d.told = o.Out, append(d.told, o.Backend)
-			touch(func(p *proxy) bool { return d.holds(p, o.Backend) && p.toldOf(o.Backend) != shutFor(o.Out) })
+			for i := range d.proxies {
+				if p := &d.proxies[i]; p.stream != nil && p.toldOf(o.Backend) != shutFor(o.Out) && d.holds(p, o.Backend) {
+					touch(i)
+				}
+			}
 		case choice.Fence:
 			mark, all = o.Number, o.All
 		case choice.Wake:
@@ -73,18 +82,21 @@
 		}
 	}
 	if all {
-		touch(func(*proxy) bool { return true })
+		for i := range d.proxies {
+			touch(i)
+		}
 	}
 	for _, i := range to {
 		p := &d.proxies[i]
 		if parts := d.parts(p, mark); len(parts) > 0 {
-			p.stream.Send(edge.Append(nil, parts))
+			d.text = edge.Append(d.text[:0], parts)
+			p.stream.Send(d.text)
 		}
 		p.touched, p.fresh = false, 0
 	}
 	for _, t := range d.laid {
 		t := &d.tables[t]
-		t.lines, t.changed, t.cleared = t.lines[:0], 0, false
+		t.lines, t.changed, t.cleared, t.laid = t.lines[:0], 0, false, false
 	}
 	d.laid, d.told = d.laid[:0], d.told[:0]
 }
@@ -94,10 +106,35 @@
 	for len(d.tables) <= id {
 		d.tables = append(d.tables, table{gates: make([]choice.Gate, d.products), gated: make([]bool, d.products)})
 	}
-	d.laid = append(d.laid, id)
+	if t := &d.tables[id]; !t.laid {
+		t.laid, d.laid = true, append(d.laid, id)
+	}
 	return &d.tables[id]
 }
 
+// use notes a proxy, once, with each table that it is on, and unuse takes it off them: both before and after its
+// tables change.
+func (d *Desk) use(proxy int) {
+	for k, id := range d.proxies[proxy].tables {
+		if id != none && !slices.Contains(d.proxies[proxy].tables[:k], id) {
+			users := &d.tables[id].users
+			at, _ := slices.BinarySearch(*users, proxy)
+			*users = slices.Insert(*users, at, proxy)
+		}
+	}
+}
+
+func (d *Desk) unuse(proxy int) {
+	for k, id := range d.proxies[proxy].tables {
+		if id != none && !slices.Contains(d.proxies[proxy].tables[:k], id) {
+			users := &d.tables[id].users
+			if at, ok := slices.BinarySearch(*users, proxy); ok {
+				*users = slices.Delete(*users, at, at+1)
+			}
+		}
+	}
+}
+
 // products is the mask of those for which the proxy uses a table.
 func (p *proxy) products(table int) (mask uint32) {
 	for k, t := range p.tables {
@@ -173,6 +210,9 @@
 	unlaid := slices.Contains(p.tables, none) // it still goes by tables that it brought along
 	for b, name := range d.backends {
 		told, want := p.toldOf(b), shutFor(d.out[b])
+		if told == want && told == shutIn {
+			continue // as most are
+		}
 		if told == shutOut && !d.listed[b] && !d.holds(p, b) && d.changes(p, b) {
 			// Its last line goes with this message: what comes again finds nothing of it.
 			p.told[b], part.Back = shutIn, append(part.Back, name)
@@ -222,11 +262,16 @@
 	return parts
 }
 
-func (d *Desk) productNames(mask uint32) (names []string) {
-	for k, name := range d.names.Products {
-		if mask>>k&1 > 0 {
-			names = append(names, name)
+// productNames are those of a mask; it is asked for a few masks again and again.
+func (d *Desk) productNames(mask uint32) []string {
+	names, ok := d.masks[mask]
+	if !ok {
+		for k, name := range d.names.Products {
+			if mask>>k&1 > 0 {
+				names = append(names, name)
+			}
 		}
+		d.masks[mask] = names
 	}
 	return names
 }
--- a/desk/desk.go
+++ b/desk/desk.go
@@ -22,7 +22,7 @@
 // Stream is a connection to a proxy or a collector. None of its methods may wait.
 type Stream interface {
 	Since() uint64       // later ones were opened later
-	Send(message []byte) // whole, after those before it
+	Send(message []byte) // whole, after those before it; the bytes are the caller's again when it returns
 	Known(subject string)
 	Replaced() // ends it
 	Refused()  // ends it, too: it is nobody's
@@ -64,9 +64,11 @@
 	weight  []float64
 	gates   []choice.Gate // by product
 	gated   []bool
+	users   []int  // proxies that are on it, in their order
 	lines   []int  // changed in this step
 	changed uint32 // products whose gate did
 	cleared bool
+	laid    bool // it is among those that changed
 }
 
 type wake struct {
@@ -101,6 +103,9 @@
 	tables   []table
 	laid     []int // tables that changed in this step
 	told     []int // backends that it shut out or let back
+	text     []byte
+	masks    map[uint32][]string // names of products
+	gaveAt   choice.Time         // when places were last given back
 
 	goneBinds bool
 	cells     *cells.Cells   // nil: nobody is confined
@@ -117,7 +122,7 @@
 func New(d choice.Deployment, names deployment.Names, lists Lists, log *logrus.Entry) *Desk {
 	return &Desk{assigner: choice.New(d), products: len(d.Products), goneBinds: d.GoneBinds, names: names, lists: lists, log: log,
 		index: map[string]int{}, proxies: make([]proxy, d.Proxies), owners: map[Stream]int{},
-		sources: map[Stream]bool{}}
+		sources: map[Stream]bool{}, masks: map[uint32][]string{}}
 }
 
 // Run serves the queue until the program ends; what comes within a tick is one moment.
@@ -271,6 +276,7 @@
 }
 
 func (d *Desk) leave(at int) {
+	d.unuse(at)
 	d.proxies[at] = proxy{}
 	d.events = append(d.events, choice.Left{Proxy: at})
 }
@@ -371,8 +377,12 @@
 }
 
 // giveBack frees the places of backends that are gone for long and that no proxy has a line of: ids never come
-// to an end. What is heard of such a one later names nobody.
+// to an end. What is heard of such a one later names nobody. Once a second: it asks all proxies about each.
 func (d *Desk) giveBack() {
+	if d.now < d.gaveAt+choice.Second {
+		return
+	}
+	d.gaveAt = d.now
 	for at, id := range d.backends {
 		holds := func(p proxy) bool { return p.stream != nil && d.holds(&p, at) }
 		if id == "" || d.listed[at] || d.now < d.goneAt[at]+keepPlace || slices.ContainsFunc(d.proxies, holds) {
