What can wait does so before the channel; unanswered batches bound what is written

A probe logged for each batch what the module counts: 25,832 at that moment, and 33,086 lines that no fence answered for, which is what waited. The channel had kept 0.15 of its pace for 13 s. Ruled out: lines that are not charged (the unanswered sum agrees within 1%), streams that were replaced. Cause: drain (choice.go) takes slowChan, 0.3 of the pace, off the count whatever the fences say, so a slower channel is overfilled; and room gives urgent orders 0.8 of a limit that is 9 s of the pace at this size, so that what arrives is 5 to 30 s old. Change: batches that nobody answered take up 0.95 of the limit at most; what can wait shares two seconds of the pace.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -55,6 +55,8 @@
 	slowChan             = 0.3      // part of its pace that a slowed channel is held to keep
 	roomUrgent, roomRest = 0.8, 0.5 // part of the lines and messages allowed that urgent orders, others may use
 	roomHave             = 0.9      // ... and lines that a proxy needs
+	roomSure             = 0.95     // ... that lines without an answer take up at most
+	roomSpan             = 2.0      // seconds of the channel's pace that urgent and other orders share
 	fences               = 1 << 15  // numbers in turn; far more than are ever on the way
 )
 
@@ -716,15 +718,19 @@
 	return d
 }
 
-// room says whether the part of what is allowed has room for lines, and for another message to each proxy.
+// room says whether the part of what is allowed has room for lines, and for another message to each proxy. What can
+// wait does so here and not in the channel, where it grows old before it arrives: only what must not wait may
+// take more of the channel than a few seconds of its pace. Lines that no fence answers for may all wait still,
+// however long ago they were written.
 func (a *Assigner) room(part, lines float64, to ...*proxy) bool {
+	most := either(part > roomUrgent, a.d.LinesMost, min(a.d.LinesMost, roomSpan*a.d.LinesPerS))
 	for _, p := range to {
 		if a.d.MessagesMost > 0 && float64(len(p.sent)+1) > part*float64(a.d.MessagesMost) {
 			return false
 		}
 		lines += a.d.LinesHead + 1
 	}
-	return a.d.LinesMost == 0 || a.queue+lines <= part*a.d.LinesMost
+	return a.d.LinesMost == 0 || a.queue+lines <= part*most && a.waits+lines <= min((1+part)/2, roomSure)*most
 }
 
 // shut withdraws backends or lets them in again, all or none: one line for each proxy that has them, whatever
@@ -789,19 +795,19 @@
 func (a *Assigner) drain() float64 {
 	// Fences show what has left; a slowed channel keeps part of its pace. Answers a channel that was quiet for
 	// long: only what waits can have left, and each proxy answers for its own messages.
-	waits := 0.0
+	may := 0.0
+	a.waits = 0
 	for _, p := range a.in {
 		p.sent = slices.DeleteFunc(p.sent, func(m message) bool {
 			return a.now-m.at > a.d.MessagesOver+Second && (m.cost == 0 || m.batch <= a.passed)
 		})
 		for _, m := range p.sent {
-			if m.batch > a.passed {
-				waits += m.cost
-			}
+			may += either(m.batch > a.passed, m.cost, 0)
+			a.waits += either(m.batch > a.answered, m.cost, 0)
 		}
 	}
 	a.queue -= slowChan * a.d.LinesPerS * float64(a.now-a.queueAt) / float64(Second)
-	a.queue, a.queueAt = min(max(a.queue, 0), waits), a.now
+	a.queue, a.queueAt = min(max(a.queue, 0), may), a.now
 	return a.queue
 }
 
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -486,3 +486,51 @@
 		t.Errorf("with slices: %v", orders)
 	}
 }
+
+// A channel that is slowed far below what one is held to keep: what was written is counted until it is answered for,
+// so that the limit holds, and what can wait is held back while it is still worth something.
+func TestSlowedChannel(t *testing.T) {
+	d := deployment()
+	d.Proxies, d.LinesPerS, d.LinesMost, d.MessagesMost = 60, 200, 2000, 0
+	r := newRig(t, d)
+	events := []Event{Listed{Kind: ListCached, Entries: []Entry{ready(0, 0), ready(1, 0), ready(2, 1), ready(3, 1)}}}
+	for p := range d.Proxies {
+		events = append(events, Joined{Proxy: p, Zone: p % 2, Rate: 5})
+	}
+	type written struct {
+		batch int
+		lines float64
+	}
+	var channel []written
+	waiting, most, counted := 0.0, 0.0, 0
+	for i := range 120 {
+		for left := 0.05 * d.LinesPerS; len(channel) > 0 && left > 0; { // a twentieth of its pace
+			now := min(left, channel[0].lines)
+			channel[0].lines, left, waiting = channel[0].lines-now, left-now, waiting-now
+			if channel[0].lines == 0 {
+				events, channel = append(events, Fenced{Proxy: i % d.Proxies, Number: channel[0].batch}), channel[1:]
+			}
+		}
+		b := i % 4
+		events = append(events, Listed{Entries: []Entry{{Backend: b, Zone: b / 2, Status: Draining, Weight: 1}}},
+			Listed{Entries: []Entry{{Backend: b, Zone: b / 2, Status: Ready, Weight: 1 + float64(i%3), Up: r.now}}})
+		r.now += Second
+		r.step(append(events, Woken{})...)
+		events = nil
+		if r.a.batch == counted {
+			continue
+		}
+		counted = r.a.batch
+		lines := 0.0
+		for _, p := range r.a.in {
+			if n := len(p.sent); n > 0 && p.sent[n-1].batch == counted {
+				lines += p.sent[n-1].cost
+			}
+		}
+		channel, waiting = append(channel, written{counted, lines}), waiting+lines
+		most = max(most, waiting)
+	}
+	if most > d.LinesMost || most < d.LinesMost/4 {
+		t.Errorf("%v lines waited where %v may", most, d.LinesMost)
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -98,9 +98,10 @@
 	cutAt, riseAt Time
 	took, bad     float64 // median time of answers, and share voided at the median backend
 
-	queue         float64 // lines that may wait in the channel
+	queue, waits  float64 // lines that may wait in the channel; of batches that nobody answered
 	queueAt       Time
 	batch, passed int // messages written together; all of those up to here have left the channel
+	answered      int // the last batch that somebody answered
 	orders        []Order
 }
 
@@ -186,7 +187,7 @@
 
 // hearFence takes that a batch has reached the proxy; messages leave in order.
 func (a *Assigner) hearFence(p *proxy, batch int) {
-	a.passed = max(a.passed, batch-1)
+	a.passed, a.answered = max(a.passed, batch-1), max(a.answered, batch)
 	for i := range p.sent {
 		if p.sent[i].batch <= batch {
 			p.sent[i].cost = 0
@@ -200,7 +201,7 @@
 		p.sent, lines = append(p.sent, message{at: a.now, batch: a.batch + 1}), lines+a.d.LinesHead+1
 	}
 	p.sent[len(p.sent)-1].cost += lines
-	a.queue += lines
+	a.queue, a.waits = a.queue+lines, a.waits+lines
 }
 
 // weigh works out once for a step what many proxies ask of each backend.
