Lists reach the desk by a way of their own, in front of reports that wait

Need: reports come faster than a step takes them when one controller owns the fleet, and a drain stood behind up to 4,096 of them and a turn of every reader that waited (desk.Run). Change: lists have a channel of their own, emptied before each step; a moment takes no more of the queue than was there at its end.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -27,6 +27,7 @@
 
 const (
 	queueLength = 4096
+	listsLength = 64
 	heapPart    = 0.7 // of the memory allowed, that the collector of garbage aims to stay under
 )
 
@@ -108,8 +109,8 @@
 func (c *controller) open() error {
 	sheet, log := c.sheet, c.log
 	allow(sheet)
-	queue := make(chan desk.News, queueLength)
-	c.queue, c.lists = queue, &sources{queue: queue, log: log}
+	queue, lists := make(chan desk.News, queueLength), make(chan desk.News, listsLength)
+	c.queue, c.lists = queue, &sources{queue: lists, log: log}
 	held := sheet.Known
 	if c.file.Store != nil || c.file.Peers != nil {
 		memory, err := c.parts.Memory(c.file, sheet.Name, log)
@@ -131,7 +132,7 @@
 	d := desk.New(sheet.Deployment, sheet.Names, c.lists, log)
 	d.Known(held)
 	d.Step(clock())
-	go d.Run(queue, sheet.Tick, clock)
+	go d.Run(queue, lists, sheet.Tick, clock)
 
 	hear := func(from *stream.Conn, said any) { queue <- desk.News{From: from, Said: said} }
 	ln, err := stream.Listen(sheet.Listen, sheet.MemoryMB<<20, sheet.Sockets, hear, log)
--- a/desk/desk.go
+++ b/desk/desk.go
@@ -125,34 +125,47 @@
 		sources: map[Stream]bool{}, masks: map[uint32][]string{}}
 }
 
-// Run serves the queue until the program ends; what comes within a tick is one moment.
-func (d *Desk) Run(queue <-chan News, tick time.Duration, clock func() choice.Time) {
-	idle, gather := time.NewTimer(0), time.NewTimer(0)
+// Run serves the queue until the program ends; what comes within a tick is one moment. Lists come by a way of their
+// own, so that a drain never waits behind reports that are more than a step can take.
+func (d *Desk) Run(queue, lists <-chan News, tick time.Duration, clock func() choice.Time) {
+	idle, over := time.NewTimer(0), time.NewTimer(0)
 	for {
 		select {
 		case n := <-queue:
 			d.Hear(n)
+		case n := <-lists:
+			d.Hear(n)
 		case <-idle.C:
 		}
-		gather.Reset(tick)
-		for gathering := true; gathering; {
-			select {
-			case n := <-queue:
-				d.Hear(n)
-			case <-gather.C:
-				gathering = false
-			}
-		}
-		// What came while this process had no turn belongs to the same moment: split up, each part would cost
-		// the proxies a message.
-		for n := len(queue); n > 0; n-- {
-			d.Hear(<-queue)
-		}
+		over.Reset(tick)
+		d.gather(queue, lists, over.C)
 		d.Step(clock())
 		idle.Reset(d.until(clock()))
 	}
 }
 
+// gather takes what comes until the moment is over.
+func (d *Desk) gather(queue, lists <-chan News, over <-chan time.Time) {
+	for gathering := true; gathering; {
+		select {
+		case n := <-queue:
+			d.Hear(n)
+		case n := <-lists:
+			d.Hear(n)
+		case <-over:
+			gathering = false
+		}
+	}
+	// What came while this process had no turn belongs to the same moment: split up, each part would cost the
+	// proxies a message. No more than that: reports that come faster than they are taken wait at their senders.
+	for n := len(queue); n > 0; n-- {
+		d.Hear(<-queue)
+	}
+	for n := len(lists); n > 0; n-- {
+		d.Hear(<-lists)
+	}
+}
+
 // until is how long nothing is due.
 func (d *Desk) until(now choice.Time) time.Duration {
 	next := now + 60*choice.Second
--- a/desk/desk_test.go
+++ b/desk/desk_test.go
@@ -247,7 +247,7 @@
 		queue <- News{&told{line{since: uint64(i)}, messages}, edge.Joined{Proxy: i, Zone: "a", Rate: 1, Fresh: true}}
 	}
 	now := 1000 * choice.Second
-	go d.Run(queue, time.Nanosecond, func() choice.Time { return now })
+	go d.Run(queue, nil, time.Nanosecond, func() choice.Time { return now })
 	for range 4 {
 		if m := <-messages; !strings.HasSuffix(m, " ticket=1\r\n") || !strings.Contains(m, "lines=s-0:1,s-1:1") {
 			t.Errorf("first message %q", m)
--- /dev/null
+++ b/desk/many_test.go
@@ -0,0 +1,165 @@
+package desk
+
+import (
+	"fmt"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"elmfold/choice"
+	"elmfold/edge"
+	"elmfold/roster"
+)
+
+// Reports come faster than a step takes them: what is taken in a moment is bounded, the rest waits at its senders, and
+// a drain that is there before the moment ends is in its step, behind however many reports.
+func TestManyCase6Reports(t *testing.T) {
+	d, queue, lists, over := newDesk(4), make(chan News, 8), make(chan News, 4), make(chan time.Time, 1)
+	d.Known(list(true, serving("s-0"), serving("s-1")))
+	stream := &line{since: 1}
+	d.Hear(News{stream, edge.Joined{Proxy: 0, Zone: "a", Rate: 1, Fresh: true}})
+	d.Step(1000 * choice.Second)
+	const reports = 5000
+	sent, stop := make(chan int, 1), make(chan bool)
+	go func() {
+		n := 0
+		for ; n < reports; n++ {
+			select {
+			case queue <- News{stream, edge.Used{Proxy: 0, Product: "look", Txns: 1, Counting: choice.Second}}:
+			case <-stop:
+				sent <- n
+				return
+			}
+		}
+		sent <- n
+	}()
+	for len(queue) < cap(queue) {
+		runtime.Gosched()
+	}
+	drain := serving("s-0")
+	drain.Phase = roster.Draining
+	lists <- News{Said: list(false, drain)}
+	over <- time.Time{}
+	d.gather(queue, lists, over)
+	close(stop)
+	taken := len(d.events)
+	stream.take()
+	d.Step(1001 * choice.Second)
+	if text := fmt.Sprint(stream.take()); !strings.Contains(text, "out=s-0") {
+		t.Errorf("the drain is not told in its step: %s", text)
+	}
+	// Until the select meets the end of the moment it takes one piece after the other; then only what had come.
+	if n := <-sent; n > taken+cap(queue)+1 {
+		t.Errorf("%d reports were taken off their senders, %d are in the step", n, taken)
+	}
+}
+
+// bigFleet is a desk at full size, its streams and what each second brings.
+type bigFleet struct {
+	d       *Desk
+	streams []*line
+	now     choice.Time
+	made    int // backends so far
+	here    []roster.Member
+}
+
+func newBigFleet(proxies, backends int) *bigFleet {
+	f := &bigFleet{d: newDesk(proxies), now: 1000 * choice.Second, streams: make([]*line, proxies)}
+	for range backends {
+		f.here = append(f.here, f.backend())
+	}
+	f.d.Known(list(true, f.here...))
+	return f
+}
+
+func (f *bigFleet) backend() roster.Member {
+	m := serving(fmt.Sprint("s-", f.made))
+	m.Zone = names.Zones[f.made%2]
+	f.made++
+	return m
+}
+
+func (f *bigFleet) join(from, to int, since uint64) {
+	for i := from; i < to; i++ {
+		if f.streams[i] != nil {
+			f.d.Hear(News{f.streams[i], edge.Ended{}})
+		}
+		f.streams[i] = &line{since: since}
+		f.d.Hear(News{f.streams[i], edge.Joined{Proxy: i, Zone: names.Zones[i%2], Rate: 5}})
+	}
+}
+
+// second lets all proxies report and answer, and the module tick.
+func (f *bigFleet) second() {
+	for i, s := range f.streams {
+		if s == nil {
+			continue
+		}
+		for _, k := range names.Products {
+			f.d.Hear(News{s, edge.Used{Proxy: i, Product: k, Txns: float64(i % 7), Counting: choice.Second}})
+		}
+		for _, m := range f.d.proxies[i].marks {
+			f.d.Hear(News{s, edge.Fenced{Proxy: i, Number: m}})
+		}
+		s.sent = nil
+	}
+	f.now += choice.Second
+	f.d.Step(f.now)
+}
+
+// A controller that owned a fifth of the fleet owns all of it a second later: what it keeps stays within half of the
+// memory that the smallest such controller has, sockets and all, and falls again when they leave.
+func TestTrialCase6OwnsAll(t *testing.T) {
+	const proxies, backends = 2400, 200
+	f := newBigFleet(proxies, backends)
+	f.join(0, proxies/5, 1)
+	for range 3 {
+		f.second()
+	}
+	f.join(proxies/5, proxies, 2)
+	for range 3 {
+		f.second()
+	}
+	if n := len(f.d.owners); n != proxies {
+		t.Fatalf("%d joined", n)
+	}
+	// A connection costs about 20 kB beside this: its goroutines, buffers and descriptors.
+	if all := live(); all > 48<<20 {
+		t.Errorf("%d MB live with all proxies joined", all>>20)
+	}
+	runtime.KeepAlive(f)
+}
+
+// Ten days of churn in a row, each with a release of six in ten backends and all proxies joining anew twice: live
+// heap and the count of what is kept stay level.
+func TestManyCase8TenDays(t *testing.T) {
+	const proxies, backends = 60, 40
+	f := newBigFleet(proxies, backends)
+	var heap []uint64
+	var kept []int
+	for day := range 10 {
+		for turn := range 2 {
+			f.join(0, proxies, uint64(2*day+turn+1))
+			f.second()
+		}
+		for i := range f.here {
+			if i%5 < 3 {
+				gone := f.here[i]
+				gone.Phase = roster.Deleted
+				f.here[i] = f.backend()
+				f.d.Hear(News{Said: list(false, gone, f.here[i])})
+				f.second()
+			}
+		}
+		for range 70 { // until what is gone has given its place back
+			f.second()
+		}
+		heap = append(heap, live())
+		kept = append(kept, len(f.d.backends)+len(f.d.index)+len(f.d.owners)+len(f.d.tables)+len(f.d.wakes))
+	}
+	runtime.KeepAlive(f)
+	if heap[9] > heap[2]+heap[2]/20+64<<10 || kept[9] > kept[2] {
+		t.Errorf("live heap by days %v, what is kept %v", heap, kept)
+	}
+}
--- a/stream/stream_test.go
+++ b/stream/stream_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"fmt"
 	"io"
 	"net"
 	"reflect"
@@ -275,3 +276,39 @@
 		t.Errorf("log %q", s)
 	}
 }
+
+// Descriptors run short while the proxies of lost controllers join: strangers make room for each of them, and none
+// that joined before is ended.
+func TestManyCase2Descriptors(t *testing.T) {
+	const most, before, come = 60, 30, 25
+	h := open(t, func(l *Listener) { l.most.Store(most) })
+	var proxies []net.Conn
+	join := func(i int) {
+		proxies = append(proxies, h.dial(t, fmt.Sprintf("SUBSCRIBE node=%d locality=a w=1 cold=0\r\n", i)))
+		if j, ok := (<-h.heard).said.(edge.Joined); !ok || j.Proxy != i {
+			t.Fatalf("proxy %d did not join: %+v", i, j)
+		}
+	}
+	for i := range before {
+		join(i)
+	}
+	for range come {
+		for range 8 {
+			h.dial(t, "SUBSCR")
+		}
+		join(len(proxies))
+	}
+	for i, c := range proxies {
+		_, _ = io.WriteString(c, "PING\r\n")
+		pinged(t, c)
+		if i >= before+come {
+			t.Fatal("more proxies than came")
+		}
+	}
+	if n := h.count(); n > most {
+		t.Errorf("%d connections are held where %d may", n, most)
+	}
+	if s := h.logged(); strings.Contains(s, "of=") || strings.Contains(s, "SUBSCRIBE") {
+		t.Errorf("a proxy was ended: %s", s)
+	}
+}
