Recovery: what the decisions have learnt outlives a crash, weighed by its age

Need: a controller that starts again knows the list, and learns slow backends anew at the clients' cost; in a mass restart all do. Change: the desk hands a keeper an eighth of what the decisions know each second (use, relief, total, knee, pace; the last three for a unit of weight, so that they hold for other proxies), the store and the peers take them, a start hands what recall/ believes to the decisions, which weigh it by age (choice.recall). Off without a store or peers. Found by its test: facts without a key were taken for the mark of when the list was last seen, and dropped.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -52,6 +52,7 @@
 	deadFails           = 0.6         // voided over the median's from which one that the list dropped is gone
 	easeBy, easeLeast   = 0.8, 0.3    // a step of relief, down to this
 	easeEvery           = 3 * Second  // ... once in so long: what is heard now was done before the last step
+	sureHalf            = 0.5         // part that is believed of earlier knowledge, from which relief is taken whole
 	easeMost            = 3.0         // ... so many at once, of what is seldom heard of
 	returnMost          = 10.0        // seconds of returning at once, as well
 	goneKeep            = 30 * Second // that what is gone keeps its lines: it may come again
@@ -152,6 +153,8 @@
 			}
 		case Used:
 			a.hearUse(e)
+		case Recalled:
+			a.recall(e)
 		case Fenced:
 			a.hearFence(a.proxy(e.Proxy), a.batch-(a.batch-e.Number)%fences)
 		case Woken:
@@ -178,6 +181,23 @@
 	p.voided[k] = p.voided[k]*keep + e.Voided/s*(1-keep)
 }
 
+// recall takes what was known before for what it is worth at its age: use as long as a stream that breaks is
+// remembered, a total while time-outs of its time may still be heard of, relief in part once half is doubted: one that
+// is wrong goes by itself. Of pace all, it is the best there was.
+func (a *Assigner) recall(e Recalled) {
+	was := a.now - e.Age
+	switch {
+	case e.What == FigureUse && e.Age < useStale:
+		if p := a.proxy(e.Proxy); e.Product < len(p.use) && !p.told[e.Product] {
+			p.use[e.Product], p.newsAt[e.Product], p.leftAt = e.Value, was, max(p.leftAt, was)
+		}
+	case e.What == FigureRelief && e.Backend < len(a.be.zone) && a.be.heardAt[e.Backend] == never:
+		a.be.relief[e.Backend] = max(easeLeast, 1-min(e.Part/sureHalf, 1)*(1-min(e.Value, 1)))
+	case e.What == FigureTotal && e.Age < cutAgain, e.What == FigureKnee, e.What == FigurePace:
+		a.back[e.What], a.backAt = e.Value, was
+	}
+}
+
 func (a *Assigner) hearList(e Listed) {
 	be := &a.be
 	if e.Kind == ListFailed {
@@ -228,34 +248,6 @@
 		(rule.OnlyKinds == nil || slices.Contains(rule.OnlyKinds, a.be.kind[b]))
 }
 
-// reach is the strength open to a group, or to any for none, by zone and in all, and without relief.
-func (a *Assigner) reach(open []bool) (by []float64, all, able float64) {
-	by = make([]float64, a.d.Zones)
-	for b, y := range a.be.zone {
-		if open[b] {
-			by[y], all, able = by[y]+a.strength[b], all+a.strength[b], able+a.be.weight[b]*a.ramp[b]
-		}
-	}
-	return by, all, able
-}
-
-func (a *Assigner) admitted(p *proxy, k int) float64 {
-	if a.total > 0 && !a.free[k] {
-		return min(p.use[k], p.level[k])
-	}
-	return p.use[k]
-}
-
-// sla is the SLA time of the mean txn that comes.
-func (a *Assigner) sla() float64 {
-	sum, n := 0.0, 1e-9
-	for k, pr := range a.d.Products {
-		d := a.demand(k) + 1e-9
-		sum, n = sum+d*float64(pr.SLA), n+d
-	}
-	return max(sum/n, 1)
-}
-
 // judge looks at what was heard since the last tick: who is hot, and whether all are.
 func (a *Assigner) judge() {
 	be, sla, news := &a.be, a.sla(), false
@@ -327,10 +319,13 @@
 		able *= a.share()
 		if a.able > 0 {
 			a.total, a.knee, a.served = a.total*able/a.able, a.knee*able/a.able, a.served*able/a.able
+		} else if a.back[FigureTotal] > 0 {
+			a.total, a.knee = a.back[FigureTotal]*able, max(a.back[FigureTotal], a.back[FigureKnee])*able
+			a.cutAt, a.riseAt = a.backAt, a.now
 		}
 		// While most are not heard of yet, what they are said to get is all there is: neither goes on from it.
 		if a.able = able; 2*heard < len(a.in) {
-			a.served, a.pace = served, served/able
+			a.served, a.pace = served, cmp.Or(a.back[FigurePace], served/able)
 		}
 		a.served = cmp.Or(a.served, served)
 		a.served += (served - a.served) / smooth
@@ -647,20 +642,6 @@
 	return t
 }
 
-// capFor is the cap on the txns of a second that lets in want of them, where use come by chance (Poisson).
-func capFor(want, use float64) float64 {
-	if use > 50 {
-		return want // chance is small beside that
-	}
-	chance, more, in := math.Exp(-use), 1.0, 0.0
-	for n := 0.0; ; n++ {
-		if more -= chance; in+more >= want || more < 1e-3 {
-			return n + (want-in)/max(more, 1e-3)
-		}
-		in, chance = in+more, chance*use/(n+1)
-	}
-}
-
 // levelOf is the level to order; none while levels cover what is asked for. A proxy that has not reported yet
 // starts with what it is said to get, by chance: after a restart callers may be asking again and again.
 func (a *Assigner) levelOf(p *proxy, k int, part float64) float64 {
--- a/choice/iface.go
+++ b/choice/iface.go
@@ -219,5 +219,29 @@
 // Reload asks for the whole list once.
 type Reload struct{}
 
+// Recalled is a figure of an earlier life of this controller, or of another one: what it was, how long ago, and how
+// far it is to be believed, from 0 to 1. What has been heard of at first hand meanwhile holds against it.
+type Recalled struct {
+	What           Figure
+	Backend        int
+	Proxy, Product int
+	Value          float64
+	Age            Time
+	Part           float64
+}
+
+// Figure is what a Recalled is about.
+type Figure uint8
+
+// Figures. The last three are txns/s for a unit of the listed weight that is ready, so that they hold for a
+// controller that is joined by other proxies.
+const (
+	FigureUse    Figure = iota // txns/s of a product that come to a proxy
+	FigureRelief               // part of its weight that a backend keeps
+	FigureTotal                // 0: unbounded
+	FigureKnee
+	FigurePace // the most served
+)
+
 // Log is a line for people.
 type Log struct{ Text string }
--- a/choice/many_test.go
+++ b/choice/many_test.go
@@ -266,3 +266,36 @@
 		t.Errorf("%v of its txns go to cold backends", part)
 	}
 }
+
+// What is recalled counts for what it is worth at its age, and not against what was heard at first hand.
+func TestRecalledByAge(t *testing.T) {
+	begin := func(known ...Event) *rig {
+		r := newRig(t, deployment())
+		r.step(append([]Event{Listed{Kind: ListCached, Entries: []Entry{ready(0, 0), ready(1, 0), ready(2, 1), ready(3, 1)}}}, known...)...)
+		r.step(Joined{Proxy: 0, Zone: 0, Rate: 90, Brings: true})
+		return r
+	}
+	r := begin(Recalled{What: FigureUse, Proxy: 0, Product: 1, Value: 7, Age: Second, Part: 1}, Recalled{What: FigureUse, Proxy: 0, Product: 9, Value: 7})
+	if u := r.a.px[0].use; u[1] != 7 || u[0] != 0 {
+		t.Errorf("use of a second ago: %v", u)
+	}
+	if u := begin(Recalled{What: FigureUse, Proxy: 0, Product: 1, Value: 7, Age: 2 * useStale, Part: 1}).a.px[0].use; u[1] != 30 {
+		t.Errorf("use of long ago holds against what the proxy is said to get: %v", u)
+	}
+	for part, want := range map[float64]float64{1: 0.4, sureHalf: 0.4, sureHalf / 2: 0.7, 0: 1} {
+		r := begin(Recalled{What: FigureRelief, Backend: 2, Value: 0.4, Part: part}, Recalled{What: FigureRelief, Backend: 77, Value: 0.4, Part: 1})
+		if got := r.a.be.relief[2]; math.Abs(got-want) > 1e-9 {
+			t.Errorf("relief %v at part %v, want %v", got, part, want)
+		}
+	}
+	// A total holds from the first tick, for as many as have joined; an old one does not come back.
+	for age, bounded := range map[Time]bool{2 * Second: true, 30 * Second: false} {
+		r := begin(Recalled{What: FigureTotal, Value: 10, Age: age, Part: 1}, Recalled{What: FigurePace, Value: 12, Age: age, Part: 1})
+		r.second()
+		each := r.a.total / r.a.able
+		r.second(Joined{Proxy: 1, Zone: 1, Rate: 90}, Joined{Proxy: 2, Zone: 0, Rate: 90}, Joined{Proxy: 3, Zone: 1, Rate: 90})
+		if (r.a.total > 0) != bounded || bounded && (math.Abs(each-10) > 1 || math.Abs(r.a.total/r.a.able-10) > 2) || r.a.pace != 12 {
+			t.Errorf("total of %v ago: %v for a unit of weight, then %v, pace %v", age, each, r.a.total/r.a.able, r.a.pace)
+		}
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -100,8 +100,10 @@
 	reset         bool    // levels go back to equal shares
 	free          []bool  // by product: the levels cover what is asked for
 	cutAt, riseAt Time
-	span          float64 // seconds that a report of use stands for, the mean of the last tick with any
-	spans, spanIn float64 // their sum since, and their number
+	span          float64                 // seconds that a report of use stands for, the mean of the last tick with any
+	spans, spanIn float64                 // their sum since, and their number
+	back          [FigurePace + 1]float64 // what was recalled, by Figure
+	backAt        Time
 	took, bad     float64 // median time of answers, and share voided at the median backend
 
 	queue, waits  float64 // lines that may wait in the channel; of batches that nobody answered
@@ -224,6 +226,29 @@
 	a.queue, a.waits = a.queue+lines, a.waits+lines
 }
 
+// Recollect is what is worth recalling after a crash, or to another controller: use that was reported and reliefs,
+// then the total, the knee and the pace. Of proxies and backends a turn gives each nth.
+func (a *Assigner) Recollect(turn, of int) (all []Recalled) {
+	for i := turn; i < len(a.px); i += of {
+		for k, told := range a.px[i].told {
+			if p := &a.px[i]; told && p.joined {
+				all = append(all, Recalled{What: FigureUse, Proxy: i, Product: k, Value: p.use[k], Age: a.now - p.newsAt[k], Part: 1})
+			}
+		}
+	}
+	for b := turn; b < len(a.be.zone); b += of {
+		if a.be.status[b] == Ready {
+			all = append(all, Recalled{What: FigureRelief, Backend: b, Value: a.be.relief[b], Part: 1})
+		}
+	}
+	if a.able > 0 && a.pace > 0 && (a.took > 0 || a.bad > 0) { // else nothing was heard that they stand on
+		for i, v := range [...]float64{a.total, a.knee, a.pace * a.able} {
+			all = append(all, Recalled{What: FigureTotal + Figure(i), Value: v / a.able, Part: 1})
+		}
+	}
+	return all
+}
+
 // weigh works out once for a step what many proxies ask of each backend.
 func (a *Assigner) weigh() {
 	n := len(a.be.zone)
@@ -310,6 +335,49 @@
 	return d
 }
 
+// reach is the strength open to a group, or to any for none, by zone and in all, and without relief.
+func (a *Assigner) reach(open []bool) (by []float64, all, able float64) {
+	by = make([]float64, a.d.Zones)
+	for b, y := range a.be.zone {
+		if open[b] {
+			by[y], all, able = by[y]+a.strength[b], all+a.strength[b], able+a.be.weight[b]*a.ramp[b]
+		}
+	}
+	return by, all, able
+}
+
+// admitted is what a proxy lets in of a product.
+func (a *Assigner) admitted(p *proxy, k int) float64 {
+	if a.total > 0 && !a.free[k] {
+		return min(p.use[k], p.level[k])
+	}
+	return p.use[k]
+}
+
+// sla is the SLA time of the mean txn that comes.
+func (a *Assigner) sla() float64 {
+	sum, n := 0.0, 1e-9
+	for k, pr := range a.d.Products {
+		d := a.demand(k) + 1e-9
+		sum, n = sum+d*float64(pr.SLA), n+d
+	}
+	return max(sum/n, 1)
+}
+
+// capFor is the cap on the txns of a second that lets in want of them, where use come by chance (Poisson).
+func capFor(want, use float64) float64 {
+	if use > 50 {
+		return want // chance is small beside that
+	}
+	chance, more, in := math.Exp(-use), 1.0, 0.0
+	for n := 0.0; ; n++ {
+		if more -= chance; in+more >= want || more < 1e-3 {
+			return n + (want-in)/max(more, 1e-3)
+		}
+		in, chance = in+more, chance*use/(n+1)
+	}
+}
+
 func median(v []float64) float64 {
 	if len(v) == 0 {
 		return 0
--- /dev/null
+++ b/cmd/lab/kept.go
@@ -0,0 +1,103 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"elmfold/choice"
+	"elmfold/recall"
+	"elmfold/store"
+)
+
+const (
+	keptProxies, keptBackends, keptTicks = 5000, 500, 60
+	keptMost                             = 1.25 // times the step without
+)
+
+func keptCommand() *cobra.Command {
+	var w where
+	c := &cobra.Command{Use: "step-kept", Short: "what keeping facts costs a step of the desk at 5,000 proxies, and bytes written a second",
+		Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error { return playKept(w) }}
+	w.flags(c)
+	return c
+}
+
+func playKept(w where) error {
+	dir, err := os.MkdirTemp("", "kept")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	path := filepath.Join(dir, "state")
+	s, _, err := store.Open(path, "lab", 0, silent())
+	if err != nil {
+		return err
+	}
+	bytes, facts := 0, 0
+	keep := func(all []recall.Fact) {
+		records := make([]store.Record, 0, len(all))
+		for _, f := range all {
+			records = append(records, store.Record{Kind: f.Kind, Key: f.Key, Value: f.Value, At: time.Now().Add(-f.Age).UnixMilli()})
+		}
+		s.Put(records...)
+		facts += len(records)
+	}
+	// Both fleets take turns in one run, so that whatever else the machine does meets both.
+	without, with := newFleet(keptProxies, keptBackends), newFleet(keptProxies, keptBackends)
+	with.d.KeepWith(keep)
+	var plain, kept []float64
+	for _, f := range []*fleetOf{without, with} {
+		f.join(0, keptProxies)
+		f.measure("", 40)
+	}
+	for range keptTicks {
+		for _, f := range []*fleetOf{without, with} {
+			f.reports()
+			m := f.measure("", choice.Second)
+			if f == with {
+				kept = append(kept, m.Millis)
+			} else {
+				plain = append(plain, m.Millis)
+			}
+		}
+	}
+	if err := s.Flush(); err != nil {
+		return err
+	}
+	if info, err := os.Stat(path); err == nil {
+		bytes = int(info.Size())
+	}
+	_, all, err := storeLook(path, s)
+	if err != nil {
+		return err
+	}
+	size := 0
+	for _, r := range all {
+		size += len(store.Encode(r)) + len(r.Key) + 1
+	}
+	perS := float64(facts) / keptTicks * float64(size) / float64(max(len(all), 1))
+	r := newReport("step-kept", w.seed, fmt.Sprintf("%d proxies, %d backends, %d ticks with all reports", keptProxies, keptBackends, keptTicks), "p50, ms", "p99, ms")
+	r.row("nothing is kept", ms(part(plain, 0.5)), ms(part(plain, 0.99)))
+	r.row("facts are kept", ms(part(kept, 0.5)), ms(part(kept, 0.99)))
+	r.row("facts handed over a second", fmt.Sprintf("%.0f", float64(facts)/keptTicks))
+	r.row("kB of them a second", fmt.Sprintf("%.0f", perS/1000))
+	r.row("kB of the file", bytes/1000)
+	times := part(kept, 0.5) / part(plain, 0.5)
+	if times > keptMost {
+		r.Missed = append(r.Missed, fmt.Sprintf("a step costs %.2f times as much, %.2f is allowed", times, keptMost))
+	}
+	r.Figure = fmt.Sprintf("a step that keeps facts costs %.2f times one that does not at p50, %.2f at p99", times, part(kept, 0.99)/part(plain, 0.99))
+	return r.leave(w.out)
+}
+
+// storeLook closes the store and reads it whole.
+func storeLook(path string, s *store.Store) (string, []store.Record, error) {
+	if err := s.Close(); err != nil {
+		return "", nil, err
+	}
+	return store.Look(path)
+}
--- /dev/null
+++ b/cmd/lab/restart.go
@@ -0,0 +1,170 @@
+package main
+
+import (
+	"fmt"
+	"math"
+	"os"
+	"path/filepath"
+
+	"github.com/spf13/cobra"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"elmfold/choice"
+	"elmfold/emu"
+)
+
+const (
+	restartAt   = 60 // seconds into the day, when all is learnt
+	restartLook = 30 // seconds after it
+	rightWithin = 0.1
+	rightParts  = 0.95 // of the backends
+	rightStays  = 3    // seconds in a row
+)
+
+func restartCommand() *cobra.Command {
+	var w where
+	c := &cobra.Command{Use: "restart", Short: "all controllers are restarted at once, or one: cold, from the store, from a peer, from both",
+		Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error { return playRestarts(w) }}
+	w.flags(c)
+	return c
+}
+
+// restarted is what a play showed.
+type restarted struct {
+	right             float64 // seconds until tables are right; NaN: not in time
+	service, declined float64 // of what is asked for in the 30 s after
+	doubled, broken   int
+	off               []float64 // by second: the part of the backends that is off by more than a tenth
+}
+
+// playRestart lets a fleet with an eighth of wrongly listed, slow backends learn for a minute, then restarts
+// controllers; never where none is named.
+func playRestart(seed uint64, from emu.Recall, which []int) restarted {
+	d := emu.Fleet(seed, 5)
+	d.Recall = from
+	for i := range d.Backends {
+		if i%8 == 3 { // the list does not say that these are slow
+			d.Backends[i].Size = float64(d.Backends[i].Cores) * d.Backends[i].Speed
+			d.Backends[i].Speed /= 3.5
+		}
+	}
+	w := emu.New(d)
+	w.Run(restartAt * choice.Second)
+	before := w.Shares(0)
+	for i, b := range d.Backends {
+		if i%10 == 7 && len(which) > 0 { // a tenth of the backends comes back cold with them
+			w.Restart(b.ID, choice.Second)
+		}
+	}
+	for _, c := range which {
+		w.Kill(c, choice.Second, nil)
+	}
+	r := restarted{right: math.NaN()}
+	stays := 0
+	for s := range restartLook {
+		w.Run(choice.Second)
+		off, all, was, is := 0, 0, 0.0, 0.0
+		now := w.Shares(0)
+		for i, b := range d.Backends { // of those that are not cold
+			if i%10 != 7 {
+				was, is = was+before[b.ID], is+now[b.ID]
+			}
+		}
+		for i, b := range d.Backends {
+			if i%10 == 7 || before[b.ID] == 0 {
+				continue
+			}
+			if all++; math.Abs(now[b.ID]/is/(before[b.ID]/was)-1) > rightWithin {
+				off++
+			}
+		}
+		part := float64(off) / float64(max(all, 1))
+		r.off = append(r.off, part)
+		if stays++; part > 1-rightParts {
+			stays = 0
+		}
+		if stays == rightStays && math.IsNaN(r.right) {
+			r.right = float64(s + 2 - rightStays)
+		}
+	}
+	asked, served, declined := 0, 0, 0
+	for t := range len(d.Proxies) / 12 {
+		sum := w.Over(emu.Tenant(t), restartAt, restartAt+restartLook)
+		asked, served, declined = asked+sum.Asked, served+sum.Served, declined+sum.Declined
+	}
+	r.service, r.declined = float64(served)/float64(asked), float64(declined)/float64(asked)
+	r.doubled, r.broken = w.Doubled(), w.Bare+w.Late+len(w.Tipped)
+	if w.Backlog > d.LinesMost {
+		r.broken++
+	}
+	return r
+}
+
+func playRestarts(w where) error {
+	r := newReport("restart", w.seed, "5 controllers, 240 proxies, 48 backends of which 6 are slower than listed; a tenth comes back cold meanwhile",
+		"s until right", "off after 2 s", "after 10 s", "service", "declined", "rules broken")
+	all := []int{0, 1, 2, 3, 4}
+	plays := []struct {
+		name  string
+		from  emu.Recall
+		which []int
+	}{
+		{"nobody is restarted", 0, nil},
+		{"all at once, cold", 0, all},
+		{"all at once, from the store", emu.FromStore, all},
+		{"one, cold", 0, []int{1}},
+		{"one, from a peer", emu.FromPeer, []int{1}},
+		{"one, from the store and a peer", emu.FromStore | emu.FromPeer, []int{1}},
+	}
+	right := map[string]float64{}
+	var names []string
+	var offs [][]float64
+	for _, p := range plays {
+		x := playRestart(w.seed, p.from, p.which)
+		until := fmt.Sprintf("%.0f", x.right)
+		if math.IsNaN(x.right) {
+			until, x.right = fmt.Sprintf("over %d", restartLook), restartLook
+		}
+		right[p.name] = x.right
+		r.row(p.name, until, fmt.Sprintf("%.2f", x.off[1]), fmt.Sprintf("%.2f", x.off[9]), fmt.Sprintf("%.4f", x.service), fmt.Sprintf("%.4f", x.declined), x.broken)
+		if x.doubled+x.broken > 0 {
+			r.Missed = append(r.Missed, fmt.Sprintf("%s: %d doubled, %d rules broken", p.name, x.doubled, x.broken))
+		}
+		names, offs = append(names, p.name), append(offs, x.off)
+	}
+	if w.out != "" {
+		if err := drawSeconds(w.out, fmt.Sprintf("restart-seed%d", w.seed), "part of the backends whose share is off by more than a tenth", names, offs); err != nil {
+			return err
+		}
+	}
+	r.Figure = fmt.Sprintf("seed %d: tables are right %.0f s after a restart of all from the store, %.0f s cold", w.seed, right["all at once, from the store"], right["all at once, cold"])
+	return r.leave(w.out)
+}
+
+// drawSeconds draws a line over the seconds for each play.
+func drawSeconds(dir, name, what string, plays []string, values [][]float64) error {
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = name, "seconds after it", what
+	p.Legend.Top = true
+	p.Add(plotter.NewGrid())
+	for i, play := range plays {
+		var points plotter.XYs
+		for s, v := range values[i] {
+			points = append(points, plotter.XY{X: float64(s + 1), Y: v})
+		}
+		line, err := plotter.NewLine(points)
+		if err != nil {
+			return err
+		}
+		line.Color, line.Width = plotutil.Color(i), vg.Points(1.5)
+		p.Add(line)
+		p.Legend.Add(play, line)
+	}
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return err
+	}
+	return p.Save(18*vg.Centimeter, 12*vg.Centimeter, filepath.Join(dir, name+".png"))
+}
--- a/command/memory.go
+++ b/command/memory.go
@@ -28,28 +28,31 @@
 	usualGrace = 10 * time.Minute
 	healthy    = 30 * time.Second // that a program must run not to be in a crash loop
 	seenKey    = ""               // no backend has an empty id
+	figureFor  = time.Minute      // a figure is worth nothing after that
 )
 
 // memory keeps the list in a store, and tells it to peers.
 type memory struct {
-	name  string
-	store *store.Store // nil: nothing is kept
-	now   func() time.Time
-	began time.Time
-	known roster.List
-	ok    bool
+	name    string
+	store   *store.Store // nil: nothing is kept
+	now     func() time.Time
+	began   time.Time
+	known   roster.List
+	ok      bool
+	figures []recall.Believe // what else is believed
 
 	mu       sync.Mutex
 	recall   *recall.Recall
 	listed   map[string]roster.Member
 	revision int64
-	holds    bool      // the source answers
-	seen     time.Time // ... when it did last; zero: not yet
+	holds    bool             // the source answers
+	seen     time.Time        // ... when it did last; zero: not yet
+	learnt   map[learnt]known // of the decisions
 }
 
 // OpenMemory is the controller.OpenMemory of this program. It takes as long as the peers are given to answer.
 func OpenMemory(f operator.File, name string, log *logrus.Entry) (controller.Memory, error) {
-	m := &memory{name: name, now: time.Now, listed: map[string]roster.Member{}}
+	m := &memory{name: name, now: time.Now, listed: map[string]roster.Member{}, learnt: map[learnt]known{}}
 	plan := recall.Usual()
 	plan.Name, plan.Grace = name, usualGrace
 	var events []recall.Event
@@ -110,6 +113,11 @@
 		note, _ := json.Marshal(x)
 		all = append(all, recall.Fact{Kind: recall.Backend, Key: id, State: x.Phase, Note: string(note), Revision: m.revision, Age: age, Origin: m.name})
 	}
+	for _, at := range slices.SortedFunc(maps.Keys(m.learnt), func(a, b learnt) int { return cmp.Or(cmp.Compare(a.kind, b.kind), cmp.Compare(a.key, b.key)) }) {
+		f := m.learnt[at].Fact
+		f.Age = m.now().Sub(m.learnt[at].at)
+		all = append(all, f)
+	}
 	return all
 }
 
@@ -122,7 +130,7 @@
 		}
 	}
 	for _, r := range records {
-		if r.Key == seenKey {
+		if r.Kind == recall.Backend && r.Key == seenKey {
 			continue
 		}
 		at := r.At
@@ -144,7 +152,11 @@
 			refused = append(refused, o)
 		case recall.Believe:
 			var x roster.Member
-			if o.Kind != recall.Backend || json.Unmarshal([]byte(o.Note), &x) != nil {
+			if o.Kind != recall.Backend {
+				m.figures = append(m.figures, o)
+				continue
+			}
+			if json.Unmarshal([]byte(o.Note), &x) != nil {
 				continue
 			}
 			ok, l.Revision = true, max(l.Revision, o.Revision)
@@ -204,6 +216,41 @@
 	}
 }
 
+// learnt names a figure, known is one with the moment at which it was true.
+type learnt struct {
+	kind recall.Kind
+	key  string
+}
+
+type known struct {
+	recall.Fact
+	at time.Time
+}
+
+// Figures is what was believed at the start of use, relief and totals.
+func (m *memory) Figures() []recall.Believe { return m.figures }
+
+// Learn keeps figures of the decisions, for a start after this one and for peers.
+func (m *memory) Learn(facts []recall.Fact) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.now()
+	var records []store.Record
+	for _, f := range facts {
+		f.Origin = m.name
+		m.learnt[learnt{f.Kind, f.Key}] = known{f, now.Add(-f.Age)}
+		records = append(records, store.Record{Kind: f.Kind, Key: f.Key, Value: f.Value, At: now.Add(-f.Age).UnixMilli()})
+	}
+	for at, k := range m.learnt { // proxies and backends come and go for ever
+		if now.Sub(k.at) > figureFor {
+			delete(m.learnt, at)
+		}
+	}
+	if m.store != nil {
+		m.store.Put(records...)
+	}
+}
+
 // run notes that the list holds, and after a while that the program does.
 func (m *memory) run() {
 	began := m.now()
--- a/command/memory_test.go
+++ b/command/memory_test.go
@@ -11,6 +11,9 @@
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
+	"elmfold/operator"
 	"elmfold/recall"
 	"elmfold/roster"
 	"elmfold/standin/etcd"
@@ -87,6 +90,68 @@
 	return bufio.NewReader(stream)
 }
 
+// Figures of the decisions are kept with the moment at which they were true, told to peers at their age, and what a
+// start believes of them is handed to the desk. Those of a minute ago are let go of, so that ids never pile up.
+func TestFigures(t *testing.T) {
+	dir := t.TempDir()
+	now := time.UnixMilli(5_000_000_000)
+	open := func() *memory {
+		m, err := OpenMemory(operator.File{Store: &operator.Store{Path: filepath.Join(dir, "state"), Grace: 10 * time.Minute}}, "n3", silent())
+		if err != nil {
+			t.Fatal(err)
+		}
+		return m.(*memory)
+	}
+	m := open()
+	m.now = func() time.Time { return now }
+	m.Keep(roster.List{Revision: 3, Whole: true, Members: []roster.Member{{ID: "s-1", Zone: "a", Phase: roster.Serving}}})
+	m.Learn([]recall.Fact{{Kind: recall.Use, Key: "4/look", Value: 12, Age: 3 * time.Second}, {Kind: recall.Relief, Key: "s-1", Value: 0.4},
+		{Kind: recall.Pace, Value: 5}})
+	now = now.Add(2 * time.Second)
+	ages := map[string]time.Duration{}
+	for _, f := range m.tell() {
+		if f.Origin != "n3" {
+			t.Errorf("told as %q's: %v", f.Origin, f)
+		}
+		ages[f.Kind.String()] = f.Age
+	}
+	if ages["use"] != 5*time.Second || ages["relief"] != 2*time.Second || ages["pace"] != 2*time.Second {
+		t.Errorf("told with ages %v", ages)
+	}
+	if err := m.store.Close(); err != nil {
+		t.Fatal(err)
+	}
+	_, records, err := store.Look(filepath.Join(dir, "state"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	again := memory{name: "n3", now: func() time.Time { return now }, began: now, recall: recall.New(recall.Plan{Grace: 10 * time.Minute, Half: 10 * time.Second, Most: 1000})}
+	l, refused, ok := again.believe([]recall.Event{recall.Offered{Source: "store", Facts: facts(records, "n3", now)}})
+	got := map[recall.Kind]recall.Believe{}
+	for _, b := range again.Figures() {
+		got[b.Kind] = b
+	}
+	if !ok || len(l.Members) != 1 || len(refused) > 0 || len(got) != 3 || got[recall.Use].Value != 12 || got[recall.Use].Age != 5*time.Second ||
+		got[recall.Relief].Part < 0.85 || got[recall.Relief].Part > 0.9 {
+		t.Errorf("believed %v, refused %v, list %v", got, refused, l)
+	}
+	now = now.Add(2 * figureFor)
+	m.store = nil
+	for i := range 1000 { // ids without end
+		now = now.Add(time.Second)
+		m.Learn([]recall.Fact{{Kind: recall.Relief, Key: fmt.Sprint("s-", i), Value: 0.5}})
+	}
+	if n := len(m.learnt); n > int(figureFor/time.Second)+1 {
+		t.Errorf("%d figures are held", n)
+	}
+}
+
+func silent() *logrus.Entry {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return logrus.NewEntry(log)
+}
+
 // Case 5: the list counts from when it was last seen to hold, and is refused after the grace; a clock that went
 // back refuses it too.
 func TestGrace(t *testing.T) {
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -112,9 +112,11 @@
 	queue, lists := make(chan desk.News, queueLength), make(chan desk.News, listsLength)
 	c.queue, c.lists = queue, &sources{queue: lists, log: log}
 	held := sheet.Known
+	var memory Memory
 	if c.file.Store != nil || c.file.Peers != nil {
-		memory, err := c.parts.Memory(c.file, sheet.Name, log)
-		if err != nil {
+		var err error
+		if memory, err = c.parts.Memory(c.file, sheet.Name, log); err != nil {
+			memory = nil
 			log.WithField("reason", "store").Errorf("nothing is kept over crashes: %v", err)
 		} else if l, ok := memory.Known(); ok && (c.file.Registry != nil || l.Revision >= held.Revision) {
 			held = l
@@ -131,6 +133,12 @@
 	}
 	d := desk.New(sheet.Deployment, sheet.Names, c.lists, log)
 	d.Known(held)
+	if memory != nil {
+		for _, b := range memory.Figures() {
+			d.Hear(desk.News{Said: b})
+		}
+		d.KeepWith(memory.Learn)
+	}
 	d.Step(clock())
 	go d.Run(queue, lists, sheet.Tick, clock)
 
--- a/controller/sources.go
+++ b/controller/sources.go
@@ -8,6 +8,7 @@
 
 	"elmfold/desk"
 	"elmfold/operator"
+	"elmfold/recall"
 	"elmfold/roster"
 )
 
@@ -24,6 +25,8 @@
 type Memory interface {
 	Known() (l roster.List, ok bool) // what was held last, where it is young enough
 	Keep(said any)                   // each roster.List and roster.Failed that the desk is told
+	Figures() []recall.Believe       // what else is believed of what was known before
+	Learn(facts []recall.Fact)       // what the decisions know, a part of it each second
 }
 
 // OpenMemory opens the store that an operator file names and asks its peers; without an error there is a Memory.
--- a/desk/desk.go
+++ b/desk/desk.go
@@ -16,6 +16,7 @@
 	"elmfold/choice"
 	"elmfold/deployment"
 	"elmfold/edge"
+	"elmfold/recall"
 	"elmfold/roster"
 )
 
@@ -106,6 +107,10 @@
 	text     []byte
 	masks    map[uint32][]string // names of products
 	gaveAt   choice.Time         // when places were last given back
+	keep     Keep                // nil: nothing is kept
+	keptAt   choice.Time
+	turn     int
+	eased    []bool // by place: its relief was told as less than whole
 
 	goneBinds bool
 	cells     *cells.Cells   // nil: nobody is confined
@@ -220,7 +225,7 @@
 			d.events = append(d.events, choice.Fenced{Proxy: said.Proxy, Number: said.Number})
 		}
 	case edge.Used:
-		k := slices.Index(d.names.Products, said.Product)
+		k := d.product(said.Product)
 		if k < 0 {
 			return errProduct
 		}
@@ -254,6 +259,8 @@
 			}
 		}
 		d.asked = append(d.asked, said)
+	case recall.Believe:
+		return d.recalled(said)
 	case ShowCells:
 		said.To <- d.show()
 	case ShowFleet:
@@ -268,6 +275,8 @@
 	return nil
 }
 
+func (d *Desk) product(name string) int { return slices.Index(d.names.Products, name) }
+
 // speaker is the joined proxy that a report is about; none where it comes late from a stream that was
 // replaced.
 func (d *Desk) speaker(from Stream, at int) (*proxy, error) {
@@ -437,4 +446,5 @@
 	d.events = nil
 	d.carry(d.assigner.Step(d.now, events))
 	d.giveBack()
+	d.recollect()
 }
--- /dev/null
+++ b/desk/memory_test.go
@@ -0,0 +1,108 @@
+package desk
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"elmfold/choice"
+	"elmfold/edge"
+	"elmfold/recall"
+)
+
+// What a desk tells its keeper puts another one where it was: relief, use and pace. A backend or product that is not
+// known any more costs that fact alone.
+func TestRecalled(t *testing.T) {
+	kept := map[string]recall.Fact{}
+	keep := func(facts []recall.Fact) {
+		for _, f := range facts {
+			kept[f.Kind.String()+" "+f.Key] = f
+		}
+	}
+	members := []string{"s-0", "s-1", "s-2", "s-3", "s-4", "s-5"}
+	begin := func() (*Desk, *line) {
+		d, l := newDesk(2), &line{since: 1}
+		whole := list(true)
+		for _, id := range members {
+			whole.Members = append(whole.Members, serving(id))
+		}
+		d.Known(whole)
+		return d, l
+	}
+	weight := func(d *Desk, at int) float64 { return d.tables[d.proxies[0].tables[0]].weight[at] }
+	d, l := begin()
+	d.KeepWith(keep)
+	now := 1000 * choice.Second
+	d.Hear(News{l, edge.Joined{Proxy: 0, Zone: "a", Rate: 30, Fresh: true}})
+	for range 20 {
+		for i, id := range members {
+			took := choice.Time(1000)
+			if i == 2 {
+				took = 7000
+			}
+			d.Hear(News{l, edge.Heard{Zone: "a", Backend: id, Tries: 20, Took: took}})
+		}
+		d.Hear(News{l, edge.Used{Proxy: 0, Product: "look", Txns: 33, Counting: choice.Second}})
+		for _, m := range d.proxies[0].marks {
+			d.Hear(News{l, edge.Fenced{Proxy: 0, Number: m}})
+		}
+		now += choice.Second
+		d.Step(now)
+	}
+	if f := kept["relief s-2"]; f.Value >= 1 || f.Value <= 0 {
+		t.Fatalf("kept %v", kept)
+	}
+	if f := kept["use 0/look"]; f.Value < 30 || f.Age > 9*time.Second {
+		t.Errorf("use kept as %v", f)
+	}
+	if _, ok := kept["relief s-1"]; ok || kept["pace "].Value <= 0 {
+		t.Errorf("kept %v", kept)
+	}
+	want := weight(d, 2)
+	next, l := begin()
+	for _, f := range kept {
+		f.Origin = "n1"
+		next.Hear(News{nil, recall.Believe{Fact: f, Part: 0.8}})
+	}
+	for _, odd := range []recall.Believe{{Fact: recall.Fact{Kind: recall.Relief, Key: "s-9"}}, {Fact: recall.Fact{Kind: recall.Use, Key: "7/look"}},
+		{Fact: recall.Fact{Kind: recall.Use, Key: "0/none"}}, {Fact: recall.Fact{Kind: recall.Use, Key: "x"}}, {Fact: recall.Fact{Kind: recall.Shut, Key: "s-0"}}} {
+		before := len(next.events)
+		if _ = next.recalled(odd); len(next.events) != before {
+			t.Errorf("%v counts", odd)
+		}
+	}
+	next.Hear(News{l, edge.Joined{Proxy: 0, Zone: "a", Rate: 30, Fresh: true}})
+	next.Step(now + choice.Second)
+	if got := weight(next, 2); got < 0.88*want || got > want/0.88 || weight(next, 1) != weight(d, 1) { // as near as is worth a line
+		t.Errorf("weight %v after the restart, %v before", got, want)
+	}
+	// What is heard at first hand holds against what is recalled.
+	next.Hear(News{l, edge.Heard{Zone: "a", Backend: "s-1", Tries: 20, Took: 900}})
+	next.Step(now + 2*choice.Second)
+	next.Hear(News{nil, recall.Believe{Fact: recall.Fact{Kind: recall.Relief, Key: "s-1", Value: 0.3}, Part: 1}})
+	next.Step(now + 3*choice.Second)
+	if weight(next, 1) != weight(d, 1) {
+		t.Errorf("weight %v of one that was heard of meanwhile", weight(next, 1))
+	}
+}
+
+// The keeper gets a part of all each second, so that a second costs little; over a round it gets all.
+func TestKeepsInTurns(t *testing.T) {
+	const proxies = 80
+	f := newBigFleet(proxies, 20)
+	var sizes []int
+	seen := map[string]bool{}
+	f.d.KeepWith(func(facts []recall.Fact) {
+		sizes = append(sizes, len(facts))
+		for _, x := range facts {
+			seen[x.Key] = true
+		}
+	})
+	f.join(0, proxies, 1)
+	for range turns + 1 {
+		f.second()
+	}
+	if len(seen) < proxies*len(names.Products) || slices.Max(sizes) > 2*proxies*len(names.Products)/turns {
+		t.Errorf("%d facts in all, at once %v", len(seen), sizes)
+	}
+}
--- a/emu/emu.go
+++ b/emu/emu.go
@@ -8,11 +8,13 @@
 	"container/heap"
 	"fmt"
 	"io"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -21,6 +23,7 @@
 	"elmfold/deployment"
 	"elmfold/desk"
 	"elmfold/edge"
+	"elmfold/recall"
 	"elmfold/roster"
 )
 
@@ -67,6 +70,7 @@
 	Zone  int
 	Cores int
 	Speed float64
+	Size  float64 // that the list shows; 0: as it is
 }
 
 // Day is what is played.
@@ -89,10 +93,20 @@
 	Again       int     // times that a poisoned tenant's clients repeat what failed
 	LinesPerS   float64 // of a controller's channel, in which messages leave one after the other; 0: they do not wait
 	LinesMost   float64 // that may wait there
-	Grace       Time    // after which a try at a backend that drains or is gone is a late one
-	Careless    bool    // proxies try again after any failure, as none of ours may: to see that the ledger notices
+	Recall      Recall
+	Grace       Time // after which a try at a backend that drains or is gone is a late one
+	Careless    bool // proxies try again after any failure, as none of ours may: to see that the ledger notices
 }
 
+// Recall is where a controller that starts knows something from.
+type Recall uint8
+
+// Sources of recall, to be added up.
+const (
+	FromStore Recall = 1 << iota // what it wrote itself until it died
+	FromPeer                     // what another one that runs knows
+)
+
 // Sum is what became of a tenant's txns.
 type Sum struct{ Asked, Served, Late, Declined, Voided int }
 
@@ -153,6 +167,49 @@
 	down    bool
 	epoch   int
 	freeAt  Time // when all that was written has left its channel
+	kept    map[string]kept
+}
+
+// kept is a fact, with the moment at which it was true.
+type kept struct {
+	recall.Fact
+	at Time
+}
+
+// facts are those that are kept, as they are told now.
+func (c *controller) facts() (all []recall.Fact) {
+	for _, key := range slices.Sorted(maps.Keys(c.kept)) {
+		k := c.kept[key]
+		k.Age = time.Duration(c.w.Now-k.at) * time.Second / time.Duration(second)
+		all = append(all, k.Fact)
+	}
+	return all
+}
+
+// remember lets a controller that starts recall what its sources tell.
+func (c *controller) remember() {
+	var events []recall.Event
+	if c.w.Recall&FromStore != 0 {
+		events = append(events, recall.Offered{Source: "store", Facts: c.facts()})
+	}
+	for i, other := range c.w.control {
+		if c.w.Recall&FromPeer != 0 && other != c && !other.down && len(other.kept) > 0 {
+			events = append(events, recall.Offered{Source: strconv.Itoa(i), Facts: other.facts()})
+			break
+		}
+	}
+	for _, o := range recall.New(recall.Usual()).Step(0, events) {
+		if b, ok := o.(recall.Believe); ok {
+			c.desk.Hear(desk.News{Said: b})
+		}
+	}
+	name := strconv.Itoa(slices.Index(c.w.control, c))
+	c.desk.KeepWith(func(facts []recall.Fact) {
+		for _, f := range facts {
+			f.Origin = name
+			c.kept[f.Kind.String()+" "+f.Key] = kept{f, c.w.Now - Time(f.Age*time.Duration(second)/time.Second)}
+		}
+	})
 }
 
 // stream is a connection to a controller; proxy is -1 for a collector.
@@ -264,7 +321,7 @@
 		w.backends, w.byID[b.ID] = append(w.backends, x), x
 	}
 	for range max(d.Controllers, 1) {
-		c := &controller{w: w}
+		c := &controller{w: w, kept: map[string]kept{}}
 		w.control = append(w.control, c)
 		c.start(d.Plan)
 	}
@@ -341,6 +398,9 @@
 	}
 	c.desk = desk.New(dep, names, nobody{}, logrus.NewEntry(log))
 	c.desk.Known(w.list())
+	if w.Recall != 0 {
+		c.remember()
+	}
 	if plan != nil {
 		p := *plan
 		p.Products, p.Zones, p.Cold = dep.Products, w.Zones, w.Cold
@@ -379,7 +439,7 @@
 }
 
 func (b *backend) member() roster.Member {
-	return roster.Member{ID: b.spec.ID, Zone: b.w.zone(b.spec.Zone), Kind: "m", Phase: b.listed, Size: float64(b.spec.Cores) * b.spec.Speed,
+	return roster.Member{ID: b.spec.ID, Zone: b.w.zone(b.spec.Zone), Kind: "m", Phase: b.listed, Size: cmp.Or(b.spec.Size, float64(b.spec.Cores)*b.spec.Speed),
 		UpSince: float64(b.up) / float64(ms)}
 }
 
@@ -420,6 +480,7 @@
 	for _, p := range w.proxies {
 		if p.stream != nil && p.stream.c == c {
 			p.Cut()
+			p.home = i // it is dialled again first, and may be back
 		}
 	}
 	w.after(away, func() { c.start(file) })
@@ -438,6 +499,22 @@
 	}
 }
 
+// Shares are the parts of the weights that all proxies hold for a product that each backend has.
+func (w *World) Shares(product int) map[string]float64 {
+	all := map[string]float64{}
+	for _, p := range w.proxies {
+		sum := 0.0
+		t := p.tables[product].weight
+		for _, id := range slices.Sorted(maps.Keys(t)) {
+			sum += t[id]
+		}
+		for id, weight := range t {
+			all[id] += weight / math.Max(sum, 1e-9) / float64(len(w.proxies))
+		}
+	}
+	return all
+}
+
 // Joined counts the proxies at each controller.
 func (w *World) Joined() []int {
 	at := make([]int, len(w.control))
--- a/emu/fleet_test.go
+++ b/emu/fleet_test.go
@@ -196,3 +196,37 @@
 		t.Errorf("%d late tries, %.0f lines waited", w.Late, w.Backlog)
 	}
 }
+
+// Case 4 of recovery, a mass restart: all controllers start at once, all proxies rejoin within 2 s with tables of before,
+// a tenth of the backends is cold. With what was kept no cold one is pushed over, the channel holds, and what was known
+// of slow backends is not learnt again at the clients' cost.
+func TestCase4MassRestart(t *testing.T) {
+	play := func(from Recall) *World {
+		d := Fleet(7, 5)
+		d.Recall = from
+		for i := range d.Backends {
+			if i%8 == 3 {
+				d.Backends[i].Size = float64(d.Backends[i].Cores) * d.Backends[i].Speed
+				d.Backends[i].Speed /= 3.5
+			}
+		}
+		w := New(d)
+		w.At(40*second, func() {
+			for i, b := range w.Backends {
+				if i%10 == 7 {
+					w.Restart(b.ID, second)
+				}
+			}
+			for i := range 5 {
+				w.Kill(i, second, nil)
+			}
+		})
+		w.Run(60 * second)
+		w.kept(t)
+		return w
+	}
+	cold, kept := play(0).all(41, 60).Service(), play(FromStore).all(41, 60).Service()
+	if kept < cold+0.02 || kept < 0.95 {
+		t.Errorf("service %.3f with what was kept, %.3f cold", kept, cold)
+	}
+}
--- a/recall/recall.go
+++ b/recall/recall.go
@@ -24,9 +24,10 @@
 	Shut                    // Key: a backend; State: Out or In
 	Moving                  // Key: a tenant; State: the cell that it is to be in
 	Use                     // Key: a proxy and product; txns/s
-	Pace                    // Key: a backend; its answers' time in ms
-	Total                   // txns/s, 0 for unbounded
-	Knee                    // txns/s
+	Pace                    // the most served, txns/s for a unit of the listed weight
+	Total                   // txns/s for a unit of the listed weight, 0 for unbounded
+	Knee                    // the same
+	Relief                  // Key: a backend; part of its weight that it keeps
 	ends
 )
 
@@ -34,7 +35,7 @@
 	if k < Backend || k >= ends {
 		return fmt.Sprint("kind ", uint8(k))
 	}
-	return [...]string{"backend", "shut", "moving", "use", "pace", "total", "knee"}[k-1]
+	return [...]string{"backend", "shut", "moving", "use", "pace", "total", "knee", "relief"}[k-1]
 }
 
 // States of facts, the safer one of two that disagree being the later here.
