Channel: the module that settles what each subscriber of a topic is sent

Need: proxies of other installations subscribe to a channel on which orders are published; one that comes again after a cut must not replay what took effect, and what waits is bounded.

--- /dev/null
+++ b/channel/session/session.go
@@ -0,0 +1,421 @@
+// Package session settles what each subscriber of a topic is sent. A topic is a set of values under keys, which change;
+// a subscriber is brought from what took effect with it to what holds now: by changes that carry the values of the
+// keys that differ, or by a snapshot of all. A change that was not sent yet is folded into the next one, so that what
+// waits for a slow subscriber is never more than the topic itself, and what it reads last is what holds then. The same
+// values may be sent again after a cut, under another number; a number takes effect once. No socket, clock or chance.
+package session
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strings"
+)
+
+// Time is a moment in ms; it never goes back.
+type Time int64
+
+// Value is what stands under a key: a figure, a small number beside it, or a text.
+type Value struct {
+	Figure float64 `cbor:"1,keyasint,omitempty"`
+	Small  int     `cbor:"2,keyasint,omitempty"`
+	Text   string  `cbor:"3,keyasint,omitempty"`
+}
+
+// Set puts a value under a key, or takes the key away. Keys sort by urgency: those that come first are sent first.
+type Set struct {
+	Key   string `cbor:"1,keyasint"`
+	Gone  bool   `cbor:"2,keyasint,omitempty"`
+	Value Value  `cbor:"3,keyasint,omitempty"`
+}
+
+// Reason says why a subscriber is let go.
+type Reason string
+
+// Reasons.
+const (
+	Replaced Reason = "replaced" // by a newer connection, or a stream elsewhere, of the same owner
+	Unknown  Reason = "unknown"  // acknowledged a number that was never sent
+	Ended    Reason = "ended"    // the topic has ended
+	Crowded  Reason = "crowded"  // more onlookers than a topic may have
+)
+
+// Event is one of the structs below, in the order in which they happened.
+type Event any
+
+// Changed sets values of a topic. Mark, unless 0, is to be answered once all of it took effect with the owner.
+type Changed struct {
+	Topic string
+	Sets  []Set
+	Mark  int
+}
+
+// Opened is a connection that subscribes, going on from what took effect with it. An owner is one for each topic; the
+// topic lasts while it is there, and for the linger after.
+type Opened struct {
+	Conn   int
+	Topic  string
+	Owner  bool
+	Epoch  uint64 // 0: nothing took effect
+	Seq    uint32
+	Credit int // messages that may be on the way to it
+}
+
+// Acked says that all up to a number took effect, and that so many more messages may be sent.
+type Acked struct {
+	Conn  int
+	Epoch uint64
+	Seq   uint32
+	More  int
+}
+
+// Closed is a connection that ended.
+type Closed struct{ Conn int }
+
+// Dropped ends a topic: its owner is served elsewhere.
+type Dropped struct{ Topic string }
+
+// Order is one of the structs below.
+type Order any
+
+// Send is a message for a connection. A snapshot stands for all; a change goes on from the number before it.
+type Send struct {
+	Conn     int
+	Epoch    uint64
+	Seq      uint32
+	Prev     uint32
+	Snapshot bool
+	Sets     []Set
+}
+
+// Joined says that the owner of a topic is there, and was not: a connection that resumes is no joining.
+type Joined struct {
+	Topic string
+	Conn  int
+}
+
+// Left says that the owner has been gone for the linger.
+type Left struct{ Topic string }
+
+// Answered is a mark of which all took effect.
+type Answered struct {
+	Topic string
+	Mark  int
+}
+
+// Close ends a connection.
+type Close struct {
+	Conn   int
+	Reason Reason
+}
+
+// Plan is what Sessions are given once.
+type Plan struct {
+	Epoch      uint64 // of this start; never that of another, and not 0
+	Linger     Time   // that an owner may be away
+	PerMessage int    // sets in a change, at most
+	MostCredit int
+	Onlookers  int // of a topic, at most
+}
+
+// Usual is the Plan with every figure that may be left out.
+func Usual(epoch uint64) Plan {
+	return Plan{Epoch: max(epoch, 1), Linger: 5000, PerMessage: 400, MostCredit: 16, Onlookers: 64}
+}
+
+// Sessions holds all topics.
+type Sessions struct {
+	plan   Plan
+	now    Time
+	topics map[string]*topic
+	conns  map[int]*subscriber
+	out    []Order
+}
+
+type topic struct {
+	name  string
+	state map[string]Value
+	owner *subscriber
+	all   []*subscriber // the owner too
+	away  Time          // since when the owner has no connection; 0: it has one, or there never was one
+}
+
+type subscriber struct {
+	topic  *topic
+	conn   int    // 0: none
+	seq    uint32 // given out last
+	prev   uint32 // that the next message goes on from
+	whole  bool   // a snapshot is wanted
+	dirty  map[string]bool
+	marks  []int // to be answered with the next message
+	flight []sent
+	credit int
+}
+
+type sent struct {
+	seq      uint32
+	snapshot bool
+	keys     []string
+	marks    []int
+}
+
+// New makes Sessions without topics.
+func New(plan Plan) *Sessions {
+	return &Sessions{plan: plan, topics: map[string]*topic{}, conns: map[int]*subscriber{}}
+}
+
+// Step takes what happened and tells what to do.
+func (s *Sessions) Step(now Time, events []Event) []Order {
+	s.now, s.out = max(now, s.now), nil
+	touched := map[*topic]bool{}
+	for _, e := range events {
+		switch e := e.(type) {
+		case Changed:
+			touched[s.changed(e)] = true
+		case Opened:
+			touched[s.opened(e)] = true
+		case Acked:
+			if x := s.conns[e.Conn]; x != nil {
+				s.acked(x, e)
+				touched[x.topic] = true
+			}
+		case Closed:
+			if x := s.conns[e.Conn]; x != nil {
+				s.let(x)
+			}
+		case Dropped:
+			if t := s.topics[e.Topic]; t != nil {
+				s.end(t, Replaced)
+			}
+		}
+	}
+	for _, t := range sorted(s.topics) {
+		if t.away > 0 && s.now >= t.away+s.plan.Linger {
+			s.out = append(s.out, Left{t.name})
+			s.end(t, Ended)
+		} else if touched[t] {
+			for _, x := range t.all {
+				s.flush(x)
+			}
+		}
+	}
+	return s.out
+}
+
+// Due is when Step has something to do though nothing happens; false: never.
+func (s *Sessions) Due() (at Time, some bool) {
+	for _, t := range s.topics {
+		if t.away > 0 && (!some || t.away+s.plan.Linger < at) {
+			at, some = t.away+s.plan.Linger, true
+		}
+	}
+	return at, some
+}
+
+func sorted(topics map[string]*topic) []*topic {
+	return slices.SortedFunc(maps.Values(topics), func(t, u *topic) int { return cmp.Compare(t.name, u.name) })
+}
+
+func (s *Sessions) topic(name string) *topic {
+	t := s.topics[name]
+	if t == nil {
+		t = &topic{name: name, state: map[string]Value{}}
+		s.topics[name] = t
+	}
+	return t
+}
+
+func (s *Sessions) changed(e Changed) *topic {
+	t := s.topic(e.Topic)
+	for _, set := range e.Sets {
+		was, there := t.state[set.Key]
+		if set.Gone != there && (set.Gone || was == set.Value) {
+			continue // it stands there, or is gone, already
+		}
+		if set.Gone {
+			delete(t.state, set.Key)
+		} else {
+			t.state[set.Key] = set.Value
+		}
+		for _, x := range t.all {
+			x.dirty[set.Key] = true
+		}
+	}
+	if e.Mark != 0 && t.owner != nil {
+		t.owner.marks = append(t.owner.marks, e.Mark)
+	}
+	return t
+}
+
+func (s *Sessions) opened(e Opened) *topic {
+	t := s.topic(e.Topic)
+	x := &subscriber{topic: t, whole: true, dirty: map[string]bool{}}
+	switch {
+	case !e.Owner && len(t.all) > s.plan.Onlookers:
+		s.out = append(s.out, Close{e.Conn, Crowded})
+		return t
+	case !e.Owner || t.owner == nil:
+		t.all = append(t.all, x)
+	default: // the newer connection holds, and goes on where the older one was
+		if x = t.owner; x.conn != 0 {
+			s.out = append(s.out, Close{x.conn, Replaced})
+			delete(s.conns, x.conn)
+		}
+		s.resume(x, e.Epoch, e.Seq)
+	}
+	if e.Owner {
+		if t.owner == nil {
+			s.out = append(s.out, Joined{t.name, e.Conn})
+		}
+		t.owner, t.away = x, 0
+	}
+	x.conn, x.credit = e.Conn, min(max(e.Credit, 0), s.plan.MostCredit)
+	s.conns[e.Conn] = x
+	return t
+}
+
+// resume goes on after what took effect: what was sent since is what it may lack.
+func (s *Sessions) resume(x *subscriber, epoch uint64, seq uint32) {
+	at := slices.IndexFunc(x.flight, func(m sent) bool { return m.seq == seq })
+	first := len(x.flight) == 0 && seq == x.seq || len(x.flight) > 0 && seq+1 == x.flight[0].seq
+	if epoch != s.plan.Epoch || at < 0 && !first || seq == 0 {
+		x.whole = true
+	} else {
+		s.settle(x, at+1)
+		x.prev = seq
+	}
+	for _, m := range x.flight {
+		x.whole = x.whole || m.snapshot
+		for _, k := range m.keys {
+			x.dirty[k] = true
+		}
+		x.marks = append(m.marks, x.marks...)
+	}
+	x.flight = nil
+}
+
+// settle takes so many of what was sent for having taken effect.
+func (s *Sessions) settle(x *subscriber, n int) {
+	for _, m := range x.flight[:n] {
+		for _, mark := range m.marks {
+			s.out = append(s.out, Answered{x.topic.name, mark})
+		}
+	}
+	x.flight = slices.Delete(x.flight, 0, n)
+}
+
+func (s *Sessions) acked(x *subscriber, e Acked) {
+	x.credit = min(x.credit+max(e.More, 0), s.plan.MostCredit)
+	switch at := slices.IndexFunc(x.flight, func(m sent) bool { return m.seq == e.Seq }); {
+	case e.Epoch == s.plan.Epoch && at >= 0:
+		s.settle(x, at+1)
+	case e.Epoch == s.plan.Epoch && int32(e.Seq-x.seq) > 0: // late ones and repeats are nothing new
+		s.out = append(s.out, Close{x.conn, Unknown})
+		s.let(x)
+	}
+}
+
+// let parts a subscriber from its connection. What was on the way to it may have taken effect or not.
+func (s *Sessions) let(x *subscriber) {
+	delete(s.conns, x.conn)
+	x.conn, x.credit = 0, 0
+	if t := x.topic; x == t.owner {
+		t.away = max(s.now, 1)
+	} else {
+		t.all = slices.DeleteFunc(t.all, func(y *subscriber) bool { return x == y })
+		if t.owner == nil && len(t.all) == 0 && len(t.state) == 0 {
+			delete(s.topics, t.name)
+		}
+	}
+}
+
+// end forgets a topic and lets all of it go.
+func (s *Sessions) end(t *topic, why Reason) {
+	for _, x := range t.all {
+		if x.conn != 0 {
+			s.out = append(s.out, Close{x.conn, either(x == t.owner, why, Ended)})
+			delete(s.conns, x.conn)
+		}
+	}
+	delete(s.topics, t.name)
+}
+
+// flush sends what a subscriber may be sent now. An owner is sent nothing before there is something to hold.
+func (s *Sessions) flush(x *subscriber) {
+	for x.conn != 0 && x.credit > 0 {
+		m := Send{Conn: x.conn, Epoch: s.plan.Epoch, Prev: x.prev, Snapshot: x.whole}
+		var keys []string
+		switch {
+		case x.whole && len(x.topic.state) == 0:
+			return
+		case x.whole:
+			keys = slices.Sorted(maps.Keys(x.topic.state))
+			clear(x.dirty)
+		case len(x.dirty) > 0:
+			if keys = slices.Sorted(maps.Keys(x.dirty)); len(keys) > s.plan.PerMessage {
+				keys = keys[:s.plan.PerMessage]
+			}
+			for _, k := range keys {
+				delete(x.dirty, k)
+			}
+		case len(x.marks) == 0:
+			return
+		}
+		for _, k := range keys {
+			v, there := x.topic.state[k]
+			m.Sets = append(m.Sets, Set{Key: k, Gone: !there, Value: v})
+		}
+		if x.seq++; x.seq == 0 { // numbers are used up: the next one stands for all
+			x.seq, x.whole, x.flight = 1, true, nil
+			m.Prev, m.Snapshot = 0, true
+			m.Sets = nil
+			for _, k := range slices.Sorted(maps.Keys(x.topic.state)) {
+				m.Sets = append(m.Sets, Set{Key: k, Value: x.topic.state[k]})
+			}
+		}
+		m.Seq, x.prev = x.seq, x.seq
+		f := sent{seq: x.seq, snapshot: m.Snapshot, keys: keys}
+		if len(x.dirty) == 0 { // a mark is answered once all before it took effect
+			f.marks, x.marks = x.marks, nil
+		}
+		if m.Snapshot {
+			f.keys = nil
+		}
+		x.flight = append(x.flight, f)
+		x.whole, x.credit = false, x.credit-1
+		s.out = append(s.out, m)
+	}
+}
+
+// Waits are the sets that a topic's owner has still to be sent, and the messages on the way to it.
+func (s *Sessions) Waits(topic string) (sets, messages int) {
+	if t := s.topics[topic]; t != nil && t.owner != nil {
+		sets = len(t.owner.dirty)
+		if t.owner.whole {
+			sets = len(t.state)
+		}
+		return sets, len(t.owner.flight)
+	}
+	return 0, 0
+}
+
+// Held counts what is kept, for a look from outside.
+func (s *Sessions) Held() (topics, conns, values int) {
+	for _, t := range s.topics {
+		values += len(t.state)
+	}
+	return len(s.topics), len(s.conns), values
+}
+
+func either[T any](is bool, yes, no T) T {
+	if is {
+		return yes
+	}
+	return no
+}
+
+// Join makes a key of its parts, Split takes it apart.
+func Join(parts ...string) string { return strings.Join(parts, "\x00") }
+
+// Split gives the parts of a key.
+func Split(key string) []string { return strings.Split(key, "\x00") }
