A proxy that waits for its table is told what is ordered now; messages may overtake

Checked: a probe that logged each batch with what was charged and answered. The module counted 41,474 with 1,719 messages of 8 lines; written were far more: desk.shuts told a proxy without tables of all that is shut out (30 backends) with any order for it, also those withdrawn before it joined, which nobody charged. Before, such proxies waited for no longer than a step. Second: an answer to a later, small batch was taken to show that a batch of 1,048 messages written 40 ms before it had left (hearFence); messages go by sockets of their own and overtake. Ruled out: streams that were replaced, fences that wrap. Change: while a proxy waits for its first table it is told of this step's orders only, the rest is settled with that table; what was written within a second of what was answered counts until its own proxy answers, for 30 s at most. Tests: TestShutWhileWaiting, TestOvertaken; both fail on the code before.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -58,11 +58,13 @@
 	goneKeep            = 30 * Second // that what is gone keeps its lines: it may come again
 	returnBy, coolRatio = 1.03, 1.01  // a tick, back, while its time over the median is under that
 
-	slowChan             = 0.3      // part of its pace that a slowed channel is held to keep
-	roomUrgent, roomRest = 0.8, 0.5 // part of the lines and messages allowed that urgent orders, others may use
-	roomHave             = 0.9      // ... and lines that a proxy needs
-	roomSure             = 0.95     // ... that lines without an answer take up at most
-	roomSpan             = 2.0      // seconds of the channel's pace that all but shut-outs share
+	slowChan             = 0.3         // part of its pace that a slowed channel is held to keep
+	roomUrgent, roomRest = 0.8, 0.5    // part of the lines and messages allowed that urgent orders, others may use
+	roomHave             = 0.9         // ... and lines that a proxy needs
+	roomSure             = 0.95        // ... that lines without an answer take up at most
+	sureFor              = 30 * Second // ... and for how long
+	overtakes            = Second      // messages that were written so close to each other may enter in any order
+	roomSpan             = 2.0         // seconds of the channel's pace that all but shut-outs share
 	roomAgain            = Second / 5
 	fences               = 1 << 15 // numbers in turn; far more than are ever on the way
 )
@@ -112,6 +114,7 @@
 		a.reconcile(tick)
 		if a.queue > before {
 			a.batch++
+			a.wroteAt[a.batch%len(a.wroteAt)] = now
 			a.order(Fence{Number: a.batch % fences})
 		}
 	}
@@ -819,11 +822,11 @@
 	a.waits = 0
 	for _, p := range a.in {
 		p.sent = slices.DeleteFunc(p.sent, func(m message) bool {
-			return a.now-m.at > a.d.MessagesOver+Second && (m.cost == 0 || m.batch <= a.passed)
+			return a.now-m.at > a.d.MessagesOver+Second && !a.inChannel(m)
 		})
 		for _, m := range p.sent {
-			may += either(m.batch > a.passed, m.cost, 0)
-			a.waits += either(m.batch > a.answered, m.cost, 0)
+			may += either(a.inChannel(m), m.cost, 0)
+			a.waits += either(a.inChannel(m) && a.now < m.at+sureFor, m.cost, 0)
 		}
 	}
 	a.queue -= slowChan * a.d.LinesPerS * float64(a.now-a.queueAt) / float64(Second)
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -240,12 +240,12 @@
 	r.step(Left{Proxy: 0})
 	r.uses = map[[2]int]int{}
 	r.now += 10 * Second
-	r.step(Fenced{Number: r.a.batch}, Joined{Proxy: 0, Zone: 0, Rate: 5}, Joined{Proxy: 2, Zone: 0, Rate: 500})
+	r.step(Fenced{Proxy: 1, Number: r.a.batch}, Joined{Proxy: 0, Zone: 0, Rate: 5}, Joined{Proxy: 2, Zone: 0, Rate: 500})
 	if _, ok := r.uses[[2]int{2, 0}]; !ok || len(r.uses) != len(d.Products) {
 		t.Errorf("bound: %v, want the busiest alone: the channel has room for no more", r.uses)
 	}
 	r.now += 10 * Second
-	r.step(Fenced{Number: r.a.batch}, Woken{})
+	r.step(Fenced{Proxy: 2, Number: r.a.batch}, Woken{})
 	if _, ok := r.uses[[2]int{0, 0}]; !ok {
 		t.Error("the other proxy was not bound later")
 	}
@@ -534,3 +534,50 @@
 		t.Errorf("%v lines waited where %v may", most, d.LinesMost)
 	}
 }
+
+// What was written within a second of what was answered may still wait: messages go by sockets of their own, and those
+// of a small batch get ahead of those of a large one before it. The large one is not taken for gone then.
+func TestOvertaken(t *testing.T) {
+	d := deployment()
+	d.Proxies, d.LinesPerS, d.LinesMost, d.MessagesMost = 200, 1000, 4000, 0
+	r := newRig(t, d)
+	events := []Event{Listed{Kind: ListCached, Entries: []Entry{ready(0, 0), ready(1, 0), ready(2, 1), ready(3, 1)}}}
+	for p := range d.Proxies - 1 {
+		events = append(events, Joined{Proxy: p, Zone: p % 2, Rate: 5, Brings: true})
+	}
+	r.step(events...)
+	large := r.a.waits
+	r.now += Second / 20
+	r.step(Joined{Proxy: d.Proxies - 1, Zone: 0, Rate: 5000})
+	r.now += Second / 2
+	r.step(Fenced{Proxy: d.Proxies - 1, Number: r.a.batch}, Listed{Entries: []Entry{{Backend: 0, Zone: 0, Status: Draining, Weight: 1}}})
+	if large < 500 || r.a.waits < large {
+		t.Errorf("%v lines may wait after a later batch was answered, %v of the first one do", r.a.waits, large)
+	}
+	for i := range r.a.px { // what each answers for itself has left
+		r.step(Fenced{Proxy: i, Number: r.a.batch})
+	}
+	before := r.now
+	r.now += Second / 10
+	r.step(Woken{})
+	for _, p := range r.a.in {
+		for _, m := range p.sent {
+			if m.at <= before && r.a.inChannel(m) {
+				t.Fatalf("a message counts that its proxy has answered")
+			}
+		}
+	}
+	// What was written more than a second before what was answered has left, whoever is silent.
+	r.now += 3 * Second
+	r.step(Woken{})
+	batch := r.a.batch
+	r.now += 3 * Second
+	r.step(Fenced{Proxy: 0, Number: batch}, Woken{})
+	for _, p := range r.a.in {
+		for _, m := range p.sent {
+			if r.a.inChannel(m) && m.at <= r.a.wroteAt[batch%len(r.a.wroteAt)]-overtakes {
+				t.Fatalf("a message of %v counts, batch %d of %v was answered", m.at, batch, r.a.wroteAt[batch%len(r.a.wroteAt)])
+			}
+		}
+	}
+}
--- a/choice/plain_test.go
+++ b/choice/plain_test.go
@@ -65,6 +65,7 @@
 		m.emit(rest, roomRest)
 		if m.queue > before {
 			m.batch++
+			m.wroteAt[m.batch%len(m.wroteAt)] = now
 			m.order(Fence{Number: m.batch % fences})
 		}
 	}
--- a/choice/state.go
+++ b/choice/state.go
@@ -106,11 +106,12 @@
 	backAt        Time
 	took, bad     float64 // median time of answers, and share voided at the median backend
 
-	queue, waits  float64 // lines that may wait in the channel; of batches that nobody answered
-	queueAt       Time
-	batch, passed int // messages written together; all of those up to here have left the channel
-	answered      int // the last batch that somebody answered
-	orders        []Order
+	queue, waits float64 // lines that may wait in the channel; of messages of which nothing shows that they left
+	queueAt      Time
+	batch        int               // messages written together
+	wroteAt      [fences / 32]Time // when, of those of late
+	passed       Time              // what was written up to here has left the channel
+	orders       []Order
 }
 
 func (a *Assigner) order(o Order) { a.orders = append(a.orders, o) }
@@ -207,9 +208,12 @@
 	}
 }
 
-// hearFence takes that a batch has reached the proxy; messages leave in order.
+// hearFence takes that a batch has reached the proxy. Messages leave in the order in which they enter, which is that in
+// which they were written, but for those of about the same moment: they go by sockets of their own.
 func (a *Assigner) hearFence(p *proxy, batch int) {
-	a.passed, a.answered = max(a.passed, batch-1), max(a.answered, batch)
+	if a.batch-batch < len(a.wroteAt) {
+		a.passed = max(a.passed, a.wroteAt[batch%len(a.wroteAt)]-overtakes)
+	}
 	for i := range p.sent {
 		if p.sent[i].batch <= batch {
 			p.sent[i].cost = 0
@@ -217,6 +221,9 @@
 	}
 }
 
+// inChannel says whether nothing shows that a message has left.
+func (a *Assigner) inChannel(m message) bool { return m.cost > 0 && m.at > a.passed }
+
 // charge counts lines of this reply's message to a proxy.
 func (a *Assigner) charge(p *proxy, lines float64) {
 	if n := len(p.sent); n == 0 || p.sent[n-1].batch <= a.batch {
--- a/desk/carry.go
+++ b/desk/carry.go
@@ -218,8 +218,9 @@
 			p.told[b], part.Back = shutIn, append(part.Back, name)
 			continue
 		}
-		brought := told == shutUnknown && want == shutIn && unlaid && !slices.Contains(d.told, b)
-		if told == want || brought || !d.holds(p, b) {
+		// One that still waits for its first table is told of what is ordered now, which is all that was charged for
+		// it; the rest is settled with that table.
+		if told == want || unlaid && !slices.Contains(d.told, b) || !d.holds(p, b) {
 			continue
 		}
 		if p.told[b] = want; want == shutOut {
--- a/desk/many_test.go
+++ b/desk/many_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"fmt"
+	"io"
 	"runtime"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"elmfold/choice"
 	"elmfold/edge"
 	"elmfold/roster"
@@ -163,3 +166,55 @@
 		t.Errorf("live heap by days %v, what is kept %v", heap, kept)
 	}
 }
+
+// A proxy that waits for its first table is told of the drains that are ordered meanwhile, one line each as they were
+// charged, and not with each of them of all that are shut out: at full size those were more than the channel holds.
+func TestShutWhileWaiting(t *testing.T) {
+	dep := deploymentOf(40)
+	dep.LinesPerS, dep.LinesMost = 30, 6000
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	d := New(dep, names, &asked{}, logrus.NewEntry(log))
+	whole := list(true)
+	for i := range 12 {
+		whole.Members = append(whole.Members, serving(fmt.Sprint("s-", i)))
+	}
+	d.Known(whole)
+	streams := make([]*line, dep.Proxies)
+	join := func(from, to int) {
+		for i := from; i < to; i++ {
+			streams[i] = &line{since: uint64(i + 1)}
+			d.Hear(News{streams[i], edge.Joined{Proxy: i, Zone: "a", Rate: 5, Fresh: i%2 == 0}})
+		}
+	}
+	join(0, 20)
+	now := 1000 * choice.Second
+	d.Step(now)
+	waiting := 0
+	for i := range 8 {
+		if i == 4 { // these come when four are shut out
+			join(20, 40)
+		}
+		drain := serving(fmt.Sprint("s-", i))
+		drain.Phase = roster.Draining
+		d.Hear(News{Said: list(false, drain)})
+		now += choice.Second / 10
+		d.Step(now)
+		for p, s := range streams {
+			if s == nil {
+				continue
+			}
+			text := strings.Join(s.take(), "")
+			if d.proxies[p].tables[0] != none || text == "" {
+				continue
+			}
+			waiting++
+			if !strings.Contains(text, fmt.Sprintf(" out=s-%d ", i)) {
+				t.Fatalf("drain %d: proxy %d, which waits, is told %q", i, p, text)
+			}
+		}
+	}
+	if waiting < 100 {
+		t.Errorf("%d messages to proxies that wait", waiting)
+	}
+}
