Channel: a hub on WebSocket and cbor before the same desk, and a client that resumes

Need: as the module of the channel says. Change: channel/ turns what the desk orders for a proxy into values under keys (desk.PartStream takes parts in place of text), a hub of one goroutine owns the sessions, the desk never waits for it; a proxy that is away for less than the linger has not left; reports are held to the bounds of the text; codes for what a client must not do. channel/client keeps a copy, over connections, controllers and its own starts. Streams of sockets and channels are numbered in one order, so that of two the newer holds. No effect twice, one joining.

--- /dev/null
+++ b/channel/channel_test.go
@@ -0,0 +1,431 @@
+package channel_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/sirupsen/logrus"
+
+	"elmfold/channel"
+	"elmfold/channel/client"
+	"elmfold/channel/session"
+	"elmfold/choice"
+	"elmfold/deployment"
+	"elmfold/desk"
+	"elmfold/edge"
+	"elmfold/roster"
+	"elmfold/standin/link"
+	sockets "elmfold/stream"
+)
+
+var names = deployment.Names{Products: []string{"look", "pay"}, Zones: []string{"a", "b"}, Kinds: []string{"s"}}
+
+type nobody struct{}
+
+func (nobody) Follow(bool) {}
+func (nobody) Reload()     {}
+
+// house is a desk that runs, with a hub before it; it counts what the desk is told.
+type house struct {
+	t     *testing.T
+	hub   *channel.Hub
+	lists chan desk.News
+	queue chan desk.News
+	mu    sync.Mutex
+	told  map[string]int
+}
+
+func silent() *logrus.Entry {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return logrus.NewEntry(log)
+}
+
+func open(t *testing.T, plan channel.Plan, backends ...string) *house {
+	t.Helper()
+	h := &house{t: t, lists: make(chan desk.News, 10), queue: make(chan desk.News, 1000), told: map[string]int{}}
+	d := desk.New(choice.Deployment{Products: []choice.Product{{Revenue: 1, SLA: 8000}, {Revenue: 3, SLA: 8000, OnlyZones: []int{0}}}, Zones: 2, Proxies: 4,
+		GoneBinds: true, Cold: 10 * choice.Second, ColdCapacity: 0.3, ColdMultiple: 3, LinesPerS: 3000, LinesMost: 6000, LinesHead: 6,
+		MessagesOver: 10 * choice.Second, FirstTick: 200}, names, nobody{}, silent())
+	l := roster.List{Revision: 1, Whole: true}
+	for _, id := range backends {
+		l.Members = append(l.Members, member(id))
+	}
+	d.Known(l)
+	began := time.Now()
+	go d.Run(h.queue, h.lists, time.Millisecond, func() choice.Time {
+		return 1000*choice.Second + choice.Time(time.Since(began)*time.Duration(choice.Second)/time.Second)
+	})
+	hear := func(n desk.News) {
+		h.mu.Lock()
+		h.told[fmt.Sprintf("%T", n.Said)]++
+		h.mu.Unlock()
+		h.queue <- n
+	}
+	if plan.Listen = "127.0.0.1:0"; plan.Linger == 0 {
+		plan.Linger = time.Hour
+	}
+	if plan.Onlookers == 0 {
+		plan.Onlookers = 4
+	}
+	var err error
+	if h.hub, err = channel.Listen(plan, 4, names, hear, silent()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(h.hub.Close)
+	return h
+}
+
+func member(id string) roster.Member {
+	return roster.Member{ID: id, Zone: "a", Kind: "s", Phase: roster.Serving, Size: 1}
+}
+
+func (h *house) times(of any) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.told[fmt.Sprintf("%T", of)]
+}
+
+func (h *house) drain(id string) {
+	m := member(id)
+	m.Phase = roster.Draining
+	h.lists <- desk.News{Said: roster.List{Revision: 2, Members: []roster.Member{m}}}
+}
+
+// follower is a client whose copy can be waited on.
+type follower struct {
+	t       *testing.T
+	stop    context.CancelFunc
+	done    chan error
+	changed chan map[string]session.Value
+	ups     chan *client.Publisher
+	downs   chan error
+	mu      sync.Mutex
+	seen    map[string]int // messages that took effect, by epoch and number
+}
+
+func follow(t *testing.T, o client.Options) *follower {
+	ctx, stop := context.WithCancel(context.Background())
+	f := &follower{t: t, stop: stop, done: make(chan error, 1), changed: make(chan map[string]session.Value, 10000),
+		ups: make(chan *client.Publisher, 10000), downs: make(chan error, 10000), seen: map[string]int{}}
+	o.Changed = func(c *session.Copy, _ []string) {
+		f.mu.Lock()
+		f.seen[fmt.Sprint(c.Epoch, " ", c.Seq)]++
+		f.mu.Unlock()
+		f.changed <- maps.Clone(c.State)
+	}
+	o.Up = func(p *client.Publisher) { f.ups <- p }
+	o.Down = func(err error) { f.downs <- err }
+	if o.Pause == 0 {
+		o.Pause = time.Millisecond
+	}
+	go func() { f.done <- client.Run(ctx, o) }()
+	t.Cleanup(func() { stop() })
+	return f
+}
+
+// until waits for a copy in which something holds.
+func (f *follower) until(what string, holds func(out map[string]bool, tables map[string]*channel.Table) bool) {
+	f.t.Helper()
+	over := time.After(time.Minute)
+	for {
+		select {
+		case state := <-f.changed:
+			if holds(channel.Tables(state)) {
+				return
+			}
+		case <-over:
+			f.t.Fatalf("%s: not within a minute", what)
+		}
+	}
+}
+
+func (f *follower) once() {
+	f.t.Helper()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for m, n := range f.seen {
+		if n != 1 {
+			f.t.Errorf("message %s took effect %d times", m, n)
+		}
+	}
+}
+
+func hello(proxy int) channel.Hello {
+	return channel.Hello{Topic: fmt.Sprint(channel.OrdersTopic, proxy), Own: true, Zone: "a", Rate: 5}
+}
+
+// full says whether a proxy holds lines to these backends for both products, and levels.
+func full(ids ...string) func(map[string]bool, map[string]*channel.Table) bool {
+	return func(_ map[string]bool, tables map[string]*channel.Table) bool {
+		for _, k := range names.Products {
+			if tables[k] == nil || len(tables[k].Lines) != len(ids) || tables[k].Level < 0 {
+				return false
+			}
+			for _, id := range ids {
+				if tables[k].Lines[id] <= 0 {
+					return false
+				}
+			}
+		}
+		return true
+	}
+}
+
+// A proxy on the channel gets its tables, is told of a drain, and its reports reach the desk as those of its own; the
+// marks of the desk are answered by what took effect.
+func TestServe(t *testing.T) {
+	h := open(t, channel.Plan{}, "s-0", "s-1", "s-2")
+	f := follow(t, client.Options{Addresses: []string{h.hub.Addr()}, Hello: hello(1)})
+	f.until("tables", full("s-0", "s-1", "s-2"))
+	p := <-f.ups
+	if err := p.Used(channel.Used{Product: "look", Txns: 9, Millis: 1000}); err != nil {
+		t.Fatal(err)
+	}
+	h.drain("s-1")
+	f.until("a drain", func(out map[string]bool, _ map[string]*channel.Table) bool { return out["s-1"] })
+	for deadline := time.Now().Add(time.Minute); h.times(edge.Fenced{}) == 0 || h.times(edge.Used{}) == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("the desk was told %v", h.told)
+		}
+	}
+	if n := h.times(edge.Joined{}); n != 1 {
+		t.Errorf("joined %d times", n)
+	}
+	f.once()
+}
+
+// Case 1 on sockets: the link cuts each connection after a few bytes more than the one before, through handshake,
+// snapshot and changes. What was half taken is not half applied, nothing takes effect twice, and all this is one joining.
+func TestCase1CutAtEachByte(t *testing.T) {
+	h := open(t, channel.Plan{}, "s-0", "s-1", "s-2", "s-3")
+	l, err := link.New(h.hub.Addr(), func(n int) link.Script {
+		s := link.Calm
+		s.Down = link.Fate{After: int64(n) * 7, Kind: link.Cut}
+		s.Split = 11
+		return s
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	f := follow(t, client.Options{Addresses: []string{l.Addr()}, Hello: hello(2), Credit: 2})
+	f.until("tables", full("s-0", "s-1", "s-2", "s-3"))
+	h.drain("s-3")
+	f.until("a drain", func(out map[string]bool, _ map[string]*channel.Table) bool { return out["s-3"] })
+	f.once()
+	if n := h.times(edge.Joined{}); n != 1 || l.Taken() < 20 || h.times(edge.Ended{}) != 0 {
+		t.Errorf("joined %d times over %d connections", n, l.Taken())
+	}
+}
+
+// Case 2 on sockets: the controller ends, another one takes over with numbers of its own; and a client that starts again
+// goes on after what it kept.
+func TestCase2AnotherHub(t *testing.T) {
+	keep := client.File(filepath.Join(t.TempDir(), "copy"))
+	one, two := open(t, channel.Plan{}, "s-0", "s-1"), open(t, channel.Plan{}, "s-0", "s-1", "s-2")
+	o := client.Options{Addresses: []string{one.hub.Addr(), two.hub.Addr()}, Hello: hello(0), Keep: keep}
+	f := follow(t, o)
+	f.until("tables", full("s-0", "s-1"))
+	one.hub.Close()
+	f.until("tables of the other", full("s-0", "s-1", "s-2"))
+	f.stop()
+	if err := <-f.done; err != nil {
+		t.Fatal(err)
+	}
+	before, err := keep.Load()
+	if err != nil || !full("s-0", "s-1", "s-2")(channel.Tables(before.State)) {
+		t.Fatalf("kept %+v, %v", before, err)
+	}
+	o.Addresses = o.Addresses[1:]
+	f = follow(t, o)
+	<-f.ups
+	two.drain("s-2")
+	f.until("a drain", func(out map[string]bool, _ map[string]*channel.Table) bool { return out["s-2"] })
+	f.once()
+	after, _ := keep.Load()
+	if after.Epoch != before.Epoch || after.Effect-before.Effect > 3 || two.times(edge.Joined{}) != 1 {
+		t.Errorf("it went on from %d to %d effects, joined %d times", before.Effect, after.Effect, two.times(edge.Joined{}))
+	}
+}
+
+// line is a platform stream.
+type line struct{ since uint64 }
+
+func (l line) Since() uint64 { return l.since }
+func (line) Send([]byte)     {}
+func (line) Known(string)    {}
+func (line) Replaced()       {}
+func (line) Refused()        {}
+func (line) Fault(error)     {}
+
+// Case 5 on sockets: a newer connection of the same proxy goes on where the older one was; a platform stream that comes
+// later takes the proxy over, and the channel lets it go with a code.
+func TestCase5TwoSessions(t *testing.T) {
+	h := open(t, channel.Plan{}, "s-0", "s-1")
+	f := follow(t, client.Options{Addresses: []string{h.hub.Addr()}, Hello: hello(3), Pause: time.Hour})
+	f.until("tables", full("s-0", "s-1"))
+	g := follow(t, client.Options{Addresses: []string{h.hub.Addr()}, Hello: hello(3), Pause: time.Hour})
+	g.until("tables of the newer", full("s-0", "s-1"))
+	if err := <-f.downs; !strings.Contains(err.Error(), string(session.Replaced)) {
+		t.Errorf("the older one ended with %v", err)
+	}
+	h.queue <- desk.News{From: line{sockets.Next()}, Said: edge.Joined{Proxy: 3, Zone: "a", Rate: 5}}
+	if err := <-g.downs; !strings.Contains(err.Error(), string(session.Replaced)) {
+		t.Errorf("the newer one ended with %v", err)
+	}
+	if n := h.times(edge.Joined{}); n != 1 {
+		t.Errorf("joined %d times by the channel", n)
+	}
+}
+
+// Case 6: what a client must not do ends its connection with a code, and no other's.
+func TestCase6Misuse(t *testing.T) {
+	h := open(t, channel.Plan{Conns: 12}, "s-0", "s-1")
+	good := follow(t, client.Options{Addresses: []string{h.hub.Addr()}, Hello: hello(1)})
+	good.until("tables", full("s-0", "s-1"))
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	dial := func() *websocket.Conn {
+		ws, _, err := websocket.Dial(ctx, "ws://"+h.hub.Addr(), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		ws.SetReadLimit(1 << 20)
+		return ws
+	}
+	code := func(messages ...[]byte) string {
+		ws := dial()
+		defer func() { _ = ws.CloseNow() }()
+		for _, m := range messages {
+			_ = ws.Write(ctx, websocket.MessageBinary, m)
+		}
+		for {
+			_, text, err := ws.Read(ctx)
+			if err != nil {
+				return websocket.CloseStatus(err).String()
+			}
+			if e, err := channel.Decode(text); err == nil {
+				if e, ok := e.(channel.Error); ok {
+					return e.Code
+				}
+			}
+		}
+	}
+	say := func(o channel.Hello) []byte {
+		if o.Version == 0 {
+			o.Version = channel.Version
+		}
+		return channel.Encode(channel.KindHello, o)
+	}
+	own := hello(2)
+	for name, c := range map[string]struct {
+		want     string
+		messages [][]byte
+	}{
+		"no hello":             {channel.CodeMessage, [][]byte{channel.Encode(channel.KindAck, channel.Ack{})}},
+		"garbage":              {channel.CodeMessage, [][]byte{[]byte("GET / HTTP/1.1")}},
+		"nothing":              {channel.CodeMessage, [][]byte{{}}},
+		"another version":      {channel.CodeVersion, [][]byte{say(channel.Hello{Version: 9, Topic: own.Topic})}},
+		"no such topic":        {channel.CodeTopic, [][]byte{say(channel.Hello{Topic: "all"})}},
+		"no such proxy":        {channel.CodeTopic, [][]byte{say(channel.Hello{Topic: "orders/9"})}},
+		"no such zone":         {channel.CodeTopic, [][]byte{say(channel.Hello{Topic: "orders/2", Own: true, Zone: "x"})}},
+		"reports of another":   {channel.CodeNotOwn, [][]byte{say(own), channel.Encode(channel.KindHeard, channel.Heard{Backend: "s-0", Tries: 1, Millis: 1000})}},
+		"use as an onlooker":   {channel.CodeNotOwn, [][]byte{say(channel.Hello{Topic: "orders/1"}), channel.Encode(channel.KindUsed, channel.Used{Product: "look", Millis: 1})}},
+		"a figure that cannot": {channel.CodeMessage, [][]byte{say(own), channel.Encode(channel.KindUsed, channel.Used{Product: "look", Txns: -1, Millis: 1000})}},
+		"10 MB":                {"StatusMessageTooBig", [][]byte{say(own), make([]byte, 10<<20)}},
+	} {
+		if got := code(c.messages...); got != c.want {
+			t.Errorf("%s: %s, want %s", name, got, c.want)
+		}
+	}
+	never := dial() // a number that was never sent, of the epoch that holds
+	_ = never.Write(ctx, websocket.MessageBinary, say(channel.Hello{Topic: "orders/1", Credit: 1}))
+	_, text, err := never.Read(ctx)
+	said, _ := channel.Decode(text)
+	if m, ok := said.(session.Send); err != nil || !ok {
+		t.Errorf("an onlooker is sent %v, %v", said, err)
+	} else {
+		_ = never.Write(ctx, websocket.MessageBinary, channel.Encode(channel.KindAck, channel.Ack{Epoch: m.Epoch, Seq: m.Seq + 77, More: 1}))
+		_, text, _ = never.Read(ctx)
+		if e, _ := channel.Decode(text); !reflect.DeepEqual(e, channel.Error{Code: string(session.Unknown)}) {
+			t.Errorf("a number never sent is answered with %v", e)
+		}
+	}
+	_ = never.CloseNow()
+	var held []*websocket.Conn
+	for range 30 { // half-open ones
+		ws := dial()
+		held = append(held, ws)
+	}
+	crowded := 0
+	for _, ws := range held {
+		_, text, err := ws.Read(ctx)
+		if e, _ := channel.Decode(text); err == nil && reflect.DeepEqual(e, channel.Error{Code: channel.CodeCrowded}) {
+			crowded++
+		}
+		_ = ws.CloseNow()
+	}
+	if crowded < 15 {
+		t.Errorf("%d of 30 beyond the limit are told so", crowded)
+	}
+	h.drain("s-1")
+	good.until("a drain after all that", func(out map[string]bool, _ map[string]*channel.Table) bool { return out["s-1"] })
+	if n := len(good.downs); n > 0 {
+		t.Errorf("the good client was let go of %d times: %v", n, <-good.downs)
+	}
+}
+
+// A collector publishes the reports of its zone; an onlooker sees the list, and a drain in it.
+func TestReportsAndList(t *testing.T) {
+	h := open(t, channel.Plan{}, "s-0", "s-1")
+	zone := follow(t, client.Options{Addresses: []string{h.hub.Addr()}, Hello: channel.Hello{Topic: channel.ReportsTopic + "a"}})
+	if err := (<-zone.ups).Heard(channel.Heard{Backend: "s-0", Tries: 9, Took: 120, Millis: 1000}); err != nil {
+		t.Fatal(err)
+	}
+	for deadline := time.Now().Add(time.Minute); h.times(edge.Heard{}) == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("the desk was told %v", h.told)
+		}
+	}
+	h.hub.Tell(roster.List{Members: []roster.Member{member("s-0"), member("s-1")}})
+	onlooker := follow(t, client.Options{Addresses: []string{h.hub.Addr()}, Hello: channel.Hello{Topic: channel.ListTopic}})
+	for state := range onlooker.changed {
+		if len(state) == 2 && strings.Contains(state["s-1"].Text, roster.Serving) {
+			break
+		}
+	}
+	gone := member("s-1")
+	gone.Phase = roster.Deleted
+	h.hub.Tell(roster.List{Members: []roster.Member{gone}})
+	if state := <-onlooker.changed; len(state) != 1 {
+		t.Errorf("the onlooker holds %v", state)
+	}
+}
+
+// Whatever bytes come for a message, reading them ends with one or an error.
+func FuzzDecode(f *testing.F) {
+	f.Add(channel.Encode(channel.KindHello, hello(1)))
+	f.Add(channel.Encode(channel.KindAck, channel.Ack{Epoch: 1 << 60, Seq: 1<<32 - 1, More: 3}))
+	f.Add(channel.Encode(channel.KindUsed, channel.Used{Product: "look", Txns: 3, Millis: 1000}))
+	f.Add(channel.Encode(channel.KindChange, channel.Message{Epoch: 1, Seq: 3, Prev: 2, Sets: []session.Set{{Key: channel.OutKey("s-1")}}}))
+	f.Add([]byte{})
+	f.Add([]byte("S\xbf"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		said, err := channel.Decode(text)
+		if m, ok := said.(session.Send); ok && err == nil {
+			var c session.Copy
+			_, _, _ = c.Apply(m)
+			channel.Tables(c.State)
+		}
+	})
+}
--- /dev/null
+++ b/channel/client/client.go
@@ -0,0 +1,184 @@
+// Package client subscribes to a topic of the channel and keeps a copy of it. Each message takes effect once, over
+// connections that break, controllers that restart or change, and starts of its own, where it is given a place to keep
+// what took effect. docs/channel.md has the protocol.
+package client
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"os"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/fxamacker/cbor/v2"
+
+	"elmfold/channel"
+	"elmfold/channel/session"
+)
+
+// Keeper keeps what took effect.
+type Keeper interface {
+	Load() (session.Copy, error) // none: an empty one
+	Save(session.Copy) error     // whole or not at all
+}
+
+// File keeps it in a file, replaced at each change.
+type File string
+
+// Load reads the file.
+func (f File) Load() (c session.Copy, err error) {
+	text, err := os.ReadFile(string(f))
+	if errors.Is(err, os.ErrNotExist) {
+		return c, nil
+	}
+	if err == nil {
+		err = cbor.Unmarshal(text, &c)
+	}
+	return c, err
+}
+
+// Save replaces the file.
+func (f File) Save(c session.Copy) error {
+	text, err := cbor.Marshal(c)
+	if err != nil {
+		return err
+	}
+	next := string(f) + ".next"
+	if err := os.WriteFile(next, text, 0o600); err != nil {
+		return err
+	}
+	return os.Rename(next, string(f))
+}
+
+// Options say what is subscribed to, and what is told of it.
+type Options struct {
+	Addresses []string // of controllers, host and port; the next one is tried where one does not answer
+	Hello     channel.Hello
+	Keep      Keeper // nil: nothing is kept over starts
+	// Changed is called in turn, with the keys that now stand otherwise, after a message took effect. The copy is the
+	// client's: it is to be read until Changed returns.
+	Changed func(c *session.Copy, keys []string)
+	// Up is called with each connection that was opened; what it is given may be used to publish until the next call.
+	Up func(p *Publisher)
+	// Down is called with why a connection ended.
+	Down   func(err error)
+	Credit int           // messages that may be on the way; 0: 8
+	Pause  time.Duration // the shortest before it dials again; 0: 100 ms; it grows to 32 times that
+	// Acked, where it is given, may swallow an acknowledgement, for tests of what follows.
+	Acked func(seq uint32) bool
+}
+
+// Publisher sends reports on the connection that is open.
+type Publisher struct {
+	ctx context.Context
+	ws  *websocket.Conn
+}
+
+// Used publishes what came to the proxy.
+func (p *Publisher) Used(u channel.Used) error { return p.write(channel.KindUsed, u) }
+
+// Heard publishes what the proxies of a zone met.
+func (p *Publisher) Heard(h channel.Heard) error { return p.write(channel.KindHeard, h) }
+
+func (p *Publisher) write(kind byte, v any) error {
+	return p.ws.Write(p.ctx, websocket.MessageBinary, channel.Encode(kind, v))
+}
+
+// Run subscribes until the context ends, or until what was kept cannot be read.
+func Run(ctx context.Context, o Options) error {
+	c := session.Copy{}
+	if o.Keep != nil {
+		var err error
+		if c, err = o.Keep.Load(); err != nil {
+			return fmt.Errorf("what took effect cannot be read: %w", err)
+		}
+	}
+	pause := o.Pause
+	if pause == 0 {
+		pause = 100 * time.Millisecond
+	}
+	for tries := uint32(0); ; tries++ {
+		began := time.Now()
+		err := once(ctx, o, &c, o.Addresses[int(tries)%len(o.Addresses)])
+		if ctx.Err() != nil {
+			return nil
+		}
+		if o.Down != nil {
+			o.Down(err)
+		}
+		if errors.Is(err, session.ErrGap) {
+			c.Epoch, c.Seq = 0, 0 // all is asked for
+		}
+		span := pause << min(tries, 5)
+		if time.Since(began) > span {
+			tries, span = 0, pause
+		}
+		// Thousands that lost the same controller do not come back in the same instant.
+		h := fnv.New32a()
+		_, _ = fmt.Fprint(h, o.Hello.Topic, tries)
+		span += span * time.Duration(h.Sum32()%1000) / 1000
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(span):
+		}
+	}
+}
+
+// once holds one connection.
+func once(ctx context.Context, o Options, c *session.Copy, address string) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	ws, _, err := websocket.Dial(ctx, "ws://"+address+"/", &websocket.DialOptions{Subprotocols: []string{channel.Protocol}, CompressionMode: websocket.CompressionDisabled})
+	if err != nil {
+		return err
+	}
+	defer func() { _ = ws.CloseNow() }()
+	ws.SetReadLimit(16 << 20)
+	hello := o.Hello
+	hello.Version, hello.Epoch, hello.Seq = channel.Version, c.Epoch, c.Seq
+	if hello.Credit = o.Credit; hello.Credit == 0 {
+		hello.Credit = 8
+	}
+	if err := ws.Write(ctx, websocket.MessageBinary, channel.Encode(channel.KindHello, hello)); err != nil {
+		return err
+	}
+	if o.Up != nil {
+		o.Up(&Publisher{ctx: ctx, ws: ws})
+	}
+	for {
+		_, text, err := ws.Read(ctx)
+		if err != nil {
+			return err
+		}
+		said, err := channel.Decode(text)
+		if err != nil {
+			return err
+		}
+		switch said := said.(type) {
+		case channel.Error:
+			return fmt.Errorf("the controller says %s: %s", said.Code, said.Text)
+		case session.Send:
+			keys, fresh, err := c.Apply(said)
+			if err != nil {
+				return err
+			}
+			if fresh && o.Keep != nil {
+				if err := o.Keep.Save(*c); err != nil {
+					return err
+				}
+			}
+			if fresh && o.Changed != nil {
+				o.Changed(c, keys)
+			}
+			if o.Acked != nil && !o.Acked(said.Seq) {
+				continue
+			}
+			if err := ws.Write(ctx, websocket.MessageBinary, channel.Encode(channel.KindAck, channel.Ack{Epoch: said.Epoch, Seq: said.Seq, More: 1})); err != nil {
+				return err
+			}
+		}
+	}
+}
--- /dev/null
+++ b/channel/hub.go
@@ -0,0 +1,420 @@
+package channel
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/sirupsen/logrus"
+
+	"elmfold/channel/session"
+	"elmfold/deployment"
+	"elmfold/desk"
+	"elmfold/edge"
+	"elmfold/roster"
+	sockets "elmfold/stream"
+)
+
+const (
+	helloWithin = 1500 * time.Millisecond
+	writeWithin = 5 * time.Second
+	mostMessage = 64 << 10 // of a client's
+	spareConns  = 64       // over proxies and zones, at least
+)
+
+// Plan is what a Hub is given.
+type Plan struct {
+	Listen    string
+	Linger    time.Duration // that a proxy may be away before it has left
+	Onlookers int           // of a topic
+	Conns     int           // at most; 0: a few more than there are proxies
+}
+
+// Hub serves the channel.
+type Hub struct {
+	plan    Plan
+	names   deployment.Names
+	proxies int
+	hear    func(desk.News)
+	log     *logrus.Entry
+	net     net.Listener
+	server  *http.Server
+	began   time.Time
+
+	mu     sync.Mutex
+	events []session.Event
+	count  int
+	conns  map[int]*conn
+	wake   chan struct{}
+	done   chan struct{}
+	once   sync.Once
+
+	streams map[string]*stream // of topics whose owner is there; the hub's goroutine alone looks
+}
+
+// conn is a connection; what it may be sent is bounded by its credit, so its queue never fills.
+type conn struct {
+	id    int
+	ws    *websocket.Conn
+	hello Hello
+	from  desk.Stream // a collector's own; nil: its topic's
+	out   chan []byte
+	ended context.CancelFunc
+}
+
+// Listen serves the channel. hear is given what proxies and collectors say; it may wait, the desk does not.
+func Listen(plan Plan, proxies int, names deployment.Names, hear func(desk.News), log *logrus.Entry) (*Hub, error) {
+	ln, err := net.Listen("tcp4", plan.Listen)
+	if err != nil {
+		return nil, err
+	}
+	if plan.Conns == 0 {
+		plan.Conns = proxies + len(names.Zones) + spareConns
+	}
+	h := &Hub{plan: plan, names: names, proxies: proxies, hear: hear, log: log, net: ln, began: time.Now(), conns: map[int]*conn{},
+		wake: make(chan struct{}, 1), done: make(chan struct{}), streams: map[string]*stream{}}
+	h.server = &http.Server{Handler: http.HandlerFunc(h.accept), ReadHeaderTimeout: helloWithin}
+	go func() { _ = h.server.Serve(ln) }()
+	go h.run()
+	return h, nil
+}
+
+// Addr is where it listens.
+func (h *Hub) Addr() string { return h.net.Addr().String() }
+
+// Close ends all connections; whoever was there dials elsewhere.
+func (h *Hub) Close() {
+	h.once.Do(func() { close(h.done) })
+	_ = h.server.Close()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, c := range h.conns {
+		c.ended()
+	}
+}
+
+// Tell hands on the list, for onlookers. It never waits.
+func (h *Hub) Tell(l roster.List) {
+	e := session.Changed{Topic: ListTopic}
+	for _, m := range l.Members {
+		text, _ := json.Marshal(m)
+		e.Sets = append(e.Sets, session.Set{Key: m.ID, Gone: m.Phase == roster.Deleted, Value: session.Value{Text: string(text)}})
+	}
+	h.tell(e)
+}
+
+// tell hands the hub events; nobody waits for it.
+func (h *Hub) tell(events ...session.Event) {
+	h.mu.Lock()
+	h.events = append(h.events, events...)
+	h.mu.Unlock()
+	select {
+	case h.wake <- struct{}{}:
+	default:
+	}
+}
+
+// run is the hub: it owns the sessions.
+func (h *Hub) run() {
+	plan := session.Usual(uint64(h.began.UnixNano()))
+	plan.Linger, plan.Onlookers = session.Time(h.plan.Linger/time.Millisecond), h.plan.Onlookers
+	all := session.New(plan)
+	idle := time.NewTimer(time.Hour)
+	for {
+		select {
+		case <-h.wake:
+		case <-idle.C:
+		case <-h.done:
+			return
+		}
+		h.mu.Lock()
+		events := h.events
+		h.events = nil
+		h.mu.Unlock()
+		published := slices.DeleteFunc(slices.Clone(events), func(e session.Event) bool { _, is := e.(publish); return !is })
+		for _, o := range all.Step(session.Time(time.Since(h.began)/time.Millisecond)+1, events) {
+			h.carry(o)
+		}
+		for _, e := range published { // after the joining that may have come with it
+			if p := e.(publish); h.streams[p.topic] != nil {
+				h.hear(desk.News{From: h.streams[p.topic], Said: p.said})
+			}
+		}
+		next := time.Hour
+		if at, some := all.Due(); some {
+			next = max(time.Duration(at)*time.Millisecond-time.Since(h.began), time.Millisecond)
+		}
+		idle.Reset(next)
+	}
+}
+
+func (h *Hub) carry(o session.Order) {
+	switch o := o.(type) {
+	case session.Send:
+		if c := h.conn(o.Conn); c != nil {
+			c.send(encodeSend(o))
+		}
+	case session.Close:
+		if c := h.conn(o.Conn); c != nil {
+			c.end(string(o.Reason), "")
+		}
+	case session.Joined:
+		c, at := h.conn(o.Conn), 0
+		if c == nil {
+			return // it is gone again, and its Closed is on the way
+		}
+		at, _ = proxyOf(o.Topic)
+		s := &stream{hub: h, topic: o.Topic, since: sockets.Next(), lines: map[string]map[string]bool{}}
+		h.streams[o.Topic] = s
+		h.hear(desk.News{From: s, Said: edge.Joined{Proxy: at, Zone: c.hello.Zone, Rate: c.hello.Rate, Fresh: true}})
+	case session.Left:
+		if s := h.streams[o.Topic]; s != nil {
+			delete(h.streams, o.Topic)
+			h.log.WithFields(logrus.Fields{"reason": "away", "of": o.Topic}).Info("a subscriber has left")
+			h.hear(desk.News{From: s, Said: edge.Ended{}})
+		}
+	case session.Answered:
+		if s := h.streams[o.Topic]; s != nil {
+			at, _ := proxyOf(o.Topic)
+			h.hear(desk.News{From: s, Said: edge.Fenced{Proxy: at, Number: o.Mark}})
+		}
+	}
+}
+
+func (h *Hub) conn(id int) *conn {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.conns[id]
+}
+
+// accept holds a connection from its first word to its end.
+func (h *Hub) accept(w http.ResponseWriter, r *http.Request) {
+	h.mu.Lock()
+	h.count++
+	id, full := h.count, len(h.conns) >= h.plan.Conns
+	h.mu.Unlock()
+	ws, err := websocket.Accept(w, r, &websocket.AcceptOptions{Subprotocols: []string{Protocol}, CompressionMode: websocket.CompressionDisabled})
+	if err != nil {
+		return // what came is no WebSocket; the library has said so
+	}
+	ws.SetReadLimit(mostMessage)
+	ctx, cancel := context.WithCancel(context.Background())
+	c := &conn{id: id, ws: ws, out: make(chan []byte, session.Usual(1).MostCredit+4), ended: cancel}
+	defer func() { _ = ws.CloseNow() }()
+	if full {
+		c.say(ctx, Error{Code: CodeCrowded})
+		return
+	}
+	h.mu.Lock()
+	h.conns[id] = c
+	h.mu.Unlock()
+	began := time.Now()
+	code, err := h.serve(ctx, c)
+	cancel()
+	h.mu.Lock()
+	delete(h.conns, id)
+	h.mu.Unlock()
+	if c.from != nil {
+		h.hear(desk.News{From: c.from, Said: edge.Ended{}})
+	} else if c.hello.Topic != "" {
+		h.tell(session.Closed{Conn: id})
+	}
+	fields := logrus.Fields{"reason": code, "peer": r.RemoteAddr, "lasted": time.Since(began).Round(time.Millisecond).String(), "of": c.hello.Topic}
+	if err != nil {
+		fields["error"] = err.Error()
+	}
+	h.log.WithFields(fields).Info("channel connection ended")
+}
+
+// say writes an error and closes.
+func (c *conn) say(ctx context.Context, e Error) {
+	ctx, cancel := context.WithTimeout(ctx, writeWithin)
+	defer cancel()
+	_ = c.ws.Write(ctx, websocket.MessageBinary, Encode(KindError, e))
+	_ = c.ws.Close(websocket.StatusPolicyViolation, e.Code)
+}
+
+// send queues a message; its credit keeps the queue from filling.
+func (c *conn) send(message []byte) {
+	select {
+	case c.out <- message:
+	default:
+		c.ended()
+	}
+}
+
+// end lets it go with a code.
+func (c *conn) end(code, text string) {
+	c.send(Encode(KindError, Error{Code: code, Text: text}))
+	c.send(nil)
+}
+
+// serve holds a connection to its end; it says why it ended.
+func (h *Hub) serve(ctx context.Context, c *conn) (code string, err error) {
+	first, cancel := context.WithTimeout(ctx, helloWithin)
+	_, text, err := c.ws.Read(first)
+	cancel()
+	if err != nil {
+		return CodeSilent, err
+	}
+	fault := func(code string, err error) (string, error) {
+		text := ""
+		if err != nil {
+			text = err.Error()
+		}
+		c.say(ctx, Error{Code: code, Text: text})
+		return code, err
+	}
+	said, err := Decode(text)
+	hello, ok := said.(Hello)
+	if err != nil || !ok {
+		return fault(CodeMessage, errors.Join(errMessage, err))
+	}
+	if hello.Version != Version {
+		return fault(CodeVersion, fmt.Errorf("version %d, we speak %d", hello.Version, Version))
+	}
+	if err := h.open(c, hello); err != nil {
+		return fault(CodeTopic, err)
+	}
+	c.hello = hello
+	failed := make(chan error, 1)
+	go func() { failed <- c.write(ctx) }()
+	if c.from == nil {
+		h.tell(session.Opened{Conn: c.id, Topic: hello.Topic, Owner: hello.Own, Epoch: hello.Epoch, Seq: hello.Seq, Credit: hello.Credit})
+	}
+	for {
+		_, text, err := c.ws.Read(ctx)
+		if err != nil {
+			select {
+			case err := <-failed:
+				if err != nil {
+					return CodeUnread, err
+				}
+			default:
+			}
+			if status := websocket.CloseStatus(err); status == websocket.StatusNormalClosure || status == websocket.StatusGoingAway {
+				return "closed", nil
+			}
+			return "reset", err
+		}
+		said, err := Decode(text)
+		if err == nil {
+			err = h.take(c, said)
+		}
+		if err != nil {
+			return fault(either(errors.Is(err, errNotOwn), CodeNotOwn, CodeMessage), err)
+		}
+	}
+}
+
+var (
+	errTopic  = errors.New("no such topic")
+	errNotOwn = errors.New("only its own may publish that")
+)
+
+// open checks what a connection asks for. A collector is made known to the desk.
+func (h *Hub) open(c *conn, hello Hello) error {
+	at, orders := proxyOf(hello.Topic)
+	zone, reports := strings.CutPrefix(hello.Topic, ReportsTopic)
+	switch {
+	case hello.Topic == ListTopic && !hello.Own:
+		return nil
+	case orders && at < h.proxies && (!hello.Own || slices.Contains(h.names.Zones, hello.Zone) && hello.Rate >= 0 && hello.Rate < 1e6):
+		return nil
+	case reports && slices.Contains(h.names.Zones, zone):
+		c.from = &source{since: sockets.Next(), c: c}
+		h.hear(desk.News{From: c.from, Said: edge.Source{Zone: zone}})
+		return nil
+	}
+	return fmt.Errorf("%w: %.60q", errTopic, hello.Topic)
+}
+
+// take hands on what a client says.
+func (h *Hub) take(c *conn, said any) error {
+	at, _ := proxyOf(c.hello.Topic)
+	switch said := said.(type) {
+	case Ack:
+		if c.from != nil {
+			return errNotOwn
+		}
+		h.tell(session.Acked{Conn: c.id, Epoch: said.Epoch, Seq: said.Seq, More: said.More})
+	case Used:
+		if !c.hello.Own {
+			return errNotOwn
+		}
+		u := edge.Used{Proxy: at, Product: said.Product, Txns: said.Txns, Voided: said.Voided, Counting: edge.Millis(said.Millis)}
+		if err := u.Check(); err != nil {
+			return err
+		}
+		h.tell(publish{c.hello.Topic, u})
+	case Heard:
+		zone, ok := strings.CutPrefix(c.hello.Topic, ReportsTopic)
+		if !ok {
+			return errNotOwn
+		}
+		e := edge.Heard{Zone: zone, Backend: said.Backend, Tries: said.Tries, Voided: said.Voided, Took: edge.Millis(said.Took)}
+		if err := e.Check(edge.Millis(said.Millis)); err != nil {
+			return err
+		}
+		h.hear(desk.News{From: c.from, Said: e})
+	default:
+		return fmt.Errorf("%w: %T", errMessage, said)
+	}
+	return nil
+}
+
+// publish is a report of a topic's owner, on its way to the stream that the desk knows.
+type publish struct {
+	topic string
+	said  any
+}
+
+// write sends what is queued. A client that does not read in time is let go of.
+func (c *conn) write(ctx context.Context) error {
+	for {
+		select {
+		case message := <-c.out:
+			if message == nil {
+				_ = c.ws.Close(websocket.StatusPolicyViolation, "")
+				return nil
+			}
+			within, cancel := context.WithTimeout(ctx, writeWithin)
+			err := c.ws.Write(within, websocket.MessageBinary, message)
+			cancel()
+			if err != nil {
+				c.ended()
+				return err
+			}
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func either[T any](is bool, yes, no T) T {
+	if is {
+		return yes
+	}
+	return no
+}
+
+// source is a collector as the desk sees it.
+type source struct {
+	since uint64
+	c     *conn
+}
+
+func (s *source) Since() uint64 { return s.since }
+func (s *source) Known(string)  {}
+func (s *source) Send([]byte)   {}
+func (s *source) Replaced()     { s.c.ended() }
+func (s *source) Refused()      { s.c.ended() }
+func (s *source) Fault(error)   {}
--- a/desk/carry.go
+++ b/desk/carry.go
@@ -88,7 +88,11 @@
 	}
 	for _, i := range to {
 		p := &d.proxies[i]
-		if parts := d.parts(p, mark); len(parts) > 0 {
+		if parts := d.parts(p, mark); len(parts) == 0 {
+			// it holds and was told all
+		} else if s, ok := p.stream.(PartStream); ok {
+			s.SendParts(parts)
+		} else {
 			d.text = edge.Append(d.text[:0], parts)
 			p.stream.Send(d.text)
 		}
--- a/desk/desk.go
+++ b/desk/desk.go
@@ -30,6 +30,12 @@
 	Fault(error)
 }
 
+// PartStream is a Stream that takes the parts of a message in place of its text.
+type PartStream interface {
+	Stream
+	SendParts(parts []edge.Part) // the parts are the stream's from then on; it does not change them
+}
+
 // News is what a stream, or discovery (no stream), has to say.
 type News struct {
 	From Stream
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -138,6 +138,37 @@
 	return f.figure("total", most), f.figure("errors", most), counting
 }
 
+// Millis is a span that is given in ms; one that cannot be is below 0.
+func Millis(ms float64) choice.Time {
+	t := math.Round(ms * float64(choice.Second) / 1000)
+	if math.IsNaN(t) || t < 0 || t > float64(mostSpan) {
+		return -1
+	}
+	return choice.Time(t)
+}
+
+// sound says whether sums of a span are figures that a fleet could mean.
+func sound(all, voided float64, counting choice.Time) bool {
+	most := mostPerS * float64(counting) / float64(choice.Second)
+	return counting > 0 && all >= 0 && all <= most && voided >= 0 && voided <= most
+}
+
+// Check holds sums that did not come as text to the same bounds.
+func (u Used) Check() error {
+	if u.Product == "" || !sound(u.Txns, u.Voided, u.Counting) {
+		return fmt.Errorf("use of %.40q %w", u.Product, errFigure)
+	}
+	return nil
+}
+
+// Check holds sums that did not come as text to the same bounds.
+func (h Heard) Check(counting choice.Time) error {
+	if h.Backend == "" || !sound(h.Tries, h.Voided, counting) || h.Voided > h.Tries || h.Took < 0 {
+		return fmt.Errorf("tries at %.40q %w", h.Backend, errFigure)
+	}
+	return nil
+}
+
 // known are the kinds that proxies and collectors speak.
 var known = [][]byte{[]byte("PING"), []byte("SOURCE"), []byte("SUBSCRIBE"), []byte("ACK"), []byte("RATE"), []byte("LOAD")}
 
--- a/stream/stream.go
+++ b/stream/stream.go
@@ -62,6 +62,11 @@
 // Hear takes what a connection says, and at last that it ended.
 type Hear func(from *Conn, said any)
 
+var taken atomic.Uint64
+
+// Next numbers whatever may be a stream of a proxy in the order in which it was taken, on sockets and channels alike.
+func Next() uint64 { return taken.Add(1) }
+
 // Listener takes connections.
 type Listener struct {
 	net  net.Listener
@@ -73,7 +78,6 @@
 	running            sync.WaitGroup
 
 	mu     sync.Mutex
-	since  uint64
 	conns  map[*Conn]struct{}
 	closed bool
 }
@@ -138,8 +142,7 @@
 
 func (l *Listener) take(nc net.Conn) {
 	l.mu.Lock()
-	l.since++
-	c := &Conn{net: nc, l: l, since: l.since, began: time.Now(), wake: make(chan struct{}, 1)}
+	c := &Conn{net: nc, l: l, since: Next(), began: time.Now(), wake: make(chan struct{}, 1)}
 	full := len(l.conns) >= int(l.most.Load())
 	l.mu.Unlock()
 	_ = nc.SetReadDeadline(c.began.Add(l.stranger))
