--- /dev/null
+++ b/cmd/lab/channel.go
@@ -0,0 +1,231 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"elmfold/channel"
+	"elmfold/channel/client"
+	"elmfold/channel/session"
+	"elmfold/choice"
+	"elmfold/deployment"
+	"elmfold/desk"
+	"elmfold/edge"
+	"elmfold/standin/link"
+)
+
+const (
+	chanProxies, chanOrders, chanSlow = 2000, 200000, 50
+	chanCut                           = 0.43 // of the proxies, three times
+	chanCuts, chanBackends            = 3, 60
+	chanSlowness                      = 30 * time.Millisecond // for each message
+	chanWithin                        = 2 * time.Minute       // for all to hold what was ordered
+)
+
+func channelCommand() *cobra.Command {
+	var w where
+	c := &cobra.Command{Use: "channel", Short: "2,000 proxies subscribe on loopback, 43% are cut off three times, 50 are slow: orders sent, applied, twice, missing",
+		Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error { return playChannel(w) }}
+	w.flags(c)
+	return c
+}
+
+// subscriber is a stand-in proxy, and what was ordered for it.
+type subscriber struct {
+	mu      sync.Mutex
+	want    map[string]float64 // weight by backend
+	holds   map[string]session.Value
+	seen    map[uint64]bool // epoch and number that took effect
+	twice   int
+	effects int
+	largest int // sets that took effect at once
+	delays  []float64
+	at      map[string]time.Time // of the last order for a backend, until it took effect
+}
+
+func playChannel(w where) error {
+	names := deployment.Names{Products: []string{"look"}, Zones: []string{"a"}, Kinds: []string{"s"}}
+	streams, joined := make([]atomic.Pointer[desk.PartStream], chanProxies), atomic.Int64{}
+	var left atomic.Int64
+	// The desk's part is played here: it takes joinings, and orders as fast as it can.
+	hear := func(n desk.News) {
+		switch said := n.Said.(type) {
+		case edge.Joined:
+			if s, ok := n.From.(desk.PartStream); ok {
+				streams[said.Proxy].Store(&s)
+				joined.Add(1)
+			}
+		case edge.Ended:
+			left.Add(1)
+		}
+	}
+	hub, err := channel.Listen(channel.Plan{Listen: "127.0.0.1:0", Linger: time.Minute, Onlookers: 4}, chanProxies, names, hear, silent())
+	if err != nil {
+		return err
+	}
+	defer hub.Close()
+	cuts, err := link.New(hub.Addr(), nil)
+	if err != nil {
+		return err
+	}
+	defer cuts.Close()
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	all := make([]*subscriber, chanProxies)
+	for i := range all {
+		s := &subscriber{want: map[string]float64{}, holds: map[string]session.Value{}, seen: map[uint64]bool{}, at: map[string]time.Time{}}
+		all[i] = s
+		addr := hub.Addr()
+		if i < int(chanCut*chanProxies) {
+			addr = cuts.Addr()
+		}
+		slow := i >= chanProxies-chanSlow
+		go func() {
+			_ = client.Run(ctx, client.Options{Addresses: []string{addr}, Pause: 20 * time.Millisecond,
+				Hello:   channel.Hello{Topic: fmt.Sprint(channel.OrdersTopic, i), Own: true, Zone: "a", Rate: 1},
+				Changed: func(c *session.Copy, keys []string) { s.took(c, keys, slow) }})
+		}()
+	}
+	for over := time.Now().Add(chanWithin); joined.Load() < chanProxies; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(over) {
+			return fmt.Errorf("%d of %d have joined", joined.Load(), chanProxies)
+		}
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	perSession := float64(after.HeapAlloc+after.StackInuse-before.HeapAlloc-before.StackInuse) / chanProxies
+	chance := rand.New(rand.NewPCG(w.seed, 19))
+	began, sent := time.Now(), 0
+	for n := range chanOrders {
+		i, id := chance.IntN(chanProxies), fmt.Sprint("s-", chance.IntN(chanBackends))
+		weight := float64(n + 1)
+		if chance.IntN(6) == 0 {
+			weight = 0
+		}
+		s := all[i]
+		s.mu.Lock()
+		if s.want[id], s.at[id] = weight, time.Now(); weight == 0 {
+			delete(s.want, id)
+			delete(s.at, id)
+		}
+		s.mu.Unlock()
+		(*streams[i].Load()).SendParts([]edge.Part{{Lines: []edge.Line{{Backend: id, Weight: weight}}}})
+		sent++
+		if n > 0 && n%(chanOrders/(chanCuts+1)) == 0 {
+			cuts.CutAll()
+		}
+		if n%2000 == 1999 { // 200,000 in some seconds, not in an instant
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+	ordered := time.Since(began)
+	missing := chanProxies
+	for over := time.Now().Add(chanWithin); missing > 0 && time.Now().Before(over); time.Sleep(20 * time.Millisecond) {
+		missing = 0
+		for _, s := range all {
+			if !s.right() {
+				missing++
+			}
+		}
+	}
+	settled := time.Since(began)
+	twice, effects, largest := 0, 0, 0
+	var delays []float64
+	for _, s := range all {
+		s.mu.Lock()
+		twice, effects, largest = twice+s.twice, effects+s.effects, max(largest, s.largest)
+		delays = append(delays, s.delays...)
+		s.mu.Unlock()
+	}
+	text, packed := sizes()
+	r := newReport("channel", w.seed, fmt.Sprintf("%d proxies on loopback, %.0f%% cut off %d times, %d slow by %v a message", chanProxies, 100*chanCut, chanCuts, chanSlow, chanSlowness), "channel")
+	r.row("orders sent", sent)
+	r.row("messages that took effect", effects)
+	r.expect("messages that took effect twice", twice, 0)
+	r.expect("proxies that lack an order at the end", missing, 0)
+	r.expect("joinings", int(joined.Load()), chanProxies)
+	r.expect("leavings", int(left.Load()), 0)
+	r.row(fmt.Sprintf("most sets in a message (a topic holds %d keys)", chanBackends), largest)
+	if largest > chanBackends {
+		r.Missed = append(r.Missed, fmt.Sprintf("a message of %d sets where a topic holds %d", largest, chanBackends))
+	}
+	r.row("ms from order to effect, median", ms(part(delays, 0.5)))
+	r.row("... 99th percentile (cuts and slow ones are among them)", ms(part(delays, 0.99)))
+	r.row("s of ordering; until all held it", fmt.Sprintf("%.1f; %.1f", ordered.Seconds(), settled.Seconds()))
+	r.row("kB of heap and stacks a session, both sides and the stand-in", fmt.Sprintf("%.0f", perSession/1000))
+	r.row("bytes of a first table: text, channel", fmt.Sprintf("%d, %d", text[0], packed[0]))
+	r.row("bytes of a change of two lines: text, channel", fmt.Sprintf("%d, %d", text[1], packed[1]))
+	r.Figure = fmt.Sprintf("seed %d: %d orders, twice %d, missing %d, %s ms to effect at the median", w.seed, sent, twice, missing, ms(part(delays, 0.5)))
+	return r.leave(w.out)
+}
+
+// took notes what took effect.
+func (s *subscriber) took(c *session.Copy, keys []string, slow bool) {
+	if slow {
+		time.Sleep(chanSlowness)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	number := c.Epoch<<32 | uint64(c.Seq)
+	if s.seen[number] {
+		s.twice++
+	}
+	s.seen[number] = true
+	s.effects++
+	s.largest = max(s.largest, len(keys))
+	for _, k := range keys {
+		v, there := c.State[k]
+		if s.holds[k] = v; !there {
+			delete(s.holds, k)
+		}
+		id := session.Split(k)[2]
+		if at, waits := s.at[id]; waits && there && v.Figure == s.want[id] {
+			s.delays = append(s.delays, float64(time.Since(at))/float64(time.Millisecond))
+			delete(s.at, id)
+		}
+	}
+}
+
+// right says whether it holds what was ordered.
+func (s *subscriber) right() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.holds) != len(s.want) {
+		return false
+	}
+	for id, weight := range s.want {
+		if s.holds[channel.LineKey("look", id)].Figure != weight {
+			return false
+		}
+	}
+	return true
+}
+
+// sizes are bytes of a first table and of a change, as text of the platform and on the channel.
+func sizes() (text, packed [2]int) {
+	var lines []edge.Line
+	var sets []session.Set
+	for i := range 12 {
+		id := fmt.Sprintf("s-%08x", i*7919)
+		lines = append(lines, edge.Line{Backend: id, Weight: 0.5 + float64(i)/7})
+		sets = append(sets, session.Set{Key: channel.LineKey("fetch-result", id), Value: session.Value{Figure: 0.5 + float64(i)/7}})
+	}
+	gate := edge.Part{Products: []string{"fetch-result"}, Gate: &edge.Gate{Level: 12.5, Tries: choice.TryUnrun}, Marked: true, Mark: 905}
+	whole := edge.Append(nil, []edge.Part{{Products: []string{"fetch-result"}, Whole: true, Lines: lines}, gate})
+	change := edge.Append(nil, []edge.Part{{Products: []string{"fetch-result"}, Lines: lines[:2], Marked: true, Mark: 906}})
+	sets = append(sets, session.Set{Key: channel.GateKey("fetch-result"), Value: session.Value{Figure: 12.5, Small: 1}})
+	text = [2]int{len(whole), len(change)}
+	packed = [2]int{len(channel.Encode(channel.KindSnapshot, channel.Message{Epoch: 1 << 60, Seq: 900, Sets: sets})),
+		len(channel.Encode(channel.KindChange, channel.Message{Epoch: 1 << 60, Seq: 901, Prev: 900, Sets: sets[:2]}))}
+	return text, packed
+}
--- a/command/command.go
+++ b/command/command.go
@@ -33,14 +33,14 @@
 	root.PersistentFlags().StringVar(&file, "operator", os.Getenv("EDGE_OPERATOR"),
 		"the operator file (else EDGE_OPERATOR)")
 	run := func(*cobra.Command, []string) error {
-		if code := controller.Run(file, controller.Parts{Registry: OpenRegistry, Memory: OpenMemory}); code != 0 {
+		if code := controller.Run(file, controller.Parts{Registry: OpenRegistry, Memory: OpenMemory, Channel: OpenChannel}); code != 0 {
 			return exit(code)
 		}
 		return nil
 	}
 	root.RunE = run
 	root.AddCommand(&cobra.Command{Use: "run", Short: "run the controller until a signal ends it",
-		Args: cobra.NoArgs, RunE: run}, check(out, errs), registryCommand(&file, out, errs), cellsCommand(&file, out, errs), stateCommand(&file, out, errs))
+		Args: cobra.NoArgs, RunE: run}, check(out, errs), registryCommand(&file, out, errs), cellsCommand(&file, out, errs), stateCommand(&file, out, errs), channelCommand(&file, out, errs))
 	root.SetArgs(args)
 	root.SetOut(out)
 	root.SetErr(errs)
--- a/command/memory_test.go
+++ b/command/memory_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -13,6 +14,9 @@
 
 	"github.com/sirupsen/logrus"
 
+	"elmfold/channel"
+	"elmfold/channel/client"
+	"elmfold/channel/session"
 	"elmfold/operator"
 	"elmfold/recall"
 	"elmfold/roster"
@@ -249,3 +253,33 @@
 		t.Errorf("when it failed %+v", f)
 	}
 }
+
+// The channel beside the platform's streams: a client subscribes to a real controller, tail shows the topic.
+func TestChannel(t *testing.T) {
+	free, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := free.Addr().String()
+	_ = free.Close()
+	file := write(t, "op.conf", "channel\n  listen "+addr+"\n")
+	p := start(t, false, []string{"EDGE_CONFIG=" + write(t, "config.json", settings), "EDGE_OPERATOR=" + file})
+	find(t, p.log, "the channel is served")
+	ctx, stop := context.WithTimeout(context.Background(), time.Minute)
+	defer stop()
+	held := 0
+	err = client.Run(ctx, client.Options{Addresses: []string{addr}, Hello: channel.Hello{Topic: "orders/2", Own: true, Zone: "a", Rate: 5},
+		Changed: func(c *session.Copy, _ []string) {
+			_, tables := channel.Tables(c.State)
+			if held = len(tables); held > 0 {
+				stop()
+			}
+		}})
+	if err != nil || held == 0 {
+		t.Errorf("%d tables, %v", held, err)
+	}
+	var out, errs bytes.Buffer
+	if code := Run([]string{"channel", "tail", "--once", "--operator", file, "orders/2"}, &out, &errs); code != 0 || !strings.Contains(out.String(), "b look") {
+		t.Errorf("tail ends with %d: %q %q", code, out.String(), errs.String())
+	}
+}
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -154,6 +154,15 @@
 	if f := c.file.Cells; f != nil {
 		c.plan(f)
 	}
+	if f := c.file.Channel; f != nil && c.parts.Channel != nil {
+		served, err := c.parts.Channel(*f, sheet.Deployment.Proxies, sheet.Names, func(n desk.News) { queue <- n }, log)
+		if err != nil {
+			return err
+		}
+		served.Tell(held)
+		c.lists.onlook.Store(&served)
+		log.WithField("channel", served.Addr()).Info("the channel is served")
+	}
 	if f := c.file.Control; f != nil {
 		if c.control, err = openControl(f.Path, queue, log); err != nil {
 			log.WithField("reason", "control").Errorf("operators are not answered: %v", err)
@@ -248,6 +257,9 @@
 	if !reflect.DeepEqual(c.file.Store, file.Store) || !reflect.DeepEqual(c.file.Peers, file.Peers) {
 		c.log.WithField("keys", "store, peers").Warn("these changes wait for a restart")
 	}
+	if !reflect.DeepEqual(c.file.Channel, file.Channel) {
+		c.log.WithField("keys", "channel").Warn("these changes wait for a restart")
+	}
 	was := c.file.Registry
 	c.file = file
 	switch {
--- a/controller/sources.go
+++ b/controller/sources.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"elmfold/deployment"
 	"elmfold/desk"
 	"elmfold/operator"
 	"elmfold/recall"
@@ -36,8 +37,18 @@
 type Parts struct {
 	Registry OpenRegistry
 	Memory   OpenMemory
+	Channel  OpenChannel
 }
 
+// Channel is the pub-sub channel that is served. Neither method waits.
+type Channel interface {
+	Tell(roster.List) // each list that the desk is told
+	Addr() string
+}
+
+// OpenChannel serves the channel of an operator file; hear is given what comes by it.
+type OpenChannel func(o operator.Channel, proxies int, names deployment.Names, hear func(desk.News), log *logrus.Entry) (Channel, error)
+
 // slot is a Source that is followed; it is known before the Source tells anything.
 type slot struct{ Source }
 
@@ -45,7 +56,8 @@
 // whole list: until then the old one is followed, so nothing is undone by one that cannot be reached.
 type sources struct {
 	queue  chan<- desk.News
-	memory Memory // nil: nothing is kept
+	memory Memory                  // nil: nothing is kept
+	onlook atomic.Pointer[Channel] // nil: nobody looks on
 	log    *logrus.Entry
 	now    atomic.Pointer[slot] // the desk asks here and never waits
 
@@ -83,6 +95,11 @@
 		if s.memory != nil {
 			s.memory.Keep(said)
 		}
+		if c := s.onlook.Load(); c != nil {
+			if l, ok := said.(roster.List); ok {
+				(*c).Tell(l)
+			}
+		}
 		s.queue <- desk.News{Said: said}
 	}
 }
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -22,6 +22,14 @@
 	Control  *Control
 	Store    *Store
 	Peers    *Peers
+	Channel  *Channel
+}
+
+// Channel is where the pub-sub channel is served.
+type Channel struct {
+	Listen    string
+	Linger    time.Duration // that a subscriber may be away before it has left
+	Onlookers int           // of a topic, at most
 }
 
 // Peers are instances that tell each other what they know.
@@ -91,8 +99,10 @@
 			f.Store = r.store(s)
 		case "peers":
 			f.Peers = r.peers(s)
+		case "channel":
+			f.Channel = r.channel(s)
 		default:
-			r.fault(s.line, nearest(s.name, []string{"cells", "control", "peers", "registry", "store", "tenant"}), "no section is named %q", s.name)
+			r.fault(s.line, nearest(s.name, []string{"cells", "channel", "control", "peers", "registry", "store", "tenant"}), "no section is named %q", s.name)
 		}
 	}
 	if len(r.faults) == 0 {
@@ -235,6 +245,23 @@
 	return f
 }
 
+// channel reads the section channel.
+func (r *reader) channel(s section) *Channel {
+	c := &Channel{Linger: 5 * time.Second, Onlookers: 64}
+	var listen []string
+	at := r.obey(s, map[string]rule{
+		"listen":    r.addresses(&listen),
+		"linger":    r.span(&c.Linger, 100*time.Millisecond, time.Minute),
+		"onlookers": r.count(&c.Onlookers, 0, 10000),
+	})
+	if c.Listen = strings.Join(listen, " "); len(listen) > 1 {
+		r.fault(at["listen"], "write one address", "listen says too much: %q", listen[1])
+	} else if len(listen) == 0 {
+		r.fault(s.line, "add a line such as: listen 10.0.0.1:7950", "channel has no listen")
+	}
+	return c
+}
+
 // peers reads the section peers.
 func (r *reader) peers(s section) *Peers {
 	p := &Peers{Within: 3 * time.Second}
@@ -355,6 +382,9 @@
 	if f.Store != nil {
 		on = append(on, "what is known is kept in "+f.Store.Path)
 	}
+	if f.Channel != nil {
+		on = append(on, "the channel is served at "+f.Channel.Listen)
+	}
 	if f.Peers != nil {
 		on = append(on, fmt.Sprintf("%d instances are asked at a start", len(f.Peers.Ask)))
 	}
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -44,6 +44,10 @@
 	if err != nil || *f.Store != (Store{Path: "/var/lib/elmfold/state", Limit: 8 << 20, Grace: 5 * time.Minute}) {
 		t.Errorf("read %+v, %v", f.Store, err)
 	}
+	f, err = Read("testdata/good-channel.conf")
+	if err != nil || *f.Channel != (Channel{Listen: "10.0.0.1:7950", Linger: 8 * time.Second, Onlookers: 3}) {
+		t.Errorf("read %+v, %v", f.Channel, err)
+	}
 	if f, err = Read("testdata/empty.conf"); err != nil || f.Registry != nil {
 		t.Errorf("read %+v, %v", f, err)
 	}
@@ -52,7 +56,7 @@
 // Each broken file gives one line that names the file and the line, and the mend.
 func TestBroken(t *testing.T) {
 	want := map[string]string{
-		"section": `:1: no section is named "registri"; write registry`, "kind": ":1: .*zookeeper.*; write registry etcd",
+		"channel": ":1: channel has no listen; add a line", "section": `:1: no section is named "registri"; write registry`, "kind": ":1: .*zookeeper.*; write registry etcd",
 		"directive": `:3: .*"hodl"; write hold`, "unit": ":3: .*no unit; write hold 2.5s or 2.5ms", "range": ":3: .*out of range; .* to 10s",
 		"address": ":2: .*no address; write HOST:PORT", "missing": ":1: .*no endpoint; add a line", "twice": ":4: hold stands in line 3 already; take",
 		"quote": ":3: a quote is not ended; ", "nosection": ":1: .*in no section; begin", "half": ":3: .*; write user and password-file, both",
