--- a/choice/choice.go
+++ b/choice/choice.go
@@ -166,7 +166,9 @@
 		}
 	}
 	a.gather()
-	a.weigh()
+	if tick || a.urgent { // else nothing is decided in this step
+		a.weigh()
+	}
 	return tick
 }
 
