--- /dev/null
+++ b/plugin/example/quirk/main.go
@@ -0,0 +1,26 @@
+//go:build wasip1
+
+// Quirk keeps one client firm away from the backends of a kind that its exports do not suit.
+package main
+
+import (
+	"elmfold/plugin/kit"
+	"elmfold/plugin/moment"
+)
+
+const firm, unfit = "acme", "old"
+
+func init() {
+	kit.Propose(func(m moment.Moment) (a moment.Answer) {
+		p := moment.Proposal{Kind: moment.Allow, Tenant: firm}
+		for _, b := range m.Backends {
+			if b.Kind != unfit && !b.Drains {
+				p.Backends = append(p.Backends, b.ID)
+			}
+		}
+		a.Proposals = append(a.Proposals, p)
+		return a
+	})
+}
+
+func main() {}
--- /dev/null
+++ b/plugin/kit/kit.go
@@ -0,0 +1,40 @@
+//go:build wasip1
+
+// Package kit turns a function into a plug-in: GOOS=wasip1 GOARCH=wasm go build -buildmode=c-shared. A main package
+// calls Propose from its init, and has an empty main.
+package kit
+
+import (
+	"unsafe"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"elmfold/plugin/moment"
+)
+
+var (
+	propose func(moment.Moment) moment.Answer
+	in, out []byte // held until the next call, so that the host can read them
+)
+
+// Propose says what is called with each moment.
+func Propose(f func(moment.Moment) moment.Answer) { propose = f }
+
+//go:wasmexport elmfold_alloc
+func alloc(bytes int32) int32 {
+	in = make([]byte, max(bytes, 1))
+	return int32(uintptr(unsafe.Pointer(&in[0])))
+}
+
+//go:wasmexport elmfold_propose
+func call(at, bytes int32) int64 {
+	var m moment.Moment
+	if err := cbor.Unmarshal(in[:bytes], &m); err != nil {
+		panic(err)
+	}
+	var err error
+	if out, err = cbor.Marshal(propose(m)); err != nil {
+		panic(err)
+	}
+	return int64(uintptr(unsafe.Pointer(&out[0])))<<32 | int64(len(out))
+}
