Commands plugin check and try: a plug-in judged on recorded moments without a controller

Need: a plug-in has to be checked on recorded moments before it counts. Change: elmfold plugin check loads modules and says in a line what is wrong; try tells one of moments and says what would become of what it wants, as a controller would judge it. Measured: TestPlugin, a module built as writers do, an odd line named by its number.

--- a/command/command.go
+++ b/command/command.go
@@ -40,7 +40,7 @@
 	}
 	root.RunE = run
 	root.AddCommand(&cobra.Command{Use: "run", Short: "run the controller until a signal ends it",
-		Args: cobra.NoArgs, RunE: run}, check(out, errs), registryCommand(&file, out, errs), cellsCommand(&file, out, errs), stateCommand(&file, out, errs), channelCommand(&file, out, errs))
+		Args: cobra.NoArgs, RunE: run}, check(out, errs), registryCommand(&file, out, errs), cellsCommand(&file, out, errs), stateCommand(&file, out, errs), channelCommand(&file, out, errs), pluginCommand(out, errs))
 	root.SetArgs(args)
 	root.SetOut(out)
 	root.SetErr(errs)
--- /dev/null
+++ b/command/plugin.go
@@ -0,0 +1,164 @@
+package command
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"elmfold/cells"
+	"elmfold/choice"
+	"elmfold/hook"
+	"elmfold/plugin"
+	"elmfold/plugin/moment"
+)
+
+// kinds are the proposals of plug-ins, as hook has them.
+var kinds = map[string]hook.Kind{moment.Allow: hook.Allow, moment.Cap: hook.Cap, moment.Shed: hook.Shed, "retry": hook.Retry}
+
+// pluginCommand tries plug-ins without a controller.
+func pluginCommand(out, errs io.Writer) *cobra.Command {
+	c := &cobra.Command{Use: "plugin", Short: "check and try plug-ins, without a controller"}
+	load := func(path string) (*plugin.Plugin, error) {
+		code, err := os.ReadFile(path)
+		if err != nil {
+			return nil, err
+		}
+		limits := plugin.Usual()
+		limits.Start = 20 * time.Second // compiling is no part of what is tried here
+		return plugin.Load(path, code, limits)
+	}
+	c.AddCommand(&cobra.Command{Use: "check FILE...", Short: "load plug-ins, and say what is wrong with one that cannot be", Args: cobra.MinimumNArgs(1),
+		RunE: func(_ *cobra.Command, files []string) error {
+			code := exit(0)
+			for _, path := range files {
+				p, err := load(path)
+				if err != nil {
+					_, _ = fmt.Fprintf(errs, "elmfold: %s: %v\n", path, err)
+					code = 2
+					continue
+				}
+				p.Close()
+				_, _ = fmt.Fprintf(out, "%s: in order; interface version %d\n", path, moment.Version)
+			}
+			if code != 0 {
+				return code
+			}
+			return nil
+		}})
+	var moments string
+	try := &cobra.Command{Use: "try FILE --moments FILE", Short: "tell a plug-in of recorded moments, and say what would become of what it wants", Args: cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			text, err := os.ReadFile(moments)
+			if err != nil {
+				return fmt.Errorf("name the moments with --moments FILE: %w", err)
+			}
+			p, err := load(args[0])
+			if err != nil {
+				return err
+			}
+			defer p.Close()
+			return tryMoments(p, text, moments, out)
+		}}
+	try.Flags().StringVar(&moments, "moments", "", "file of moments, one JSON object a line")
+	c.AddCommand(try)
+	return c
+}
+
+// tryMoments tells a plug-in of each moment of a file, and judges what it wants as a controller would.
+func tryMoments(p *plugin.Plugin, text []byte, path string, out io.Writer) error {
+	h := hook.New(hook.Usual())
+	h.Step(0, []hook.Event{hook.Loaded{Plugin: p.Name, Precedence: 1}})
+	in := bufio.NewScanner(bytes.NewReader(text))
+	in.Buffer(nil, 16<<20)
+	for line := 1; in.Scan(); line++ {
+		if len(bytes.TrimSpace(in.Bytes())) == 0 {
+			continue
+		}
+		var m moment.Moment
+		decoder := json.NewDecoder(bytes.NewReader(in.Bytes()))
+		decoder.DisallowUnknownFields()
+		if err := decoder.Decode(&m); err != nil {
+			return fmt.Errorf("%s:%d: %w; write a moment as in docs/plugins.md", path, line, err)
+		}
+		began := time.Now()
+		a, err := p.Propose(m)
+		took := time.Since(began)
+		events := eventsOf(m)
+		if err != nil {
+			events = append(events, hook.Faulted{Plugin: p.Name, Why: err.Error()})
+		} else {
+			wanted := hook.Proposed{Plugin: p.Name, Revision: m.Revision}
+			for _, x := range a.Proposals {
+				wanted.All = append(wanted.All, hook.Proposal{Kind: kinds[x.Kind], Tenant: x.Tenant, Backends: x.Backends, Figure: x.Figure})
+			}
+			events = append(events, wanted)
+		}
+		_, _ = fmt.Fprintf(out, "%s:%d: %d proposals in %.1f ms\n", path, line, len(a.Proposals), float64(took.Microseconds())/1000)
+		for _, o := range h.Step(choice.Time(m.Now)*choice.Second/1000, events) {
+			switch o := o.(type) {
+			case hook.Limit:
+				_, _ = fmt.Fprintf(out, "  %s: would go to %v, at most %g txns/s (0: no bound)\n", o.Tenant, either(o.Backends == nil, []string{"all"}, o.Backends), o.Most)
+			case hook.Refused:
+				_, _ = fmt.Fprintf(out, "  refused, %d times: %s (the first: %+v)\n", o.Count, o.Reason, o.First)
+			case hook.Paused:
+				_, _ = fmt.Fprintf(out, "  paused: %s\n", o.Why)
+			case hook.PutOut:
+				return errors.New("put out: " + o.Why)
+			}
+		}
+	}
+	return in.Err()
+}
+
+// eventsOf is a moment as the controller's own events would have it. Products may go anywhere: a moment says no more.
+func eventsOf(m moment.Moment) []hook.Event {
+	var zones []string
+	zone := func(name string) int {
+		if !slices.Contains(zones, name) {
+			zones = append(zones, name)
+		}
+		return slices.Index(zones, name)
+	}
+	l := hook.Listed{Revision: m.Revision, Ramp: map[string]float64{}}
+	for i, b := range m.Backends {
+		status := either(b.Drains, choice.Draining, choice.Ready)
+		l.Backends = append(l.Backends, cells.Backend{At: i, ID: b.ID, Zone: zone(b.Zone), Status: status, Weight: b.Weight})
+		if b.Ramp > 0 && b.Ramp < 1 {
+			l.Ramp[b.ID] = b.Ramp
+		}
+	}
+	planned := hook.Planned{Products: make([]choice.Product, max(len(m.Products), 1)), Tenants: map[string]hook.Tenant{}}
+	var asked []hook.Event
+	for _, t := range m.Tenants {
+		in := []int{}
+		for _, z := range t.Zones {
+			in = append(in, zone(z))
+		}
+		if len(in) == 0 {
+			in = []int{0}
+		}
+		planned.Tenants[t.Name] = hook.Tenant{Proxies: max(t.Proxies, 1), Zones: in}
+		planned.Proxies += max(t.Proxies, 1)
+		rate := 0.0
+		for _, r := range t.Rates {
+			rate += r
+		}
+		asked = append(asked, hook.Asked{Tenant: t.Name, Rate: rate})
+	}
+	return append([]hook.Event{planned, l}, asked...)
+}
+
+func either[T any](is bool, yes, no T) T {
+	if is {
+		return yes
+	}
+	return no
+}
--- /dev/null
+++ b/command/plugin_test.go
@@ -0,0 +1,45 @@
+package command
+
+import (
+	"bytes"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// check loads a plug-in or says in one line why not; try tells it of recorded moments and judges what it wants.
+func TestPlugin(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "quirk.wasm")
+	build := exec.Command("go", "build", "-buildmode=c-shared", "-o", path, "elmfold/plugin/example/quirk")
+	build.Env = append(os.Environ(), "GOOS=wasip1", "GOARCH=wasm", "CGO_ENABLED=0")
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	run := func(args ...string) (int, string, string) {
+		var out, errs bytes.Buffer
+		code := Run(append([]string{"plugin"}, args...), &out, &errs)
+		return code, out.String(), errs.String()
+	}
+	if code, out, errs := run("check", path); code != 0 || !strings.Contains(out, "in order; interface version 1") {
+		t.Errorf("check ends with %d: %q %q", code, out, errs)
+	}
+	broken := write(t, "broken.wasm", "no module")
+	if code, _, errs := run("check", broken); code != 2 || strings.Count(errs, "\n") != 1 || !strings.Contains(errs, "no module that can be loaded") {
+		t.Errorf("check of a broken one ends with %d: %q", code, errs)
+	}
+	backends := `{"ID":"s-1","Zone":"a","Kind":"old","Weight":1},{"ID":"s-2","Zone":"a","Kind":"m","Weight":1},{"ID":"s-3","Zone":"a","Kind":"m","Weight":1}`
+	tenants := `"Tenants":[{"Name":"acme","Rates":[5],"Proxies":1,"Zones":["a"]},{"Name":"beta","Rates":[5],"Proxies":3,"Zones":["a"]}]`
+	moments := write(t, "moments", `{"Now":1000,"Revision":4,"Backends":[`+backends+`],`+tenants+`}
+{"Now":2000,"Revision":5,"Backends":[{"ID":"s-1","Zone":"a","Kind":"old","Weight":1}],`+tenants+"}\n")
+	code, out, errs := run("try", path, "--moments", moments)
+	for _, want := range []string{":1: 1 proposals", "acme: would go to [s-2 s-3], at most 0 txns/s", ":2: 1 proposals", "refused, 1 times: leaves a product with nowhere to go", "acme: would go to [all]"} {
+		if code != 0 || !strings.Contains(out, want) {
+			t.Fatalf("try ends with %d, lacks %q: %s %s", code, want, out, errs)
+		}
+	}
+	if code, _, errs := run("try", path, "--moments", write(t, "odd", "{}\n{\"Nowt\":1}\n")); code != 2 || !strings.Contains(errs, ":2: ") {
+		t.Errorf("an odd line ends with %d: %q", code, errs)
+	}
+}
--- a/plugin/moment/moment.go
+++ b/plugin/moment/moment.go
@@ -30,6 +30,7 @@
 	Drains bool    `cbor:"4,keyasint,omitempty"`
 	Weight float64 `cbor:"5,keyasint"`
 	Relief float64 `cbor:"6,keyasint"` // part of its weight that it keeps
+	Ramp   float64 `cbor:"7,keyasint"` // part of its weight that it has by now: below 1 while it is cold
 }
 
 // Tenant is one of those that a plug-in may propose for.
@@ -37,6 +38,9 @@
 	Name  string    `cbor:"1,keyasint"`
 	Rates []float64 `cbor:"2,keyasint"` // txns/s by product
 	Cell  string    `cbor:"3,keyasint,omitempty"`
+
+	Proxies int      `cbor:"4,keyasint,omitempty"`
+	Zones   []string `cbor:"5,keyasint,omitempty"` // in which it has proxies
 }
 
 // Proposal is what it wants; kinds are those of hook, by name.
