--- a/command/memory_test.go
+++ b/command/memory_test.go
@@ -17,7 +17,6 @@
 	"elmfold/channel"
 	"elmfold/channel/client"
 	"elmfold/channel/session"
-	"elmfold/operator"
 	"elmfold/recall"
 	"elmfold/roster"
 	"elmfold/standin/etcd"
@@ -99,15 +98,13 @@
 func TestFigures(t *testing.T) {
 	dir := t.TempDir()
 	now := time.UnixMilli(5_000_000_000)
-	open := func() *memory {
-		m, err := OpenMemory(operator.File{Store: &operator.Store{Path: filepath.Join(dir, "state"), Grace: 10 * time.Minute}}, "n3", silent())
-		if err != nil {
-			t.Fatal(err)
-		}
-		return m.(*memory)
+	s, _, err := store.Open(filepath.Join(dir, "state"), "n3", 0, silent())
+	if err != nil {
+		t.Fatal(err)
 	}
-	m := open()
-	m.now = func() time.Time { return now }
+	// No goroutine of its own runs beside it: its clock is the test's.
+	m := &memory{name: "n3", store: s, now: func() time.Time { return now }, listed: map[string]roster.Member{}, learnt: map[learnt]known{},
+		recall: recall.New(recall.Plan{Grace: 10 * time.Minute, Half: 10 * time.Second, Most: 1000})}
 	m.Keep(roster.List{Revision: 3, Whole: true, Members: []roster.Member{{ID: "s-1", Zone: "a", Phase: roster.Serving}}})
 	m.Learn([]recall.Fact{{Kind: recall.Use, Key: "4/look", Value: 12, Age: 3 * time.Second}, {Kind: recall.Relief, Key: "s-1", Value: 0.4},
 		{Kind: recall.Pace, Value: 5}})
@@ -122,9 +119,10 @@
 	if ages["use"] != 5*time.Second || ages["relief"] != 2*time.Second || ages["pace"] != 2*time.Second {
 		t.Errorf("told with ages %v", ages)
 	}
-	if err := m.store.Close(); err != nil {
+	if err := s.Close(); err != nil {
 		t.Fatal(err)
 	}
+	m.store = nil
 	_, records, err := store.Look(filepath.Join(dir, "state"))
 	if err != nil {
 		t.Fatal(err)
@@ -140,7 +138,6 @@
 		t.Errorf("believed %v, refused %v, list %v", got, refused, l)
 	}
 	now = now.Add(2 * figureFor)
-	m.store = nil
 	for i := range 1000 { // ids without end
 		now = now.Add(time.Second)
 		m.Learn([]recall.Fact{{Kind: recall.Relief, Key: fmt.Sprint("s-", i), Value: 0.5}})
