--- a/cmd/lab/moments.go
+++ b/cmd/lab/moments.go
@@ -275,7 +275,8 @@
 			if err != nil {
 				return err
 			}
-			if line.Color, line.Width = plotutil.Color(k), vg.Points(1.5); &from[0] != &all[0] {
+			colors := append(slices.Clone(plotutil.SoftColors), plotutil.DarkColors...) // more than one palette has
+			if line.Color, line.Width = colors[k%len(colors)], vg.Points(1.5); &from[0] != &all[0] {
 				line.Dashes = plotutil.Dashes(1)
 			} else {
 				p.Legend.Add(all[k].Name, line)
