--- a/cmd/lab/channel.go
+++ b/cmd/lab/channel.go
@@ -108,17 +108,10 @@
 	chance := rand.New(rand.NewPCG(w.seed, 19))
 	began, sent := time.Now(), 0
 	for n := range chanOrders {
-		i, id := chance.IntN(chanProxies), fmt.Sprint("s-", chance.IntN(chanBackends))
-		weight := float64(n + 1)
-		if chance.IntN(6) == 0 {
-			weight = 0
-		}
+		i, id, weight := drawOrder(chance, n)
 		s := all[i]
 		s.mu.Lock()
-		if s.want[id], s.at[id] = weight, time.Now(); weight == 0 {
-			delete(s.want, id)
-			delete(s.at, id)
-		}
+		s.order(id, weight)
 		s.mu.Unlock()
 		(*streams[i].Load()).SendParts([]edge.Part{{Lines: []edge.Line{{Backend: id, Weight: weight}}}})
 		sent++
@@ -182,6 +175,23 @@
 	return r.leave(w.out)
 }
 
+// drawOrder is the nth order: a weight that no other has, or 0, for a backend's line at a proxy.
+func drawOrder(chance *rand.Rand, n int) (proxy int, backend string, weight float64) {
+	proxy, backend, weight = chance.IntN(chanProxies), fmt.Sprint("s-", chance.IntN(chanBackends)), float64(n+1)
+	if chance.IntN(6) == 0 {
+		weight = 0
+	}
+	return proxy, backend, weight
+}
+
+// order notes what is ordered; the lock is held.
+func (s *subscriber) order(id string, weight float64) {
+	if s.want[id], s.at[id] = weight, time.Now(); weight == 0 {
+		delete(s.want, id)
+		delete(s.at, id)
+	}
+}
+
 // took notes what took effect.
 func (s *subscriber) took(c *session.Copy, keys []string, slow bool) {
 	if slow {
--- a/cmd/lab/streams.go
+++ b/cmd/lab/streams.go
@@ -90,17 +90,10 @@
 	chance := rand.New(rand.NewPCG(seed, 19))
 	began := time.Now()
 	for n := range chanOrders {
-		i, id := chance.IntN(chanProxies), fmt.Sprint("s-", chance.IntN(chanBackends))
-		weight := float64(n + 1)
-		if chance.IntN(6) == 0 {
-			weight = 0
-		}
+		i, id, weight := drawOrder(chance, n)
 		s := all[i]
 		s.mu.Lock()
-		if s.want[id], s.at[id] = weight, time.Now(); weight == 0 {
-			delete(s.want, id)
-			delete(s.at, id)
-		}
+		s.order(id, weight)
 		conns[i].Load().Send(edge.Append(nil, []edge.Part{{Products: []string{"look"}, Lines: []edge.Line{{Backend: id, Weight: weight}}}}))
 		s.mu.Unlock()
 		if n > 0 && n%(chanOrders/(chanCuts+1)) == 0 {
