--- a/choice/choice.go
+++ b/choice/choice.go
@@ -65,8 +65,8 @@
 	sureFor              = 30 * Second // ... and for how long
 	overtakes            = Second      // messages that were written so close to each other may enter in any order
 	roomSpan             = 2.0         // seconds of the channel's pace that all but shut-outs share
-	roomAgain            = Second / 5
-	fences               = 1 << 15 // numbers in turn; far more than are ever on the way
+	roomAgain            = Second / 5  // until what had no room is tried again
+	fences               = 1 << 15     // numbers in turn; far more than are ever on the way
 )
 
 // New makes an Assigner that knows its deployment and nothing else.
