Little news is added up, medians go by strength, sums of others move relief in turn

Checked by counting a controller's tries at each backend: with four txns a second it hears of a backend every 3 s, and hearTries and judge forgot four fifths of what was heard before at each news (newsKeep, state.go and choice.go), so fewTries were never together. With that mended 8% were declined: in the zone with half of its backends slow the few that had enough tries were the slow ones, and the plain median took them for the fleet (log lines "total bounded: answers take 1.6 SLA times"). Ruled out: levels by chance (no total bounded in the other zones).

Change: news fade what was heard before by how many tries they are (thinTries); the medians weigh each backend with the strength that it is relied on for, the lower one of two. Sums of other controllers (Told) count as heard; who is told moves a backend's relief at moments of its own (a hash of who, within easeEvery and the age of the sums), so hundreds do not act in one instant. Elsewhere brings the use of other proxies by product and zone: the room of zones is known in place of "they ask evenly", believed and left in steps of a third.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -46,7 +46,7 @@
 	useMany, useSlow  = 5.0, 0.4    // txns/s; under that, mostly chance, it is kept for longer, to such a pace
 	letChance         = 0.5         // txns/s: the most that a level is raised for what comes by chance
 
-	fewTries            = 4.0         // fewer tries say nothing of a backend
+	fewTries, thinTries = 4.0, 10.0   // fewer tries say nothing of a backend; fewer new ones add to what was heard
 	hotRatio, hotSLA    = 1.35, 0.35  // relieved: its time over the median, and over the SLA time
 	hotFails            = 0.2         // ... or voided over the median's
 	deadFails           = 0.6         // voided over the median's from which one that the list dropped is gone
@@ -150,6 +150,11 @@
 			a.urgent = true
 		case Heard:
 			a.hearTries(e)
+		case Told:
+			a.hearTries(e.Heard)
+			a.be.age[e.Backend], a.be.toldAt[e.Backend] = e.Age, a.now
+		case Elsewhere:
+			a.elsewhere, a.elsewhereAt = e.Uses, a.now
 		case Probed:
 			if at := slices.Index(a.d.Gauges, GaugeHeld); at >= 0 && at < len(e.Load) && e.Backend < len(a.be.held) {
 				a.be.held[e.Backend] = e.Load[at]
@@ -257,27 +262,27 @@
 func (a *Assigner) judge() {
 	be, sla, news := &a.be, a.sla(), false
 	fails, took := make([]float64, len(be.zone)), make([]float64, len(be.zone))
-	var allFails, allTook, allNext []float64
+	var allFails, allTook, allNext []weighed // by what each is relied on: a few that are slow end as the median so
 	for b := range be.zone {
 		if be.status[b] != Ready || be.tries[b] < fewTries {
 			continue
 		}
 		fails[b] = be.voided[b] / be.tries[b]
-		allFails = append(allFails, fails[b])
+		allFails = append(allFails, weighed{fails[b], a.strength[b]})
 		if be.good[b] > 0 {
 			took[b] = be.spent[b] / be.good[b]
-			allTook = append(allTook, took[b])
+			allTook = append(allTook, weighed{took[b], a.strength[b]})
 			// What a probe says that it holds over what it is sent in a tick, or can do, is the time of its next
 			// txn: known sooner. Reports in answers come too often from busy moments.
 			sent := max(be.tries[b]*(1-newsKeep), a.pace*a.strength[b], 1e-9)
-			allNext = append(allNext, max(took[b], be.held[b]/sent*float64(tickEvery)))
+			allNext = append(allNext, weighed{max(took[b], be.held[b]/sent*float64(tickEvery)), a.strength[b]})
 		}
 	}
-	a.bad, a.took = median(allFails), median(allNext)
+	a.bad, a.took = midst(allFails), midst(allNext)
 	if a.spanIn > 0 {
 		a.span, a.spans, a.spanIn = a.spans/a.spanIn, 0, 0
 	}
-	mid := median(allTook)
+	mid := midst(allTook)
 	for b := range be.zone {
 		if !be.fresh[b] {
 			continue
@@ -288,21 +293,26 @@
 			be.status[b] = Gone
 		}
 		hot := took[b] > max(hotRatio*mid, hotSLA*sla) || fails[b] > a.bad+hotFails
+		told := a.now < be.toldAt[b]+useStale // to all: each moves in turn, and once it can hear what that did
+		span := either(told, easeEvery+a.lag(b), Second)
+		turn := !told || a.inTurn(b, span)
 		switch {
-		case hot && a.now >= be.easedAt[b]+easeEvery: // what is seldom heard of takes the steps of that time at once
+		case hot && turn && (told || a.now >= be.easedAt[b]+easeEvery): // what is seldom heard of takes several at once
 			steps := min(max(be.gap[b]*float64(Second)/float64(easeEvery), 1), easeMost)
 			be.relief[b], be.easedAt[b] = max(easeLeast, be.relief[b]*math.Pow(easeBy, steps)), a.now
-		case !hot && took[b] <= coolRatio*mid:
-			be.relief[b] = min(1, be.relief[b]*math.Pow(returnBy, min(be.gap[b], returnMost)))
+		case !hot && turn && took[b] <= coolRatio*mid:
+			steps := min(be.gap[b]*float64(span)/float64(Second), returnMost)
+			be.relief[b] = min(1, be.relief[b]*math.Pow(returnBy, steps))
 		}
-		be.tries[b], be.voided[b], be.fresh[b] = be.tries[b]*newsKeep, be.voided[b]*newsKeep, false
-		be.good[b], be.spent[b] = be.good[b]*newsKeep, be.spent[b]*newsKeep
-		news, be.held[b] = true, 0
+		a.fade(b, be.tries[b]-be.known[b], 1)
+		news, be.held[b], be.fresh[b] = true, 0, false
 	}
 	if news {
 		a.over = a.took > overSLA*sla || a.bad > overFails && (a.took == 0 || a.took > hotSLA*sla)
 		a.light = a.took > 0 && !a.over
 	}
+	a.judgedAt = a.now
+	a.trust = min(max(a.trust+either(a.elsewhere != nil && a.now < a.elsewhereAt+useStale, 1.0, -1)/smooth, 0), 1)
 	a.weigh()
 }
 
@@ -446,19 +456,24 @@
 		return
 	}
 	// Proxies that are not joined here are taken to ask evenly: they must not make a zone look idle.
-	missing := 1/a.share() - 1
+	// What others tell of theirs is known.
+	missing := (1 - a.trust) * (1/a.share() - 1)
 	for g, group := range a.groups {
 		demand[g] = make([]float64, a.d.Zones)
 		for _, k := range group.products {
-			d := 0.0
+			d, asks := 0.0, a.demand(k)
 			for _, p := range in {
 				u := a.admitted(p, k)
 				demand[g][p.zone], d = demand[g][p.zone]+u, d+u
 			}
 			for z := range room {
-				demand[g][z] += missing * d * room[z] / all
+				more := missing * d * room[z] / all
+				if a.trust > 0 && asks > 0 { // bounded as those here are
+					more += a.trust * a.elsewhere[k][z] * d / asks
+				}
+				demand[g][z], sum = demand[g][z]+more, sum+more
 			}
-			sum += d * (1 + missing)
+			sum += d
 		}
 	}
 	for z := range room {
@@ -553,7 +568,8 @@
 		for i, p := range who {
 			for swap := tick; need[i] > 0; {
 				most, least, has, strength := -1, -1, 0.0, 0.0
-				for _, b := range here {
+				for j := range here { // each controller begins elsewhere, or those with few proxies all pick the same
+					b := here[(j+int(a.d.FirstTick))%len(here)]
 					switch {
 					case be.status[b] != Ready || !p.may(b):
 					case p.picked[b]:
@@ -581,7 +597,7 @@
 		p.counted = true
 	}
 	for b, l := range load { // as if the proxies that are joined elsewhere did the same
-		a.load[b] = l / max(a.share(), min(homes[be.zone[b]], 1), 1e-9)
+		a.load[b] = l / max(a.partHere(), min(homes[be.zone[b]], 1), 1e-9)
 		if a.lets[b] = noLevel; a.load[b] > 0 && a.ramp[b] < 1 && a.pace > 0 {
 			a.lets[b] = coldMost * a.d.ColdMultiple * a.pace / a.load[b]
 		}
@@ -791,9 +807,8 @@
 	return true
 }
 
-// emit orders differences, the busiest proxies first but for those that go by tables they brought along, as far
-// as the part of the channel has room. A proxy
-// gets its whole difference or nothing: what it holds was ordered with all that was known.
+// emit orders differences, the busiest proxies first but for those that go by tables they brought along, as far as
+// the part of the channel has room. A proxy gets its whole difference or nothing: what it holds was ordered so.
 func (a *Assigner) emit(todo []diff, part float64) (all bool) {
 	slices.SortStableFunc(todo, func(d, e diff) int {
 		p, q := &a.px[d.proxy], &a.px[e.proxy]
--- a/choice/iface.go
+++ b/choice/iface.go
@@ -136,6 +136,15 @@
 	Took          Time
 }
 
+// Told sums what the proxies of other controllers met at a backend; Age is how old that is beside what is heard now.
+type Told struct {
+	Heard
+	Age Time
+}
+
+// Elsewhere says what comes to the proxies of other controllers: txns/s by product and zone.
+type Elsewhere struct{ Uses [][]float64 }
+
 // Used sums the txns of a product that came to a proxy.
 type Used struct {
 	Proxy, Product int
--- a/choice/state.go
+++ b/choice/state.go
@@ -1,7 +1,10 @@
 package choice
 
 import (
+	"cmp"
+	"encoding/binary"
 	"fmt"
+	"hash/fnv"
 	"math"
 	"slices"
 )
@@ -65,6 +68,8 @@
 	tries, voided   []float64 // fading
 	good, spent     []float64 // answers and the time that they took, fading
 	heardAt         []Time
+	known           []float64 // tries as they were at the last judgement
+	age, toldAt     []Time    // how late what was told of it is; when that came
 	gap             []float64 // seconds between the last two times it was heard of; 1 where that is often enough
 	fresh, out      []bool    // heard of since the last tick; withdrawn
 	dropped         []bool    // from the list, though that alone does not bind
@@ -106,6 +111,11 @@
 	backAt        Time
 	took, bad     float64 // median time of answers, and share voided at the median backend
 
+	elsewhere   [][]float64 // txns/s by product and zone that others told of last
+	elsewhereAt Time
+	trust       float64 // part that is believed of it, which rises and falls in steps
+	judgedAt    Time
+
 	queue, waits float64 // lines that may wait in the channel; of messages of which nothing shows that they left
 	queueAt      Time
 	batch        int               // messages written together
@@ -135,6 +145,7 @@
 		be.easedAt, be.fresh = append(be.easedAt, never), append(be.fresh, false)
 		be.tries, be.voided = append(be.tries, 0), append(be.voided, 0)
 		be.heardAt, be.gap = append(be.heardAt, never), append(be.gap, 1)
+		be.known, be.age, be.toldAt = append(be.known, 0), append(be.age, 0), append(be.toldAt, never)
 		be.good, be.spent, be.held = append(be.good, 0), append(be.spent, 0), append(be.held, 0)
 		be.out, be.dropped = append(be.out, false), append(be.dropped, false)
 		be.goneAt = append(be.goneAt, never)
@@ -150,6 +161,7 @@
 	be.zone[b], be.kind[b], be.status[b], be.weight[b], be.relief[b] = 0, 0, Gone, 0, 1
 	be.rampAt[b], be.easedAt[b], be.goneAt[b], be.heardAt[b], be.gap[b] = never, never, never, never, 1
 	be.held[b], be.tries[b], be.voided[b], be.good[b], be.spent[b] = 0, 0, 0, 0, 0
+	be.known[b], be.age[b], be.toldAt[b] = 0, 0, never
 	be.fresh[b], be.out[b], be.dropped[b] = false, false, false
 	for i := range a.px {
 		if p := &a.px[i]; b < len(p.picked) {
@@ -187,6 +199,30 @@
 	return float64(len(a.in)) / float64(max(a.d.Proxies, len(a.in), 1))
 }
 
+// partHere is the part of the fleet's use that comes to the proxies here; that of the proxies, where nobody tells.
+func (a *Assigner) partHere() float64 {
+	here, there := 1e-9, 0.0
+	for k, by := range a.elsewhere {
+		here += a.demand(k)
+		for _, u := range by {
+			there += u
+		}
+	}
+	return a.trust*here/(here+there) + (1-a.trust)*a.share()
+}
+
+// lag is by how much what is heard of a backend is late, in whole waits.
+func (a *Assigner) lag(b int) Time { return max(a.be.age[b], 0) / easeEvery * easeEvery }
+
+// inTurn says whether a moment of this controller's own within each span, for a backend, came since the last judgement:
+// who hears the same does not act in the same instant.
+func (a *Assigner) inTurn(b int, span Time) bool {
+	h := fnv.New32a()
+	h.Write(binary.LittleEndian.AppendUint64(nil, uint64(a.d.FirstTick)<<20+uint64(b)))
+	at := Time(h.Sum32()) % span
+	return a.judgedAt > 0 && (a.now-at)/span > (a.judgedAt-at)/span
+}
+
 func (a *Assigner) hearTries(e Heard) {
 	be, b := &a.be, e.Backend
 	a.grow(b + 1)
@@ -194,9 +230,7 @@
 	voided := min(max(e.Voided, 0), e.Tries)
 	// Where reports are too many for the intake one stands for several seconds, and what came before it is as old.
 	if gap := float64(a.now-be.heardAt[b]) / float64(Second); gap > spanLong {
-		old := math.Pow(newsKeep, min(gap, float64(useStale)/float64(Second))-1)
-		be.tries[b], be.voided[b] = be.tries[b]*old, be.voided[b]*old
-		be.good[b], be.spent[b] = be.good[b]*old, be.spent[b]*old
+		a.fade(b, e.Tries, min(gap, float64(useStale)/float64(Second))-1)
 		be.gap[b] = either(be.heardAt[b] == never, 1, gap)
 	} else if a.now > be.heardAt[b] {
 		be.gap[b] = 1
@@ -208,6 +242,16 @@
 	}
 }
 
+// fade lets what was heard of a backend before count for less beside so many new tries of a span of seconds: where
+// little is heard, for long.
+func (a *Assigner) fade(b int, news, span float64) {
+	be := &a.be
+	keep := 1 - min(news/thinTries, 1)*(1-math.Pow(newsKeep, span))
+	be.tries[b], be.voided[b] = be.tries[b]*keep, be.voided[b]*keep
+	be.good[b], be.spent[b] = be.good[b]*keep, be.spent[b]*keep
+	be.known[b] = be.tries[b]
+}
+
 // hearFence takes that a batch has reached the proxy. Messages leave in the order in which they enter, which is that in
 // which they were written, but for those of about the same moment: they go by sockets of their own.
 func (a *Assigner) hearFence(p *proxy, batch int) {
@@ -385,14 +429,23 @@
 	}
 }
 
-func median(v []float64) float64 {
-	if len(v) == 0 {
-		return 0
+// midst is the median of what is given with the strengths that it stands for, the lower one of two.
+func midst(all []weighed) float64 {
+	slices.SortFunc(all, func(a, b weighed) int { return cmp.Compare(a.value, b.value) })
+	sum, half := 0.0, 0.0
+	for _, w := range all {
+		half += w.strength / 2
 	}
-	slices.Sort(v)
-	return v[len(v)/2]
+	for _, w := range all {
+		if sum += w.strength; sum >= half {
+			return w.value
+		}
+	}
+	return 0
 }
 
+type weighed struct{ value, strength float64 }
+
 func either[T any](is bool, yes, no T) T {
 	if is {
 		return yes
