--- /dev/null
+++ b/cmd/lab/spread.go
@@ -0,0 +1,127 @@
+package main
+
+import (
+	"fmt"
+	"math"
+	"runtime"
+	"sync"
+
+	"github.com/spf13/cobra"
+
+	"elmfold/emu"
+)
+
+// What many controllers must come up to: parts of one controller's.
+const (
+	spreadWithin  = 0.015 // service
+	shareWithin   = 0.02  // the slow eighth's share
+	peakWithin    = 1.15  // times what two choices with the true state give
+	herdMost      = 1.5
+	aloneLeast    = 0.95
+	bytesFlat     = 1.3
+	spreadMost    = 240 // controllers
+	spreadCounted = "slow"
+)
+
+func spreadCommand() *cobra.Command {
+	var w where
+	c := &cobra.Command{Use: "spread", Short: "many controllers that each see little: sums told on, not told on, and the naive way; hard cases; bytes",
+		Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error { return playSpread(w) }}
+	w.flags(c)
+	return c
+}
+
+func playSpread(w where) error {
+	r := newReport("spread", w.seed, "240 proxies, 48 backends of which 6 are 3.5 times slower than listed; seconds 30 to 60 of a day in the emulator",
+		"service", "slow share", "declined", "peak/mean", "herd", "idle", "rules broken", "B/s most", "B/s mean")
+	counts := []int{1, 5, 24, 60, 120, spreadMost}
+	var plays []emu.Spread
+	for _, n := range counts {
+		for _, day := range []string{"calm", "slow", "hot"} {
+			plays = append(plays, emu.Spread{Controllers: n, Case: day, Told: true}, emu.Spread{Controllers: n, Case: day})
+		}
+	}
+	for _, n := range []int{50, 100, 200} { // 300 has its own day
+		plays = append(plays, emu.Spread{Controllers: n, Case: "small", Told: true})
+	}
+	plays = append(plays, emu.Spread{Controllers: 267, Case: "small", Told: true}, emu.Spread{Controllers: 267, Case: "small"}, emu.Spread{Controllers: 1, Case: "small"})
+	for _, day := range emu.SpreadCases[3:] {
+		if day != "small" {
+			plays = append(plays, emu.Spread{Controllers: 60, Case: day, Told: true}, emu.Spread{Controllers: 60, Case: day}, emu.Spread{Controllers: 1, Case: day})
+		}
+	}
+	for _, day := range []string{"calm", "slow", "hot"} {
+		plays = append(plays, emu.Spread{Controllers: 1, Case: day, Oracle: true}, emu.Spread{Controllers: 1, Case: day, Naive: true}, emu.Spread{Controllers: spreadMost, Case: day, Naive: true})
+	}
+	showed := make([]emu.Spreading, len(plays))
+	var all sync.WaitGroup
+	room := make(chan bool, max(1, runtime.NumCPU()-2))
+	for i, p := range plays {
+		all.Go(func() {
+			room <- true
+			showed[i] = p.Play(w.seed)
+			<-room
+		})
+	}
+	all.Wait()
+	at := map[emu.Spread]emu.Spreading{}
+	for i, p := range plays {
+		s := showed[i]
+		at[p] = s
+		r.row(spreadName(p), fmt.Sprintf("%.3f", s.Service), fmt.Sprintf("%.3f", s.Share), fmt.Sprintf("%.4f", s.Declined),
+			fmt.Sprintf("%.2f", s.Peak), fmt.Sprintf("%.2f", s.Herd), s.Idle, s.Broken, fmt.Sprintf("%.0f", s.Bytes), fmt.Sprintf("%.0f", s.TellsMean))
+		if s.Broken > 0 && !p.Naive && !p.Oracle {
+			r.Missed = append(r.Missed, fmt.Sprintf("%s: %d rules broken", spreadName(p), s.Broken))
+		}
+	}
+	missed := func(is bool, format string, v ...any) {
+		if is {
+			r.Missed = append(r.Missed, fmt.Sprintf(format, v...))
+		}
+	}
+	for _, day := range []string{"calm", "slow", "hot"} {
+		one, many := at[emu.Spread{Controllers: 1, Case: day}], at[emu.Spread{Controllers: spreadMost, Case: day, Told: true}]
+		two := at[emu.Spread{Controllers: 1, Case: day, Oracle: true}]
+		missed(many.Service < one.Service-spreadWithin, "%s: service %.3f with %d, %.3f with one", day, many.Service, spreadMost, one.Service)
+		missed(math.Abs(many.Share-one.Share) > shareWithin, "%s: slow share %.3f with %d, %.3f with one", day, many.Share, spreadMost, one.Share)
+		missed(many.Declined > one.Declined, "%s: %.4f declined with %d, %.4f with one", day, many.Declined, spreadMost, one.Declined)
+		missed(many.Peak > peakWithin*two.Peak, "%s: peak %.2f of the mean, two choices %.2f", day, many.Peak, two.Peak)
+		missed(many.Herd > herdMost, "%s: herd index %.2f", day, many.Herd)
+		missed(many.Idle > 0, "%s: %d spans of an idle backend", day, many.Idle)
+	}
+	alone := at[emu.Spread{Controllers: spreadMost, Case: spreadCounted}]
+	missed(alone.Service < aloneLeast || alone.Declined > 0, "alone: service %.3f, %.4f declined", alone.Service, alone.Declined)
+	least, most := math.Inf(1), 0.0
+	for _, n := range []int{50, 100, 200, 267} {
+		b := at[emu.Spread{Controllers: n, Case: "small", Told: true}].TellsMean
+		least, most = min(least, b), max(most, b)
+	}
+	missed(most > bytesFlat*least, "bytes a second and a process from %.0f to %.0f for 50 to 267 controllers", least, most)
+	for _, day := range emu.SpreadCases[3:] {
+		n := 60
+		if day == "small" {
+			n = 267
+		}
+		many, one := at[emu.Spread{Controllers: n, Case: day, Told: true}], at[emu.Spread{Controllers: 1, Case: day}]
+		missed(many.Service < one.Service-2*spreadWithin, "%s: service %.3f with %d, %.3f with one", day, many.Service, n, one.Service)
+	}
+	r.Figure = fmt.Sprintf("%d controllers: service %.3f told, %.3f alone, %.3f with one; slow share %.3f, %.3f, %.3f", spreadMost,
+		at[emu.Spread{Controllers: spreadMost, Case: "slow", Told: true}].Service, alone.Service, at[emu.Spread{Controllers: 1, Case: "slow"}].Service,
+		at[emu.Spread{Controllers: spreadMost, Case: "slow", Told: true}].Share, alone.Share, at[emu.Spread{Controllers: 1, Case: "slow"}].Share)
+	return r.leave(w.out)
+}
+
+func spreadName(p emu.Spread) string {
+	name := fmt.Sprintf("%s, %d", p.Case, p.Controllers)
+	switch {
+	case p.Oracle:
+		return name + ", two choices by the true state"
+	case p.Naive:
+		return name + ", the least loaded as told"
+	case p.Told:
+		return name + ", told"
+	case p.Controllers > 1:
+		return name + ", alone"
+	}
+	return name
+}
--- a/desk/desk.go
+++ b/desk/desk.go
@@ -42,6 +42,19 @@
 	Said any
 }
 
+// Told is what the proxies of other controllers met and are asked for. No stream says it.
+type Told struct {
+	Heard []edge.Heard
+	Age   choice.Time
+	Uses  []Use
+}
+
+// Use is how many txns/s of a product come to the proxies of a zone.
+type Use struct {
+	Product, Zone string
+	Txns          float64
+}
+
 // Lists is where the module asks for lists.
 type Lists interface {
 	Follow(on bool)
@@ -265,6 +278,22 @@
 			}
 		}
 		d.asked = append(d.asked, said)
+	case Told:
+		for _, h := range said.Heard {
+			if b, listed := d.index[h.Backend]; listed { // who tells may know another list
+				d.events = append(d.events, choice.Told{Heard: choice.Heard{Backend: b, Tries: h.Tries, Voided: h.Voided, Took: h.Took}, Age: said.Age})
+			}
+		}
+		uses := make([][]float64, d.products)
+		for k := range uses {
+			uses[k] = make([]float64, len(d.names.Zones))
+		}
+		for _, u := range said.Uses {
+			if k, z := d.product(u.Product), slices.Index(d.names.Zones, u.Zone); k >= 0 && z >= 0 {
+				uses[k][z] += u.Txns
+			}
+		}
+		d.events = append(d.events, choice.Elsewhere{Uses: uses})
 	case recall.Believe:
 		return d.recalled(said)
 	case ShowCells:
--- a/emu/emu.go
+++ b/emu/emu.go
@@ -26,6 +26,7 @@
 	"elmfold/edge"
 	"elmfold/recall"
 	"elmfold/roster"
+	"elmfold/told"
 )
 
 // Time is a virtual moment.
@@ -97,6 +98,9 @@
 	Recall      Recall
 	Channel     bool // proxies subscribe to the channel, in place of the platform's streams
 	Grace       Time // after which a try at a backend that drains or is gone is a late one
+	Told        Time // how often controllers tell sums on; 0: never
+	Oracle      bool // proxies take the better of two draws from all that is open, by the true state: a baseline
+	Naive       bool // proxies take the line that seems least loaded by what was told last: another one
 	Careless    bool // proxies try again after any failure, as none of ours may: to see that the ledger notices
 }
 
@@ -140,17 +144,20 @@
 type World struct {
 	Day
 	Now      Time
-	Poison   map[string]float64 // work of a tenant's txns, times so much
-	Bad      map[string]bool    // backends that answer at once with errors
-	Sums     map[string][]Sum   // by tenant and second
-	Effects  map[int]int        // by txn that is not safe: how often it took effect
-	Tipped   []string           // backends that were pushed over
-	Bare     int                // txns that found no line
-	Late     int                // tries at what drains or is gone, longer than the grace after joined proxies' controllers were told
-	Backlog  float64            // the most lines that waited in a channel
-	Hung     map[string]bool    // backends that take txns and say nothing
-	Notes    []string           // of the controllers
-	Moved    int                // messages to proxies
+	Poison   map[string]float64       // work of a tenant's txns, times so much
+	Bad      map[string]bool          // backends that answer at once with errors
+	Sums     map[string][]Sum         // by tenant and second
+	Effects  map[int]int              // by txn that is not safe: how often it took effect
+	Tipped   []string                 // backends that were pushed over
+	Bare     int                      // txns that found no line
+	Late     int                      // tries at what drains or is gone, longer than the grace after joined proxies' controllers were told
+	Backlog  float64                  // the most lines that waited in a channel
+	Hung     map[string]bool          // backends that take txns and say nothing
+	Notes    []string                 // of the controllers
+	Parted   func(i, j int) bool      // controllers that cannot reach each other; nil: none
+	Twist    func(i int, up *told.Up) // what a controller tells in place of the truth; nil: all tell the truth
+	Spoken   []int                    // bytes that each controller told and heard
+	Moved    int                      // messages to proxies
 	chance   *rand.Rand
 	agenda   agenda
 	seq      int
@@ -172,6 +179,10 @@
 	topics  *session.Sessions
 	owners  map[string]*topic // of topics
 	kept    map[string]kept
+	node    *told.Node         // nil: nothing is told on
+	used    map[[2]int]float64 // txns/s that its proxies reported, smoothed, by proxy and product
+	turns   int
+	waits   bool // for those below it
 }
 
 // kept is a fact, with the moment at which it was true.
@@ -330,7 +341,10 @@
 	queue   []job
 	running int
 	epoch   int
-	asked   []Time // of the last second: work that came, for tipping
+	tried   int
+	seen    int     // ... as told last
+	seems   float64 // load for its size, as told last
+	asked   []Time  // of the last second: work that came, for tipping
 	overAt  Time
 	marks   map[int]Time
 }
@@ -344,10 +358,19 @@
 		w.backends, w.byID[b.ID] = append(w.backends, x), x
 	}
 	for range max(d.Controllers, 1) {
-		c := &controller{w: w, kept: map[string]kept{}}
+		c := &controller{w: w, kept: map[string]kept{}, used: map[[2]int]float64{}}
 		w.control = append(w.control, c)
 		c.start(d.Plan)
 	}
+	w.after(0, w.tellMembers)
+	if d.Naive {
+		w.every(second, second, func() {
+			for _, b := range w.backends {
+				tried := b.tried
+				w.after(w.ReportLate, func() { b.seems, b.seen = float64(tried-b.seen)/b.strength(), tried })
+			}
+		})
+	}
 	for i, p := range d.Proxies {
 		x := &proxy{w: w, i: i, zone: p.Zone, tenant: p.Tenant, rate: p.Rate, home: i % len(w.control), out: map[string]bool{},
 			busy: map[string]int{}, fails: map[string]int{}, shun: map[string]Time{}, since: map[string]*met{},
@@ -411,7 +434,7 @@
 	names := deployment.Names{Kinds: []string{"m"}}
 	dep := choice.Deployment{Zones: w.Zones, Proxies: len(w.Proxies), GoneBinds: true, Cold: w.Cold, ColdCapacity: w.ColdLeast,
 		ColdMultiple: w.ColdMost, ConnsLeast: 2000, LinesPerS: cmp.Or(w.LinesPerS, 3000), LinesMost: cmp.Or(w.LinesMost, 6000), LinesHead: headLines,
-		MessagesMost: 60, MessagesOver: 10 * second}
+		MessagesMost: 60, MessagesOver: 10 * second, FirstTick: c.phase(second)}
 	for z := range w.Zones {
 		names.Zones = append(names.Zones, w.zone(z))
 	}
@@ -433,6 +456,9 @@
 	if w.Channel {
 		c.serve()
 	}
+	if w.Told > 0 {
+		c.tellOn()
+	}
 	c.sources = nil
 	for z := range w.Zones {
 		s := &stream{c: c, proxy: -1}
@@ -504,13 +530,14 @@
 	c := w.control[i]
 	c.down = true
 	c.epoch++
+	w.after(noticed, w.tellMembers)
 	for _, p := range w.proxies {
 		if p.stream != nil && p.stream.c == c || p.conn != 0 && p.home == i {
 			p.Cut()
 			p.home = i // it is dialled again first, and may be back
 		}
 	}
-	w.after(away, func() { c.start(file) })
+	w.after(away, func() { c.start(file); w.after(noticed, w.tellMembers) })
 }
 
 // CutProxy breaks a proxy's stream.
--- a/emu/txns.go
+++ b/emu/txns.go
@@ -92,8 +92,57 @@
 	return true
 }
 
+// oracle draws two of all backends that are open to a product, by their true strength, and takes the one that is less
+// busy in truth.
+func (p *proxy) oracle(k int, not []string) string {
+	w := p.w
+	var open []*backend
+	total := 0.0
+	for _, b := range w.backends {
+		if !b.dead && !slices.Contains(not, b.spec.ID) && (!w.Products[k].OwnZone || b.spec.Zone == p.zone) {
+			open, total = append(open, b), total+b.strength()
+		}
+	}
+	var best *backend
+	for range 2 {
+		at := w.chance.Float64() * total
+		for _, b := range open {
+			if at -= b.strength(); at <= 0 {
+				if best == nil || b.busy() < best.busy() {
+					best = b
+				}
+				break
+			}
+		}
+	}
+	if best == nil {
+		return ""
+	}
+	return best.spec.ID
+}
+
+func (b *backend) strength() float64 { return float64(b.spec.Cores) * b.spec.Speed * b.ramp() }
+
+func (b *backend) busy() float64 { return float64(b.running+len(b.queue)) / b.strength() }
+
+// leastSeeming is the line of a proxy that seems least loaded; all that hear the same run there.
+func (p *proxy) leastSeeming(k int, not []string) (best string) {
+	for _, id := range slices.Sorted(maps.Keys(p.tables[k].weight)) {
+		if p.tables[k].weight[id] > 0 && !p.out[id] && !slices.Contains(not, id) && (best == "" || p.w.byID[id].seems < p.w.byID[best].seems) {
+			best = id
+		}
+	}
+	return best
+}
+
 // pick draws two lines by weight and takes the one with fewer tries of this proxy under way.
 func (p *proxy) pick(k int, not []string) (best string) {
+	if p.w.Oracle {
+		return p.oracle(k, not)
+	}
+	if p.w.Naive {
+		return p.leastSeeming(k, not)
+	}
 	var ids []string
 	total := 0.0
 	t := p.tables[k]
@@ -136,6 +185,7 @@
 		return
 	}
 	b, began, over := w.byID[id], w.Now, false
+	b.tried++
 	if b.leaves > 0 && p.stream != nil && p.ever && w.Now > max(b.leaves, p.joined)+w.Grace {
 		w.Late++
 	}
@@ -282,9 +332,11 @@
 		}
 		for _, h := range said {
 			s.c.desk.Hear(desk.News{From: s.c.sources[p.zone], Said: h})
+			s.c.met(h.(edge.Heard))
 		}
 		for _, u := range used {
 			s.c.desk.Hear(desk.News{From: s.from(), Said: u})
+			s.c.took(u.(edge.Used))
 		}
 	})
 }
--- /dev/null
+++ b/told/told.go
@@ -0,0 +1,349 @@
+// Package told adds up what the controllers of a fleet met at each backend, over a tree that each of them works out
+// alone from the same names: a node sends what it and those below it met to one parent, with a number, and the root's
+// total comes back down. So each origin's word counts once, and what a process sends and hears does not grow with the
+// number of processes. Nothing here reads a clock or a socket. docs/notes/spread.md weighs the other ways.
+package told
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/zeebo/xxh3"
+)
+
+const (
+	fanOut     = 8                // children of a node
+	mostWords  = 4096             // backends of a message; what is more is dropped
+	mostSpent  = 60 * 1000.0      // ms that a try can have taken
+	mostPart   = 8.0              // multiple of what the others tell for each origin that one may tell
+	mostAge    = 15 * time.Second // older sums say nothing
+	mostUses   = 1024             // pairs of a product and a zone
+	mostUnsure = 64               // folds whose way back is awaited
+)
+
+// Word is what was met at a backend: tries, how many of them voided, and ms that the answers of the others took in all.
+type Word struct {
+	Backend string  `cbor:"1,keyasint"`
+	Tries   float64 `cbor:"2,keyasint"`
+	Voided  float64 `cbor:"3,keyasint"`
+	Spent   float64 `cbor:"4,keyasint"`
+}
+
+// Sums are words of several origins. Age is how old they are on the mean.
+type Sums struct {
+	Words   []Word        `cbor:"1,keyasint"`
+	Age     time.Duration `cbor:"2,keyasint"`
+	Origins int           `cbor:"3,keyasint"`
+	Uses    []Use         `cbor:"4,keyasint"` // that come to their proxies
+}
+
+// Use is how many txns/s of a product come to the proxies of a zone.
+type Use struct {
+	Product string  `cbor:"1,keyasint"`
+	Zone    string  `cbor:"2,keyasint"`
+	Txns    float64 `cbor:"3,keyasint"`
+}
+
+// Ask goes down the tree: who hears it tells its parent what it has, within the span if it has to wait for others.
+type Ask struct {
+	Within time.Duration `cbor:"1,keyasint"`
+}
+
+// AskWithin is the span that a root gives; each further one down has a part of it.
+const (
+	AskWithin = 400 * time.Millisecond
+	askPart   = 0.6
+)
+
+// On is what goes on to the children.
+func (a Ask) On() Ask {
+	return Ask{min(max(time.Duration(askPart*float64(a.Within)), 0), AskWithin)}
+}
+
+// Up goes to the parent: what came together since the number before.
+type Up struct {
+	Number uint64 `cbor:"1,keyasint"`
+	Sums   Sums   `cbor:"2,keyasint"`
+}
+
+// Down comes from the parent: a total of the root, in which what the child sent up to Counted is contained.
+type Down struct {
+	Root    string `cbor:"1,keyasint"`
+	Number  uint64 `cbor:"2,keyasint"` // of the root
+	Counted uint64 `cbor:"3,keyasint"`
+	Sums    Sums   `cbor:"4,keyasint"`
+}
+
+// heap is what is open at a node; born is the sum of tries times the moments at which they were met.
+type heap struct {
+	words map[string]Word
+	born  float64
+	tries float64
+}
+
+func (h *heap) add(w Word, at float64) {
+	if h.words == nil {
+		h.words = map[string]Word{}
+	}
+	if _, there := h.words[w.Backend]; !there && len(h.words) >= mostWords {
+		return
+	}
+	was := h.words[w.Backend]
+	h.words[w.Backend] = Word{w.Backend, was.Tries + w.Tries, was.Voided + w.Voided, was.Spent + w.Spent}
+	h.born, h.tries = h.born+w.Tries*at, h.tries+w.Tries
+}
+
+func (h *heap) list() (all []Word) {
+	for _, w := range h.words {
+		all = append(all, w)
+	}
+	slices.SortFunc(all, func(a, b Word) int { return cmp.Compare(a.Backend, b.Backend) })
+	return all
+}
+
+// child is what a node has of another one below it.
+type child struct {
+	last    uint64 // number taken
+	at      time.Duration
+	open    []Word // since the last fold
+	age     time.Duration
+	origins int
+	uses    []Use
+	told    bool // since the last fold
+}
+
+// fold is what a node sent up, until it comes back in a total.
+type fold struct {
+	number uint64
+	at     time.Duration
+	own    map[string]Word
+	counts map[string]uint64 // by child: its folds up to that are in it
+}
+
+// Node is one controller's place in the tree.
+type Node struct {
+	self     string
+	parent   string // empty: it is the root
+	below    []string
+	own      heap
+	uses     []Use
+	children map[string]*child
+	number   uint64
+	unsure   []fold // oldest first
+	root     string
+	total    uint64 // number of the last one taken
+}
+
+// New makes a Node that knows of nobody else. Numbers begin at first, which grows with each start of the process.
+func New(self string, first uint64) *Node {
+	return &Node{self: self, number: first, children: map[string]*child{}}
+}
+
+// Place gives the parent and the children of a member among all of them: by a hash of the names, so that no zone and no
+// naming decides who carries more. A parent comes before its children in that order, at whoever's view: so words
+// never go round.
+func Place(self string, members []string) (parent string, children []string) {
+	all := slices.Clone(members)
+	if !slices.Contains(all, self) {
+		all = append(all, self)
+	}
+	slices.SortFunc(all, func(a, b string) int {
+		return cmp.Or(cmp.Compare(xxh3.HashString(a), xxh3.HashString(b)), cmp.Compare(a, b))
+	})
+	all = slices.Compact(all)
+	at := slices.Index(all, self)
+	if at > 0 {
+		parent = all[(at-1)/fanOut]
+	}
+	return parent, all[min(at*fanOut+1, len(all)):min(at*fanOut+1+fanOut, len(all))]
+}
+
+// Members says who is there, this one included or not. What went up to a former parent counts as having been added.
+func (n *Node) Members(all []string) {
+	parent, below := Place(n.self, all)
+	if n.below = below; parent != n.parent {
+		n.parent, n.unsure = parent, nil
+		n.root, n.total = "", 0
+	}
+	for name := range n.children { // what it told stands; what it numbered anew must not be read past
+		if !slices.Contains(all, name) && !slices.Contains(below, name) && len(n.children[name].open) == 0 {
+			delete(n.children, name)
+		}
+	}
+}
+
+// Parent is whom Fold's word goes to; none at the root. Children are those that a total goes on to.
+func (n *Node) Parent() string     { return n.parent }
+func (n *Node) Children() []string { return n.below }
+
+// Met takes what the own proxies met.
+func (n *Node) Met(w Word, now time.Duration) {
+	if w, ok := sound(w); ok {
+		n.own.add(w, now.Seconds())
+	}
+}
+
+// Uses says what comes to the own proxies.
+func (n *Node) Uses(all []Use) { n.uses = addUses(nil, all, 1) }
+
+// addUses adds up by product and zone, in their order; part is 1 or, to take away, -1.
+func addUses(to, more []Use, part float64) []Use {
+	sum := map[[2]string]float64{}
+	for _, u := range to {
+		sum[[2]string{u.Product, u.Zone}] += u.Txns
+	}
+	for _, u := range more {
+		if at := [2]string{u.Product, u.Zone}; u.Txns >= 0 && u.Txns < 1e9 && len(sum) < mostUses {
+			sum[at] = max(sum[at]+part*u.Txns, 0)
+		}
+	}
+	all := make([]Use, 0, len(sum))
+	for at, txns := range sum {
+		all = append(all, Use{at[0], at[1], txns})
+	}
+	slices.SortFunc(all, func(a, b Use) int { return cmp.Or(cmp.Compare(a.Product, b.Product), cmp.Compare(a.Zone, b.Zone)) })
+	return all
+}
+
+// Ready says whether all below have told since the last turn.
+func (n *Node) Ready() bool {
+	return !slices.ContainsFunc(n.below, func(name string) bool { return n.children[name] == nil || !n.children[name].told })
+}
+
+// sound bounds a word to what can be.
+func sound(w Word) (Word, bool) {
+	if !(w.Tries > 0) || !(w.Voided >= 0) || !(w.Spent >= 0) || w.Tries > 1e9 || w.Backend == "" || len(w.Backend) > 256 {
+		return w, false
+	}
+	w.Voided = min(w.Voided, w.Tries)
+	w.Spent = min(w.Spent, (w.Tries-w.Voided)*mostSpent)
+	return w, true
+}
+
+// Hear takes a child's word; false for one that was taken already.
+func (n *Node) Hear(from string, up Up, now time.Duration) bool {
+	c := n.children[from]
+	if c == nil {
+		c = &child{}
+		n.children[from] = c
+	}
+	if up.Number <= c.last || from == n.self {
+		return false
+	}
+	c.last, c.at, c.told = up.Number, now, true
+	if up.Sums.Age < 0 || up.Sums.Age > mostAge || len(up.Sums.Words) > mostWords {
+		return true
+	}
+	for _, w := range up.Sums.Words {
+		if w, ok := sound(w); ok {
+			c.open = append(c.open, w)
+		}
+	}
+	c.age, c.origins, c.uses = up.Sums.Age, min(max(up.Sums.Origins, 1), 1<<16), addUses(nil, up.Sums.Uses, 1)
+	return true
+}
+
+// perOrigin is how many tries a child tells of for each of its origins since the last fold.
+func (c *child) perOrigin() (all float64) {
+	for _, w := range c.open {
+		all += w.Tries
+	}
+	return all / float64(max(c.origins, 1))
+}
+
+// fold closes what is open, as one word.
+func (n *Node) fold(now time.Duration) Sums {
+	f := fold{number: n.number + 1, at: now, own: n.own.words, counts: map[string]uint64{}}
+	all := heap{}
+	for _, w := range n.own.list() {
+		all.add(w, 0)
+	}
+	all.born = n.own.born
+	s := Sums{Origins: 1, Uses: n.uses}
+	names := make([]string, 0, len(n.children))
+	for name := range n.children {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	// One that tells far more for each of its origins than the others do is scaled down, all of its words alike: a true
+	// one loses weight only, a false one cannot drown the others.
+	rates, sum := map[string]float64{}, n.own.tries
+	for _, name := range names {
+		rates[name] = n.children[name].perOrigin()
+		sum += rates[name]
+	}
+	for _, name := range names {
+		c := n.children[name]
+		f.counts[name] = c.last
+		if now-c.at > mostAge {
+			continue // it is gone, and its use with it
+		}
+		s.Origins, s.Uses = s.Origins+c.origins, addUses(s.Uses, c.uses, 1)
+		scale := 1.0
+		if others := (sum - rates[name]) / float64(len(names)); others > 0 && rates[name] > mostPart*others {
+			scale = mostPart * others / rates[name]
+		}
+		for _, w := range c.open {
+			all.add(Word{w.Backend, w.Tries * scale, w.Voided * scale, w.Spent * scale}, (c.at - c.age).Seconds())
+		}
+		c.open, c.told = nil, false
+	}
+	if s.Words = all.list(); all.tries > 0 {
+		s.Age = max(time.Duration((now.Seconds()-all.born/all.tries)*float64(time.Second)), 0)
+	}
+	n.number++
+	n.own = heap{}
+	n.unsure = append(n.unsure, f)
+	if len(n.unsure) > mostUnsure {
+		n.unsure = n.unsure[1:]
+	}
+	return s
+}
+
+// Turn closes what came since the last one: a word for the parent, or, at the root, a total as Take gives it.
+func (n *Node) Turn(now time.Duration) (up *Up, total *Sums, on map[string]Down) {
+	s := n.fold(now)
+	if n.parent != "" {
+		return &Up{Number: n.number, Sums: s}, nil, nil
+	}
+	total, on = n.Take("", Down{Root: n.self, Number: n.number, Counted: n.number, Sums: s}, now)
+	return nil, total, on
+}
+
+// Take takes a total that came from a member, the parent: what the others met, and what goes on to each child.
+// Nil for one that is not the parent's, or was taken already. It is at least as old as what of this node is in it.
+func (n *Node) Take(from string, d Down, now time.Duration) (others *Sums, on map[string]Down) {
+	if from != n.parent || d.Root == n.root && d.Number <= n.total || d.Sums.Age < 0 || len(d.Sums.Words) > mostWords {
+		return nil, nil
+	}
+	n.root, n.total = d.Root, d.Number
+	own, counts := map[string]Word{}, map[string]uint64{}
+	for len(n.unsure) > 0 && n.unsure[0].number <= d.Counted {
+		f := n.unsure[0]
+		n.unsure = n.unsure[1:]
+		d.Sums.Age = max(d.Sums.Age, now-f.at)
+		for id, w := range f.own {
+			was := own[id]
+			own[id] = Word{id, was.Tries + w.Tries, was.Voided + w.Voided, was.Spent + w.Spent}
+		}
+		for name, last := range f.counts {
+			counts[name] = last
+		}
+	}
+	on = map[string]Down{}
+	for _, name := range n.below {
+		on[name] = Down{Root: d.Root, Number: d.Number, Counted: counts[name], Sums: d.Sums}
+	}
+	others = &Sums{Age: d.Sums.Age, Origins: d.Sums.Origins, Uses: addUses(d.Sums.Uses, n.uses, -1)}
+	for _, w := range d.Sums.Words {
+		o := own[w.Backend]
+		w.Tries, w.Voided, w.Spent = w.Tries-o.Tries, w.Voided-o.Voided, w.Spent-o.Spent
+		if w.Voided = max(w.Voided, 0); w.Tries > 1e-6 {
+			if w, ok := sound(Word{w.Backend, w.Tries, w.Voided, max(w.Spent, 0)}); ok {
+				others.Words = append(others.Words, w)
+			}
+		}
+	}
+	return others, on
+}
