Members of a fleet by SWIM, sums told on between processes, a rig that parts them

Need: what the emulator showed of sums told on has to hold between processes, some of which are killed, stopped, cut off one way, or live on in halves.

Change: member/ takes part by hashicorp/memberlist (suspicion, and an observer whose own probes fail doubts itself), with sites, incarnations, ways round (via), and a search for those that went, so that halves find each other. Sums go as its words; the desk tells what its proxies met and are asked for, and takes totals by its queue, the newest in place of a stale one. Section member of the operator file; off without it, and not linked by the bare program. standin/fleet starts processes of the built program, each pair joined by ways of connections and datagrams (standin/link, Way) that a test cuts, silences or slows by what it sees; it kills, stops and continues them by their ids.

Seen: the process test that tells sums failed at first with Uses but no Words in the totals: the desk's hook stood at another case (log of the totals). Now five processes come, are killed, come again, are stopped and go on, live in halves and find each other, one cannot be heard; a proxy is told less weight for a backend that only another instance's tried. 37 s for the process tests; twelve instances in virtual time hear each word once.

--- a/command/command.go
+++ b/command/command.go
@@ -33,7 +33,7 @@
 	root.PersistentFlags().StringVar(&file, "operator", os.Getenv("EDGE_OPERATOR"),
 		"the operator file (else EDGE_OPERATOR)")
 	run := func(*cobra.Command, []string) error {
-		if code := controller.Run(file, controller.Parts{Registry: OpenRegistry, Memory: OpenMemory, Channel: OpenChannel}); code != 0 {
+		if code := controller.Run(file, controller.Parts{Registry: OpenRegistry, Memory: OpenMemory, Channel: OpenChannel, Member: OpenMember}); code != 0 {
 			return exit(code)
 		}
 		return nil
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -149,6 +149,16 @@
 			}
 		})
 	}
+	if c.file.Member != nil && c.parts.Member != nil {
+		m, err := c.parts.Member(c.file, sheet.Name, func(n desk.News) { queue <- n }, log)
+		if err != nil {
+			return err
+		}
+		if c.file.Member.Sums {
+			d.OnlookWith(m)
+		}
+		log.WithFields(logrus.Fields{"member": m.Addr(), "site": c.file.Member.Site}).Info("takes part in the fleet")
+	}
 	d.Step(clock())
 	go d.Run(queue, lists, sheet.Tick, clock)
 
@@ -270,6 +280,9 @@
 	if !reflect.DeepEqual(c.file.Channel, file.Channel) {
 		c.log.WithField("keys", "channel").Warn("these changes wait for a restart")
 	}
+	if !reflect.DeepEqual(c.file.Member, file.Member) {
+		c.log.WithField("keys", "member").Warn("these changes wait for a restart")
+	}
 	was := c.file.Registry
 	c.file = file
 	switch {
--- a/controller/sources.go
+++ b/controller/sources.go
@@ -38,8 +38,18 @@
 	Registry OpenRegistry
 	Memory   OpenMemory
 	Channel  OpenChannel
+	Member   OpenMember
 }
 
+// Member is this instance's part in a fleet. None of its methods waits.
+type Member interface {
+	desk.Onlook
+	Addr() string
+}
+
+// OpenMember takes part as an operator file says; hear is given what others tell.
+type OpenMember func(o operator.File, name string, hear func(desk.News), log *logrus.Entry) (Member, error)
+
 // Channel is the pub-sub channel that is served. Neither method waits.
 type Channel interface {
 	Tell(roster.List)         // each list that the desk is told
--- a/desk/desk.go
+++ b/desk/desk.go
@@ -49,6 +49,16 @@
 	Uses  []Use
 }
 
+// Onlook hears what the own proxies met and are asked for. None of its methods may wait.
+type Onlook interface {
+	Met(backend string, tries, voided float64, took time.Duration)
+	Uses(proxy int, product, zone string, txns float64)
+	Left(proxy int)
+}
+
+// OnlookWith has somebody hear it from now on.
+func (d *Desk) OnlookWith(o Onlook) { d.onlook = o }
+
 // Use is how many txns/s of a product come to the proxies of a zone.
 type Use struct {
 	Product, Zone string
@@ -127,6 +137,7 @@
 	masks    map[uint32][]string // names of products
 	gaveAt   choice.Time         // when places were last given back
 	keep     Keep                // nil: nothing is kept
+	onlook   Onlook              // nil: nobody is told on
 	keptAt   choice.Time
 	turn     int
 	eased    []bool // by place: its relief was told as less than whole
@@ -252,6 +263,9 @@
 		if p != nil {
 			d.events = append(d.events, choice.Used{Proxy: said.Proxy, Product: k, Txns: said.Txns,
 				Voided: said.Voided, Counting: said.Counting})
+			if d.onlook != nil && said.Counting > 0 {
+				d.onlook.Uses(said.Proxy, said.Product, d.names.Zones[p.zone], said.Txns*float64(choice.Second)/float64(said.Counting))
+			}
 		}
 		return err
 	case edge.Heard:
@@ -267,6 +281,9 @@
 		}
 		d.events = append(d.events, choice.Heard{Backend: b, Tries: said.Tries, Voided: said.Voided,
 			Took: said.Took})
+		if d.onlook != nil {
+			d.onlook.Met(said.Backend, said.Tries, said.Voided, time.Duration(said.Took)*time.Second/time.Duration(choice.Second))
+		}
 	case cells.Planned, cells.Move, cells.Undo:
 		if d.cells == nil {
 			d.cells = cells.New(len(d.proxies))
@@ -336,6 +353,9 @@
 	d.unuse(at)
 	d.proxies[at] = proxy{}
 	d.events = append(d.events, choice.Left{Proxy: at})
+	if d.onlook != nil {
+		d.onlook.Left(at)
+	}
 }
 
 func (d *Desk) join(from Stream, said edge.Joined) error {
--- /dev/null
+++ b/member/sums.go
@@ -0,0 +1,217 @@
+package member
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"elmfold/told"
+)
+
+// Kinds of word that are in use.
+const (
+	kindAsk uint8 = iota + 1
+	kindUp
+	kindDown
+)
+
+const (
+	tellEvery = time.Second
+	useSpan   = 5.0 // reports that a use is the mean of
+)
+
+// Sums tells on what the own proxies met and are asked for, and hears what the others' did.
+type Sums struct {
+	fleet *Fleet
+	tell  func(told.Sums) // must not wait
+	began time.Time
+	stop  context.CancelFunc
+	done  sync.WaitGroup
+
+	mu    sync.Mutex
+	node  *told.Node
+	uses  map[use]float64
+	waits int // turn that is under way; 0: none
+	turn  int
+}
+
+type use struct {
+	proxy         int
+	product, zone string
+}
+
+// Tell begins to tell sums on; others' totals go to tell.
+func (f *Fleet) Tell(tell func(told.Sums)) *Sums {
+	s := &Sums{fleet: f, tell: tell, began: time.Now(), node: told.New(f.plan.Name, f.self.Incarnation), uses: map[use]float64{}}
+	f.Handle(kindAsk, func(from string, body []byte) {
+		var a told.Ask
+		if cbor.Unmarshal(body, &a) == nil {
+			s.asked(from, a)
+		}
+	})
+	f.Handle(kindUp, func(from string, body []byte) {
+		var up told.Up
+		if cbor.Unmarshal(body, &up) == nil {
+			s.hear(from, up)
+		}
+	})
+	f.Handle(kindDown, func(from string, body []byte) {
+		var d told.Down
+		if cbor.Unmarshal(body, &d) == nil {
+			s.take(from, d)
+		}
+	})
+	f.Watch(func(all []Peer) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		names := make([]string, 0, len(all))
+		for _, p := range all {
+			names = append(names, p.Name)
+		}
+		s.node.Members(names)
+	})
+	var ctx context.Context
+	ctx, s.stop = context.WithCancel(context.Background())
+	s.done.Go(func() {
+		for every := time.NewTicker(tellEvery); ; {
+			select {
+			case <-ctx.Done():
+				every.Stop()
+				return
+			case <-every.C:
+				s.mu.Lock()
+				root := s.node.Parent() == ""
+				s.mu.Unlock()
+				if root {
+					s.asked("", told.Ask{Within: told.AskWithin})
+				}
+			}
+		}
+	})
+	return s
+}
+
+// Close ends it; the fleet is closed after it.
+func (s *Sums) Close() {
+	s.stop()
+	s.done.Wait()
+}
+
+func (s *Sums) now() time.Duration { return time.Since(s.began) }
+
+// Met takes what the own proxies met at a backend; took is the mean time of the answers.
+func (s *Sums) Met(backend string, tries, voided float64, took time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.node.Met(told.Word{Backend: backend, Tries: tries, Voided: voided, Spent: float64(took) / float64(time.Millisecond) * (tries - voided)}, s.now())
+}
+
+// Uses takes how many txns/s of a product came to a proxy.
+func (s *Sums) Uses(proxy int, product, zone string, txns float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at := use{proxy, product, zone}
+	s.uses[at] += (txns - s.uses[at]) / useSpan
+}
+
+// Left forgets a proxy that is not joined any more.
+func (s *Sums) Left(proxy int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for at := range s.uses {
+		if at.proxy == proxy {
+			delete(s.uses, at)
+		}
+	}
+}
+
+// words are what is to be sent once the mutex is let go.
+type words []func()
+
+func (w words) send() {
+	for _, do := range w {
+		do()
+	}
+}
+
+func (s *Sums) to(name string, kind uint8, body any) func() {
+	return func() { _ = s.fleet.Send(name, kind, body) } // what is lost is lost: the next second's comes
+}
+
+// asked passes the question on and answers it once those below have, or the time is over.
+func (s *Sums) asked(from string, a told.Ask) {
+	s.mu.Lock()
+	var out words
+	defer func() { out.send() }()
+	defer s.mu.Unlock()
+	if from != s.node.Parent() {
+		return
+	}
+	s.turn++
+	s.waits = s.turn
+	for _, name := range s.node.Children() {
+		out = append(out, s.to(name, kindAsk, a.On()))
+	}
+	if s.node.Ready() {
+		out = append(out, s.answer()...)
+		return
+	}
+	turn := s.turn
+	time.AfterFunc(min(max(a.Within, 0), told.AskWithin), func() {
+		s.mu.Lock()
+		var out words
+		if s.waits == turn {
+			out = s.answer()
+		}
+		s.mu.Unlock()
+		out.send()
+	})
+}
+
+func (s *Sums) hear(from string, up told.Up) {
+	s.mu.Lock()
+	var out words
+	if s.node.Hear(from, up, s.now()) && s.waits > 0 && s.node.Ready() {
+		out = s.answer()
+	}
+	s.mu.Unlock()
+	out.send()
+}
+
+func (s *Sums) take(from string, d told.Down) {
+	s.mu.Lock()
+	out := s.down(s.node.Take(from, d, s.now()))
+	s.mu.Unlock()
+	out.send()
+}
+
+// answer closes a turn; the mutex is held.
+func (s *Sums) answer() (out words) {
+	s.waits = 0
+	all := make([]told.Use, 0, len(s.uses))
+	for at, txns := range s.uses {
+		all = append(all, told.Use{Product: at.product, Zone: at.zone, Txns: txns})
+	}
+	slices.SortFunc(all, func(a, b told.Use) int { return cmp.Compare(a.Txns, b.Txns) })
+	s.node.Uses(all)
+	up, total, on := s.node.Turn(s.now())
+	if up != nil {
+		out = append(out, s.to(s.node.Parent(), kindUp, *up))
+	}
+	return append(out, s.down(total, on)...)
+}
+
+func (s *Sums) down(total *told.Sums, on map[string]told.Down) (out words) {
+	if total == nil {
+		return nil
+	}
+	s.tell(*total)
+	for _, name := range s.node.Children() {
+		out = append(out, s.to(name, kindDown, on[name]))
+	}
+	return out
+}
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -23,6 +23,16 @@
 	Store    *Store
 	Peers    *Peers
 	Channel  *Channel
+	Member   *Member
+}
+
+// Member is this instance's part in a fleet of many.
+type Member struct {
+	Listen string
+	Site   string
+	Join   []string
+	Via    map[string]string // by name: where one is reached in place of where it listens
+	Sums   bool              // sums are told on
 }
 
 // Channel is where the pub-sub channel is served.
@@ -101,8 +111,10 @@
 			f.Peers = r.peers(s)
 		case "channel":
 			f.Channel = r.channel(s)
+		case "member":
+			f.Member = r.member(s)
 		default:
-			r.fault(s.line, nearest(s.name, []string{"cells", "channel", "control", "peers", "registry", "store", "tenant"}), "no section is named %q", s.name)
+			r.fault(s.line, nearest(s.name, []string{"cells", "channel", "control", "member", "peers", "registry", "store", "tenant"}), "no section is named %q", s.name)
 		}
 	}
 	if len(r.faults) == 0 {
@@ -262,6 +274,37 @@
 	return c
 }
 
+// member reads the section member.
+func (r *reader) member(s section) *Member {
+	m := &Member{Via: map[string]string{}}
+	var listen []string
+	at := r.obey(s, map[string]rule{
+		"listen": r.addresses(&listen),
+		"site":   r.word(&m.Site, "hall-a"),
+		"join":   r.addresses(&m.Join),
+		"sums":   {0, 0, "", func(directive, []string) { m.Sums = true }},
+		"via": {2, many, "NAME 10.0.0.9:7946", func(d directive, w []string) {
+			var addr []string
+			if _, twice := m.Via[w[0]]; twice || len(w) > 2 {
+				r.fault(d.line, "write one line for each: via NAME HOST:PORT", "via says too much of %q", w[0])
+			} else if r.addresses(&addr).read(d, w[1:]); len(addr) == 1 {
+				m.Via[w[0]] = addr[0]
+			}
+		}},
+	})
+	if m.Listen = strings.Join(listen, " "); len(listen) > 1 {
+		r.fault(at["listen"], "write one address", "listen says too much: %q", listen[1])
+	} else if len(listen) == 0 {
+		r.fault(s.line, "add a line such as: listen 10.0.0.1:7946", "member has no listen")
+	} else if host, _, _ := net.SplitHostPort(listen[0]); net.ParseIP(host).To4() == nil {
+		r.fault(at["listen"], "write the IPv4 address at which the others reach this one", "listen %q is no IPv4 address", listen[0])
+	}
+	if at["site"] == 0 {
+		r.fault(s.line, "add a line such as: site hall-a", "member has no site")
+	}
+	return m
+}
+
 // peers reads the section peers.
 func (r *reader) peers(s section) *Peers {
 	p := &Peers{Within: 3 * time.Second}
@@ -385,6 +428,9 @@
 	if f.Channel != nil {
 		on = append(on, "the channel is served at "+f.Channel.Listen)
 	}
+	if m := f.Member; m != nil {
+		on = append(on, fmt.Sprintf("it is a member of site %s at %s, sums are %stold on", m.Site, m.Listen, map[bool]string{false: "not "}[m.Sums]))
+	}
 	if f.Peers != nil {
 		on = append(on, fmt.Sprintf("%d instances are asked at a start", len(f.Peers.Ask)))
 	}
--- /dev/null
+++ b/standin/fleet/fleet.go
@@ -0,0 +1,330 @@
+// Package fleet is a rig: several processes of the built program on loopback, each pair of them joined by ways that a
+// test cuts, silences or slows; processes are killed, stopped and continued by their own ids. What happens is set off
+// by what was seen in a log or an answer, and every wait is for something to be seen.
+package fleet
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"elmfold/standin/link"
+)
+
+// Patience is how long something is waited for that must come.
+const Patience = 60 * time.Second
+
+// Process is one controller.
+type Process struct {
+	Name, Site string
+	Dir        string // its own; what it keeps is there
+	Listen     string // of the fleet's words
+	Streams    string // ... and connections
+
+	rig   *Rig
+	extra string // of the operator file
+	cmd   *exec.Cmd
+
+	mu    sync.Mutex
+	lines []string
+	more  chan struct{} // closed at each line
+	life  int           // in lines: where its present life began
+	ended chan struct{}
+}
+
+// Rig holds the processes.
+type Rig struct {
+	Program   string
+	Proxies   int
+	Dir       string
+	Processes []*Process
+	ways      map[[2]int]*link.Way // of words, from one to another
+	streams   map[[2]int]*link.Way
+}
+
+// New lays out n processes of a program, in sites in turn; none runs yet. extra is what a process's operator file says
+// beside the section member; ways is whether each pair has ways of its own.
+func New(program, dir string, n, sites, proxies int, ways bool, extra func(p *Process) string) (*Rig, error) {
+	r := &Rig{Program: program, Proxies: proxies, Dir: dir, ways: map[[2]int]*link.Way{}, streams: map[[2]int]*link.Way{}}
+	for i := range n {
+		p := &Process{Name: fmt.Sprintf("n%d", i), Site: fmt.Sprintf("site-%c", 'a'+i%sites), rig: r, more: make(chan struct{}), ended: make(chan struct{})}
+		p.Dir = filepath.Join(dir, p.Name)
+		close(p.ended)
+		if err := os.MkdirAll(p.Dir, 0o755); err != nil {
+			return nil, err
+		}
+		var err error
+		if p.Listen, err = free(); err == nil {
+			p.Streams, err = free()
+		}
+		if err != nil {
+			return nil, err
+		}
+		r.Processes = append(r.Processes, p)
+	}
+	for i := range n {
+		for j := range n {
+			if i == j || !ways {
+				continue
+			}
+			var err error
+			if r.ways[[2]int{i, j}], err = link.NewWay(r.Processes[j].Listen); err == nil {
+				r.streams[[2]int{i, j}], err = link.NewWay(r.Processes[j].Streams)
+			}
+			if err != nil {
+				r.Close()
+				return nil, err
+			}
+		}
+	}
+	for _, p := range r.Processes {
+		if extra != nil {
+			p.extra = extra(p)
+		}
+	}
+	return r, nil
+}
+
+var lent = struct {
+	sync.Mutex
+	ports map[string]bool
+}{ports: map[string]bool{}}
+
+// free is a port that is free for connections and datagrams, and not lent yet by this process.
+func free() (string, error) {
+	lent.Lock()
+	defer lent.Unlock()
+	for range 100 {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return "", err
+		}
+		addr := ln.Addr().String()
+		_ = ln.Close()
+		at, _ := net.ResolveUDPAddr("udp", addr)
+		if u, err := net.ListenUDP("udp", at); err == nil && !lent.ports[addr] {
+			_ = u.Close()
+			lent.ports[addr] = true
+			return addr, nil
+		}
+	}
+	return "", errors.New("no port is free")
+}
+
+// Reach is where one process reaches the words of another, and StreamsOf its connections.
+func (r *Rig) Reach(i, j int) string {
+	if w := r.ways[[2]int{i, j}]; w != nil {
+		return w.Addr()
+	}
+	return r.Processes[j].Listen
+}
+
+// StreamsOf is where one process reaches the connections of another.
+func (r *Rig) StreamsOf(i, j int) string {
+	if w := r.streams[[2]int{i, j}]; w != nil {
+		return w.Addr()
+	}
+	return r.Processes[j].Streams
+}
+
+// At is a process's number.
+func (r *Rig) At(p *Process) int { return slices.Index(r.Processes, p) }
+
+// Part sets all ways between those of which cut says so, for both directions; the others are open.
+func (r *Rig) Part(mode link.Mode, cut func(i, j int) bool) {
+	for _, ways := range []map[[2]int]*link.Way{r.ways, r.streams} {
+		for at, w := range ways {
+			there, back := link.Open, link.Open
+			if cut != nil && cut(at[0], at[1]) {
+				there = mode
+			}
+			if cut != nil && cut(at[1], at[0]) {
+				back = mode
+			}
+			w.Set(there, back)
+		}
+	}
+}
+
+// Close ends all.
+func (r *Rig) Close() {
+	for _, p := range r.Processes {
+		p.Kill()
+	}
+	var all sync.WaitGroup
+	for _, ways := range []map[[2]int]*link.Way{r.ways, r.streams} {
+		for _, w := range ways {
+			if w != nil {
+				all.Go(w.Close)
+			}
+		}
+	}
+	all.Wait()
+}
+
+// File is the path of a process's operator file.
+func (p *Process) File() string { return filepath.Join(p.Dir, "operator.conf") }
+
+// Control is the path of its control socket.
+func (p *Process) Control() string { return filepath.Join(p.Dir, "control") }
+
+// Start writes what the process is told and starts it; it returns once it is ready.
+func (p *Process) Start(env ...string) error {
+	r, me := p.rig, p.rig.At(p)
+	var members []map[string]any
+	for i := range 12 {
+		members = append(members, map[string]any{"id": fmt.Sprintf("s-%02d", i), "locality": string(rune('a' + i%2)), "flavor": "m", "phase": "SERVING", "size": 1, "up_since_ms": 0})
+	}
+	config, err := json.Marshal(map[string]any{"name": p.Name, "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "limits": map[string]any{"memory_mb": 64},
+		"known": map[string]any{"revision": 1, "complete": true, "members": members},
+		"settings": map[string]any{"Zones": []string{"a", "b"}, "Shapes": []string{"m"}, "Classes": []any{map[string]any{"Name": "lookup", "Credit": 1, "Promise": 800000}},
+			"Specifics": map[string]any{"ProxyCount": r.Proxies, "ThrottleBy": "rps", "LinesPerS": 3000, "PendingMax": 6000, "Overhead": 6}}})
+	if err != nil {
+		return err
+	}
+	var file strings.Builder
+	fmt.Fprintf(&file, "member\n    listen %s\n    site %s\n    sums\n", p.Listen, p.Site)
+	for k := 1; k <= min(3, len(r.Processes)-1); k++ {
+		fmt.Fprintf(&file, "    join %s\n", r.Reach(me, (me+k)%len(r.Processes)))
+	}
+	for j, other := range r.Processes {
+		if w := r.ways[[2]int{me, j}]; w != nil {
+			fmt.Fprintf(&file, "    via %s %s\n", other.Name, w.Addr())
+		}
+	}
+	file.WriteString(p.extra)
+	path := filepath.Join(p.Dir, "config.json")
+	if err := errors.Join(os.WriteFile(path, config, 0o600), os.WriteFile(p.File(), []byte(file.String()), 0o600)); err != nil {
+		return err
+	}
+	c := exec.Command(r.Program)
+	c.Env = append([]string{"PATH=/bin", "HOME=" + p.Dir, "EDGE_CONFIG=" + path, "EDGE_OPERATOR=" + p.File()}, env...)
+	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // also when the test itself is killed
+	out, err := c.StderrPipe()
+	if err == nil {
+		err = c.Start()
+	}
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	p.cmd, p.life, p.ended = c, len(p.lines), make(chan struct{})
+	ended := p.ended
+	p.mu.Unlock()
+	go func() {
+		for in := bufio.NewScanner(out); in.Scan(); {
+			p.mu.Lock()
+			p.lines = append(p.lines, in.Text())
+			close(p.more)
+			p.more = make(chan struct{})
+			p.mu.Unlock()
+		}
+		_ = c.Wait()
+		close(ended)
+	}()
+	_, err = p.Sees("msg=ready")
+	return err
+}
+
+// StartAll starts all at once.
+func (r *Rig) StartAll() error {
+	errs := make([]error, len(r.Processes))
+	var all sync.WaitGroup
+	for i, p := range r.Processes {
+		all.Go(func() { errs[i] = p.Start() })
+	}
+	all.Wait()
+	return errors.Join(errs...)
+}
+
+// Sees waits for a line of the present life that holds all words, and gives it.
+func (p *Process) Sees(words ...string) (string, error) {
+	over := time.After(Patience)
+	for {
+		p.mu.Lock()
+		for _, line := range p.lines[p.life:] {
+			if !slices.ContainsFunc(words, func(w string) bool { return !strings.Contains(line, w) }) {
+				p.mu.Unlock()
+				return line, nil
+			}
+		}
+		more, ended := p.more, p.ended
+		p.mu.Unlock()
+		select {
+		case <-more:
+		case <-ended:
+			p.mu.Lock()
+			last := strings.Join(p.lines[max(p.life, len(p.lines)-5):], "\n")
+			p.mu.Unlock()
+			return "", fmt.Errorf("%s ended before it said %q; it said last:\n%s", p.Name, words, last)
+		case <-over:
+			return "", fmt.Errorf("%s did not say %q in %v", p.Name, words, Patience)
+		}
+	}
+}
+
+// Forget lets Sees look at what comes from now on only.
+func (p *Process) Forget() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.life = len(p.lines)
+}
+
+// Log is all that it ever said.
+func (p *Process) Log() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return strings.Join(p.lines, "\n")
+}
+
+// Addr is where it takes proxies.
+func (p *Process) Addr() (string, error) {
+	line, err := p.Sees("msg=ready")
+	if err != nil {
+		return "", err
+	}
+	_, rest, _ := strings.Cut(line, `listen="`)
+	addr, _, _ := strings.Cut(rest, `"`)
+	return addr, nil
+}
+
+func (p *Process) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd != nil {
+		_ = p.cmd.Process.Signal(s)
+	}
+}
+
+// ID is its process id; 0 while it does not run.
+func (p *Process) ID() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return 0
+	}
+	return p.cmd.Process.Pid
+}
+
+// Kill ends it with -9, and waits until it is gone.
+func (p *Process) Kill() {
+	p.signal(syscall.SIGKILL)
+	p.mu.Lock()
+	ended := p.ended
+	p.mu.Unlock()
+	<-ended
+}
+
+// Stop holds it, Continue lets it go on.
+func (p *Process) Stop()     { p.signal(syscall.SIGSTOP) }
+func (p *Process) Continue() { p.signal(syscall.SIGCONT) }
