--- /dev/null
+++ b/jobs/replica.go
@@ -0,0 +1,320 @@
+package jobs
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+)
+
+// Bounds of what one takes.
+const (
+	MostJobs  = 1_000_000 // open at a time
+	MostEdits = 100_000   // of one job that are not folded yet
+)
+
+// Replica is what one of us knows. It is not safe for several goroutines at once.
+type Replica struct {
+	origin string
+	site   string
+	last   uint64 // number of the own edit made last
+	knows  Versions
+	jobs   map[ID]*entry
+	log    map[string][]Dot // by origin: dots that are kept, in their order
+	edits  map[Dot]*Edit
+	peers  map[string]peer // who counts, by name
+}
+
+type entry struct {
+	edits []*Edit
+	view  View
+	fresh bool // view holds
+}
+
+// peer is what another one said that it knows, and under which name its edits of now go.
+type peer struct {
+	origin string
+	knows  Versions
+}
+
+// New makes a Replica for a life of an instance: its origin must never have been used before.
+func New(origin, site string) *Replica {
+	return &Replica{origin: origin, site: site, knows: Versions{}, jobs: map[ID]*entry{}, log: map[string][]Dot{}, edits: map[Dot]*Edit{},
+		peers: map[string]peer{}}
+}
+
+// Origin is the name under which edits of this life go.
+func (r *Replica) Origin() string { return r.origin }
+
+// Knows is what it knows. The caller must not change it.
+func (r *Replica) Knows() Versions { return r.knows }
+
+var (
+	errEnded  = errors.New("the job has ended")
+	errNoJob  = errors.New("no such job is known here")
+	errMany   = errors.New("too many edits of this job wait for sites that are away")
+	errFull   = errors.New("too many jobs are open")
+	errRepeat = errors.New("it stands so already")
+)
+
+// Make takes an edit that somebody asks for here: it gets a name, what was known, and its bytes. It
+// counts once it is stored: the caller stores it, and then calls Merge.
+func (r *Replica) Make(e Edit) (Edit, error) {
+	if err := Check(e); err != nil {
+		return e, err
+	}
+	known := r.jobs[e.ID]
+	isNew := e.Kind == Announce || e.Kind == Arrive
+	switch {
+	case known == nil && !isNew:
+		return e, fmt.Errorf("%s: %w", e.ID, errNoJob)
+	case known == nil && len(r.jobs) >= MostJobs:
+		return e, errFull
+	case known != nil && len(known.edits) >= MostEdits:
+		return e, fmt.Errorf("%s: %w", e.ID, errMany)
+	}
+	if known != nil {
+		v := r.view(known, e.ID)
+		telling := slices.Contains(effects, e.Kind) && !(v.State == IsSettled)
+		if v.State.Ended() && !telling && !(e.Kind == Seen && len(v.Lost) > 0) {
+			return e, fmt.Errorf("%s: %w: %s", e.ID, errEnded, v.State)
+		}
+		if isNew && v.State != IsUnknown && (e.Kind == Announce || v.State != IsAnnounced) {
+			return e, fmt.Errorf("%s: %w: %s", e.ID, errRepeat, v.State)
+		}
+	}
+	r.last++
+	e.Dot, e.Site, e.Knew = Dot{r.origin, r.last}, r.site, Versions{}
+	if known != nil {
+		for _, o := range known.edits {
+			e.Knew[o.Dot.Origin] = max(e.Knew[o.Dot.Origin], o.Dot.Number)
+		}
+	}
+	slices.Sort(e.Places)
+	e.Encode()
+	return e, nil
+}
+
+// put takes an edit in, whatever came before it; the store gives them without those that were folded.
+func (r *Replica) put(e *Edit) {
+	j := r.jobs[e.ID]
+	if j == nil {
+		j = &entry{}
+		r.jobs[e.ID] = j
+	}
+	j.edits, j.fresh = append(j.edits, e), false
+	r.edits[e.Dot] = e
+	r.log[e.Dot.Origin] = append(r.log[e.Dot.Origin], e.Dot)
+	r.knows[e.Dot.Origin] = max(r.knows[e.Dot.Origin], e.Dot.Number)
+}
+
+// Restore takes in what a store holds: what it knew, which counts also where edits were folded, and the edits.
+func (r *Replica) Restore(knew Versions, edits []Edit) {
+	slices.SortFunc(edits, func(a, b Edit) int { return int(a.Dot.Number) - int(b.Dot.Number) })
+	for i := range edits {
+		r.put(&edits[i])
+	}
+	for origin, n := range knew {
+		r.knows[origin] = max(r.knows[origin], n)
+	}
+}
+
+func (r *Replica) view(j *entry, id ID) View {
+	if !j.fresh {
+		j.view, j.fresh = Settle(id, j.edits), true
+	}
+	return j.view
+}
+
+// View is how a job stands; false where it is not known, or ended and forgotten.
+func (r *Replica) View(id ID) (View, bool) {
+	j := r.jobs[id]
+	if j == nil {
+		return View{ID: id, State: IsUnknown}, false
+	}
+	return r.view(j, id), true
+}
+
+// Views are all jobs that are known, in their order.
+func (r *Replica) Views() (all []View) {
+	for _, id := range slices.SortedFunc(maps.Keys(r.jobs), ID.Compare) {
+		all = append(all, r.view(r.jobs[id], id))
+	}
+	return all
+}
+
+// Sizes counts jobs and edits that are kept.
+func (r *Replica) Sizes() (jobs, edits int) { return len(r.jobs), len(r.edits) }
+
+// Given is what one gives to another who lacks it: edits in the order of each origin, and up to where each is whole
+// with them. Where some were folded, Jobs are all that the giver has: what the taker has beside them has ended.
+type Given struct {
+	Edits  []*Edit
+	Whole  Versions
+	Folded bool
+	Jobs   []ID
+}
+
+// Lacks gives some of what one who knows that much lacks. Whoever gets Whole has the others first.
+func (r *Replica) Lacks(knows Versions, most int) (g Given) {
+	g.Whole = Versions{}
+	for _, origin := range slices.Sorted(maps.Keys(r.knows)) {
+		if knows[origin] >= r.knows[origin] {
+			continue
+		}
+		kept := r.log[origin]
+		from, _ := slices.BinarySearchFunc(kept, knows[origin]+1, func(d Dot, n uint64) int { return cmp.Compare(d.Number, n) })
+		for _, d := range kept[from:] {
+			if len(g.Edits) >= most {
+				return g
+			}
+			g.Edits = append(g.Edits, r.edits[d])
+		}
+		g.Whole[origin] = r.knows[origin]
+		g.Folded = g.Folded || uint64(len(kept)-from) < r.knows[origin]-knows[origin]
+	}
+	if g.Folded {
+		g.Jobs = slices.SortedFunc(maps.Keys(r.jobs), ID.Compare)
+	}
+	return g
+}
+
+// Fresh are those edits that are new here, for the store; nothing counts before Merge.
+func (r *Replica) Fresh(edits []Edit) (fresh []Edit) {
+	for _, e := range edits {
+		if !r.knows.Know(e.Dot) {
+			fresh = append(fresh, e)
+		}
+	}
+	return fresh
+}
+
+// Merge takes in edits that are stored, and up to where each origin is whole with them.
+func (r *Replica) Merge(edits []Edit, whole Versions) {
+	for i := range edits {
+		if !r.knows.Know(edits[i].Dot) {
+			r.put(&edits[i])
+		}
+	}
+	for origin, n := range whole {
+		r.knows[origin] = max(r.knows[origin], n)
+	}
+}
+
+// Ended forgets jobs that another one, who knows all their edits, has not any more; it gives the names of what went.
+// Answers a store that is older than what the others have folded meanwhile.
+func (r *Replica) Ended(has []ID, knows Versions) (gone []Dot) {
+	there := map[ID]bool{}
+	for _, id := range has {
+		there[id] = true
+	}
+	for id, j := range r.jobs {
+		if !there[id] && !slices.ContainsFunc(j.edits, func(e *Edit) bool { return !knows.Know(e.Dot) }) {
+			delete(r.jobs, id)
+			for _, e := range j.edits {
+				gone = append(gone, e.Dot)
+			}
+		}
+	}
+	r.forget(gone)
+	return gone
+}
+
+func (r *Replica) forget(gone []Dot) {
+	went := map[string]map[uint64]bool{}
+	for _, d := range gone {
+		delete(r.edits, d)
+		if went[d.Origin] == nil {
+			went[d.Origin] = map[uint64]bool{}
+		}
+		went[d.Origin][d.Number] = true
+	}
+	for origin, numbers := range went {
+		if r.log[origin] = slices.DeleteFunc(r.log[origin], func(d Dot) bool { return numbers[d.Number] }); len(r.log[origin]) == 0 {
+			delete(r.log, origin)
+		}
+	}
+}
+
+// Heard takes what another one says that it knows, under its name; origin is that of its edits of now.
+func (r *Replica) Heard(name, origin string, knows Versions) { r.peers[name] = peer{origin, knows} }
+
+// Count says who counts: until all of them know of something it is kept. One that was removed for good counts no more.
+func (r *Replica) Count(names []string) {
+	for name := range r.peers {
+		if !slices.Contains(names, name) {
+			delete(r.peers, name)
+		}
+	}
+	for _, name := range names {
+		if _, there := r.peers[name]; !there {
+			r.peers[name] = peer{}
+		}
+	}
+}
+
+// Fold forgets what all who count know and nothing hangs on: jobs that ended, and edits that others replaced. A job
+// goes only when nobody can have made an edit of it that is not here: each has said that it knows the end, after
+// which it takes none, and all that it made until then is here. It gives the names of what went, for the store.
+func (r *Replica) Fold() (gone []Dot) {
+	all := []Versions{r.knows}
+	for _, p := range r.peers {
+		if p.knows == nil || r.knows[p.origin] < p.knows[p.origin] {
+			return nil // one was not heard yet, or has made what is not here
+		}
+		all = append(all, p.knows)
+	}
+	stable := Versions{}
+	for origin := range r.knows {
+		stable[origin] = least(origin, all)
+	}
+	for id, j := range r.jobs {
+		if slices.ContainsFunc(j.edits, func(e *Edit) bool { return !stable.Know(e.Dot) }) {
+			continue
+		}
+		v := r.view(j, id)
+		drop := func(e *Edit) bool { return false }
+		switch {
+		case v.State.Ended() && len(v.Lost) == 0:
+			drop = func(e *Edit) bool { return true }
+			delete(r.jobs, id)
+		case len(j.edits) > 8:
+			drop = replaced(j.edits)
+		}
+		kept := j.edits[:0:0]
+		for _, e := range j.edits {
+			if drop(e) {
+				gone = append(gone, e.Dot)
+			} else {
+				kept = append(kept, e)
+			}
+		}
+		j.edits = kept
+	}
+	r.forget(gone)
+	return gone
+}
+
+// replaced says which of a job's edits another one replaces, so that they change nothing any more.
+func replaced(edits []*Edit) func(e *Edit) bool {
+	aspect := func(k Kind) []Kind {
+		for _, a := range [][]Kind{{Hold, Release, Withdraw}, {Place}, {Expire}, {Prioritise}} {
+			if slices.Contains(a, k) {
+				return a
+			}
+		}
+		return nil
+	}
+	last := map[Kind][]*Edit{}
+	for _, e := range edits {
+		last[e.Kind] = append(last[e.Kind], e)
+	}
+	stands := map[Dot]bool{}
+	for _, a := range [][]Kind{{Hold, Release, Withdraw}, {Place}, {Expire}, {Prioritise}} {
+		for _, e := range standing(edits, a...) {
+			stands[e.Dot] = true
+		}
+	}
+	return func(e *Edit) bool { return aspect(e.Kind) != nil && !stands[e.Dot] }
+}
