Levels by chance beside cold lines, all news vote, small first tables, bounded steps

Counted each tick by controller, product and cause (probe in Step and levelOf): half of it at the two controllers that restarted with the lost zone, whose total is cut on the votes of 50 own-zone backends, the only ones with fewTries tries (vote counts: 50 of 200, two thirds voided, while three other controllers read 0%); half at the three others, whose totals were unbounded: beside a cold line levelOf gave min(level, use*part) and capFor(letMost*use), with use of 0.25 txns/s known by three events in 12 s, a level of 0 for one proxy in twelve.

Change: medians take each backend's vote as far as it was tried; they say nothing until a quarter of the strength voted. Beside a cold line a level lets in what chance may hide (atMost), and its part by chance; letChance 1. Proxies that go by what they brought get tables of few lines while many wait; drains reach them with those, where telling all would take longer than two seconds of the channel. needy proxies are planned in order, as far as there is room.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -12,12 +12,12 @@
 
 // Tuned values. Spans are Time; the rest are plain parts or ratios unless a unit is given.
 const (
-	tickEvery  = Second // (design)
-	busyAbove  = 0.9    // use over level from which a proxy is busy (design)
-	idleMargin = 0.2    // an idle proxy keeps its use and this much more (design)
-	levelFloor = 1.0    // txns/s: the least level, while the total has that much for all (design)
-	noLevel    = 1e6    // txns/s: a rate that binds nobody
-	letMost    = 0.95   // part of what comes by chance that a level need let in
+	tickEvery        = Second     // (design)
+	busyAbove        = 0.9        // use over level from which a proxy is busy (design)
+	idleMargin       = 0.2        // an idle proxy keeps its use and this much more (design)
+	levelFloor       = 1.0        // txns/s: the least level, while the total has that much for all (design)
+	noLevel          = 1e6        // txns/s: a rate that binds nobody
+	letMost, letCold = 0.95, 0.99 // part of what comes by chance that a level need let in; while a line is cold
 
 	overSLA              = 0.4              // median time of answers over the SLA time: overload
 	overFails            = 0.05             // ... or this part voided at the median, answers not quick (design)
@@ -44,9 +44,10 @@
 	useKeep, newsKeep = 0.5, 0.2    // a second, of an old use; a tick with news, of the tries at a backend
 	useStale          = 12 * Second // without news of it, from which a use is no longer believed
 	useMany, useSlow  = 5.0, 0.4    // txns/s; under that, mostly chance, it is kept for longer, to such a pace
-	letChance         = 0.5         // txns/s: the most that a level is raised for what comes by chance
+	letChance         = 1.0         // txns/s: the most that a level is raised for what comes by chance
 
 	fewTries, thinTries = 4.0, 10.0   // fewer tries say nothing of a backend; fewer new ones add to what was heard
+	voteLeast           = 0.25        // part of the strength that must have been heard of, before the medians say anything
 	hotRatio, hotSLA    = 1.35, 0.35  // relieved: its time over the median, and over the SLA time
 	hotFails            = 0.2         // ... or voided over the median's
 	deadFails           = 0.6         // voided over the median's from which one that the list dropped is gone
@@ -260,29 +261,14 @@
 
 // judge looks at what was heard since the last tick: who is hot, and whether all are.
 func (a *Assigner) judge() {
-	be, sla, news := &a.be, a.sla(), false
-	fails, took := make([]float64, len(be.zone)), make([]float64, len(be.zone))
-	var allFails, allTook, allNext []weighed // by what each is relied on: a few that are slow end as the median so
-	for b := range be.zone {
-		if be.status[b] != Ready || be.tries[b] < fewTries {
-			continue
-		}
-		fails[b] = be.voided[b] / be.tries[b]
-		allFails = append(allFails, weighed{fails[b], a.strength[b]})
-		if be.good[b] > 0 {
-			took[b] = be.spent[b] / be.good[b]
-			allTook = append(allTook, weighed{took[b], a.strength[b]})
-			// What a probe says that it holds over what it is sent in a tick, or can do, is the time of its next
-			// txn: known sooner. Reports in answers come too often from busy moments.
-			sent := max(be.tries[b]*(1-newsKeep), a.pace*a.strength[b], 1e-9)
-			allNext = append(allNext, weighed{max(took[b], be.held[b]/sent*float64(tickEvery)), a.strength[b]})
-		}
-	}
-	a.bad, a.took = midst(allFails), midst(allNext)
+	// The medians go by what each is relied on for: a few that are slow end as the median so. Those of which little was
+	// heard count too: else the zone that most txns of a few proxies go to is taken for the fleet.
+	be, sla, news, v := &a.be, a.sla(), false, a.vote()
+	fails, took, mid := v.fails, v.took, midst(v.allTook)
+	a.bad, a.took = midst(v.allFails), midst(v.allNext)
 	if a.spanIn > 0 {
 		a.span, a.spans, a.spanIn = a.spans/a.spanIn, 0, 0
 	}
-	mid := midst(allTook)
 	for b := range be.zone {
 		if !be.fresh[b] {
 			continue
@@ -307,7 +293,7 @@
 		a.fade(b, be.tries[b]-be.known[b], 1)
 		news, be.held[b], be.fresh[b] = true, 0, false
 	}
-	if news {
+	if _, relied, _ := a.reach(a.ready); news && v.strength >= voteLeast*relied {
 		a.over = a.took > overSLA*sla || a.bad > overFails && (a.took == 0 || a.took > hotSLA*sla)
 		a.light = a.took > 0 && !a.over
 	}
@@ -535,6 +521,8 @@
 	if size = max(size, picksLeast); a.d.ConnsLeast == 0 {
 		size = math.Inf(1)
 	}
+	// Those that go by what they brought get few lines while many do: each is two, with its shut-out.
+	few := min(size, max(picksLeast, roomSpan*a.paceEach()/2/float64(len(a.groups))))
 	for _, p := range a.in {
 		homes[p.zone] += float64(a.d.Zones) / float64(max(a.d.Proxies, 1))
 	}
@@ -549,7 +537,7 @@
 					flow[i] += p.use[k] * min(r*1e9, r+(1-r)*a.bad) // what voids elsewhere may come here too
 				}
 				if r > 0 {
-					need[i] = max(need[i], 1, size*r)
+					need[i] = max(need[i], 1, either(p.brought(), few, size)*r)
 				}
 			}
 			strength := [2]float64{} // in use, and with what is still shut out: until then the first bears all
@@ -671,7 +659,6 @@
 		level = p.level[k]
 	}
 	// A level equal to a use of about a txn a second would decline half of it.
-	most := capFor(letMost*p.use[k], p.use[k])
 	level = max(level, min(level+letChance, capFor(min(level, letMost*p.use[k]), p.use[k])))
 	if p.most > 0 && p.asked() > p.most { // a confined proxy that asks too much declines its own
 		level = min(level, p.most*p.use[k]/p.asked())
@@ -682,11 +669,12 @@
 	case a.d.Levels == LevelShare:
 		return min(1, part, level/max(p.use[k], levelFloor))
 	case part < 1:
-		return min(level, p.use[k]*part)
+		return min(level, capFor(p.use[k]*part, p.use[k]))
 	case !p.heard:
 		return min(level, max(capFor(letMost*p.asked(), p.asked()), levelFloor))
 	case part < noLevel: // callers may ask far more than was heard of
-		return min(level, max(p.use[k]*part, most))
+		most := a.atMost(p.use[k])
+		return min(level, max(p.use[k]*part, capFor(letCold*most, most)))
 	}
 	return level
 }
@@ -779,11 +767,12 @@
 	var to []*proxy
 	var lines []float64
 	sum := 0.0
+	bound := out && float64(len(backends))+a.d.LinesHead+1 > roomSpan*a.paceEach() // sooner they are given a table of few lines
 	for _, p := range a.in {
 		n := 0.0
 		for _, b := range backends {
 			has := func(t tbl) bool { return b < len(t.weight) && t.weight[b] > 0 }
-			if !p.bound || slices.ContainsFunc(p.held, has) {
+			if !p.bound && !bound || slices.ContainsFunc(p.held, has) {
 				n++
 			}
 		}
@@ -799,7 +788,7 @@
 	}
 	for _, b := range backends {
 		a.be.out[b] = out
-		a.order(Withdraw{Backend: b, Out: out})
+		a.order(Withdraw{Backend: b, Out: out, Bound: bound})
 	}
 	for _, p := range to {
 		p.bare = a.isBare(p)
@@ -807,18 +796,21 @@
 	return true
 }
 
+// cmpProxies puts the busiest first, but those that go by tables they brought along after those that have none.
+func cmpProxies(p, q *proxy) int {
+	return cmp.Or(cmp.Compare(either(p.most > 0, 1, 0), either(q.most > 0, 1, 0)),
+		cmp.Compare(either(p.brought(), 1, 0), either(q.brought(), 1, 0)), cmp.Compare(q.asked(), p.asked()))
+}
+
 // emit orders differences, the busiest proxies first but for those that go by tables they brought along, as far as
 // the part of the channel has room. A proxy gets its whole difference or nothing: what it holds was ordered so.
 func (a *Assigner) emit(todo []diff, part float64) (all bool) {
 	slices.SortStableFunc(todo, func(d, e diff) int {
-		p, q := &a.px[d.proxy], &a.px[e.proxy]
-		return cmp.Or(cmp.Compare(d.urgency, e.urgency), cmp.Compare(either(p.most > 0, 1, 0), either(q.most > 0, 1, 0)),
-			cmp.Compare(either(p.brought(), 1, 0), either(q.brought(), 1, 0)), cmp.Compare(q.asked(), p.asked()))
+		return cmp.Or(cmp.Compare(d.urgency, e.urgency), cmpProxies(&a.px[d.proxy], &a.px[e.proxy]))
 	})
 	all = true
 	for _, d := range todo {
 		p, cost := &a.px[d.proxy], float64(len(d.orders))+d.settles
-		// One that is bounded waits for what the others leave: a sick tenant takes no channel from them.
 		if !a.room(either(d.urgency == mustHave, roomHave, either(p.most > 0, min(part, roomRest), part)), cost, p) {
 			all = false
 			continue
@@ -861,22 +853,31 @@
 	}
 }
 
-// reconcile emits what the proxies lack, the most urgent first.
+// reconcile emits what the proxies lack, the most urgent first: between ticks only what those want that have nothing
+// usable. They are looked at as far as the channel has room, which bounds a step's work while thousands wait.
 func (a *Assigner) reconcile(tick bool) {
 	var urgent, rest []diff
-	for i := 0; i < len(a.px) && a.d.Slices == 0; i++ { // tables of slices belong to the store
-		// Between ticks only what a proxy must have goes out, which those want that have nothing usable.
-		if a.px[i].joined && (tick || a.px[i].bare) {
-			if d := a.diff(i); d.urgency == mustHave || tick && d.urgency == mustEase {
+	needy, all := either(a.d.Slices > 0, nil, a.needy()), true // tables of slices belong to the store
+	slices.SortStableFunc(needy, cmpProxies)
+	for _, p := range needy {
+		if all = all && a.room(roomHave, a.d.LinesHead+2); !all {
+			break
+		} else if d := a.diff(p.index); d.urgency == mustHave {
+			all = a.emit([]diff{d}, roomUrgent)
+		}
+	}
+	for i := 0; i < len(a.px) && tick && a.d.Slices == 0; i++ {
+		if a.px[i].joined && a.px[i].bound {
+			if d := a.diff(i); d.urgency <= mustEase {
 				urgent = append(urgent, d)
-			} else if tick && d.urgency < nothing {
+			} else if d.urgency < nothing {
 				rest = append(rest, d)
 			}
 		}
 	}
 	// Backends come back in once all lines that are too heavy for them are out, and all of them together: those
 	// let in alone would get what their tables hold for the others.
-	all := a.emit(urgent, roomUrgent)
+	all = a.emit(urgent, roomUrgent) && all
 	if !all && !a.again { // sooner than the tick, so that the channel does not run dry meanwhile
 		a.again = true
 		a.order(Wake{After: roomAgain, Name: wakeAgain})
--- a/choice/iface.go
+++ b/choice/iface.go
@@ -173,10 +173,11 @@
 	Products     uint16
 }
 
-// Withdraw shuts a backend out of all tables, or lets it in again.
+// Withdraw shuts a backend out of all tables, or lets it in again. Bound: proxies that still go by tables which they
+// brought along are told with their first table.
 type Withdraw struct {
-	Backend int
-	Out     bool
+	Backend    int
+	Out, Bound bool
 }
 
 // Tries says when a proxy tries another backend.
--- a/choice/spread_test.go
+++ b/choice/spread_test.go
@@ -1,6 +1,7 @@
 package choice
 
 import (
+	"math"
 	"testing"
 )
 
@@ -105,3 +106,51 @@
 		t.Errorf("part %.2f when nobody tells, not that of the proxies", part)
 	}
 }
+
+// Most txns of a few proxies go to their own zone, which came back cold and voids; of the others little is heard, and
+// that is good. The fleet is not overloaded for that: nothing is bounded, and warm lines count as what they are.
+func TestOwnZoneIsNotTheFleet(t *testing.T) {
+	r := start(t, deployment())
+	var more []Entry
+	for b := 4; b < 12; b++ {
+		more = append(more, ready(b, 1))
+	}
+	r.step(Listed{Kind: ListChange, Entries: more})
+	for range 4 {
+		e := reports(10, nil, 0)
+		for b := range 12 {
+			h := Heard{Backend: b, Tries: 1, Took: 900}
+			if b < 2 {
+				h = Heard{Backend: b, Tries: 30, Voided: 20, Took: 7000}
+			}
+			e = append(e, h)
+		}
+		r.second(e...)
+	}
+	if r.a.total > 0 || r.a.over || r.a.bad > 0.1 {
+		t.Errorf("total %v, over %v, %.2f voided at the median", r.a.total, r.a.over, r.a.bad)
+	}
+}
+
+// A proxy of a quarter of a txn a second, of which little is heard, is not kept to what chance showed of it while a line
+// of it is cold and has room for all: its level lets nearly all in that comes by chance.
+func TestColdLevelsLetChanceIn(t *testing.T) {
+	d := deployment()
+	d.Products, d.Zones = d.Products[:1], 1
+	r := newRig(t, d)
+	cold := ready(1, 0)
+	cold.Up = r.now - 10*Second
+	r.step(Listed{Kind: ListCached, Entries: []Entry{ready(0, 0), cold}}, Joined{Proxy: 0, Rate: 1}, Joined{Proxy: 1, Rate: 60})
+	for range 3 { // of proxy 0 the report says that nothing came in a while
+		r.second(Used{Proxy: 1, Txns: 60, Counting: Second}, Used{Proxy: 0, Txns: 0, Counting: 8 * Second},
+			Heard{Backend: 0, Tries: 30, Took: 400}, Heard{Backend: 1, Tries: 20, Took: 400})
+	}
+	level := r.gate(0, 0).Level
+	in, chance, use := 0.0, math.Exp(-0.25), 0.25
+	for n := 0.0; n < 10; n++ {
+		in, chance = in+chance*min(n, level), chance*use/(n+1)
+	}
+	if in < 0.85*use {
+		t.Errorf("level %.2f lets %.0f%% in", level, 100*in/use)
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -34,6 +34,7 @@
 }
 
 type proxy struct {
+	index              int
 	joined, bound      bool
 	heard              bool // it reported since it joined
 	brings             bool // shut-outs of another controller
@@ -132,7 +133,7 @@
 
 func (a *Assigner) proxy(i int) *proxy {
 	for n := len(a.d.Products); len(a.px) <= i; {
-		a.px = append(a.px, proxy{use: make([]float64, n), voided: make([]float64, n), level: make([]float64, n),
+		a.px = append(a.px, proxy{index: len(a.px), use: make([]float64, n), voided: make([]float64, n), level: make([]float64, n),
 			told: make([]bool, n), newsAt: make([]Time, n), leftAt: never})
 	}
 	return &a.px[i]
@@ -194,6 +195,18 @@
 // brought says whether a proxy still goes by tables of another controller: it waits better than one with none.
 func (p *proxy) brought() bool { return p.brings && !p.bound }
 
+// paceEach is the channel's pace, lines/s, for each proxy that still goes by what it brought.
+func (a *Assigner) paceEach() float64 {
+	n := 0.0
+	for _, p := range a.in {
+		n += either(p.brought(), 1, 0.0)
+	}
+	if n == 0 || a.d.LinesPerS == 0 {
+		return math.Inf(1)
+	}
+	return a.d.LinesPerS / n
+}
+
 // share is the part of all proxies that is joined here.
 func (a *Assigner) share() float64 {
 	return float64(len(a.in)) / float64(max(a.d.Proxies, len(a.in), 1))
@@ -252,6 +265,42 @@
 	be.known[b] = be.tries[b]
 }
 
+// votes are what was heard of the backends: by backend where it is enough to say something of it alone, and what the
+// medians go by, with the strength that each stands for, less where little was heard.
+type votes struct {
+	fails, took                []float64
+	allFails, allTook, allNext []weighed
+	strength                   float64
+}
+
+func (a *Assigner) vote() (v votes) {
+	be := &a.be
+	v.fails, v.took = make([]float64, len(be.zone)), make([]float64, len(be.zone))
+	for b, tries := range be.tries {
+		if be.status[b] != Ready || tries <= 0 {
+			continue
+		}
+		fails, counts := be.voided[b]/tries, a.strength[b]*min(tries/fewTries, 1)
+		v.allFails, v.strength = append(v.allFails, weighed{fails, counts}), v.strength+counts
+		if tries >= fewTries {
+			v.fails[b] = fails
+		}
+		if be.good[b] <= 0 {
+			continue
+		}
+		took := be.spent[b] / be.good[b]
+		if tries >= fewTries {
+			v.took[b] = took
+		}
+		v.allTook = append(v.allTook, weighed{took, counts})
+		// What a probe says that it holds over what it is sent in a tick, or can do, is the time of its next
+		// txn: known sooner. Reports in answers come too often from busy moments.
+		sent := max(tries*(1-newsKeep), a.pace*a.strength[b], 1e-9)
+		v.allNext = append(v.allNext, weighed{max(took, be.held[b]/sent*float64(tickEvery)), counts})
+	}
+	return v
+}
+
 // hearFence takes that a batch has reached the proxy. Messages leave in the order in which they enter, which is that in
 // which they were written, but for those of about the same moment: they go by sockets of their own.
 func (a *Assigner) hearFence(p *proxy, batch int) {
@@ -415,6 +464,13 @@
 	return max(sum/n, 1)
 }
 
+// atMost is the use that chance may hide behind one that was heard of: two deviations of what came in the span that it
+// stands for.
+func (a *Assigner) atMost(use float64) float64 {
+	span := max(a.span, 1/useSlow)
+	return use + 2*math.Sqrt(max(use*span, 1))/span
+}
+
 // capFor is the cap on the txns of a second that lets in want of them, where use come by chance (Poisson).
 func capFor(want, use float64) float64 {
 	if use > 50 {
--- a/desk/carry.go
+++ b/desk/carry.go
@@ -58,9 +58,13 @@
 			d.use(o.Proxy)
 			touch(o.Proxy)
 		case choice.Withdraw:
-			d.out[o.Backend], d.told = o.Out, append(d.told, o.Backend)
+			d.out[o.Backend] = o.Out
+			if !o.Bound {
+				d.told = append(d.told, o.Backend)
+			}
 			for i := range d.proxies {
-				if p := &d.proxies[i]; p.stream != nil && p.toldOf(o.Backend) != shutFor(o.Out) && d.holds(p, o.Backend) {
+				p := &d.proxies[i]
+				if p.stream != nil && (!o.Bound || !slices.Contains(p.tables, none)) && p.toldOf(o.Backend) != shutFor(o.Out) && d.holds(p, o.Backend) {
 					touch(i)
 				}
 			}
