Lab spread with real processes, lab edits, a rig whose ports nobody else is given

The rig lends ports below those that the system gives to outgoing connections: two processes of fifteen did not start (their logs: address already in use).

--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -14,7 +14,7 @@
 
 func main() {
 	root := &cobra.Command{Use: "lab", Short: "experiments on elmfold's parts", SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(registryCommand(), sizeCommand(), followerCommand(), cellsCommand(), movesCommand(), stepCommand(), momentsCommand(), killsCommand(), storerCommand(), restartCommand(), processCommand(), keptCommand(), channelCommand(), pluginCallCommand(), spreadCommand())
+	root.AddCommand(registryCommand(), sizeCommand(), followerCommand(), cellsCommand(), movesCommand(), stepCommand(), momentsCommand(), killsCommand(), storerCommand(), restartCommand(), processCommand(), keptCommand(), channelCommand(), pluginCallCommand(), spreadCommand(), editsCommand())
 	if err := root.Execute(); err != nil {
 		fmt.Fprintf(os.Stderr, "lab: %v\n", err)
 		os.Exit(1)
--- a/cmd/lab/spread.go
+++ b/cmd/lab/spread.go
@@ -25,9 +25,18 @@
 
 func spreadCommand() *cobra.Command {
 	var w where
+	var program string
+	var processes []int
 	c := &cobra.Command{Use: "spread", Short: "many controllers that each see little: sums told on, not told on, and the naive way; hard cases; bytes",
-		Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error { return playSpread(w) }}
+		Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error {
+			if len(processes) > 0 {
+				return playSpreadReal(w, program, processes)
+			}
+			return playSpread(w)
+		}}
 	w.flags(c)
+	c.Flags().IntSliceVar(&processes, "processes", nil, "play with so many real processes on loopback, in place of the emulator")
+	c.Flags().StringVar(&program, "program", "bin/elmfold-full", "the controller")
 	return c
 }
 
--- a/command/member.go
+++ b/command/member.go
@@ -128,7 +128,7 @@
 		if e, err = p.jobs.Do(ctx, e); err != nil {
 			return nil, true, err
 		}
-		said = e.Dot
+		said = e
 	case r.Do == DoJobShow:
 		var id jobs.ID
 		if err := strict(r.Body, &id); err != nil {
--- a/jobs/node.go
+++ b/jobs/node.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"maps"
@@ -15,8 +16,9 @@
 )
 
 const (
-	beat       = time.Second // at least so often one has something to say
-	perFrame   = 2000        // edits
+	beat       = 400 * time.Millisecond // at least so often one has something to say
+	silence    = 1200 * time.Millisecond
+	perFrame   = 2000 // edits
 	foldEvery  = time.Second
 	mostAtOnce = 4096 // edits that are stored together
 	partners   = 12   // up to so many each hears from all; beyond, from some
@@ -276,6 +278,7 @@
 // serve tells one that wants to hear: at once what it lacks, then what is new, something each second.
 func (n *Node) serve(ctx context.Context, _ string, c *member.Conn) {
 	began := time.Now()
+	c.Patience = silence
 	for {
 		var a ask
 		if c.Receive(&a) != nil {
@@ -333,7 +336,8 @@
 	return names
 }
 
-// follow hears from others, each on a goroutine of its own, as they come and go.
+// follow hears from others, each on a goroutine of its own, as they come. One that went is asked on: after a cut it is
+// heard at once, not only when the fleet has found it again.
 func (n *Node) follow(ctx context.Context) {
 	changes := make(chan []member.Peer, 1)
 	n.fleet.Watch(func(all []member.Peer) {
@@ -343,7 +347,7 @@
 		}
 		changes <- all
 	})
-	hearing := map[string]context.CancelFunc{}
+	hearing, ever := map[string]context.CancelFunc{}, map[string]member.Peer{}
 	var running sync.WaitGroup
 	defer running.Wait()
 	for {
@@ -356,7 +360,12 @@
 			return
 		case all = <-changes:
 		}
-		all = slices.DeleteFunc(slices.Clone(all), func(p member.Peer) bool { return p.Streams == "" })
+		for _, p := range all {
+			if ever[p.Name] = p; p.Streams == "" {
+				delete(ever, p.Name)
+			}
+		}
+		all = slices.SortedFunc(maps.Values(ever), func(a, b member.Peer) int { return cmp.Compare(a.Name, b.Name) })
 		names := whom(n.fleet.Self(), all)
 		n.counts(all)
 		for name, stop := range hearing {
@@ -391,7 +400,7 @@
 
 const (
 	dialFirst = 50 * time.Millisecond
-	dialMost  = 2 * time.Second
+	dialMost  = 400 * time.Millisecond
 )
 
 // hear asks one for what it has, as long as it is wanted.
@@ -418,6 +427,7 @@
 		return err
 	}
 	defer n.streams.Done(c)
+	c.Patience = silence
 	defer context.AfterFunc(ctx, func() { _ = c.Close() })()
 	for {
 		if err := c.Send(ask{n.Knows()}); err != nil {
--- a/member/member.go
+++ b/member/member.go
@@ -77,8 +77,8 @@
 }
 
 type gone struct {
-	addr string
-	at   time.Time
+	addr, streams string
+	at            time.Time
 }
 
 // Open begins to take part. transport is for tests; nil is the network.
@@ -282,7 +282,7 @@
 	switch {
 	case !there:
 		delete(f.peers, n.Name)
-		f.away[n.Name] = gone{n.Address(), time.Now()}
+		f.away[n.Name] = gone{n.Address(), was.Streams, time.Now()}
 		text = "an instance is not there any more"
 	case !known:
 		f.peers[n.Name] = p
--- a/member/stream.go
+++ b/member/stream.go
@@ -24,7 +24,8 @@
 // one receive at a time.
 type Conn struct {
 	net.Conn
-	in *bufio.Reader
+	Patience time.Duration // for a frame
+	in       *bufio.Reader
 }
 
 type hello struct {
@@ -41,7 +42,7 @@
 	if len(body) > mostFrame {
 		return errFrame
 	}
-	_ = c.SetWriteDeadline(time.Now().Add(patience))
+	_ = c.SetWriteDeadline(time.Now().Add(c.Patience))
 	_, err = c.Write(append(binary.BigEndian.AppendUint32(nil, uint32(len(body))), body...))
 	return err
 }
@@ -50,7 +51,7 @@
 
 // Receive reads a frame. Whatever comes, it is bounded in size and time.
 func (c *Conn) Receive(v any) error {
-	_ = c.SetReadDeadline(time.Now().Add(patience))
+	_ = c.SetReadDeadline(time.Now().Add(c.Patience))
 	var head [4]byte
 	if _, err := io.ReadFull(c.in, head[:]); err != nil {
 		return err
@@ -143,7 +144,7 @@
 		}
 		s.all.Go(func() {
 			defer s.drop(c)
-			conn := &Conn{c, bufio.NewReader(c)}
+			conn := &Conn{c, patience, bufio.NewReader(c)}
 			var h hello
 			if conn.Receive(&h) != nil {
 				return
@@ -163,7 +164,9 @@
 	addr, ok := s.via[name]
 	if !ok {
 		s.fleet.mu.Lock()
-		addr = s.fleet.peers[name].Streams
+		if addr = s.fleet.peers[name].Streams; addr == "" {
+			addr = s.fleet.away[name].streams
+		}
 		s.fleet.mu.Unlock()
 	}
 	if addr == "" {
@@ -182,7 +185,7 @@
 	if !s.keep(c) {
 		return nil, errAway
 	}
-	conn := &Conn{c, bufio.NewReader(c)}
+	conn := &Conn{c, patience, bufio.NewReader(c)}
 	if err := conn.Send(hello{s.fleet.plan.Name, kind}); err != nil {
 		s.drop(c)
 		return nil, err
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -74,7 +74,7 @@
 		"cells-rate": ":2: trickle .*; write a rate", "cells-size": ":4: tenant a has a size .*; take", "cells-noproxy": ":2: .*no proxies; add", "control": ":1: .*no socket; add", "store": ":1: .*no file; add", "peers": ":1: .*neither listen nor ask; add",
 		"member-site": ":1: member has no site; add", "member-via": ":4: via says too much .*; write one line", "member-listen": ":3: .*no IPv4 address; write the IPv4",
 		"jobs-streams": ":1: jobs has no member with streams; add a section member",
-		"binary": ":3: byte 13 is no text; write",
+		"binary":       ":3: byte 13 is no text; write",
 	}
 	files, _ := filepath.Glob("testdata/broken/*.conf")
 	if len(files) != len(want) {
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -15,6 +15,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -47,6 +48,9 @@
 	Program   string
 	Proxies   int
 	Dir       string
+	Zones     []string         // of the list that each process is told
+	Members   []map[string]any // of the list
+	Silent    bool             // no sums are told on
 	Processes []*Process
 	ways      map[[2]int]*link.Way // of words, from one to another
 	streams   map[[2]int]*link.Way
@@ -55,7 +59,10 @@
 // New lays out n processes of a program, in sites in turn; none runs yet. extra is what a process's operator file says
 // beside the section member; ways is whether each pair has ways of its own.
 func New(program, dir string, n, sites, proxies int, ways bool, extra func(p *Process) string) (*Rig, error) {
-	r := &Rig{Program: program, Proxies: proxies, Dir: dir, ways: map[[2]int]*link.Way{}, streams: map[[2]int]*link.Way{}}
+	r := &Rig{Program: program, Proxies: proxies, Dir: dir, Zones: []string{"a", "b"}, ways: map[[2]int]*link.Way{}, streams: map[[2]int]*link.Way{}}
+	for i := range 12 {
+		r.Members = append(r.Members, Member(fmt.Sprintf("s-%02d", i), r.Zones[i%2], 1))
+	}
 	for i := range n {
 		p := &Process{Name: fmt.Sprintf("n%d", i), Site: fmt.Sprintf("site-%c", 'a'+i%sites), rig: r, more: make(chan struct{}), ended: make(chan struct{})}
 		p.Dir = filepath.Join(dir, p.Name)
@@ -95,26 +102,32 @@
 	return r, nil
 }
 
-var lent = struct {
-	sync.Mutex
-	ports map[string]bool
-}{ports: map[string]bool{}}
+// Member is a backend of a list.
+func Member(id, zone string, size float64) map[string]any {
+	return map[string]any{"id": id, "locality": zone, "flavor": "m", "phase": "SERVING", "size": size, "up_since_ms": 0}
+}
+
+// Ports are lent from below those that the system gives to connections that go out, which would take them meanwhile.
+const (
+	firstPort = 10000
+	ports     = 20000
+)
+
+var lent atomic.Int64
 
-// free is a port that is free for connections and datagrams, and not lent yet by this process.
+// free is a port that is free for connections and datagrams, and was not lent yet by this process.
 func free() (string, error) {
-	lent.Lock()
-	defer lent.Unlock()
-	for range 100 {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
+	for range 1000 {
+		n := firstPort + (int64(os.Getpid())*997+lent.Add(1))%ports
+		addr := fmt.Sprintf("127.0.0.1:%d", n)
+		ln, err := net.Listen("tcp", addr)
 		if err != nil {
-			return "", err
+			continue
 		}
-		addr := ln.Addr().String()
 		_ = ln.Close()
 		at, _ := net.ResolveUDPAddr("udp", addr)
-		if u, err := net.ListenUDP("udp", at); err == nil && !lent.ports[addr] {
+		if u, err := net.ListenUDP("udp", at); err == nil {
 			_ = u.Close()
-			lent.ports[addr] = true
 			return addr, nil
 		}
 	}
@@ -156,6 +169,18 @@
 	}
 }
 
+// Cut sets the ways between two, or only from the one to the other.
+func (r *Rig) Cut(i, j int, mode link.Mode, oneWay bool) {
+	for _, ways := range []map[[2]int]*link.Way{r.ways, r.streams} {
+		back := mode
+		if oneWay {
+			back = link.Open
+		}
+		ways[[2]int{i, j}].Set(mode, back)
+		ways[[2]int{j, i}].Set(back, mode)
+	}
+}
+
 // Close ends all.
 func (r *Rig) Close() {
 	for _, p := range r.Processes {
@@ -181,21 +206,26 @@
 // Start writes what the process is told and starts it; it returns once it is ready.
 func (p *Process) Start(env ...string) error {
 	r, me := p.rig, p.rig.At(p)
-	var members []map[string]any
-	for i := range 12 {
-		members = append(members, map[string]any{"id": fmt.Sprintf("s-%02d", i), "locality": string(rune('a' + i%2)), "flavor": "m", "phase": "SERVING", "size": 1, "up_since_ms": 0})
-	}
 	config, err := json.Marshal(map[string]any{"name": p.Name, "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "limits": map[string]any{"memory_mb": 64},
-		"known": map[string]any{"revision": 1, "complete": true, "members": members},
-		"settings": map[string]any{"Zones": []string{"a", "b"}, "Shapes": []string{"m"}, "Classes": []any{map[string]any{"Name": "lookup", "Credit": 1, "Promise": 800000}},
+		"known": map[string]any{"revision": 1, "complete": true, "members": r.Members},
+		"settings": map[string]any{"Zones": r.Zones, "Shapes": []string{"m"}, "Classes": []any{map[string]any{"Name": "lookup", "Credit": 1, "Promise": 400000}},
 			"Specifics": map[string]any{"ProxyCount": r.Proxies, "ThrottleBy": "rps", "LinesPerS": 3000, "PendingMax": 6000, "Overhead": 6}}})
 	if err != nil {
 		return err
 	}
 	var file strings.Builder
-	fmt.Fprintf(&file, "member\n    listen %s\n    streams %s\n    site %s\n    sums\n", p.Listen, p.Streams, p.Site)
+	fmt.Fprintf(&file, "member\n    listen %s\n    streams %s\n    site %s\n", p.Listen, p.Streams, p.Site)
+	if !r.Silent {
+		file.WriteString("    sums\n")
+	}
 	for k := 1; k <= min(3, len(r.Processes)-1); k++ {
-		fmt.Fprintf(&file, "    join %s\n", r.Reach(me, (me+k)%len(r.Processes)))
+		at := (me + k) % len(r.Processes)
+		if len(r.ways) == 0 {
+			at = k - 1 // the first ones are there before the others
+		}
+		if at != me {
+			fmt.Fprintf(&file, "    join %s\n", r.Reach(me, at))
+		}
 	}
 	for j, other := range r.Processes {
 		if w := r.ways[[2]int{me, j}]; w != nil {
--- a/standin/fleet/proxy.go
+++ b/standin/fleet/proxy.go
@@ -65,6 +65,23 @@
 	}
 }
 
+// Weights are the lines that it holds, and the level; 0 before there is one.
+func (p *Proxy) Weights() (lines map[string]float64, level float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return maps.Clone(p.weights), p.level
+}
+
+// Met says what it met at a backend in a second, and Came what came to it.
+func (p *Proxy) Met(id string, tries, voided int, took float64) {
+	fmt.Fprintf(p.source, "LOAD locality=%s endpoint=%s total=%d errors=%d rtt=%.1f interval=1000.0\r\n", p.zone, id, tries, voided, took)
+}
+
+// Came says how many txns came in a second.
+func (p *Proxy) Came(txns, voided int) {
+	fmt.Fprintf(p.stream, "RATE node=%d route=lookup total=%d errors=%d interval=1000.0\r\n", p.node, txns, voided)
+}
+
 // Part is a backend's weight over the mean of all; 1 before there are any.
 func (p *Proxy) Part(id string) float64 {
 	p.mu.Lock()
