--- a/cmd/lab/edits.go
+++ b/cmd/lab/edits.go
@@ -28,6 +28,7 @@
 	healRounds = 30
 	healMost   = 2 * time.Second // p99
 	editHands  = 6               // clients of a process
+	failHands  = 5               // things that fail at once, each at processes of its own
 	editSkew   = time.Hour       // by which a site's clock may be off
 )
 
@@ -100,7 +101,14 @@
 		}
 	}
 	done, injected := make(chan bool), 0
-	failing.Go(func() { injected = e.fail(faults, done) })
+	for hand := range failHands {
+		failing.Go(func() {
+			n := e.fail(faults/failHands, hand, done)
+			e.mu.Lock()
+			injected += n
+			e.mu.Unlock()
+		})
+	}
 	heals := e.heals() // meanwhile: parted sites that meet again
 	working.Wait()
 	close(done)
@@ -115,12 +123,13 @@
 	took := time.Since(began)
 	r := newReport("edits", w.seed, fmt.Sprintf("%d processes at %d sites, %d jobs, %d edits answered, %d faults, %.0f s", n, editSites, editJobs, len(e.all), injected, took.Seconds()), "")
 	views := make([][]jobs.View, n)
-	memory := 0
+	memory := 0 // of the largest
 	for i, p := range rig.Processes {
 		c := p.Client()
 		if err := c.Ask("jobs", nil, &views[i]); err != nil {
 			return err
 		}
+		views[i] = slices.DeleteFunc(views[i], func(v jobs.View) bool { return v.State.Ended() && len(v.Lost) == 0 }) // each forgets them in its own time
 		c.Close()
 		memory = max(memory, residentOf(p.ID()))
 	}
@@ -211,9 +220,9 @@
 	}
 }
 
-// fail does one thing after the other to links and processes; each is over before the next of its kind begins.
-func (e *editing) fail(faults int, done <-chan bool) (n int) {
-	chance := rand.New(rand.NewPCG(e.seed, 7))
+// fail does one thing after the other to links and processes of its own.
+func (e *editing) fail(faults, hand int, done <-chan bool) (n int) {
+	chance := rand.New(rand.NewPCG(e.seed, uint64(7+hand)))
 	copies := map[int][]byte{}
 	for n < faults {
 		select {
@@ -225,7 +234,7 @@
 			continue
 		}
 		n++
-		at := chance.IntN(len(e.Processes))
+		at := chance.IntN(editEach)*editSites + hand
 		p := e.Processes[at]
 		switch kind := chance.IntN(100); {
 		case kind < 4: // killed, and now and then begun from an old copy
@@ -243,7 +252,7 @@
 			p.Continue()
 		default:
 			mode := []link.Mode{link.Silent, link.Closed}[chance.IntN(2)]
-			other := chance.IntN(len(e.Processes))
+			other := (at + editSites*chance.IntN(editEach) + 1 + chance.IntN(editSites-1)) % len(e.Processes)
 			if other != at {
 				e.Cut(at, other, mode, chance.IntN(3) == 0)
 				time.Sleep(time.Duration(5+chance.IntN(30)) * time.Millisecond)
--- a/cmd/lab/moments.go
+++ b/cmd/lab/moments.go
@@ -121,6 +121,20 @@
 	}
 }
 
+// told is a total of the fleet's sums.
+func (f *fleetOf) told() {
+	t := desk.Told{Age: choice.Second / 2}
+	for _, m := range f.members {
+		t.Heard = append(t.Heard, edge.Heard{Backend: m.ID, Tries: 80, Took: 1500})
+	}
+	for _, name := range momentNames.Products {
+		for _, z := range momentNames.Zones {
+			t.Uses = append(t.Uses, desk.Use{Product: name, Zone: z, Txns: 500})
+		}
+	}
+	f.d.Hear(desk.News{Said: t})
+}
+
 // measure steps once and tells what that cost.
 func (f *fleetOf) measure(name string, after choice.Time) moment {
 	before := uint64(0)
@@ -168,6 +182,9 @@
 	}
 	f.reports()
 	all = append(all, f.measure("a tick with all reports, nothing changes", tick))
+	f.reports()
+	f.told()
+	all = append(all, f.measure("a tick with all reports and sums told on", tick))
 	all = append(all, f.measure("a tick without news", tick))
 	f.d.Hear(desk.News{From: f.streams[0], Said: edge.Used{Proxy: 0, Product: "look", Txns: 1, Counting: choice.Second}})
 	all = append(all, f.measure("between ticks, one report", 40))
@@ -179,6 +196,10 @@
 	f.replace()
 	all = append(all, f.measure("between ticks, six in ten backends change", 40), f.measure("... the tick after it", tick))
 
+	f = newFleet(proxies, backends)
+	f.join(0, proxies)
+	f.measure("", 40)
+	all = append(all, f.measure("a moment later, while most wait for their tables", 2000))
 	f = newFleet(proxies, backends)
 	bit := moment{Name: fmt.Sprintf("all join, %d a moment, the sum", joinsAtOnce)}
 	for at := 0; at < proxies; at += joinsAtOnce {
--- a/jobs/jobs_test.go
+++ b/jobs/jobs_test.go
@@ -253,7 +253,7 @@
 	b.Merge(b.Fresh(edits), g.Whole)
 	b.Merge(edits, g.Whole) // once more
 	if g.Folded {
-		b.Ended(g.Jobs, a.Knows())
+		b.Settled(g.Kept, a.Knows())
 	}
 	b.Heard(f.names[from], a.Origin(), a.Knows().clone())
 	a.Heard(f.names[to], b.Origin(), b.Knows().clone())
@@ -392,7 +392,30 @@
 	f.make(t, 0, Edit{ID: batch, Kind: Prioritise, Priority: 5})
 	f.heal()
 	f.same(t)
+	// Of many edits the others fold those that were replaced, and go on without: the copy must not bring one back.
+	old, knew = nil, f.r[0].Knows().clone()
+	for _, e := range f.r[0].edits {
+		old = append(old, *e)
+	}
+	for i := range 12 {
+		f.make(t, 1, Edit{ID: batch, Kind: Expire, Expires: int64(100 + i)})
+	}
+	f.make(t, 1, Edit{ID: batch, Kind: Prioritise, Priority: 6})
+	f.heal()
+	for _, r := range f.r {
+		r.Fold()
+	}
+	f.make(t, 1, Edit{ID: batch, Kind: Prioritise, Priority: 7})
+	f.r[0] = New("n0@3", "a")
+	f.r[0].Restore(knew, old)
+	f.r[0].Count([]string{"n1", "n2"})
+	f.heal()
+	f.same(t)
 	v, _ := f.r[1].View(batch)
+	if v.Priority != 7 || len(v.Lost) > 0 {
+		t.Errorf("an edit that was folded came back: %+v", v)
+	}
+	v.Priority = 5
 	if _, open := f.r[0].View(other); v.State != IsHeld || v.Priority != 5 || open {
 		t.Errorf("it came to %+v; the one that ended is open: %v", v, open)
 	}
--- a/jobs/node.go
+++ b/jobs/node.go
@@ -67,12 +67,12 @@
 
 // given answers it.
 type given struct {
-	Edits  [][]byte         `cbor:"1,keyasint"`
-	Whole  Versions         `cbor:"2,keyasint"`
-	Folded bool             `cbor:"3,keyasint"`
-	Jobs   []ID             `cbor:"4,keyasint"`
-	Heard  map[string]Heard `cbor:"5,keyasint"`
-	Knows  Versions         `cbor:"6,keyasint"`
+	Edits  [][]byte            `cbor:"1,keyasint"`
+	Whole  Versions            `cbor:"2,keyasint"`
+	Folded bool                `cbor:"3,keyasint"`
+	Kept   map[string][]uint64 `cbor:"4,keyasint"`
+	Heard  map[string]Heard    `cbor:"5,keyasint"`
+	Knows  Versions            `cbor:"6,keyasint"`
 }
 
 // Plan is what a Node is told.
@@ -246,8 +246,8 @@
 		n.news()
 	}
 	if g.Folded {
-		if gone := n.r.Ended(g.Jobs, g.Knows); len(gone) > 0 {
-			n.log.WithFields(logrus.Fields{"edits": len(gone), "of": from}).Warn("jobs have ended since this store was written")
+		if gone := n.r.Settled(g.Kept, g.Knows); len(gone) > 0 {
+			n.log.WithFields(logrus.Fields{"edits": len(gone), "of": from}).Warn("edits were settled since this store was written")
 			if err := n.keep.Put(nil, nil, gone); err != nil {
 				return err
 			}
@@ -267,7 +267,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	l := n.r.Lacks(knows, perFrame)
-	g = given{Whole: l.Whole, Folded: l.Folded, Jobs: l.Jobs, Knows: n.r.Knows().clone(), Heard: maps.Clone(n.heard)}
+	g = given{Whole: l.Whole, Folded: l.Folded, Kept: l.Kept, Knows: n.r.Knows().clone(), Heard: maps.Clone(n.heard)}
 	for _, e := range l.Edits {
 		g.Edits = append(g.Edits, e.Raw)
 	}
--- a/jobs/replica.go
+++ b/jobs/replica.go
@@ -148,12 +148,12 @@
 func (r *Replica) Sizes() (jobs, edits int) { return len(r.jobs), len(r.edits) }
 
 // Given is what one gives to another who lacks it: edits in the order of each origin, and up to where each is whole
-// with them. Where some were folded, Jobs are all that the giver has: what the taker has beside them has ended.
+// with them. Where some were folded, Kept are all that the giver has, by origin: what it knows beside them is settled.
 type Given struct {
 	Edits  []*Edit
 	Whole  Versions
 	Folded bool
-	Jobs   []ID
+	Kept   map[string][]uint64
 }
 
 // Lacks gives some of what one who knows that much lacks. Whoever gets Whole has the others first.
@@ -175,7 +175,12 @@
 		g.Folded = g.Folded || uint64(len(kept)-from) < r.knows[origin]-knows[origin]
 	}
 	if g.Folded {
-		g.Jobs = slices.SortedFunc(maps.Keys(r.jobs), ID.Compare)
+		g.Kept = map[string][]uint64{}
+		for origin, dots := range r.log {
+			for _, d := range dots {
+				g.Kept[origin] = append(g.Kept[origin], d.Number)
+			}
+		}
 	}
 	return g
 }
@@ -202,19 +207,27 @@
 	}
 }
 
-// Ended forgets jobs that another one, who knows all their edits, has not any more; it gives the names of what went.
-// Answers a store that is older than what the others have folded meanwhile.
-func (r *Replica) Ended(has []ID, knows Versions) (gone []Dot) {
-	there := map[ID]bool{}
-	for _, id := range has {
-		there[id] = true
+// Settled forgets edits that another one, who knows them, has folded; it gives their names. Answers a store that is
+// older than what the others have folded meanwhile: a job that ended would be open again, and an edit that was replaced
+// would stand beside one whose maker did not have it any more.
+func (r *Replica) Settled(kept map[string][]uint64, knows Versions) (gone []Dot) {
+	there := map[Dot]bool{}
+	for origin, numbers := range kept {
+		for _, n := range numbers {
+			there[Dot{origin, n}] = true
+		}
 	}
 	for id, j := range r.jobs {
-		if !there[id] && !slices.ContainsFunc(j.edits, func(e *Edit) bool { return !knows.Know(e.Dot) }) {
-			delete(r.jobs, id)
-			for _, e := range j.edits {
+		was := len(j.edits)
+		j.edits = slices.DeleteFunc(j.edits, func(e *Edit) bool {
+			out := knows.Know(e.Dot) && !there[e.Dot]
+			if out {
 				gone = append(gone, e.Dot)
 			}
+			return out
+		})
+		if j.fresh = j.fresh && len(j.edits) == was; len(j.edits) == 0 {
+			delete(r.jobs, id)
 		}
 	}
 	r.forget(gone)
