Jobs: edits of a forgotten job are shown as too late; the checker sees planted faults

Need: an old copy's process can edit a job that all others have seen end and forgotten; it stood there as a job of nobody. Cause: Settle let wishes stand without an arrival (Settle, states). Change: such edits lost by rule 1, are shown until seen, and go; a fold waits until all that others know is here.

--- a/jobs/jobs.go
+++ b/jobs/jobs.go
@@ -142,7 +142,9 @@
 )
 
 // Ended says whether nothing more can come of a job.
-func (s State) Ended() bool { return s == IsWithdrawn || s == IsVoided || s == IsSettled }
+func (s State) Ended() bool {
+	return s == IsWithdrawn || s == IsVoided || s == IsSettled || s == IsUnknown // all have forgotten it
+}
 
 // Lost is an edit that did not get its way, with the number of the rule that settled it.
 type Lost struct {
@@ -295,6 +297,13 @@
 		v.State = IsHeld
 	}
 	v.effect(edits, wishes)
+	if v.Job.Product == "" && !slices.ContainsFunc(edits, func(e *Edit) bool { return slices.Contains(effects, e.Kind) }) {
+		// Made where an old copy had the job open still; all others have seen it end, and forgot it.
+		v.State, v.Why, v.Lost = IsUnknown, "", nil
+		for _, e := range standing(edits, Hold, Release, Withdraw, Place, Expire, Prioritise) {
+			v.lose(e, RuleEffect)
+		}
+	}
 	seen := map[Dot]bool{}
 	for _, e := range edits {
 		for _, d := range e.Dots {
--- a/jobs/jobs_test.go
+++ b/jobs/jobs_test.go
@@ -271,12 +271,63 @@
 	}
 }
 
-// same fails the test where two differ.
+// verdict says what is wrong after all have heard of each other: two that differ, an edit that was taken and is neither
+// known nor accounted for, jobs that are not what all edits that were taken come to.
+func (f *fleet) verdict(made []Edit) error {
+	for i, r := range f.r {
+		if !reflect.DeepEqual(r.Views(), f.r[0].Views()) {
+			return fmt.Errorf("%s and %s differ:\n%+v\n%+v", f.names[i], f.names[0], r.Views(), f.r[0].Views())
+		}
+	}
+	by := map[ID][]*Edit{}
+	for i := range made {
+		if !f.r[0].Knows().Know(made[i].Dot) {
+			return fmt.Errorf("%v is lost", made[i].Dot)
+		}
+		by[made[i].ID] = append(by[made[i].ID], &made[i])
+	}
+	for id, edits := range by {
+		want := Settle(id, edits)
+		if got, ok := f.r[0].View(id); !ok && !(want.State.Ended() && len(want.Lost) == 0) || ok && !reflect.DeepEqual(got, want) {
+			return fmt.Errorf("%v is %+v, its edits come to %+v", id, got, want)
+		}
+	}
+	return nil
+}
+
 func (f *fleet) same(t *testing.T) {
 	t.Helper()
-	for i, r := range f.r[1:] {
-		if !reflect.DeepEqual(r.Views(), f.r[0].Views()) {
-			t.Fatalf("%s and %s differ:\n%+v\n%+v", f.names[i+1], f.names[0], r.Views(), f.r[0].Views())
+	if err := f.verdict(nil); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// The verdict is one that can fail: each fault is planted once, and seen.
+func TestVerdictSeesPlantedFaults(t *testing.T) {
+	for name, plant := range map[string]func(f *fleet){
+		"nothing": func(*fleet) {},
+		"an answered edit is lost": func(f *fleet) {
+			for _, r := range f.r { // forgotten by all, as if it had not been on the disk
+				j := r.jobs[batch]
+				j.edits, j.fresh = slices.DeleteFunc(j.edits, func(e *Edit) bool { return e.Kind == Hold }), false
+			}
+		},
+		"its name is lost too": func(f *fleet) {
+			for _, r := range f.r {
+				delete(r.knows, "n1@1")
+			}
+		},
+		"a merge that differs by order": func(f *fleet) { f.r[2].jobs[batch].view.State = IsArrived },
+	} {
+		f := newFleet(3)
+		made := []Edit{f.make(t, 0, Edit{ID: batch, Kind: Arrive, Job: job()})}
+		f.heal()
+		made = append(made, f.make(t, 1, Edit{ID: batch, Kind: Hold, Operator: true}), f.make(t, 2, Edit{ID: batch, Kind: Release}))
+		f.heal()
+		f.same(t)
+		plant(f)
+		if err := f.verdict(made); (err == nil) != (name == "nothing") {
+			t.Errorf("%s: %v", name, err)
 		}
 	}
 }
@@ -337,11 +388,8 @@
 		for _, r := range f.r { // all fold what all know, so that the same jobs are there
 			r.Fold()
 		}
-		f.same(t)
-		for _, m := range made {
-			if !f.r[0].Knows().Know(m.Dot) {
-				t.Fatalf("seed %d: %v is lost", seed, m.Dot)
-			}
+		if err := f.verdict(made); err != nil {
+			t.Fatalf("seed %d: %v", seed, err)
 		}
 		jobs, edits := f.r[0].Sizes()
 		if open := len(slices.DeleteFunc(f.r[0].Views(), func(v View) bool { return v.State.Ended() && len(v.Lost) == 0 })); jobs != open || edits > 400 {
@@ -442,8 +490,20 @@
 		t.Errorf("%d jobs are kept for a site that was removed", n)
 	}
 	f.heal()
-	if v, ok := f.r[0].View(batch); !ok || v.State == IsArrived {
-		t.Errorf("its edit vanished: %+v", v)
+	// It is shown as come too late, until somebody has seen it; then it goes at all.
+	v, ok := f.r[0].View(batch)
+	if !ok || v.State != IsUnknown || len(v.Lost) != 1 || v.Lost[0].Rule != RuleEffect {
+		t.Fatalf("its edit vanished: %+v", v)
+	}
+	f.make(t, 1, Edit{ID: batch, Kind: Seen, Operator: true, Dots: []Dot{v.Lost[0].Dot}})
+	for i, r := range f.r {
+		r.Count(slices.Delete(slices.Clone(f.names), i, i+1))
+	}
+	f.heal()
+	for _, r := range f.r {
+		if r.Fold(); len(r.jobs) > 0 {
+			t.Errorf("%s keeps %+v", r.Origin(), r.Views())
+		}
 	}
 }
 
--- a/jobs/replica.go
+++ b/jobs/replica.go
@@ -273,8 +273,8 @@
 func (r *Replica) Fold() (gone []Dot) {
 	all := []Versions{r.knows}
 	for _, p := range r.peers {
-		if p.knows == nil || r.knows[p.origin] < p.knows[p.origin] {
-			return nil // one was not heard yet, or has made what is not here
+		if p.knows == nil || !r.knows.Cover(p.knows) {
+			return nil // one was not heard yet, or knows what is not here
 		}
 		all = append(all, p.knows)
 	}
