Choice: what is rare adds up, relieved ones spare cold ones; jobs converge by digests

Change: little news adds up only of backends that are not heard of each second (every, rareFrom); letChance 0.5 again; risk, the median without relief, spares cold lines. What is out keeps its line until it is told back. Who ever was there is in the store of jobs and told with what was heard; who knows the same and has other edits asks for them by a digest.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -25,7 +25,7 @@
 	cutTo, kneeDown      = 0.8, 0.9         // of the knee, so that queues drain; when it did not help
 	cutLate              = 0.5              // ... while answers take more than the SLA time
 	cutAgain             = 6 * Second       // time-outs of before a cut are heard of for some seconds
-	spanLong             = 3.0              // seconds that a report stands for, from which it comes too late
+	spanLong, rareFrom   = 3.0, 1.5         // seconds that a report stands for, from which it comes too late; from which few add up
 	cutBlind             = 3 * Second       // in which queues drain: then a cut of which nothing is heard ends
 	riseBy, riseEvery    = 1.1, 5 * Second  // (design)
 	riseFast, fastPart   = Second, 0.5      // ... while answers take under this part of what is overload
@@ -44,9 +44,9 @@
 	useKeep, newsKeep = 0.5, 0.2    // a second, of an old use; a tick with news, of the tries at a backend
 	useStale          = 12 * Second // without news of it, from which a use is no longer believed
 	useMany, useSlow  = 5.0, 0.4    // txns/s; under that, mostly chance, it is kept for longer, to such a pace
-	letChance         = 1.0         // txns/s: the most that a level is raised for what comes by chance
+	letChance         = 0.5         // txns/s: the most that a level is raised for what comes by chance
 
-	fewTries, thinTries = 4.0, 10.0   // fewer tries say nothing of a backend; fewer new ones add to what was heard
+	fewTries, thinTries = 4.0, 10.0   // fewer tries say nothing of a backend; so many take the place of what was heard
 	voteLeast           = 0.25        // part of the strength that must have been heard of, before the medians say anything
 	hotRatio, hotSLA    = 1.35, 0.35  // relieved: its time over the median, and over the SLA time
 	hotFails            = 0.2         // ... or voided over the median's
@@ -261,11 +261,11 @@
 
 // judge looks at what was heard since the last tick: who is hot, and whether all are.
 func (a *Assigner) judge() {
-	// The medians go by what each is relied on for: a few that are slow end as the median so. Those of which little was
-	// heard count too: else the zone that most txns of a few proxies go to is taken for the fleet.
+	// The medians go by what each is relied on for, also of those of which little was heard: else a few that are slow, or
+	// the zone that most txns of a few proxies go to, are taken for the fleet.
 	be, sla, news, v := &a.be, a.sla(), false, a.vote()
 	fails, took, mid := v.fails, v.took, midst(v.allTook)
-	a.bad, a.took = midst(v.allFails), midst(v.allNext)
+	a.bad, a.took, a.risk = midst(v.allFails), midst(v.allNext), max(midst(v.allFails), midst(v.caution))
 	if a.spanIn > 0 {
 		a.span, a.spans, a.spanIn = a.spans/a.spanIn, 0, 0
 	}
@@ -534,7 +534,7 @@
 			for g, group := range a.groups {
 				r := a.spill[g][p.zone][y]
 				for _, k := range group.products {
-					flow[i] += p.use[k] * min(r*1e9, r+(1-r)*a.bad) // what voids elsewhere may come here too
+					flow[i] += p.use[k] * min(r*1e9, r+(1-r)*a.risk) // what voids elsewhere may come here too
 				}
 				if r > 0 {
 					need[i] = max(need[i], 1, either(p.brought(), few, size)*r)
@@ -594,7 +594,7 @@
 
 // sureNow is its strength for the load of others: proxies shun what voids, and what is cold gets its part too.
 func (a *Assigner) sureNow(b int) float64 {
-	return a.strengthNow(b) * either(a.rampNow(b) < 1, 1, 1-a.bad)
+	return a.strengthNow(b) * either(a.rampNow(b) < 1, 1, 1-a.risk)
 }
 
 // plan is the table that a proxy should hold for a group: lines at home carry their listed weights. It holds
@@ -633,7 +633,7 @@
 	}
 	// Its warm lines take what the cold ones cannot, up to a multiple of their part, before any is declined; what
 	// voids elsewhere shows how far they are to be had.
-	if more := min(cold+warm-in, warmMost*warm*(1-a.bad)); part < 1 && more > warm {
+	if more := min(cold+warm-in, warmMost*warm*(1-a.risk)); part < 1 && more > warm {
 		for b, w := range t.weight {
 			if w > 0 && a.lets[b] < noLevel {
 				t.weight[b] = w * min(a.lets[b], 1) * warm / more
@@ -711,8 +711,8 @@
 			cold = cold || w > 0 && a.ramp[b] < 1
 			switch {
 			case w == h || w > 0 && h > 0 && math.Abs(w-h) < leastChange*h && !out,
-				out && a.be.status[b] != Ready && (a.be.status[b] != Gone || a.now < a.be.goneAt[b]+goneKeep):
-				next.weight[b] = h // what is shut out keeps its line
+				out && (w == 0 || a.be.status[b] != Ready) && (a.be.status[b] != Gone || a.now < a.be.goneAt[b]+goneKeep):
+				next.weight[b] = h // what is shut out keeps its line: it is told with it that it is back
 				continue
 			case w == 0 && out && a.be.status[b] == Gone:
 				d.settles++ // it is let back as its last line goes, so that nothing of it remains
--- a/choice/state.go
+++ b/choice/state.go
@@ -72,6 +72,7 @@
 	known           []float64 // tries as they were at the last judgement
 	age, toldAt     []Time    // how late what was told of it is; when that came
 	gap             []float64 // seconds between the last two times it was heard of; 1 where that is often enough
+	every           []float64 // seconds from one word of it to the next, smoothed
 	fresh, out      []bool    // heard of since the last tick; withdrawn
 	dropped         []bool    // from the list, though that alone does not bind
 	goneAt          []Time
@@ -111,6 +112,7 @@
 	back          [FigurePace + 1]float64 // what was recalled, by Figure
 	backAt        Time
 	took, bad     float64 // median time of answers, and share voided at the median backend
+	risk          float64 // ... that may come to cold ones too
 
 	elsewhere   [][]float64 // txns/s by product and zone that others told of last
 	elsewhereAt Time
@@ -144,6 +146,7 @@
 		be.zone, be.kind, be.status = append(be.zone, 0), append(be.kind, 0), append(be.status, Gone)
 		be.weight, be.rampAt, be.relief = append(be.weight, 0), append(be.rampAt, never), append(be.relief, 1)
 		be.easedAt, be.fresh = append(be.easedAt, never), append(be.fresh, false)
+		be.every = append(be.every, 1)
 		be.tries, be.voided = append(be.tries, 0), append(be.voided, 0)
 		be.heardAt, be.gap = append(be.heardAt, never), append(be.gap, 1)
 		be.known, be.age, be.toldAt = append(be.known, 0), append(be.age, 0), append(be.toldAt, never)
@@ -163,7 +166,7 @@
 	be.rampAt[b], be.easedAt[b], be.goneAt[b], be.heardAt[b], be.gap[b] = never, never, never, never, 1
 	be.held[b], be.tries[b], be.voided[b], be.good[b], be.spent[b] = 0, 0, 0, 0, 0
 	be.known[b], be.age[b], be.toldAt[b] = 0, 0, never
-	be.fresh[b], be.out[b], be.dropped[b] = false, false, false
+	be.fresh[b], be.out[b], be.dropped[b], be.every[b] = false, false, false, 1
 	for i := range a.px {
 		if p := &a.px[i]; b < len(p.picked) {
 			p.picked[b] = false
@@ -241,6 +244,9 @@
 	a.grow(b + 1)
 	e.Tries = max(e.Tries, 0)
 	voided := min(max(e.Voided, 0), e.Tries)
+	if be.heardAt[b] != never && a.now > be.heardAt[b] {
+		be.every[b] += (float64(min(a.now-be.heardAt[b], useStale))/float64(Second) - be.every[b]) / smooth
+	}
 	// Where reports are too many for the intake one stands for several seconds, and what came before it is as old.
 	if gap := float64(a.now-be.heardAt[b]) / float64(Second); gap > spanLong {
 		a.fade(b, e.Tries, min(gap, float64(useStale)/float64(Second))-1)
@@ -256,10 +262,10 @@
 }
 
 // fade lets what was heard of a backend before count for less beside so many new tries of a span of seconds: where
-// little is heard, for long.
+// little is heard, and not each second, for long.
 func (a *Assigner) fade(b int, news, span float64) {
 	be := &a.be
-	keep := 1 - min(news/thinTries, 1)*(1-math.Pow(newsKeep, span))
+	keep := 1 - either(news < fewTries && be.every[b] > rareFrom, news/thinTries, 1)*(1-math.Pow(newsKeep, span))
 	be.tries[b], be.voided[b] = be.tries[b]*keep, be.voided[b]*keep
 	be.good[b], be.spent[b] = be.good[b]*keep, be.spent[b]*keep
 	be.known[b] = be.tries[b]
@@ -270,6 +276,7 @@
 type votes struct {
 	fails, took                []float64
 	allFails, allTook, allNext []weighed
+	caution                    []weighed // as allFails, also of what is relieved
 	strength                   float64
 }
 
@@ -282,6 +289,7 @@
 		}
 		fails, counts := be.voided[b]/tries, a.strength[b]*min(tries/fewTries, 1)
 		v.allFails, v.strength = append(v.allFails, weighed{fails, counts}), v.strength+counts
+		v.caution = append(v.caution, weighed{fails, a.be.weight[b] * a.ramp[b] * min(tries/fewTries, 1)})
 		if tries >= fewTries {
 			v.fails[b] = fails
 		}
--- a/jobs/jobs_test.go
+++ b/jobs/jobs_test.go
@@ -255,6 +255,9 @@
 	if g.Folded {
 		b.Settled(g.Kept, a.Knows())
 	}
+	if b.Knows().Cover(a.Knows()) && a.Knows().Cover(b.Knows()) && a.Digest() != b.Digest() {
+		b.Settled(a.Kept(), a.Knows())
+	}
 	b.Heard(f.names[from], a.Origin(), a.Knows().clone())
 	a.Heard(f.names[to], b.Origin(), b.Knows().clone())
 }
--- a/jobs/keep.go
+++ b/jobs/keep.go
@@ -8,6 +8,7 @@
 	"runtime/debug"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"go.etcd.io/bbolt"
 	bolterrors "go.etcd.io/bbolt/errors"
 )
@@ -23,23 +24,30 @@
 // Keep is the store of a replica: what is in it is on the disk.
 type Keep struct{ db *bbolt.DB }
 
-// OpenKeep opens a store, or makes one, and gives what it holds. One that cannot be read is set aside and begun anew: what was in it
-// the others know, but for what nobody had heard yet; aside names where it went.
-func OpenKeep(path string) (k *Keep, knows Versions, edits []Edit, aside string, err error) {
-	for range 2 {
-		k, knows, edits, err = openKeep(path)
-		if err == nil || aside != "" || errors.Is(err, bolterrors.ErrTimeout) {
-			return k, knows, edits, aside, err
-		}
-		aside = path + ".aside-" + time.Now().UTC().Format("20060102T150405.000")
-		if e := os.Rename(path, aside); e != nil {
-			return nil, nil, nil, "", errors.Join(err, e)
-		}
+// Kept is what a store held at a start. Peers are the names of all that ever were there.
+type Kept struct {
+	Knows Versions
+	Edits []Edit
+	Peers []string
+	Aside string // where a store that could not be read went; empty: it could
+}
+
+// OpenKeep opens a store, or makes one. One that cannot be read is set aside and begun anew: what was in it the others
+// know, but for what nobody had heard yet.
+func OpenKeep(path string) (k *Keep, held Kept, err error) {
+	if k, held, err = openKeep(path); err == nil || errors.Is(err, bolterrors.ErrTimeout) {
+		return k, held, err
+	}
+	aside := path + ".aside-" + time.Now().UTC().Format("20060102T150405.000")
+	if e := os.Rename(path, aside); e != nil {
+		return nil, Kept{}, errors.Join(err, e)
 	}
-	return k, knows, edits, aside, err
+	k, held, err = openKeep(path)
+	held.Aside = aside
+	return k, held, err
 }
 
-func openKeep(path string) (k *Keep, knows Versions, edits []Edit, err error) {
+func openKeep(path string) (k *Keep, held Kept, err error) {
 	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true)) // a torn page can send the library beyond its map
 	var db *bbolt.DB
 	defer func() {
@@ -49,9 +57,9 @@
 	}()
 	db, err = bbolt.Open(path, 0o600, &bbolt.Options{Timeout: 2 * time.Second})
 	if err != nil {
-		return nil, nil, nil, err
+		return nil, held, err
 	}
-	knows = Versions{}
+	held.Knows = Versions{}
 	err = db.Update(func(tx *bbolt.Tx) error {
 		for _, name := range [][]byte{bucketEdits, bucketKnows, bucketAbout} {
 			if _, err := tx.CreateBucketIfNotExists(name); err != nil {
@@ -68,26 +76,31 @@
 		for e := range tx.Check() {
 			return e
 		}
+		if raw := about.Get([]byte("peers")); raw != nil {
+			if err := cbor.Unmarshal(raw, &held.Peers); err != nil {
+				return fmt.Errorf("%s: who was there cannot be read: %w", path, err)
+			}
+		}
 		if err := tx.Bucket(bucketKnows).ForEach(func(origin, n []byte) error {
 			if len(n) != 8 {
 				return fmt.Errorf("%s: what is known of %q cannot be read", path, origin)
 			}
-			knows[string(origin)] = binary.BigEndian.Uint64(n)
+			held.Knows[string(origin)] = binary.BigEndian.Uint64(n)
 			return nil
 		}); err != nil {
 			return err
 		}
 		return tx.Bucket(bucketEdits).ForEach(func(_, raw []byte) error {
 			e, err := Decode(append([]byte(nil), raw...))
-			edits = append(edits, e)
+			held.Edits = append(held.Edits, e)
 			return err
 		})
 	})
 	if err != nil {
 		_ = db.Close()
-		return nil, nil, nil, err
+		return nil, Kept{}, err
 	}
-	return &Keep{db}, knows, edits, nil
+	return &Keep{db}, held, nil
 }
 
 func keyOf(d Dot) []byte {
@@ -118,5 +131,14 @@
 	})
 }
 
+// PutPeers stores who was there.
+func (k *Keep) PutPeers(names []string) error {
+	raw, err := cbor.Marshal(names)
+	if err != nil {
+		return err
+	}
+	return k.db.Update(func(tx *bbolt.Tx) error { return tx.Bucket(bucketAbout).Put([]byte("peers"), raw) })
+}
+
 // Close ends it.
 func (k *Keep) Close() error { return k.db.Close() }
--- a/jobs/node.go
+++ b/jobs/node.go
@@ -16,12 +16,13 @@
 )
 
 const (
-	beat       = 400 * time.Millisecond // at least so often one has something to say
-	silence    = 1200 * time.Millisecond
-	perFrame   = 2000 // edits
-	foldEvery  = time.Second
-	mostAtOnce = 4096 // edits that are stored together
-	partners   = 12   // up to so many each hears from all; beyond, from some
+	beat        = 400 * time.Millisecond // at least so often one has something to say
+	silence     = 1200 * time.Millisecond
+	perFrame    = 2000 // edits
+	foldEvery   = time.Second
+	settleEvery = 2 * time.Second // that one who differs is asked what it has
+	mostAtOnce  = 4096            // edits that are stored together
+	partners    = 12              // up to so many each hears from all; beyond, from some
 )
 
 // Node is a replica that is kept on a disk and told on to others. Its mutex is held while a batch is written: nobody may
@@ -63,6 +64,7 @@
 // ask is what one says that wants to hear; it says it again after each frame.
 type ask struct {
 	Knows Versions `cbor:"1,keyasint"`
+	Kept  bool     `cbor:"2,keyasint"` // it knows the same, and has other edits
 }
 
 // given answers it.
@@ -73,6 +75,7 @@
 	Kept   map[string][]uint64 `cbor:"4,keyasint"`
 	Heard  map[string]Heard    `cbor:"5,keyasint"`
 	Knows  Versions            `cbor:"6,keyasint"`
+	Digest uint64              `cbor:"7,keyasint"`
 }
 
 // Plan is what a Node is told.
@@ -85,19 +88,20 @@
 
 // Open begins to take and tell edits.
 func Open(p Plan, fleet *member.Fleet, streams *member.Streams, log *logrus.Entry) (*Node, error) {
-	keep, knows, edits, aside, err := OpenKeep(p.Path)
+	keep, held, err := OpenKeep(p.Path)
 	if err != nil {
 		return nil, err
 	}
 	self := fleet.Self()
 	n := &Node{name: self.Name, keep: keep, log: log, streams: streams, fleet: fleet, count: p.Count, judge: p.Judge, changed: make(chan struct{}),
 		heard: map[string]Heard{}, intake: make(chan asked, 1024), r: New(self.Name+"@"+p.Life, self.Site)}
-	n.r.Restore(knows, edits)
+	n.r.Restore(held.Knows, held.Edits)
+	n.counts(held.Peers) // before it folds anything: also those that are not there yet count
 	if n.judge == nil {
 		n.judge = func(Edit, View) error { return nil }
 	}
-	if aside != "" {
-		log.WithFields(logrus.Fields{"reason": "jobs", "aside": aside}).Error("the store of jobs cannot be read and is begun anew; what others know comes back from them")
+	if held.Aside != "" {
+		log.WithFields(logrus.Fields{"reason": "jobs", "aside": held.Aside}).Error("the store of jobs cannot be read and is begun anew; what others know comes back from them")
 	}
 	jobs, kept := n.r.Sizes()
 	log.WithFields(logrus.Fields{"jobs": jobs, "edits": kept, "as": n.r.Origin()}).Info("jobs are kept")
@@ -247,12 +251,13 @@
 	}
 	if g.Folded {
 		if gone := n.r.Settled(g.Kept, g.Knows); len(gone) > 0 {
-			n.log.WithFields(logrus.Fields{"edits": len(gone), "of": from}).Warn("edits were settled since this store was written")
+			n.log.WithFields(logrus.Fields{"edits": len(gone), "of": from}).Debug("edits that another one has folded are forgotten")
 			if err := n.keep.Put(nil, nil, gone); err != nil {
 				return err
 			}
 		}
 	}
+	n.countAll(slices.Collect(maps.Keys(g.Heard))) // whoever anybody knows of counts
 	for name, h := range g.Heard {
 		if was := n.heard[name]; name != n.name && (h.Origin != was.Origin || h.Beat > was.Beat) {
 			n.heard[name] = h
@@ -263,11 +268,15 @@
 }
 
 // give is what one that knows so much lacks, and who was heard of; the wait for news is outside.
-func (n *Node) give(knows Versions, beats uint64) (g given, news <-chan struct{}) {
+func (n *Node) give(a ask, beats uint64) (g given, news <-chan struct{}) {
+	knows := a.Knows
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	l := n.r.Lacks(knows, perFrame)
-	g = given{Whole: l.Whole, Folded: l.Folded, Kept: l.Kept, Knows: n.r.Knows().clone(), Heard: maps.Clone(n.heard)}
+	g = given{Whole: l.Whole, Folded: l.Folded, Kept: l.Kept, Knows: n.r.Knows().clone(), Heard: maps.Clone(n.heard), Digest: n.r.Digest()}
+	if a.Kept {
+		g.Folded, g.Kept = true, n.r.Kept()
+	}
 	for _, e := range l.Edits {
 		g.Edits = append(g.Edits, e.Raw)
 	}
@@ -284,15 +293,15 @@
 		if c.Receive(&a) != nil {
 			return
 		}
-		g, news := n.give(a.Knows, uint64(time.Since(began)/time.Millisecond)+uint64(began.UnixMilli()))
-		if len(g.Edits) == 0 && len(g.Whole) == 0 {
+		g, news := n.give(a, uint64(time.Since(began)/time.Millisecond)+uint64(began.UnixMilli()))
+		if len(g.Edits) == 0 && len(g.Whole) == 0 && !a.Kept {
 			select {
 			case <-ctx.Done():
 				return
 			case <-news:
 			case <-time.After(beat):
 			}
-			g, _ = n.give(a.Knows, uint64(time.Since(began)/time.Millisecond)+uint64(began.UnixMilli()))
+			g, _ = n.give(a, uint64(time.Since(began)/time.Millisecond)+uint64(began.UnixMilli()))
 		}
 		if c.Send(g) != nil {
 			return
@@ -367,7 +376,7 @@
 		}
 		all = slices.SortedFunc(maps.Values(ever), func(a, b member.Peer) int { return cmp.Compare(a.Name, b.Name) })
 		names := whom(n.fleet.Self(), all)
-		n.counts(all)
+		n.counts(slices.Collect(maps.Keys(ever)))
 		for name, stop := range hearing {
 			if !slices.Contains(names, name) {
 				stop()
@@ -384,18 +393,26 @@
 	}
 }
 
-// counts says for whom edits are kept.
-func (n *Node) counts(there []member.Peer) {
+// counts says for whom edits are kept: those of the plan, or whoever was ever there, which outlives this process.
+func (n *Node) counts(there []string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.countAll(there)
+}
+
+// countAll does it; the mutex is held.
+func (n *Node) countAll(there []string) {
 	names := n.count
 	if names == nil {
-		names = slices.Collect(maps.Keys(n.r.peers))
-		for _, p := range there {
-			names = append(names, p.Name)
+		names = slices.Compact(slices.Sorted(slices.Values(append(slices.Collect(maps.Keys(n.r.peers)), there...))))
+	}
+	names = slices.DeleteFunc(slices.Clone(names), func(s string) bool { return s == n.name })
+	if len(names) != len(n.r.peers) {
+		if err := n.keep.PutPeers(names); err != nil {
+			n.log.WithField("reason", "jobs").Errorf("who is there is not kept: %v", err)
 		}
 	}
-	n.r.Count(slices.DeleteFunc(slices.Compact(slices.Sorted(slices.Values(names))), func(s string) bool { return s == n.name }))
+	n.r.Count(names)
 }
 
 const (
@@ -429,8 +446,10 @@
 	defer n.streams.Done(c)
 	c.Patience = silence
 	defer context.AfterFunc(ctx, func() { _ = c.Close() })()
+	want, asked := ask{}, time.Now()
 	for {
-		if err := c.Send(ask{n.Knows()}); err != nil {
+		want.Knows = n.Knows()
+		if err := c.Send(want); err != nil {
 			return err
 		}
 		var g given
@@ -444,9 +463,19 @@
 			return err
 		}
 		well()
+		if want.Kept = n.differs(g) && time.Since(asked) > settleEvery; want.Kept {
+			asked = time.Now()
+		}
 	}
 }
 
+// differs says whether one who knows the same has other edits.
+func (n *Node) differs(g given) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.r.Digest() != g.Digest && n.r.Knows().Cover(g.Knows) && g.Knows.Cover(n.r.Knows())
+}
+
 // fold forgets now and then what all know.
 func (n *Node) fold(ctx context.Context) {
 	every := time.NewTicker(foldEvery)
@@ -458,6 +487,10 @@
 		case <-every.C:
 		}
 		n.mu.Lock()
+		if len(n.r.peers) == 0 && n.count == nil { // nobody was met yet: all may be news to whoever comes
+			n.mu.Unlock()
+			continue
+		}
 		if gone := n.r.Fold(); len(gone) > 0 {
 			if err := n.keep.Put(nil, nil, gone); err != nil {
 				n.log.WithField("reason", "jobs").Errorf("what all know is not forgotten on the disk: %v", err)
--- a/jobs/replica.go
+++ b/jobs/replica.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"maps"
 	"slices"
+
+	"github.com/zeebo/xxh3"
 )
 
 // Bounds of what one takes.
@@ -24,6 +26,7 @@
 	log    map[string][]Dot // by origin: dots that are kept, in their order
 	edits  map[Dot]*Edit
 	peers  map[string]peer // who counts, by name
+	digest uint64
 }
 
 type entry struct {
@@ -105,6 +108,7 @@
 	}
 	j.edits, j.fresh = append(j.edits, e), false
 	r.edits[e.Dot] = e
+	r.digest ^= xxh3.HashString(e.Dot.String())
 	r.log[e.Dot.Origin] = append(r.log[e.Dot.Origin], e.Dot)
 	r.knows[e.Dot.Origin] = max(r.knows[e.Dot.Origin], e.Dot.Number)
 }
@@ -175,16 +179,26 @@
 		g.Folded = g.Folded || uint64(len(kept)-from) < r.knows[origin]-knows[origin]
 	}
 	if g.Folded {
-		g.Kept = map[string][]uint64{}
-		for origin, dots := range r.log {
-			for _, d := range dots {
-				g.Kept[origin] = append(g.Kept[origin], d.Number)
-			}
-		}
+		g.Kept = r.Kept()
 	}
 	return g
 }
 
+// Kept are the edits that it has, by origin, and a digest of them: two who know the same and differ in it have folded at
+// different moments, or one from an old store.
+func (r *Replica) Kept() (kept map[string][]uint64) {
+	kept = map[string][]uint64{}
+	for origin, dots := range r.log {
+		for _, d := range dots {
+			kept[origin] = append(kept[origin], d.Number)
+		}
+	}
+	return kept
+}
+
+// Digest is of the names of the edits that it has.
+func (r *Replica) Digest() uint64 { return r.digest }
+
 // Fresh are those edits that are new here, for the store; nothing counts before Merge.
 func (r *Replica) Fresh(edits []Edit) (fresh []Edit) {
 	for _, e := range edits {
@@ -209,7 +223,7 @@
 
 // Settled forgets edits that another one, who knows them, has folded; it gives their names. Answers a store that is
 // older than what the others have folded meanwhile: a job that ended would be open again, and an edit that was replaced
-// would stand beside one whose maker did not have it any more.
+// would stand beside one whose maker did not have it any more. Two that do so with each other come to what both have.
 func (r *Replica) Settled(kept map[string][]uint64, knows Versions) (gone []Dot) {
 	there := map[Dot]bool{}
 	for origin, numbers := range kept {
@@ -238,6 +252,7 @@
 	went := map[string]map[uint64]bool{}
 	for _, d := range gone {
 		delete(r.edits, d)
+		r.digest ^= xxh3.HashString(d.String())
 		if went[d.Origin] == nil {
 			went[d.Origin] = map[uint64]bool{}
 		}
