Choice: medians and levels differ only where news are rare; old lines go before a return

Change: rare says that half of the backends are not heard of each second; only then the medians weigh, little adds up, and chance raises levels beside cold lines.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -17,7 +17,7 @@
 	idleMargin       = 0.2        // an idle proxy keeps its use and this much more (design)
 	levelFloor       = 1.0        // txns/s: the least level, while the total has that much for all (design)
 	noLevel          = 1e6        // txns/s: a rate that binds nobody
-	letMost, letCold = 0.95, 0.99 // part of what comes by chance that a level need let in; while a line is cold
+	letMost, letCold = 0.95, 0.99 // part of what comes by chance that a level need let in; while a line is cold and news are rare
 
 	overSLA              = 0.4              // median time of answers over the SLA time: overload
 	overFails            = 0.05             // ... or this part voided at the median, answers not quick (design)
@@ -261,11 +261,10 @@
 
 // judge looks at what was heard since the last tick: who is hot, and whether all are.
 func (a *Assigner) judge() {
-	// The medians go by what each is relied on for, also of those of which little was heard: else a few that are slow, or
-	// the zone that most txns of a few proxies go to, are taken for the fleet.
+	// Where news are rare all that was heard counts, as far as it is relied on: else the own zone is taken for the fleet.
 	be, sla, news, v := &a.be, a.sla(), false, a.vote()
-	fails, took, mid := v.fails, v.took, midst(v.allTook)
-	a.bad, a.took, a.risk = midst(v.allFails), midst(v.allNext), max(midst(v.allFails), midst(v.caution))
+	fails, took, mid := v.fails, v.took, midst(v.allTook, a.rare)
+	a.bad, a.took, a.risk = midst(v.allFails, a.rare), midst(v.allNext, a.rare), max(midst(v.allFails, a.rare), midst(v.caution, a.rare))
 	if a.spanIn > 0 {
 		a.span, a.spans, a.spanIn = a.spans/a.spanIn, 0, 0
 	}
@@ -293,11 +292,11 @@
 		a.fade(b, be.tries[b]-be.known[b], 1)
 		news, be.held[b], be.fresh[b] = true, 0, false
 	}
-	if _, relied, _ := a.reach(a.ready); news && v.strength >= voteLeast*relied {
+	if _, relied, _ := a.reach(a.ready); news && (!a.rare || v.strength >= voteLeast*relied) {
 		a.over = a.took > overSLA*sla || a.bad > overFails && (a.took == 0 || a.took > hotSLA*sla)
 		a.light = a.took > 0 && !a.over
 	}
-	a.judgedAt = a.now
+	a.judgedAt, a.rare = a.now, midst(v.every, true) > rareFrom
 	a.trust = min(max(a.trust+either(a.elsewhere != nil && a.now < a.elsewhereAt+useStale, 1.0, -1)/smooth, 0), 1)
 	a.weigh()
 }
@@ -669,12 +668,12 @@
 	case a.d.Levels == LevelShare:
 		return min(1, part, level/max(p.use[k], levelFloor))
 	case part < 1:
-		return min(level, capFor(p.use[k]*part, p.use[k]))
+		return min(level, either(a.rare, capFor(p.use[k]*part, p.use[k]), p.use[k]*part))
 	case !p.heard:
 		return min(level, max(capFor(letMost*p.asked(), p.asked()), levelFloor))
 	case part < noLevel: // callers may ask far more than was heard of
-		most := a.atMost(p.use[k])
-		return min(level, max(p.use[k]*part, capFor(letCold*most, most)))
+		most := either(a.rare, a.atMost(p.use[k]), p.use[k])
+		return min(level, max(p.use[k]*part, capFor(either(a.rare, letCold, letMost)*most, most)))
 	}
 	return level
 }
@@ -711,11 +710,12 @@
 			cold = cold || w > 0 && a.ramp[b] < 1
 			switch {
 			case w == h || w > 0 && h > 0 && math.Abs(w-h) < leastChange*h && !out,
-				out && (w == 0 || a.be.status[b] != Ready) && (a.be.status[b] != Gone || a.now < a.be.goneAt[b]+goneKeep):
-				next.weight[b] = h // what is shut out keeps its line: it is told with it that it is back
+				out && a.be.status[b] != Ready && (a.be.status[b] != Gone || a.now < a.be.goneAt[b]+goneKeep):
+				next.weight[b] = h // what is shut out keeps its line
 				continue
-			case w == 0 && out && a.be.status[b] == Gone:
+			case w == 0 && out:
 				d.settles++ // it is let back as its last line goes, so that nothing of it remains
+				urgency = either(a.be.status[b] == Gone, mayWait, mustEase)
 			case w > 0 && bare:
 				urgency = mustHave
 			case w < h && (out || a.ramp[b] < 1):
--- a/choice/plain_test.go
+++ b/choice/plain_test.go
@@ -237,13 +237,14 @@
 			cold = cold || w > 0 && m.rampNow(b) < 1
 			gone := m.be.status[b] == Gone
 			if w == h || w > 0 && h > 0 && math.Abs(w-h) < leastChange*h && !out ||
-				out && (w == 0 || m.be.status[b] != Ready) && (!gone || m.now < m.be.goneAt[b]+goneKeep) {
+				out && m.be.status[b] != Ready && (!gone || m.now < m.be.goneAt[b]+goneKeep) {
 				next.weight[b] = h
 				continue
 			}
 			urgency := mayWait
-			if w == 0 && out && gone {
+			if w == 0 && out {
 				d.settles++
+				urgency = either(gone, mayWait, mustEase)
 			} else if w > 0 && !usable {
 				urgency = mustHave
 			} else if w < h && (out || m.rampNow(b) < 1) {
--- a/choice/state.go
+++ b/choice/state.go
@@ -113,6 +113,7 @@
 	backAt        Time
 	took, bad     float64 // median time of answers, and share voided at the median backend
 	risk          float64 // ... that may come to cold ones too
+	rare          bool    // most backends are not heard of each second
 
 	elsewhere   [][]float64 // txns/s by product and zone that others told of last
 	elsewhereAt Time
@@ -262,21 +263,22 @@
 }
 
 // fade lets what was heard of a backend before count for less beside so many new tries of a span of seconds: where
-// little is heard, and not each second, for long.
+// little is heard, and of most not each second, for long.
 func (a *Assigner) fade(b int, news, span float64) {
 	be := &a.be
-	keep := 1 - either(news < fewTries && be.every[b] > rareFrom, news/thinTries, 1)*(1-math.Pow(newsKeep, span))
+	keep := 1 - either(news < fewTries && a.rare, news/thinTries, 1)*(1-math.Pow(newsKeep, span))
 	be.tries[b], be.voided[b] = be.tries[b]*keep, be.voided[b]*keep
 	be.good[b], be.spent[b] = be.good[b]*keep, be.spent[b]*keep
 	be.known[b] = be.tries[b]
 }
 
 // votes are what was heard of the backends: by backend where it is enough to say something of it alone, and what the
-// medians go by, with the strength that each stands for, less where little was heard.
+// medians go by: one each, or, where news are rare, with the strength that each stands for, less where little was heard.
 type votes struct {
 	fails, took                []float64
 	allFails, allTook, allNext []weighed
 	caution                    []weighed // as allFails, also of what is relieved
+	every                      []weighed // seconds from one word to the next
 	strength                   float64
 }
 
@@ -287,9 +289,13 @@
 		if be.status[b] != Ready || tries <= 0 {
 			continue
 		}
-		fails, counts := be.voided[b]/tries, a.strength[b]*min(tries/fewTries, 1)
+		fails, counts := be.voided[b]/tries, either(tries < fewTries, 0.0, 1)
+		if a.rare {
+			counts = a.strength[b] * min(tries/fewTries, 1)
+		}
 		v.allFails, v.strength = append(v.allFails, weighed{fails, counts}), v.strength+counts
-		v.caution = append(v.caution, weighed{fails, a.be.weight[b] * a.ramp[b] * min(tries/fewTries, 1)})
+		v.every = append(v.every, weighed{be.every[b], 1})
+		v.caution = append(v.caution, weighed{fails, either(a.rare, a.be.weight[b]*a.ramp[b]*min(tries/fewTries, 1), counts)})
 		if tries >= fewTries {
 			v.fails[b] = fails
 		}
@@ -493,15 +499,15 @@
 	}
 }
 
-// midst is the median of what is given with the strengths that it stands for, the lower one of two.
-func midst(all []weighed) float64 {
+// midst is the median of what is given with the strengths that it stands for, the lower or the upper one of two.
+func midst(all []weighed, lower bool) float64 {
 	slices.SortFunc(all, func(a, b weighed) int { return cmp.Compare(a.value, b.value) })
 	sum, half := 0.0, 0.0
 	for _, w := range all {
 		half += w.strength / 2
 	}
 	for _, w := range all {
-		if sum += w.strength; sum >= half {
+		if sum += w.strength; sum > half || lower && sum == half {
 			return w.value
 		}
 	}
--- a/cmd/lab/edits.go
+++ b/cmd/lab/edits.go
@@ -60,7 +60,7 @@
 	refused int
 	left    atomic.Int64
 	holds   []sync.RWMutex // by process: held while nobody may make edits there
-	quiet   atomic.Bool  // no more faults
+	quiet   atomic.Bool    // no more faults
 }
 
 func playEdits(w where, program string, edits, faults int) error {
--- a/desk/carry.go
+++ b/desk/carry.go
@@ -221,7 +221,7 @@
 		if told == want && told == shutIn {
 			continue // as most are
 		}
-		if told == shutOut && !d.listed[b] && !d.holds(p, b) && d.changes(p, b) {
+		if told == shutOut && !d.holds(p, b) && d.changes(p, b) {
 			// Its last line goes with this message: what comes again finds nothing of it.
 			p.told[b], part.Back = shutIn, append(part.Back, name)
 			continue
--- a/desk/desk_test.go
+++ b/desk/desk_test.go
@@ -570,7 +570,7 @@
 					if !held && d.proxies[owner[o.Table]].brought == shutUnknown {
 						charge[owner[o.Table]]++ // which settles a shut-out that it may have brought
 					}
-					if o.Weight == 0 && d.out[o.Backend] && !d.listed[o.Backend] {
+					if o.Weight == 0 && d.out[o.Backend] {
 						charge[owner[o.Table]]++ // which lets back what is gone
 					}
 				case choice.Clear:
--- a/jobs/node.go
+++ b/jobs/node.go
@@ -17,6 +17,7 @@
 
 const (
 	beat        = 400 * time.Millisecond // at least so often one has something to say
+	together    = 10 * time.Millisecond
 	silence     = 1200 * time.Millisecond
 	perFrame    = 2000 // edits
 	foldEvery   = time.Second
@@ -268,40 +269,52 @@
 }
 
 // give is what one that knows so much lacks, and who was heard of; the wait for news is outside.
-func (n *Node) give(a ask, beats uint64) (g given, news <-chan struct{}) {
+func (n *Node) give(a ask, beats uint64, heard bool) (g given, news <-chan struct{}) {
 	knows := a.Knows
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	l := n.r.Lacks(knows, perFrame)
-	g = given{Whole: l.Whole, Folded: l.Folded, Kept: l.Kept, Knows: n.r.Knows().clone(), Heard: maps.Clone(n.heard), Digest: n.r.Digest()}
+	g = given{Whole: l.Whole, Folded: l.Folded, Kept: l.Kept, Knows: n.r.Knows().clone(), Digest: n.r.Digest()}
+	if heard {
+		g.Heard = maps.Clone(n.heard)
+		g.Heard[n.name] = Heard{n.r.Origin(), g.Knows, beats}
+	}
 	if a.Kept {
 		g.Folded, g.Kept = true, n.r.Kept()
 	}
 	for _, e := range l.Edits {
 		g.Edits = append(g.Edits, e.Raw)
 	}
-	g.Heard[n.name] = Heard{n.r.Origin(), g.Knows, beats}
 	return g, n.changed
 }
 
-// serve tells one that wants to hear: at once what it lacks, then what is new, something each second.
+// serve tells one that wants to hear: at once what it lacks, then what is new, what came within a moment together, and who
+// was heard of with each beat only: that grows with the members, and edits come by hundreds a second.
 func (n *Node) serve(ctx context.Context, _ string, c *member.Conn) {
 	began := time.Now()
+	beats := func() uint64 { return uint64(began.UnixMilli()) + uint64(time.Since(began)/time.Millisecond) }
 	c.Patience = silence
+	var last time.Time
 	for {
 		var a ask
 		if c.Receive(&a) != nil {
 			return
 		}
-		g, news := n.give(a, uint64(time.Since(began)/time.Millisecond)+uint64(began.UnixMilli()))
-		if len(g.Edits) == 0 && len(g.Whole) == 0 && !a.Kept {
+		due := time.Since(last) >= beat
+		g, news := n.give(a, beats(), due)
+		if len(g.Edits) == 0 && len(g.Whole) == 0 && !a.Kept && !due {
 			select {
 			case <-ctx.Done():
 				return
 			case <-news:
-			case <-time.After(beat):
+				time.Sleep(together)
+			case <-time.After(beat - time.Since(last)):
 			}
-			g, _ = n.give(a, uint64(time.Since(began)/time.Millisecond)+uint64(began.UnixMilli()))
+			due = time.Since(last) >= beat
+			g, _ = n.give(a, beats(), due)
+		}
+		if due {
+			last = time.Now()
 		}
 		if c.Send(g) != nil {
 			return
