--- a/cmd/lab/edits.go
+++ b/cmd/lab/edits.go
@@ -58,8 +58,8 @@
 	all     []made
 	unsure  map[jobs.ID]bool // an answer of one of its edits did not come
 	refused int
-	left    atomic.Int64 // edits
-	faults  atomic.Int64 // that are left
+	left    atomic.Int64   // edits
+	faults  atomic.Int64   // that are left
 	holds   []sync.RWMutex // by process: held while nobody may make edits there
 	quiet   atomic.Bool    // no more faults
 }
--- a/jobs/jobs_test.go
+++ b/jobs/jobs_test.go
@@ -448,10 +448,13 @@
 	for _, e := range f.r[0].edits {
 		old = append(old, *e)
 	}
+	f.make(t, 0, Edit{ID: batch, Kind: Expire, Expires: 99})
+	f.heal()
 	for i := range 12 {
 		f.make(t, 1, Edit{ID: batch, Kind: Expire, Expires: int64(100 + i)})
 	}
 	f.make(t, 1, Edit{ID: batch, Kind: Prioritise, Priority: 6})
+	f.make(t, 1, Edit{ID: batch, Kind: Place, Places: []string{"a"}})
 	f.heal()
 	for _, r := range f.r {
 		r.Fold()
@@ -460,6 +463,12 @@
 	f.r[0] = New("n0@3", "a")
 	f.r[0].Restore(knew, old)
 	f.r[0].Count([]string{"n1", "n2"})
+	for range 20 { // a part at a time: what was not given yet is not folded for that
+		f.give(1, 0, 1)
+		if v, ok := f.r[0].View(batch); !ok || v.State != IsHeld {
+			t.Fatalf("the job is %+v while it is given", v)
+		}
+	}
 	f.heal()
 	f.same(t)
 	v, _ := f.r[1].View(batch)
--- a/jobs/node.go
+++ b/jobs/node.go
@@ -263,7 +263,7 @@
 		n.r.Merge(fresh, g.Whole)
 		n.news()
 	}
-	if g.Folded {
+	if g.Folded && g.Kept != nil {
 		if gone := n.r.Settled(g.Kept, g.Knows); len(gone) > 0 {
 			n.log.WithFields(logrus.Fields{"edits": len(gone), "of": from}).Debug("edits that another one has folded are forgotten")
 			if err := n.keep.Put(nil, nil, gone); err != nil {
--- a/jobs/replica.go
+++ b/jobs/replica.go
@@ -161,6 +161,11 @@
 // Lacks gives some of what one who knows that much lacks. Whoever gets Whole has the others first.
 func (r *Replica) Lacks(knows Versions, most int) (g Given) {
 	g.Whole = Versions{}
+	defer func() { // also where not all were given: without it the taker would hold all that is known for folded
+		if g.Folded {
+			g.Kept = r.Kept()
+		}
+	}()
 	for _, origin := range slices.Sorted(maps.Keys(r.knows)) {
 		if knows[origin] >= r.knows[origin] {
 			continue
@@ -176,9 +181,6 @@
 		g.Whole[origin] = r.knows[origin]
 		g.Folded = g.Folded || uint64(len(kept)-from) < r.knows[origin]-knows[origin]
 	}
-	if g.Folded {
-		g.Kept = r.Kept()
-	}
 	return g
 }
 
