--- a/jobs/node.go
+++ b/jobs/node.go
@@ -19,7 +19,7 @@
 const (
 	beat        = 250 * time.Millisecond // at least so often one has something to say
 	together    = 10 * time.Millisecond
-	silence     = 750 * time.Millisecond
+	silence     = time.Second
 	perFrame    = 2000 // edits
 	foldEvery   = time.Second
 	settleEvery = 500 * time.Millisecond // that one who differs is asked what it has
