--- a/choice/choice.go
+++ b/choice/choice.go
@@ -25,7 +25,7 @@
 	cutTo, kneeDown      = 0.8, 0.9         // of the knee, so that queues drain; when it did not help
 	cutLate              = 0.5              // ... while answers take more than the SLA time
 	cutAgain             = 6 * Second       // time-outs of before a cut are heard of for some seconds
-	spanLong, rareFrom   = 3.0, 1.5         // seconds that a report stands for, from which it comes too late; from which few add up
+	spanLong, rareFrom   = 3.0, 1.75        // seconds that a report stands for, from which it comes too late; from which few add up
 	cutBlind             = 3 * Second       // in which queues drain: then a cut of which nothing is heard ends
 	riseBy, riseEvery    = 1.1, 5 * Second  // (design)
 	riseFast, fastPart   = Second, 0.5      // ... while answers take under this part of what is overload
