Member: the test's network in memory is laid out before anybody looks at it

Seen: go test -race ./... on a clean checkout: data races in TestSumsInVirtualTime alone, between the test and the network that it fills while instances run already, and its own tally. Change: ports first, a mutex on the tally.

--- a/member/member_test.go
+++ b/member/member_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -26,13 +27,18 @@
 	synctest.Test(t, func(t *testing.T) {
 		const many = 12
 		net := memory{}
+		var ports []*port
+		for range many { // before anybody looks at them
+			ports = append(ports, net.open())
+		}
 		var fleets []*Fleet
 		var sums []*Sums
+		var mu sync.Mutex
 		heard := make([]float64, many)
 		first := ""
 		for i := range many {
 			name := fmt.Sprint("n", i)
-			f, err := Open(Plan{Name: name, Join: []string{first}[:min(i, 1)]}, "", net.open(), quiet())
+			f, err := Open(Plan{Name: name, Join: []string{first}[:min(i, 1)]}, "", ports[i], quiet())
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -41,6 +47,8 @@
 			}
 			fleets = append(fleets, f)
 			sums = append(sums, f.Tell(func(s told.Sums) {
+				mu.Lock()
+				defer mu.Unlock()
 				for _, w := range s.Words {
 					heard[i] += w.Tries
 				}
@@ -56,11 +64,13 @@
 			sums[i].Met("s", float64(i+1), 0, time.Millisecond)
 		}
 		time.Sleep(3 * time.Second)
+		mu.Lock()
 		for i := range sums {
 			if want := float64(many*(many+1)/2 - i - 1); heard[i] != want {
 				t.Errorf("n%d heard of %v tries, the others met %v", i, heard[i], want)
 			}
 		}
+		mu.Unlock()
 		for i := range sums {
 			sums[i].Close()
 			fleets[i].Close()
