Member: a tally that nobody read is gone from each word's way

Read over: Send and NotifyMsg took the mutex for counts of bytes that no caller asks for, and two kinds of connection had no server. Behaviour and assertions stay; member's tests pass under the race detector, all builds and vets.

--- a/member/member.go
+++ b/member/member.go
@@ -71,9 +71,6 @@
 	away     map[string]gone // that were there
 	handlers map[uint8]func(from string, body []byte)
 	changed  []func([]Peer)
-	told     int
-	sent     int // bytes, of frames
-	heard    int
 }
 
 type gone struct {
@@ -168,9 +165,6 @@
 	}
 	for _, n := range f.list.Members() {
 		if n.Name == to {
-			f.mu.Lock()
-			f.sent += len(raw)
-			f.mu.Unlock()
 			if len(raw) < mostBody {
 				return f.list.SendBestEffort(n, raw)
 			}
@@ -180,13 +174,6 @@
 	return fmt.Errorf("%s: %w", to, errAway)
 }
 
-// Passed is how many bytes of words it sent and heard.
-func (f *Fleet) Passed() (sent, heard int) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.sent, f.heard
-}
-
 // seek joins those that are not there, at moments of its own: who starts, and halves that were cut off from each other.
 func (f *Fleet) seek(ctx context.Context) {
 	defer close(f.done)
@@ -252,7 +239,6 @@
 	}
 	h.f.mu.Lock()
 	do := h.f.handlers[m.Kind]
-	h.f.heard += len(raw)
 	h.f.mu.Unlock()
 	if do != nil {
 		do(m.From, m.Body)
--- a/member/stream.go
+++ b/member/stream.go
@@ -199,6 +199,4 @@
 // Kinds of connection that are in use.
 const (
 	StreamJobs uint8 = iota + 1
-	StreamAgree
-	StreamMark
 )
