--- a/fault/fault.go
+++ b/fault/fault.go
@@ -13,21 +13,21 @@
 
 // Kinds of a request that was not offered to a backend.
 const (
-	None         Kind = iota
-	NoRoute           // no route of the host begins the path
-	Malformed         // the request cannot be passed on as it is
-	HeaderLarge       // over maxHeaderBytes
-	BodyLarge         // over maxBodyBytes
-	ClientSlow        // its body did not come in time
-	Unready           // no configuration is known yet
-	NoBackend         // no backend of the service may be used now
-	OverLevel         // over the carrier's level
-	Full              // all backends that may be used have all the connections or work they may have
-	OutOfTime         // no time is left to offer it
-	Stopping          // the process ends
-	Dial              // the connection to the backend did not come up
-	Turned            // the backend said that it did not run it
-	Misdirected       // 421: another backend has the address
+	None        Kind = iota
+	NoRoute          // no route of the host begins the path
+	Malformed        // the request cannot be passed on as it is
+	HeaderLarge      // over maxHeaderBytes
+	BodyLarge        // over maxBodyBytes
+	ClientSlow       // its body did not come in time
+	Unready          // no configuration is known yet
+	NoBackend        // no backend of the service may be used now
+	OverLevel        // over the carrier's level
+	Full             // all backends that may be used have all the connections or work they may have
+	OutOfTime        // no time is left to offer it
+	Stopping         // the process ends
+	Dial             // the connection to the backend did not come up
+	Turned           // the backend said that it did not run it
+	Misdirected      // 421: another backend has the address
 
 	// Kinds of a request that a backend may have run.
 	Broken  // the connection ended after bytes of the request were written
@@ -123,4 +123,6 @@
 func (f *Fault) Unwrap() error { return f.Cause }
 
 // New makes a Fault.
-func New(k Kind, where string, cause error) *Fault { return &Fault{Kind: k, Where: where, Cause: cause} }
+func New(k Kind, where string, cause error) *Fault {
+	return &Fault{Kind: k, Where: where, Cause: cause}
+}
