--- /dev/null
+++ b/cmd/transit/main.go
@@ -0,0 +1,10 @@
+// Command transit is the gateway's carrier: it takes clients' requests to backends and the answers back.
+package main
+
+import (
+	"os"
+
+	"elmfold/transit"
+)
+
+func main() { os.Exit(transit.Main(os.Args[1:], os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/counsel/calls.go
@@ -0,0 +1,253 @@
+package counsel
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"elmfold/accord"
+	"elmfold/charter"
+	"elmfold/fault"
+	"elmfold/parley"
+)
+
+const (
+	bodyMost = 8 << 20
+	beatMost = 64 << 10
+)
+
+// Handler serves the calls of operators and backends.
+func (s *Server) Handler() http.Handler {
+	mux := chi.NewRouter()
+	mux.Post("/v1/rpc", func(w http.ResponseWriter, r *http.Request) {
+		q := r.URL.Query()
+		call, of := q.Get("call"), q.Get("of")
+		var answer []byte
+		var err error
+		switch call {
+		case "instances.heartbeat":
+			answer, err = s.heartbeat(of, r)
+		case "instances.deregister":
+			answer, err = s.deregister(of)
+		case "config.replace":
+			answer, err = s.replace(r)
+		case "config.read":
+			answer, err = s.read()
+		case "evacuation.begin":
+			answer, err = s.evacuate(of, "1")
+		case "evacuation.finish":
+			answer, err = s.evacuate(of, "0")
+		default:
+			err = fault.New(fault.UnknownCall, call, nil)
+		}
+		s.answer(w, answer, err)
+	})
+	return mux
+}
+
+func (s *Server) answer(w http.ResponseWriter, body []byte, err error) {
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	if err == nil {
+		h.Set("Content-Length", strconv.Itoa(len(body)))
+		_, _ = w.Write(body)
+		return
+	}
+	f, ok := err.(*fault.Fault)
+	if !ok {
+		f = fault.New(fault.Invalid, "", err)
+	}
+	rule := f.Kind.Rule()
+	if rule.After > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(rule.After.Seconds(), 'f', 3, 64))
+	}
+	text, _ := json.Marshal(map[string]string{"error": f.Error()})
+	h.Set("Content-Length", strconv.Itoa(len(text)))
+	w.WriteHeader(rule.Status)
+	_, _ = w.Write(text)
+}
+
+// body reads a call's body whole: bytes that end early are no body.
+func body(r *http.Request, most int64) ([]byte, error) {
+	b, err := io.ReadAll(io.LimitReader(r.Body, most+1))
+	switch {
+	case err != nil:
+		return nil, fault.New(fault.Invalid, "body", err)
+	case int64(len(b)) > most:
+		return nil, fault.New(fault.OverCapacity, "body", nil)
+	}
+	return b, nil
+}
+
+type beat struct {
+	Address    string `json:"address"`
+	Descriptor struct {
+		Service    string  `json:"service"`
+		Generation string  `json:"generation"`
+		Zone       string  `json:"zone"`
+		Capacity   float64 `json:"capacity"`
+	} `json:"descriptor"`
+	Observed struct {
+		State     string  `json:"state"`
+		CallSeq   uint64  `json:"callSeq"`
+		ColdLeftS float64 `json:"coldLeftS"`
+	} `json:"observed"`
+}
+
+func (s *Server) heartbeat(id string, r *http.Request) ([]byte, error) {
+	text, err := body(r, beatMost)
+	if err != nil {
+		return nil, err
+	}
+	var b beat
+	if err := json.Unmarshal(text, &b); err != nil {
+		return nil, fault.New(fault.Invalid, "heartbeat", err)
+	}
+	word := parley.Backend{ID: id, Service: b.Descriptor.Service, Address: b.Address, Zone: b.Descriptor.Zone,
+		Capacity: max(int(b.Descriptor.Capacity), 1), Seq: b.Observed.CallSeq, Gen: b.Descriptor.Generation,
+		ColdLeft: int(math.Ceil(max(b.Observed.ColdLeftS, 0) * 1000))}
+	switch {
+	case id == "":
+		return nil, fault.New(fault.Invalid, "of", fmt.Errorf("names no instance"))
+	case word.Service == "" || word.Address == "":
+		return nil, fault.New(fault.Invalid, "descriptor.service, address", fmt.Errorf("is missing"))
+	case b.Observed.State == "draining":
+		word.State = parley.Draining
+	case b.Observed.State != "ready":
+		return nil, fault.New(fault.Invalid, "observed.state", fmt.Errorf("%q is neither ready nor draining", b.Observed.State))
+	}
+	done, target := make(chan error, 1), ""
+	s.do(func() {
+		news, _ := s.table.Beat(s.now(), word)
+		if word.State == parley.Draining {
+			// Every word of leaving goes to others, not only the first: it may be the repetition of one that was
+			// not acknowledged because they could not be reached.
+			if news == nil {
+				news = []parley.Backend{word}
+			}
+			s.spreadSure(news, done)
+			return
+		}
+		s.spread(news)
+		target = s.beatTarget(word.Zone)
+		done <- nil
+	})
+	if err := <-done; err != nil {
+		return nil, err
+	}
+	if target != "" {
+		return json.Marshal(map[string]string{"beatTarget": target})
+	}
+	return []byte("{}"), nil
+}
+
+// beatTarget is where a zone's backends should beat: at the zone's own controller, so that beats do not cross zones.
+func (s *Server) beatTarget(zone string) string {
+	if zone == s.me.Zone {
+		return ""
+	}
+	for _, c := range s.known() {
+		if c.Zone == zone && c.Control != "" && s.peers[c.Name] != nil && s.peers[c.Name].out != nil {
+			return c.Control
+		}
+	}
+	return ""
+}
+
+func (s *Server) deregister(id string) ([]byte, error) {
+	if id == "" {
+		return nil, fault.New(fault.Invalid, "of", fmt.Errorf("names no instance"))
+	}
+	done := make(chan error, 1)
+	s.do(func() {
+		news := s.table.Leave(s.now(), id, 0)
+		if news == nil {
+			news = []parley.Backend{{ID: id, State: parley.Gone}}
+		}
+		s.spreadSure(news, done)
+	})
+	return []byte("{}"), <-done
+}
+
+// ask puts a question to the replica and waits. A controller that stands with too few others says so at once: the
+// caller finds another sooner than it would by waiting.
+func (s *Server) ask(make_ func(token uint64) accord.Event, old time.Time) (accord.Done, error) {
+	done := make(chan accord.Done, 1)
+	failed := make(chan error, 1)
+	s.do(func() {
+		write, read := s.replica.Quorums()
+		with := 1
+		for _, p := range s.peers {
+			if p.out != nil {
+				with++
+			}
+		}
+		switch {
+		case write == 0 || with < max(write, read):
+			failed <- fault.New(fault.NotYet, "", fmt.Errorf("%d controllers are in touch", with))
+			return
+		case s.now() < s.doubtTill:
+			failed <- fault.New(fault.NotYet, "", fmt.Errorf("this process was frozen just now"))
+			return
+		}
+		s.token++
+		s.waiting[s.token] = done
+		s.step(make_(s.token))
+	})
+	select {
+	case d := <-done:
+		if !d.OK {
+			return d, fault.New(fault.Unsafe, "", nil)
+		}
+		return d, nil
+	case err := <-failed:
+		return accord.Done{}, err
+	case <-s.o.Clock.After(accord.WriteWithin + time.Second):
+		return accord.Done{}, fault.New(fault.Unsafe, "", nil)
+	}
+}
+
+func (s *Server) replace(r *http.Request) ([]byte, error) {
+	text, err := body(r, bodyMost)
+	if err != nil {
+		return nil, err
+	}
+	c, err := charter.Read(text)
+	if err != nil {
+		return nil, err
+	}
+	_, err = s.ask(func(token uint64) accord.Event {
+		return accord.Write{Token: token, Register: accord.Register{Name: charterName,
+			Stamp: accord.Stamp{Hi: uint64(c.Version), Lo: c.Digest}, Value: bytes.Clone(text)}}
+	}, time.Time{})
+	return []byte("{}"), err
+}
+
+func (s *Server) read() ([]byte, error) {
+	d, err := s.ask(func(token uint64) accord.Event { return accord.Read{Token: token, Name: charterName} }, time.Time{})
+	if err == nil && d.Stamp == (accord.Stamp{}) {
+		err = fault.New(fault.NotYet, "", fmt.Errorf("there is no configuration yet"))
+	}
+	return d.Value, err
+}
+
+func (s *Server) evacuate(zone, value string) ([]byte, error) {
+	if _, known := s.o.Settings.Zones[zone]; !known {
+		return nil, fault.New(fault.Invalid, "of", fmt.Errorf("%q is no zone", zone))
+	}
+	tie := fnv.New64a()
+	_, _ = tie.Write([]byte(s.me.Name))
+	_, err := s.ask(func(token uint64) accord.Event {
+		return accord.Amend{Token: token, Name: zonePrefix + zone, Value: []byte(value),
+			At: uint64(s.o.TimeOfDay().UnixMilli()), Tie: tie.Sum64()}
+	}, time.Time{})
+	return []byte("{}"), err
+}
--- /dev/null
+++ b/counsel/main.go
@@ -0,0 +1,88 @@
+package counsel
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"elmfold/entry"
+	"elmfold/premise"
+	"elmfold/record"
+	"elmfold/trace"
+)
+
+const about = "The gateway's controller: it keeps the operator's word, knows backends and carriers, and steers."
+
+// Main is the program.
+func Main(args []string, out, errs io.Writer) int {
+	return entry.Main("counsel", about, args, out, errs, serve)
+}
+
+func serve(settings *premise.Settings) error {
+	ring, log := trace.New(settings.Name, os.Stderr, time.Now)
+	if settings.Listen["control"] == "" || settings.DataDir == "" {
+		return errors.New("listen.control, dataDir: a controller needs both")
+	}
+	debug.SetGCPercent(60)
+	store, found, err := record.Open(settings.DataDir, int64(settings.Limits.DiskMB*0.8)<<20)
+	if err != nil {
+		return err
+	}
+	log.Info("disk", "fresh", found.Fresh, "torn", found.Torn, "forgot", found.Forgot, "known", found.Known,
+		"records", found.Records)
+	if found.Forgot {
+		log.Warn("the disk has forgotten something; it answers no reads until it has read from others")
+	}
+	lines, err := entry.Listen(settings.Own())
+	if err != nil {
+		return err
+	}
+	calls, err := entry.Listen(settings.Listen["control"])
+	if err != nil {
+		return err
+	}
+	s := New(Options{Settings: settings, Disk: store, Known: found.Known, Fresh: found.Fresh, Log: log,
+		Clock: clockwork.NewRealClock(), Dial: entry.Dial, Listen: lines, TimeOfDay: time.Now})
+	server := &http.Server{Handler: s.Handler(), ReadHeaderTimeout: 5 * time.Second, ReadTimeout: 20 * time.Second,
+		IdleTimeout: 20 * time.Second}
+	go func() {
+		if err := server.Serve(calls); !errors.Is(err, http.ErrServerClosed) {
+			log.Error("calls are no longer served", "err", err)
+		}
+	}()
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	go func() {
+		for sig := range signals {
+			if sig == syscall.SIGHUP {
+				if next, err := premise.FromEnvironment(); err != nil {
+					log.Error("settings stay as they were", "err", err)
+				} else {
+					s.Reload(next)
+				}
+				continue
+			}
+			_ = server.Close()
+			s.Stop()
+		}
+	}()
+	s.Run()
+	ring.Flush()
+	return store.Close()
+}
+
+// Reload takes settings that were changed while the program runs: new seeds are dialled, the rest waits for a restart.
+func (s *Server) Reload(next *premise.Settings) {
+	s.do(func() {
+		for _, seed := range next.Seeds {
+			s.dial(s.o.Settings.Peer(seed))
+		}
+	})
+}
--- /dev/null
+++ b/presence/presence.go
@@ -0,0 +1,236 @@
+// Package presence settles which backends there are and which carriers hold a lease, at one controller: soft state
+// that is told again. It does no I/O and reads no clock; times are spans since the process began.
+//
+// A backend's life is its id. Its newest word is the one of the greatest callSeq, and a life only moves on: ready,
+// draining, gone. A controller vouches for those whose beats it hears itself; carriers keep a backend as long as
+// anybody vouches for it, and while nobody who has listened for long enough is there to say otherwise.
+package presence
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"elmfold/parley"
+)
+
+const (
+	silentBeats = 3.5              // beats that a backend may miss before nobody vouches for it here
+	forgetAfter = 90 * time.Second // a life that is gone is remembered, so that a late beat does not bring it back
+	// LeaseFor is how long a carrier is a member after its last renewal, by the controller's clock. The carrier
+	// itself, which counts from the sending of the renewal, gives up its rights before.
+	LeaseFor = 3 * time.Second
+	// RightFor is how long a carrier may use what only a member may, from the sending of a renewal that was answered.
+	RightFor = 2 * time.Second
+)
+
+// Life is what is known of a backend.
+type Life struct {
+	parley.Backend               // as last said; ColdLeft and Vouched are not kept here
+	HeardAt        time.Duration // its last beat here; negative: never
+	ColdUntil      time.Duration
+	goneAt         time.Duration
+	vouched        bool // as it was told to carriers
+}
+
+type lease struct {
+	parley.Member
+	until time.Duration
+}
+
+// Table holds both for one controller.
+type Table struct {
+	beat   time.Duration
+	lives  map[string]*Life
+	at     map[string]string // the newest life by address
+	leases map[string]lease
+}
+
+// New makes a Table; beat is the span between two beats of a backend.
+func New(beat time.Duration) *Table {
+	return &Table{beat: beat, lives: map[string]*Life{}, at: map[string]string{}, leases: map[string]lease{}}
+}
+
+// Beat takes a beat that was heard here. It returns the words that are news to others: to carriers and the other
+// controllers; none if nothing changed. Late says that the word was overtaken by a newer one.
+func (t *Table) Beat(now time.Duration, b parley.Backend) (news []parley.Backend, late bool) {
+	l := t.lives[b.ID]
+	if l != nil && (b.Seq < l.Seq && b.Seq > 0 || l.State == parley.Gone) {
+		return nil, true
+	}
+	changed := t.merge(now, b)
+	l = t.lives[b.ID]
+	l.HeardAt = now
+	if !l.vouched && l.State != parley.Gone {
+		l.vouched, changed = true, true
+	}
+	if changed {
+		news = append(news, t.word(now, l, true))
+	}
+	return append(news, t.replaced(now, l)...), false
+}
+
+// Leave takes a backend's word that it ends.
+func (t *Table) Leave(now time.Duration, id string, seq uint64) []parley.Backend {
+	l := t.lives[id]
+	if l == nil {
+		l = &Life{Backend: parley.Backend{ID: id}, HeardAt: -1}
+		t.lives[id] = l
+	} else if l.State == parley.Gone {
+		return nil
+	}
+	l.State, l.goneAt, l.vouched, l.Seq = parley.Gone, now, false, max(l.Seq, seq)
+	return []parley.Backend{t.word(now, l, false)}
+}
+
+// Told takes words of another controller; it returns those that were news here too.
+func (t *Table) Told(now time.Duration, words []parley.Backend) (news []parley.Backend) {
+	for _, b := range words {
+		if t.merge(now, b) {
+			l := t.lives[b.ID]
+			news = append(news, t.word(now, l, l.vouched))
+			news = append(news, t.replaced(now, l)...)
+		}
+	}
+	return news
+}
+
+// merge says whether something changed that others want to know.
+func (t *Table) merge(now time.Duration, b parley.Backend) bool {
+	l := t.lives[b.ID]
+	if l == nil {
+		l = &Life{Backend: b, HeardAt: -1}
+		l.Vouched, l.ColdLeft = false, 0
+		t.lives[b.ID] = l
+		if l.ColdUntil = now; b.ColdLeft > 0 {
+			l.ColdUntil = now + time.Duration(b.ColdLeft)*time.Millisecond
+		}
+		if l.State == parley.Gone {
+			l.goneAt = now
+		}
+		return true
+	}
+	if b.Seq < l.Seq && b.State <= l.State {
+		return false
+	}
+	changed := false
+	if b.State > l.State { // never back: a late beat does not revive what drains
+		l.State, changed = b.State, true
+		if l.goneAt = now; l.State == parley.Gone {
+			l.vouched = false
+		}
+	}
+	if b.Seq >= l.Seq && b.State != parley.Gone {
+		state := l.State
+		until := now + time.Duration(b.ColdLeft)*time.Millisecond
+		// Beats of a cold backend say less each time; only a new spell is news.
+		changed = changed || b.Address != l.Address || b.Service != l.Service || b.Capacity != l.Capacity ||
+			b.ColdLeft > 0 && until > l.ColdUntil+t.beat/4
+		if until > l.ColdUntil || b.ColdLeft == 0 {
+			l.ColdUntil = until
+		}
+		l.Backend = b
+		l.State, l.Vouched, l.ColdLeft = state, false, 0
+	}
+	return changed
+}
+
+// replaced ends the life that had an address before: its process ended without a word, or its word is still to come.
+func (t *Table) replaced(now time.Duration, l *Life) []parley.Backend {
+	if l.State == parley.Gone || l.Address == "" {
+		return nil
+	}
+	was := t.at[l.Address]
+	t.at[l.Address] = l.ID
+	if old := t.lives[was]; was != l.ID && old != nil && old.State != parley.Gone && old.Address == l.Address {
+		return t.Leave(now, was, old.Seq)
+	}
+	return nil
+}
+
+func (t *Table) word(now time.Duration, l *Life, vouched bool) parley.Backend {
+	w := l.Backend
+	w.Vouched, w.ColdLeft = vouched, int(max(l.ColdUntil-now, 0)/time.Millisecond)
+	return w
+}
+
+// Tick ends what has been silent; it returns the words that are news to carriers: for whom nobody vouches here now.
+func (t *Table) Tick(now time.Duration) (news []parley.Backend) {
+	silent := time.Duration(silentBeats * float64(t.beat))
+	for _, id := range slices.Sorted(maps.Keys(t.lives)) {
+		switch l := t.lives[id]; {
+		case l.State == parley.Gone && now > l.goneAt+forgetAfter:
+			delete(t.lives, id)
+			if t.at[l.Address] == id {
+				delete(t.at, l.Address)
+			}
+		case l.vouched && now > l.HeardAt+silent:
+			l.vouched = false
+			news = append(news, t.word(now, l, false))
+		case !l.vouched && l.State != parley.Gone && now > max(l.HeardAt, l.goneAt, 0)+forgetAfter*4:
+			delete(t.lives, id)
+		}
+	}
+	return news
+}
+
+// All is every life, for a carrier or controller that has a new line here.
+func (t *Table) All(now time.Duration) []parley.Backend {
+	all := make([]parley.Backend, 0, len(t.lives))
+	for _, id := range slices.Sorted(maps.Keys(t.lives)) {
+		l := t.lives[id]
+		all = append(all, t.word(now, l, l.vouched))
+	}
+	return all
+}
+
+// Life is what is known of a backend, nil if nothing is.
+func (t *Table) Life(id string) *Life { return t.lives[id] }
+
+// Lives are all that may be used or drain, in the order of their ids.
+func (t *Table) Lives() []*Life {
+	var all []*Life
+	for _, l := range t.lives {
+		if l.State != parley.Gone {
+			all = append(all, l)
+		}
+	}
+	slices.SortFunc(all, func(a, b *Life) int { return cmp.Compare(a.ID, b.ID) })
+	return all
+}
+
+// Renew takes a carrier's renewal; it says whether the members changed.
+func (t *Table) Renew(now time.Duration, m parley.Member) (changed bool) {
+	_, held := t.leases[m.Name]
+	t.leases[m.Name] = lease{Member: m, until: now + LeaseFor}
+	return !held
+}
+
+// Release gives a lease back.
+func (t *Table) Release(name string) (changed bool) {
+	_, held := t.leases[name]
+	delete(t.leases, name)
+	return held
+}
+
+// Expire ends the leases that were not renewed; it says whether the members changed.
+func (t *Table) Expire(now time.Duration) (changed bool) {
+	for name, l := range t.leases {
+		if now > l.until {
+			delete(t.leases, name)
+			changed = true
+		}
+	}
+	return changed
+}
+
+// Members are those that hold a lease, in the order of their names.
+func (t *Table) Members() []parley.Member {
+	all := make([]parley.Member, 0, len(t.leases))
+	for _, l := range t.leases {
+		all = append(all, l.Member)
+	}
+	slices.SortFunc(all, func(a, b parley.Member) int { return cmp.Compare(a.Name, b.Name) })
+	return all
+}
--- /dev/null
+++ b/transit/front.go
@@ -0,0 +1,410 @@
+package transit
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/hashicorp/go-hclog"
+
+	"elmfold/attempt"
+	"elmfold/charter"
+	"elmfold/fault"
+	"elmfold/verdict"
+)
+
+const (
+	holdMost   = 128 << 10 // of a request's body that is held, so that it can be sent again
+	dialsMost  = 4         // backends that could not be reached, beside those that the request was sent to
+	budgetMost = 10 * time.Minute
+)
+
+// clientConn bounds how long a client may take or stay idle by the limits in force when it begins to: http.Server's
+// own fields cannot change while connections stand. The server asks for no deadline (the zero time) at three
+// moments: when it waits for the next request, when that begins, and when it ends reading in the background.
+type clientConn struct {
+	net.Conn
+	c     *Carrier
+	phase atomic.Int32
+	done  atomic.Bool
+}
+
+const (
+	phaseHeader = iota // from the first byte that is awaited to the end of the header
+	phaseBusy
+	phaseIdle
+)
+
+func (k *clientConn) SetReadDeadline(t time.Time) error {
+	if t.IsZero() {
+		limits := charter.Limits{HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
+		if v := k.c.view.Load(); v != nil {
+			limits = v.Limits
+		}
+		switch k.phase.Load() {
+		case phaseIdle:
+			k.phase.Store(phaseHeader)
+			t = time.Now().Add(limits.IdleTimeout)
+		case phaseHeader:
+			t = time.Now().Add(limits.HeaderTimeout)
+		}
+	}
+	return k.Conn.SetReadDeadline(t)
+}
+
+// The net.TCPConn underneath must not show its ReadFrom: the platform has no sendfile or splice.
+func (k *clientConn) Close() error {
+	if k.done.CompareAndSwap(false, true) {
+		k.c.clients.Add(-1)
+	}
+	return k.Conn.Close()
+}
+
+type clientListener struct {
+	net.Listener
+	c *Carrier
+}
+
+func (l clientListener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.c.clients.Add(1) > l.c.clientsMost { // the rest of the descriptors are for backends and controllers
+			l.c.clients.Add(-1)
+			_ = conn.Close()
+			continue
+		}
+		return &clientConn{Conn: conn, c: l.c}, nil
+	}
+}
+
+// Serve takes clients' connections until Shutdown.
+func (c *Carrier) Serve(l net.Listener) error {
+	mux := chi.NewRouter()
+	// Every path and method is carried as it came; nothing is cleaned or redirected.
+	mux.NotFound(c.carry)
+	mux.MethodNotAllowed(c.carry)
+	c.server = &http.Server{Handler: mux, MaxHeaderBytes: 1 << 20, ErrorLog: c.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+		ConnState: func(conn net.Conn, state http.ConnState) {
+			k, ok := conn.(*clientConn)
+			if !ok {
+				return
+			}
+			switch state {
+			case http.StateActive:
+				k.phase.Store(phaseBusy)
+				_ = k.Conn.SetReadDeadline(time.Time{})
+			case http.StateIdle:
+				k.phase.Store(phaseIdle)
+			}
+		}}
+	return c.server.Serve(clientListener{l, c})
+}
+
+// Readiness answers the platform.
+func (c *Carrier) Readiness() http.Handler {
+	mux := chi.NewRouter()
+	mux.Get("/v1/readiness", func(w http.ResponseWriter, _ *http.Request) {
+		if !c.ready.Load() || c.stopping.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
+
+// request is one try of a client on its way.
+type request struct {
+	w        http.ResponseWriter
+	r        *http.Request
+	began    time.Time
+	charter  *charter.Charter
+	route    *charter.Route
+	service  string
+	target   string
+	deadline time.Time
+	body     []byte
+	stream   io.Reader
+	length   int64
+}
+
+// carry takes a request from the client to a backend and the answer back: route, level, body, tries, answer.
+func (c *Carrier) carry(w http.ResponseWriter, r *http.Request) {
+	q := request{w: w, r: r, began: c.o.Clock.Now(), charter: c.view.Load()}
+	if q.charter == nil {
+		c.refuse(&q, fault.Unready, 0)
+		return
+	}
+	if kind := q.read(); kind != fault.None {
+		c.refuse(&q, kind, 0)
+		return
+	}
+	c.mu.Lock()
+	kind, after := c.settler.Admit(c.now(), q.service)
+	c.mu.Unlock()
+	if kind != fault.None {
+		c.refuse(&q, kind, after)
+		return
+	}
+	if kind := q.hold(); kind != fault.None {
+		c.refuse(&q, kind, 0)
+		return
+	}
+	c.try(&q)
+}
+
+// read settles the route and the time from the request's head.
+func (q *request) read() fault.Kind {
+	r, limits := q.r, q.charter.Limits
+	size := len(r.Method) + len(r.RequestURI) + len(r.Host) + 20
+	for name, values := range r.Header {
+		for _, v := range values {
+			size += len(name) + len(v) + 4
+		}
+	}
+	if size > limits.HeaderBytes {
+		return fault.HeaderLarge
+	}
+	if r.ContentLength > limits.BodyBytes {
+		return fault.BodyLarge
+	}
+	q.target = r.RequestURI
+	if rest, ok := strings.CutPrefix(q.target, "http://"); ok { // absolute form: the path begins after the authority
+		if i := strings.IndexByte(rest, '/'); i >= 0 {
+			q.target = rest[i:]
+		}
+	}
+	if !strings.HasPrefix(q.target, "/") || r.Header.Get("Upgrade") != "" {
+		return fault.Malformed
+	}
+	path, _, _ := strings.Cut(q.target, "?")
+	if q.route = q.charter.Route(r.Host, path); q.route == nil {
+		return fault.NoRoute
+	}
+	q.service = q.route.Pick(rand.Float64())
+	time_ := q.route.Timeout
+	if text := r.Header.Get(attempt.FieldBudget); text != "" {
+		if ms, err := strconv.ParseFloat(text, 64); err == nil && ms > 0 && ms < budgetMost.Seconds()*1000 {
+			time_ = min(time_, time.Duration(ms*float64(time.Millisecond)))
+		}
+	}
+	q.deadline = q.began.Add(time_)
+	return fault.None
+}
+
+// hold takes the body, whole up to holdMost.
+func (q *request) hold() fault.Kind {
+	r := q.r
+	if r.ContentLength == 0 || r.Body == nil || r.Body == http.NoBody {
+		return fault.None
+	}
+	body := http.MaxBytesReader(nil, r.Body, q.charter.Limits.BodyBytes)
+	control := http.NewResponseController(q.w)
+	_ = control.SetReadDeadline(q.deadline)
+	size := int64(holdMost)
+	if r.ContentLength >= 0 && r.ContentLength <= size {
+		size = r.ContentLength
+	}
+	q.body = make([]byte, 0, min(size, 4096))
+	var err error
+	for int64(len(q.body)) < holdMost && err == nil {
+		if len(q.body) == cap(q.body) {
+			q.body = append(q.body, 0)[:len(q.body)]
+		}
+		var n int
+		n, err = body.Read(q.body[len(q.body):min(cap(q.body), holdMost)])
+		q.body = q.body[:len(q.body)+n]
+	}
+	var large *http.MaxBytesError
+	var slow net.Error
+	switch {
+	case err == io.EOF:
+		_ = control.SetReadDeadline(time.Time{})
+		return fault.None
+	case err == nil:
+		if q.stream, q.length = body, -1; r.ContentLength >= 0 {
+			q.length = r.ContentLength - int64(len(q.body))
+		}
+		return fault.None
+	case errors.As(err, &large):
+		return fault.BodyLarge
+	case errors.As(err, &slow) && slow.Timeout():
+		return fault.ClientSlow
+	}
+	return fault.Malformed
+}
+
+// try asks backends until one answers or none may be asked.
+func (c *Carrier) try(q *request) {
+	call := attempt.Call{Method: q.r.Method, Target: q.target, Host: q.r.Host, Header: q.r.Header.Clone(),
+		AttemptID: q.r.Header.Get(attempt.FieldID), Body: q.body, Stream: q.stream, StreamLen: q.length,
+		HasBody: q.body != nil || q.r.ContentLength == 0 && q.r.Header.Get("Content-Length") != "", Deadline: q.deadline}
+	attempt.StripHop(call.Header)
+	for _, name := range []string{attempt.FieldID, attempt.FieldBudget, attempt.FieldInstance, "Content-Length", "Expect"} {
+		call.Header.Del(name)
+	}
+	var tried []string
+	var answer *attempt.Answer
+	last, offered, ran, unreached := fault.None, 0, false, 0
+	for {
+		if !c.o.Clock.Now().Before(q.deadline) {
+			if last = fault.OutOfTime; ran {
+				last = fault.Late
+			}
+			break
+		}
+		c.mu.Lock()
+		b, kind := c.settler.Pick(c.now(), q.service, tried, [2]float64{rand.Float64(), rand.Float64()})
+		c.mu.Unlock()
+		if b == nil {
+			if last == fault.None || !ran && offered == 0 && last != fault.Dial {
+				last = kind
+			}
+			break
+		}
+		call.Addr, call.Instance = b.Address, b.ID
+		began := c.o.Clock.Now()
+		got, err := c.pool.Do(context.Background(), &call)
+		met, failed := meet(got, err, c.o.Clock.Now().Sub(began))
+		c.mu.Lock()
+		c.settler.End(c.now(), b, met)
+		c.mu.Unlock()
+		if answer = got; failed == fault.None {
+			break
+		}
+		last = failed
+		tried = append(tried, b.ID)
+		if last == fault.Dial {
+			if unreached++; unreached >= dialsMost {
+				break
+			}
+		} else {
+			offered++
+		}
+		ran = ran || last.Rule().MayHave
+		c.mu.Lock()
+		again := q.stream == nil && c.settler.Again(c.now(), q.service, last, q.route.Safe, offered, q.route.MaxTries)
+		c.mu.Unlock()
+		if !again {
+			break
+		}
+	}
+	switch {
+	case answer != nil && (last == fault.None || last == fault.Failed):
+		c.pass(q, answer)
+	case ran && !last.Rule().MayHave: // an earlier backend may have run it: no promise can be made any more
+		c.refuse(q, fault.Broken, 0)
+	default:
+		c.refuse(q, last, 0)
+	}
+}
+
+// meet says what a try brought: for the settler, and as the kind of its failure.
+func meet(a *attempt.Answer, err error, took time.Duration) (verdict.Met, fault.Kind) {
+	m := verdict.Met{Took: took}
+	if a != nil {
+		m.Running, m.Waiting, m.HasLoad, m.Cold, m.HasCold = a.Load.Running, a.Load.Waiting, a.HasLoad, a.Cold, a.HasCold
+	}
+	var f *fault.Fault
+	switch {
+	case errors.As(err, &f):
+		m.Kind = f.Kind
+	case err != nil:
+		m.Kind = fault.Broken
+	case a.Status >= 500:
+		m.Kind = fault.Failed
+	}
+	return m, m.Kind
+}
+
+// pass returns a backend's answer as it is.
+func (c *Carrier) pass(q *request, a *attempt.Answer) {
+	h := q.w.Header()
+	for name, values := range a.Header {
+		h[name] = values
+	}
+	if h["Content-Type"] == nil {
+		h["Content-Type"] = nil // none is guessed
+	}
+	if a.Length >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(a.Length, 10))
+	}
+	c.persist(h, q)
+	q.w.WriteHeader(a.Status)
+	if len(a.Body) > 0 {
+		_, _ = q.w.Write(a.Body)
+	}
+	if a.Rest == nil {
+		return
+	}
+	defer a.Rest.Close()
+	buf := make([]byte, 32<<10)
+	for {
+		n, err := a.Rest.Read(buf)
+		if n > 0 {
+			if _, werr := q.w.Write(buf[:n]); werr != nil {
+				panic(http.ErrAbortHandler)
+			}
+		}
+		if err == io.EOF {
+			return
+		}
+		if err != nil {
+			panic(http.ErrAbortHandler) // what was cut short must not look complete
+		}
+	}
+}
+
+// persist says how long the connection stays.
+func (c *Carrier) persist(h http.Header, q *request) {
+	if c.stopping.Load() {
+		h.Set("Connection", "close")
+		return
+	}
+	if q.charter != nil && q.charter.Limits.IdleTimeout > 2*time.Second {
+		h.Set("Keep-Alive", "timeout="+strconv.Itoa(int(q.charter.Limits.IdleTimeout.Seconds())-1))
+	}
+}
+
+// refuse answers by the table of kinds.
+func (c *Carrier) refuse(q *request, kind fault.Kind, after time.Duration) {
+	rule := kind.Rule()
+	h := q.w.Header()
+	if after <= 0 {
+		after = rule.After
+	}
+	if after > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+	}
+	c.persist(h, q)
+	h.Set("Content-Type", "text/plain")
+	text := kind.String() + "\n"
+	h.Set("Content-Length", strconv.Itoa(len(text)))
+	q.w.WriteHeader(rule.Status)
+	_, _ = io.WriteString(q.w, text)
+}
+
+// Shutdown ends the carrier in order, within span: not ready from now on; new connections are served until the
+// platform has seen that, answers say that the connection closes; then what is at work ends, and the process.
+func (c *Carrier) Shutdown(span time.Duration) {
+	c.stopping.Store(true)
+	began := c.o.Clock.Now()
+	notice := min(2500*time.Millisecond, span/2) // two misses a second apart, and a little
+	<-c.o.Clock.After(notice)
+	c.do(c.leave)
+	ctx, cancel := context.WithTimeout(context.Background(), span-c.o.Clock.Now().Sub(began))
+	defer cancel()
+	if c.server != nil {
+		_ = c.server.Shutdown(ctx)
+	}
+	close(c.stop)
+}
--- /dev/null
+++ b/transit/main.go
@@ -0,0 +1,80 @@
+package transit
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"elmfold/entry"
+	"elmfold/premise"
+	"elmfold/trace"
+)
+
+const about = "The gateway's carrier: it takes clients' requests to backends and the answers back."
+
+// Main is the program.
+func Main(args []string, out, errs io.Writer) int {
+	return entry.Main("transit", about, args, out, errs, serve)
+}
+
+func serve(settings *premise.Settings) error {
+	ring, log := trace.New(settings.Name, os.Stderr, time.Now)
+	if settings.Listen["front"] == "" || settings.Listen["readiness"] == "" {
+		return errors.New("listen.front, listen.readiness: a carrier needs both")
+	}
+	debug.SetGCPercent(60)
+	readiness, err := entry.Listen(settings.Listen["readiness"])
+	if err != nil {
+		return err
+	}
+	front, err := entry.Listen(settings.Listen["front"])
+	if err != nil {
+		return err
+	}
+	c := New(Options{Settings: settings, Log: log, Clock: clockwork.NewRealClock(), Dial: entry.Dial})
+	go c.Run()
+	go func() {
+		_ = (&http.Server{Handler: c.Readiness(), ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 20 * time.Second}).Serve(readiness)
+	}()
+	served := make(chan error, 1)
+	go func() { served <- c.Serve(front) }()
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	for {
+		select {
+		case err := <-served:
+			if !errors.Is(err, http.ErrServerClosed) {
+				return err
+			}
+			served = nil
+		case sig := <-signals:
+			if sig == syscall.SIGHUP {
+				if next, err := premise.FromEnvironment(); err != nil {
+					log.Error("settings stay as they were", "err", err)
+				} else {
+					c.Reload(next)
+				}
+				continue
+			}
+			c.Shutdown(settings.Bounds.Grace.Span() - 300*time.Millisecond)
+			ring.Flush()
+			return nil
+		}
+	}
+}
+
+// Reload takes settings that were changed while the program runs: new seeds are dialled, the rest waits for a restart.
+func (c *Carrier) Reload(next *premise.Settings) {
+	c.do(func() {
+		for _, seed := range next.Seeds {
+			c.dial(c.o.Settings.Peer(seed))
+		}
+	})
+}
--- /dev/null
+++ b/transit/transit.go
@@ -0,0 +1,543 @@
+// Package transit is the carrier's side of the gateway: it takes requests from clients, sends each to a backend and
+// returns the answer, by what the controllers tell it.
+//
+// One goroutine owns what was told (own) and works through a queue of commands; requests read an immutable view by
+// one atomic pointer, and the settler under one small mutex that is never held over I/O. So no request waits for a
+// controller, and a carrier that reaches none goes on with what it knows.
+package transit
+
+import (
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+
+	"elmfold/attempt"
+	"elmfold/charter"
+	"elmfold/parley"
+	"elmfold/premise"
+	"elmfold/presence"
+	"elmfold/verdict"
+)
+
+const (
+	renewEvery  = time.Second
+	silentFor   = 3 * time.Second // a line that says nothing for so long has died: renewals are answered each second
+	dialAgain   = 250 * time.Millisecond
+	readAtLeast = 3 * time.Second  // a new life that cannot read enough controllers calls itself ready after this all the same
+	doubtBeats  = 4                // beats without anybody's word from which a backend is not used
+	forgetAfter = 90 * time.Second // what is gone is remembered so that an old word does not bring it back
+	zonePrefix  = "zone/"
+	charterName = "charter"
+)
+
+// Options make a Carrier.
+type Options struct {
+	Settings *premise.Settings
+	Log      hclog.Logger
+	Clock    clockwork.Clock
+	Dial     func(address string) (net.Conn, error) // to controllers
+	Backends attempt.Options                        // how backends are dialled
+}
+
+type controller struct {
+	who     parley.Controller
+	line    *parley.Line // nil: down
+	life    uint64
+	upAt    time.Duration
+	settled bool // it knows of backends what others know
+	votes   bool
+	held    map[string]parley.Stamp // as it said at the line's first word
+	members []parley.Member
+	sent    [8]time.Duration // of the renewals, by their number
+	renewed time.Duration    // the sending of the newest that was answered; negative: none
+}
+
+type life struct {
+	parley.Backend
+	vouchers  map[string]bool // by controller
+	lonelyAt  time.Duration   // since when nobody vouches
+	coldUntil time.Duration
+	goneAt    time.Duration
+}
+
+// Carrier is one process that carries.
+type Carrier struct {
+	o     Options
+	log   hclog.Logger
+	me    parley.Controller
+	life  uint64
+	began time.Time
+	queue chan func()
+	stop  chan struct{}
+
+	view     atomic.Pointer[charter.Charter]
+	ready    atomic.Bool
+	stopping atomic.Bool
+	mu       sync.Mutex // of settler
+	settler  *verdict.Settler
+	pool     *attempt.Pool
+	server   *http.Server
+
+	clients     atomic.Int64
+	clientsMost int64
+
+	// Owned by own.
+	dialing     map[string]bool
+	controllers map[string]*controller
+	founders    []parley.Controller
+	lives       map[string]*life
+	zones       map[string]parley.Register // evacuations
+	wanted      parley.Stamp               // the newest configuration that is in force somewhere
+	wantedAt    time.Duration
+	renewal     uint64
+	steersAt    string
+	heardAt     time.Duration // the first word of any controller
+}
+
+// New makes a Carrier; Run starts it.
+func New(o Options) *Carrier {
+	c := &Carrier{o: o, log: o.Log, life: rand.Uint64() | 1, began: o.Clock.Now(), queue: make(chan func(), 1024),
+		stop: make(chan struct{}), dialing: map[string]bool{}, controllers: map[string]*controller{},
+		lives: map[string]*life{}, zones: map[string]parley.Register{}, heardAt: -1}
+	set := o.Settings
+	c.me = parley.Controller{Name: set.Name, Zone: set.Zone, Address: set.Own()}
+	o.Backends.Now = o.Clock.Now
+	if c.clientsMost = int64(set.Limits.MaxFDs) * 6 / 10; c.clientsMost == 0 {
+		c.clientsMost = 2400
+	}
+	c.pool = attempt.New(o.Backends)
+	c.settler = verdict.New(set.Name, set.Zone, verdict.Bounds{RetryRatio: set.Bounds.RetryRatio,
+		RetrySlack: set.Bounds.RetrySlack, RetryWindow: set.Bounds.RetryWindow.Span(), ColdExcess: set.Bounds.ColdExcess,
+		ColdSlack: set.Bounds.ColdSlack}, 0)
+	return c
+}
+
+// Run owns what is told until Stop.
+func (c *Carrier) Run() {
+	for _, seed := range c.o.Settings.Seeds {
+		c.dial(c.o.Settings.Peer(seed))
+	}
+	ticks := c.o.Clock.NewTicker(renewEvery)
+	for {
+		select {
+		case f := <-c.queue:
+			f()
+		case <-ticks.Chan():
+			c.tick()
+		case <-c.stop:
+			return
+		}
+	}
+}
+
+func (c *Carrier) do(f func()) {
+	select {
+	case c.queue <- f:
+	case <-c.stop:
+	}
+}
+
+func (c *Carrier) now() time.Duration { return c.o.Clock.Now().Sub(c.began) }
+
+func (c *Carrier) dial(address string) {
+	if address == "" || c.dialing[address] {
+		return
+	}
+	c.dialing[address] = true
+	go c.keepLine(address)
+}
+
+// keepLine is a goroutine for each controller: it dials, says hello, reads until the line breaks, and begins again.
+func (c *Carrier) keepLine(address string) {
+	for {
+		if conn, err := c.o.Dial(address); err == nil {
+			line := parley.NewLine(conn)
+			line.Send(&parley.Message{Hello: &parley.Hello{Who: c.me, Life: c.life, Carrier: true}})
+			var name string
+			for {
+				m, err := line.Receive(silentFor)
+				if err != nil {
+					break
+				}
+				if m.Hello != nil {
+					name = m.Hello.Who.Name
+				}
+				c.do(func() { c.heard(name, line, m) })
+			}
+			line.Close()
+			c.do(func() {
+				if p := c.controllers[name]; p != nil && p.line == line {
+					p.line = nil
+					c.log.Info("line lost", "to", name)
+				}
+			})
+		}
+		select {
+		case <-c.o.Clock.After(dialAgain):
+		case <-c.stop:
+			return
+		}
+	}
+}
+
+func (c *Carrier) heard(name string, line *parley.Line, m *parley.Message) {
+	if name == "" {
+		return
+	}
+	now := c.now()
+	p := c.controllers[name]
+	if m.Hello != nil {
+		if p == nil {
+			p = &controller{}
+			c.controllers[name] = p
+		}
+		*p = controller{who: m.Hello.Who, line: line, life: m.Hello.Life, upAt: now, votes: m.All, held: m.Held, renewed: -1}
+		if c.heardAt < 0 {
+			c.heardAt = now
+		}
+		for _, l := range c.lives { // its first words say anew whom it vouches for
+			c.unvouch(now, l, name)
+		}
+		c.log.Info("line up", "to", name)
+		c.renew(p, false)
+	}
+	if p == nil || p.line != line {
+		return
+	}
+	p.settled = p.settled || m.Settled
+	for _, k := range m.Know {
+		c.dial(k.Address)
+	}
+	if len(m.Founders) > 0 && c.founders == nil {
+		c.founders = m.Founders
+		for _, f := range m.Founders {
+			c.dial(f.Address)
+		}
+	}
+	for _, r := range m.Offers {
+		c.offered(now, r, m.Safe[r.Name])
+	}
+	if s, ok := m.Safe[charterName]; ok && c.wanted.Less(s) {
+		c.wanted, c.wantedAt = s, -1
+	}
+	c.want(now)
+	if len(m.Backends) > 0 {
+		for _, b := range m.Backends {
+			c.told(now, name, b)
+		}
+	}
+	if m.Members != nil {
+		p.members = m.Members
+		c.setMembers()
+	}
+	if m.Renewed > 0 && m.Renewed+uint64(len(p.sent)) > c.renewal {
+		p.renewed = p.sent[m.Renewed%uint64(len(p.sent))]
+		c.setRight()
+	}
+	if len(m.Tables) > 0 && name == c.steersAt {
+		c.setTables(now, m.Tables)
+	}
+	c.judgeReady(now)
+}
+
+// quorum is the number of founders that a new life must have read: as many as meet any that a write made safe.
+func (c *Carrier) quorum() int {
+	n := len(c.founders)
+	if n == 0 {
+		return 0
+	}
+	return n - min(max(c.o.Settings.FaultBudget.Machines+1, n/2+1), n) + 1
+}
+
+// judgeReady calls this carrier ready once it has read enough controllers, and has what they hold in force; it stays
+// so, whether controllers are there or not.
+func (c *Carrier) judgeReady(now time.Duration) {
+	if c.ready.Load() || c.view.Load() == nil {
+		return
+	}
+	read, behind := 0, false
+	for _, f := range c.founders {
+		if p := c.controllers[f.Name]; p != nil && p.line != nil && p.settled && p.votes {
+			read++
+			behind = behind || uint64(c.view.Load().Version) < p.held[charterName].Hi
+		}
+	}
+	if enough := read >= c.quorum() && c.quorum() > 0 && !behind; enough || now > c.heardAt+readAtLeast {
+		c.ready.Store(true)
+		c.log.Info("ready", "read", read, "version", c.view.Load().Version, "backends", len(c.lives))
+	}
+}
+
+// offered takes a register that is in force. What was once in force here never gives way to something older, whoever
+// says so.
+func (c *Carrier) offered(now time.Duration, r parley.Register, safe parley.Stamp) {
+	if safe != r.Stamp {
+		return
+	}
+	if r.Name == charterName {
+		if old := c.view.Load(); old != nil && uint64(old.Version) >= r.Stamp.Hi {
+			return
+		}
+		next, err := charter.Read(r.Value)
+		if err != nil {
+			c.log.Error("a configuration in force cannot be read", "err", err)
+			return
+		}
+		c.mu.Lock()
+		for _, p := range next.Pools {
+			c.settler.Configure(p.Name, p.MaxConns, p.ColdRate, p.Cold)
+		}
+		c.mu.Unlock()
+		c.view.Store(next)
+		c.log.Info("configuration", "version", next.Version)
+		return
+	}
+	if zone, ok := strings.CutPrefix(r.Name, zonePrefix); ok && c.zones[zone].Stamp.Less(r.Stamp) {
+		was := c.evacuated(zone)
+		c.zones[zone] = r
+		for _, l := range c.lives {
+			if l.Zone == zone {
+				if was && !c.evacuated(zone) { // they may have become cold shortly before
+					l.coldUntil = max(l.coldUntil, now+c.settler.Cold(l.Service))
+				}
+				c.put(now, l)
+			}
+		}
+	}
+}
+
+func (c *Carrier) evacuated(zone string) bool { return string(c.zones[zone].Value) == "1" }
+
+// want asks for the newest configuration, at the nearest controller first.
+func (c *Carrier) want(now time.Duration) {
+	if v := c.view.Load(); v != nil && uint64(v.Version) >= c.wanted.Hi || c.wanted == (parley.Stamp{}) ||
+		c.wantedAt >= 0 && now < c.wantedAt+500*time.Millisecond {
+		return
+	}
+	var best *controller
+	for _, p := range c.sorted() {
+		if p.line != nil && (best == nil || c.wantedAt >= 0 && rand.IntN(2) == 0 ||
+			p.who.Zone == c.me.Zone && best.who.Zone != c.me.Zone) {
+			best = p
+		}
+	}
+	if best != nil {
+		c.wantedAt = now
+		best.line.Send(&parley.Message{Want: []string{charterName}})
+	}
+}
+
+func (c *Carrier) sorted() []*controller {
+	var all []*controller
+	for _, p := range c.controllers {
+		all = append(all, p)
+	}
+	slices.SortFunc(all, func(a, b *controller) int { return strings.Compare(a.who.Name, b.who.Name) })
+	return all
+}
+
+// told takes a controller's word of a backend. A life only moves on, and an older word says nothing.
+func (c *Carrier) told(now time.Duration, from string, b parley.Backend) {
+	l := c.lives[b.ID]
+	if l == nil {
+		l = &life{Backend: b, vouchers: map[string]bool{}, lonelyAt: now}
+		c.lives[b.ID] = l
+	} else if b.Seq >= l.Seq || b.State > l.State {
+		was := l.State
+		if l.Service != "" && b.Service == "" { // a word of leaving alone
+			b.Service, b.Address, b.Zone, b.Capacity = l.Service, l.Address, l.Zone, l.Capacity
+		}
+		b.Seq = max(b.Seq, l.Seq)
+		if l.Backend = b; b.State < was {
+			l.State = was
+		}
+	}
+	if b.ColdLeft > 0 {
+		l.coldUntil = max(l.coldUntil, now+time.Duration(b.ColdLeft)*time.Millisecond)
+	}
+	if l.State == parley.Gone && l.goneAt == 0 {
+		l.goneAt = now
+	}
+	if b.Vouched && l.State != parley.Gone {
+		l.vouchers[from] = true
+	} else {
+		c.unvouch(now, l, from)
+	}
+	c.put(now, l)
+}
+
+func (c *Carrier) unvouch(now time.Duration, l *life, from string) {
+	if l.vouchers[from] {
+		if delete(l.vouchers, from); len(l.vouchers) == 0 {
+			l.lonelyAt = now
+		}
+	}
+}
+
+// put hands what is known of a backend to the settler.
+func (c *Carrier) put(now time.Duration, l *life) {
+	if l.Service == "" {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if l.State == parley.Gone {
+		c.settler.Drop(l.ID)
+		c.pool.Forget(l.Address)
+		return
+	}
+	c.settler.Put(verdict.Backend{ID: l.ID, Service: l.Service, Address: l.Address, Zone: l.Zone, Capacity: l.Capacity,
+		Usable: l.State == parley.Ready && !c.evacuated(l.Zone) && !c.doubted(now, l), ColdUntil: l.coldUntil})
+}
+
+// doubted: nobody hears its beats, though somebody who has listened for long enough is there. While controllers are
+// away, or have just started, their silence says nothing.
+func (c *Carrier) doubted(now time.Duration, l *life) bool {
+	span := doubtBeats * c.o.Settings.Beat.Span()
+	if len(l.vouchers) > 0 || now < l.lonelyAt+span {
+		return false
+	}
+	for _, p := range c.controllers {
+		if p.line != nil && now > p.upAt+span {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Carrier) setMembers() {
+	seen := map[string]verdict.Member{}
+	for _, p := range c.controllers {
+		if p.line != nil {
+			for _, m := range p.members {
+				seen[m.Name] = verdict.Member{Name: m.Name, Zone: m.Zone}
+			}
+		}
+	}
+	if len(seen) == 0 {
+		return
+	}
+	var all []verdict.Member
+	for _, m := range seen {
+		all = append(all, m)
+	}
+	slices.SortFunc(all, func(a, b verdict.Member) int { return strings.Compare(a.Name, b.Name) })
+	c.mu.Lock()
+	c.settler.Members(all)
+	c.mu.Unlock()
+}
+
+// setRight: a member is one whose lease most founders renewed; the right ends by this clock before theirs gives it away.
+func (c *Carrier) setRight() {
+	var sent []time.Duration
+	for _, f := range c.founders {
+		if p := c.controllers[f.Name]; p != nil && p.renewed >= 0 {
+			sent = append(sent, p.renewed)
+		}
+	}
+	need := len(c.founders)/2 + 1
+	if len(c.founders) == 0 || len(sent) < need {
+		return
+	}
+	slices.SortFunc(sent, func(a, b time.Duration) int { return int(b - a) })
+	c.mu.Lock()
+	c.settler.Right(sent[need-1] + presence.RightFor)
+	c.mu.Unlock()
+}
+
+func (c *Carrier) setTables(now time.Duration, tables []parley.Table) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, t := range tables {
+		if t.Whole || t.Weights != nil {
+			c.settler.Weights(t.Service, t.Whole, t.Weights)
+		}
+		if t.Gated {
+			c.settler.Level(t.Service, t.Level, now)
+		}
+	}
+}
+
+// tick renews the leases and looks at what time has changed.
+func (c *Carrier) tick() {
+	now := c.now()
+	c.renewal++
+	c.pool.Prune(c.o.Clock.Now())
+	c.chooseSteerer()
+	for _, p := range c.sorted() {
+		if p.line != nil {
+			c.renew(p, true)
+		}
+	}
+	for id, l := range c.lives {
+		switch {
+		case l.State == parley.Gone && now > l.goneAt+forgetAfter:
+			delete(c.lives, id)
+		case l.State != parley.Gone && len(l.vouchers) == 0:
+			c.put(now, l)
+		}
+	}
+	c.want(now)
+	c.judgeReady(now)
+}
+
+func (c *Carrier) renew(p *controller, report bool) {
+	m := &parley.Message{Renew: max(c.renewal, 1)}
+	p.sent[m.Renew%uint64(len(p.sent))] = c.now()
+	if report && p.who.Name == c.steersAt {
+		m.Steer = true
+		c.mu.Lock()
+		r := c.settler.Report()
+		c.mu.Unlock()
+		for _, u := range r.Uses {
+			m.Uses = append(m.Uses, parley.Use{Service: u.Service, Came: u.Came, Voided: u.Voided})
+		}
+		for _, t := range r.Met {
+			m.Met = append(m.Met, parley.Met{ID: t.ID, Tries: t.Tries, Voided: t.Voided,
+				Took: int64(t.Took / (100 * time.Microsecond)), Waiting: t.Waiting})
+		}
+		m.Spent = renewEvery.Seconds()
+	}
+	p.line.Send(m)
+}
+
+// chooseSteerer: the controller of the own zone steers; where its line is down, the next by rendezvous over those
+// that are up, so that all carriers of a zone turn to the same.
+func (c *Carrier) chooseSteerer() {
+	best, bestRank := "", uint64(0)
+	for _, p := range c.sorted() {
+		if p.line == nil {
+			continue
+		}
+		rank := verdict.Rank(p.who.Name, c.me.Zone)
+		if p.who.Zone == c.me.Zone {
+			rank |= 1 << 63
+		} else {
+			rank &^= 1 << 63
+		}
+		if best == "" || rank > bestRank {
+			best, bestRank = p.who.Name, rank
+		}
+	}
+	if best != "" && best != c.steersAt {
+		c.steersAt = best
+		c.log.Info("steered by", "controller", best)
+	}
+}
+
+// leave gives the leases back.
+func (c *Carrier) leave() {
+	for _, p := range c.sorted() {
+		if p.line != nil {
+			p.line.Send(&parley.Message{Leave: true})
+		}
+	}
+}
--- /dev/null
+++ b/verdict/verdict.go
@@ -0,0 +1,480 @@
+// Package verdict settles what a carrier decides for each request: whether it is let in (the level), which backend of
+// the table is asked, whether another may be asked after a failure, and what a cold backend may be sent. It does no I/O
+// and reads no clock; times are spans since the process began, chance comes in as an argument. A Settler is not safe
+// for concurrent use: its owner holds one small mutex, never over I/O.
+package verdict
+
+import (
+	"cmp"
+	"hash/fnv"
+	"math"
+	"slices"
+	"time"
+
+	"elmfold/fault"
+)
+
+// Tuned values.
+const (
+	downFirst   = 500 * time.Millisecond // a backend that could not be reached is left alone for so long, doubled each time
+	downMost    = 4 * time.Second
+	silentDown  = time.Second
+	foreignDown = 3 * time.Second // the address is another's: a word of it comes, or it is dropped
+	shedDown    = 150 * time.Millisecond
+	illAfter    = 3   // failures in a row that say that a backend is ill
+	spillAt     = 1.0 // load over capacity of the better of two from which others are looked at
+	farPenalty  = 0.5 // ... by which one of another zone must be less loaded
+	loadHalf    = 400 * time.Millisecond
+	buckets     = 10   // of a window of the budget
+	safeRatio   = 0.75 // part of the shared budget's ratio and slack that the carriers use up together
+	safeSlack   = 0.6
+	coldPart    = 0.9 // of the rate of a cold backend that its one sender uses
+	connPart    = 0.9 // of the connections that a backend accepts
+)
+
+// Bounds are the figures of the rules that bind all carriers together.
+type Bounds struct {
+	RetryRatio, RetrySlack float64
+	RetryWindow            time.Duration
+	ColdExcess, ColdSlack  float64
+}
+
+// Backend is what a carrier knows of a backend.
+type Backend struct {
+	ID, Service, Address, Zone string
+	Capacity                   int
+	Usable                     bool // listed, ready, its zone not evacuated
+	ColdUntil                  time.Duration
+
+	weight   float64 // of the controller's table; negative: it has not said
+	busy     int     // requests of this carrier
+	others   float64 // requests of others, as last told of, at othersAt
+	othersAt time.Duration
+	downTill time.Duration
+	failures int
+	probing  bool
+	coldAt   time.Duration // when the last request to it while cold was let go
+	owner    bool          // this carrier is the one that sends to it while it is cold
+	tries    float64       // since the last report
+	voided   float64
+	took     time.Duration
+	answers  float64
+	waiting  bool
+}
+
+type service struct {
+	backends []*Backend
+	came     float64 // since the last report
+	voided   float64
+	level    float64 // requests/s; 0: unbounded
+	tokens   float64
+	tokensAt time.Duration
+	asked    [buckets]float64 // by part of the window
+	again    [buckets]float64
+	at       int64 // the part that was written last
+	maxConns int
+	coldRate float64
+	cold     time.Duration
+}
+
+// Settler is a carrier's.
+type Settler struct {
+	name, zone string
+	bounds     Bounds
+	services   map[string]*service
+	backends   map[string]*Backend
+	members    []Member
+	most       int // the greatest number of members heard of
+	began      time.Duration
+	right      time.Duration // until when what only a member may do is allowed
+}
+
+// Member is a carrier that holds a lease.
+type Member struct{ Name, Zone string }
+
+// New makes a Settler that knows no backend.
+func New(name, zone string, b Bounds, now time.Duration) *Settler {
+	return &Settler{name: name, zone: zone, bounds: b, services: map[string]*service{}, backends: map[string]*Backend{},
+		most: 1, began: now, right: -1}
+}
+
+func (s *Settler) service(name string) *service {
+	v := s.services[name]
+	if v == nil {
+		v = &service{}
+		s.services[name] = v
+	}
+	return v
+}
+
+// Configure sets what a service's pool says.
+func (s *Settler) Configure(name string, maxConns int, coldRate float64, cold time.Duration) {
+	v := s.service(name)
+	v.maxConns, v.coldRate, v.cold = maxConns, coldRate, cold
+}
+
+// Cold is how long a backend of a service stays cold after a start, as its pool says.
+func (s *Settler) Cold(name string) time.Duration { return s.service(name).cold }
+
+// Put sets what is known of a backend; what was met at it stays.
+func (s *Settler) Put(b Backend) {
+	old := s.backends[b.ID]
+	if old == nil {
+		b.weight, b.coldAt, b.othersAt = -1, -time.Hour, -time.Hour
+		old = &b
+		s.backends[b.ID] = old
+		v := s.service(b.Service)
+		v.backends = append(v.backends, old)
+		slices.SortFunc(v.backends, func(a, b *Backend) int { return cmp.Compare(a.ID, b.ID) })
+	} else {
+		old.Address, old.Zone, old.Capacity, old.Usable, old.ColdUntil = b.Address, b.Zone, b.Capacity, b.Usable, b.ColdUntil
+	}
+	s.own(old)
+}
+
+// Drop forgets a backend.
+func (s *Settler) Drop(id string) {
+	if b := s.backends[id]; b != nil {
+		delete(s.backends, id)
+		v := s.service(b.Service)
+		v.backends = slices.DeleteFunc(v.backends, func(o *Backend) bool { return o == b })
+	}
+}
+
+// Members sets who holds a lease. The greatest number ever heard of shares the budgets: one that is cut off counts
+// itself among fewer than there are.
+func (s *Settler) Members(all []Member) {
+	s.members, s.most = all, max(s.most, len(all))
+	for _, b := range s.backends {
+		s.own(b)
+	}
+}
+
+// Right sets until when this carrier may do what only a member may.
+func (s *Settler) Right(until time.Duration) { s.right = max(s.right, until) }
+
+// own settles who sends to a backend while it is cold: one member of its zone, or of all where its zone has none, by
+// rendezvous, so that all carriers that know the same members agree without a word.
+func (s *Settler) own(b *Backend) {
+	best, winner := uint64(0), ""
+	for _, near := range []bool{true, false} {
+		for _, m := range s.members {
+			if near && m.Zone != b.Zone {
+				continue
+			}
+			if v := Rank(m.Name, b.ID); winner == "" || v > best {
+				best, winner = v, m.Name
+			}
+		}
+		if winner != "" {
+			break
+		}
+	}
+	b.owner = winner == s.name
+}
+
+// Rank is the rendezvous rank of a name for a thing: the greatest wins.
+func Rank(name, thing string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(name))
+	_, _ = h.Write([]byte{0})
+	_, _ = h.Write([]byte(thing))
+	x := h.Sum64()
+	x ^= x >> 33 // the last bytes alone would decide little of an FNV sum's high bits
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	return x
+}
+
+// Weights sets a service's table as its zone's controller ordered it.
+func (s *Settler) Weights(name string, whole bool, weights map[string]float64) {
+	for _, b := range s.service(name).backends {
+		if w, said := weights[b.ID]; said {
+			b.weight = w
+		} else if whole {
+			b.weight = -1
+		}
+	}
+}
+
+// Level sets a service's level, requests/s; 0 is unbounded.
+func (s *Settler) Level(name string, level float64, now time.Duration) {
+	v := s.service(name)
+	if v.level == 0 {
+		v.tokens, v.tokensAt = burst(level), now
+	}
+	v.level = level
+}
+
+func burst(level float64) float64 { return max(level/4, 2) }
+
+// Admit takes a request that came for a service. One over the level is refused, with when to come again.
+func (s *Settler) Admit(now time.Duration, name string) (fault.Kind, time.Duration) {
+	v := s.service(name)
+	v.came++
+	v.turn(now, s.bounds.RetryWindow)
+	v.asked[v.at%buckets]++
+	if v.level <= 0 {
+		return fault.None, 0
+	}
+	v.tokens = min(v.tokens+v.level*(now-v.tokensAt).Seconds(), burst(v.level))
+	v.tokensAt = now
+	if v.tokens < 1 {
+		v.voided++
+		return fault.OverLevel, time.Duration((1 - v.tokens) / v.level * float64(time.Second))
+	}
+	v.tokens--
+	return fault.None, 0
+}
+
+// turn moves the window of the budget on.
+func (v *service) turn(now, window time.Duration) {
+	at := int64(now / (window / buckets))
+	for ; v.at < at; v.at++ {
+		if at-v.at > buckets {
+			v.at = at - buckets
+		}
+		v.asked[(v.at+1)%buckets], v.again[(v.at+1)%buckets] = 0, 0
+	}
+}
+
+// load is the part of a backend's capacity that is held to be taken.
+func (b *Backend) load(now time.Duration) float64 {
+	fade := math.Exp2(-float64(now-b.othersAt) / float64(loadHalf))
+	return (float64(b.busy) + b.others*fade) / float64(max(b.Capacity, 1))
+}
+
+func (s *Settler) share(v *service) int {
+	if v.maxConns == 0 {
+		return math.MaxInt
+	}
+	return max(int(connPart*float64(v.maxConns)/float64(s.most)), 1)
+}
+
+// may says whether a backend may be asked now, but for those that were asked already.
+func (s *Settler) may(now time.Duration, v *service, b *Backend, share int) bool {
+	switch {
+	case !b.Usable, now < b.downTill, b.downTill > 0 && b.probing, b.busy >= share:
+		return false
+	case now < b.ColdUntil:
+		return s.mayCold(now, v, b)
+	}
+	return true
+}
+
+// mayCold: only the one that owns it sends to a cold backend, at its rate, without a burst, and while its lease
+// stands by its own clock.
+func (s *Settler) mayCold(now time.Duration, v *service, b *Backend) bool {
+	if !b.owner || now > s.right || v.coldRate <= 0 {
+		return false
+	}
+	// Two that both hold themselves to be the owner for a moment stay under the bound together.
+	rate := min(v.coldRate*coldPart, (v.coldRate*s.bounds.ColdExcess+s.bounds.ColdSlack)/2-1)
+	return rate > 0 && now >= b.coldAt+time.Duration(float64(time.Second)/rate)
+}
+
+// Pick chooses a backend of a service for a request that was at the tried ones before. The draws are of [0,1). Where
+// none may be asked it says why. A pick must be ended by End.
+func (s *Settler) Pick(now time.Duration, name string, tried []string, draws [2]float64) (*Backend, fault.Kind) {
+	v := s.services[name]
+	if v == nil || len(v.backends) == 0 {
+		return nil, fault.NoBackend
+	}
+	share := s.share(v)
+	var best *Backend
+	bestLoad := 0.0
+	// Two by their weights, of them the less loaded (Mitzenmacher 2001): what is known of loads is late, and all that
+	// see the same would run to the same least loaded one.
+	sum := 0.0
+	for _, b := range v.backends {
+		if s.may(now, v, b, share) && !slices.Contains(tried, b.ID) {
+			sum += s.weightOf(v, b)
+		}
+	}
+	if sum > 0 {
+		for _, u := range draws {
+			x := u * sum
+			for _, b := range v.backends {
+				if w := s.weightOf(v, b); w > 0 && s.may(now, v, b, share) && !slices.Contains(tried, b.ID) {
+					if x -= w; x < 0 {
+						if l := b.load(now); best == nil || l < bestLoad {
+							best, bestLoad = b, l
+						}
+						break
+					}
+				}
+			}
+		}
+	}
+	if best == nil || bestLoad >= spillAt {
+		for _, b := range v.backends {
+			if !s.may(now, v, b, share) || slices.Contains(tried, b.ID) {
+				continue
+			}
+			l := b.load(now)
+			if b.Zone != s.zone {
+				l += farPenalty
+			}
+			if best == nil || l < bestLoad {
+				best, bestLoad = b, l
+			}
+		}
+	}
+	if best == nil {
+		for _, b := range v.backends {
+			if b.Usable {
+				return nil, fault.Full
+			}
+		}
+		return nil, fault.NoBackend
+	}
+	best.busy++
+	if now < best.ColdUntil {
+		best.coldAt = now
+	}
+	if best.downTill > 0 {
+		best.probing = true
+	}
+	return best, fault.None
+}
+
+// weightOf is a backend's weight in the table: as ordered by the zone's controller; where it has said nothing, own
+// zone first and by capacity.
+func (s *Settler) weightOf(v *service, b *Backend) float64 {
+	if b.weight >= 0 {
+		return b.weight
+	}
+	if b.Zone == s.zone {
+		return float64(b.Capacity)
+	}
+	return 0
+}
+
+// Met is what a try at a backend brought.
+type Met struct {
+	Kind     fault.Kind // None: an answer
+	Took     time.Duration
+	Running  int // as the answer told; with Waiting
+	Waiting  int
+	HasLoad  bool
+	Cold     time.Duration
+	HasCold  bool
+	Answered bool // an answer of this backend, whatever it said
+}
+
+// End ends a pick.
+func (s *Settler) End(now time.Duration, b *Backend, m Met) {
+	b.busy--
+	b.probing = false
+	b.tries++
+	if m.HasLoad {
+		b.others, b.othersAt = max(float64(m.Running+m.Waiting-b.busy-1), 0), now
+		b.waiting = b.waiting || m.Waiting > 0
+	}
+	if m.HasCold && m.Cold > 0 {
+		b.ColdUntil = max(b.ColdUntil, now+m.Cold)
+	}
+	switch m.Kind {
+	case fault.None, fault.Failed:
+		b.failures, b.downTill = 0, 0
+		if m.Kind == fault.Failed {
+			b.voided++
+		} else {
+			b.took, b.answers = b.took+m.Took, b.answers+1
+		}
+	case fault.Dial:
+		b.voided++
+		b.down(now, min(downFirst<<min(b.failures, 4), downMost))
+	case fault.Turned:
+		b.down(now, shedDown)
+		b.failures = 0
+		if !m.HasLoad { // it is full: no room for a moment
+			b.others, b.othersAt = float64(b.Capacity), now
+		}
+	case fault.Misdirected:
+		b.voided++
+		b.down(now, foreignDown)
+	case fault.Late:
+		b.voided++
+		if b.failures++; b.failures >= illAfter {
+			b.downTill = now + silentDown
+		}
+	case fault.Broken, fault.Garbled, fault.Foreign, fault.CutOff:
+		b.voided++
+		if b.failures++; b.failures >= illAfter {
+			b.downTill = now + downFirst
+		}
+	}
+}
+
+func (b *Backend) down(now, for_ time.Duration) { b.failures, b.downTill = b.failures+1, now+for_ }
+
+// Again says whether a request may go to another backend after a failure: one that has not run always, one that may
+// have run if its route allows repetition. Offered is how many backends it was sent to, each of them after the
+// first draws on the budget that all carriers share; so does the next one, if it counts.
+func (s *Settler) Again(now time.Duration, name string, kind fault.Kind, repeatable bool, offered, maxTries int) bool {
+	rule := kind.Rule()
+	if !rule.Elsewhere || rule.MayHave && !repeatable || offered >= maxTries {
+		return false
+	}
+	if offered == 0 {
+		return true // it has not arrived anywhere: the next arrival is its first
+	}
+	v := s.service(name)
+	v.turn(now, s.bounds.RetryWindow)
+	asked, again := 0.0, 0.0
+	for i := range buckets {
+		asked, again = asked+v.asked[i], again+v.again[i]
+	}
+	// A new life may follow one that spent its part just now: its slack grows over one window.
+	grown := min(float64(now-s.began)/float64(s.bounds.RetryWindow), 1)
+	slack := s.bounds.RetrySlack * safeSlack / float64(s.most) * grown
+	if again+1 > s.bounds.RetryRatio*safeRatio*asked+slack {
+		return false
+	}
+	v.again[v.at%buckets]++
+	return true
+}
+
+// Report is what came and was met since the last one.
+type Report struct {
+	Uses []Use
+	Met  []Tried
+}
+
+// Use is what came for a service; Voided was refused or failed here.
+type Use struct {
+	Service      string
+	Came, Voided float64
+}
+
+// Tried is what was met at a backend.
+type Tried struct {
+	ID            string
+	Tries, Voided float64
+	Took          time.Duration // mean of the answers
+	Waiting       bool
+}
+
+// Report takes it out.
+func (s *Settler) Report() (r Report) {
+	for name, v := range s.services {
+		if v.came > 0 {
+			r.Uses = append(r.Uses, Use{Service: name, Came: v.came, Voided: v.voided})
+			v.came, v.voided = 0, 0
+		}
+		for _, b := range v.backends {
+			if b.tries > 0 {
+				t := Tried{ID: b.ID, Tries: b.tries, Voided: b.voided, Waiting: b.waiting}
+				if b.answers > 0 {
+					t.Took = b.took / time.Duration(b.answers)
+				}
+				r.Met = append(r.Met, t)
+				b.tries, b.voided, b.took, b.answers, b.waiting = 0, 0, 0, 0, false
+			}
+		}
+	}
+	slices.SortFunc(r.Uses, func(a, b Use) int { return cmp.Compare(a.Service, b.Service) })
+	slices.SortFunc(r.Met, func(a, b Tried) int { return cmp.Compare(a.ID, b.ID) })
+	return r
+}
