--- a/transit/front.go
+++ b/transit/front.go
@@ -278,10 +278,9 @@
 		c.mu.Lock()
 		c.settler.End(c.now(), b, met)
 		c.mu.Unlock()
-		if answer = got; failed == fault.None {
+		if answer, last = got, failed; failed == fault.None {
 			break
 		}
-		last = failed
 		tried = append(tried, b.ID)
 		if last == fault.Dial {
 			if unreached++; unreached >= dialsMost {
