--- a/transit/transit.go
+++ b/transit/transit.go
@@ -31,6 +31,7 @@
 	renewEvery  = time.Second
 	silentFor   = 3 * time.Second // a line that says nothing for so long has died: renewals are answered each second
 	dialAgain   = 250 * time.Millisecond
+	wantAgain   = 400 * time.Millisecond
 	readAtLeast = 3 * time.Second  // a new life that cannot read enough controllers calls itself ready after this all the same
 	doubtBeats  = 4                // beats without anybody's word from which a backend is not used
 	forgetAfter = 90 * time.Second // what is gone is remembered so that an old word does not bring it back
@@ -55,6 +56,8 @@
 	settled bool // it knows of backends what others know
 	votes   bool
 	held    map[string]parley.Stamp // as it said at the line's first word
+	safe    parley.Stamp            // the newest configuration that it said to be in force
+	asked   int                     // how often it was asked for the one that is wanted
 	members []parley.Member
 	sent    [8]time.Duration // of the renewals, by their number
 	renewed time.Duration    // the sending of the newest that was answered; negative: none
@@ -225,8 +228,13 @@
 	for _, r := range m.Offers {
 		c.offered(now, r, m.Safe[r.Name])
 	}
-	if s, ok := m.Safe[charterName]; ok && c.wanted.Less(s) {
-		c.wanted, c.wantedAt = s, -1
+	if s, ok := m.Safe[charterName]; ok && p.safe.Less(s) {
+		if p.safe = s; c.wanted.Less(s) {
+			c.wanted, c.wantedAt = s, -1
+			for _, p := range c.controllers {
+				p.asked = 0
+			}
+		}
 	}
 	c.want(now)
 	if len(m.Backends) > 0 {
@@ -316,21 +324,26 @@
 
 func (c *Carrier) evacuated(zone string) bool { return string(c.zones[zone].Value) == "1" }
 
-// want asks for the newest configuration, at the nearest controller first.
+// want asks for the newest configuration: of those that said that it is in force the nearest, and another each time
+// that no answer came. Guards against the nearest one being cut off from the core: it has only what is older.
 func (c *Carrier) want(now time.Duration) {
 	if v := c.view.Load(); v != nil && uint64(v.Version) >= c.wanted.Hi || c.wanted == (parley.Stamp{}) ||
-		c.wantedAt >= 0 && now < c.wantedAt+500*time.Millisecond {
+		c.wantedAt >= 0 && now < c.wantedAt+wantAgain {
 		return
 	}
 	var best *controller
 	for _, p := range c.sorted() {
-		if p.line != nil && (best == nil || c.wantedAt >= 0 && rand.IntN(2) == 0 ||
-			p.who.Zone == c.me.Zone && best.who.Zone != c.me.Zone) {
+		if p.line == nil || p.safe.Less(c.wanted) {
+			continue
+		}
+		if best == nil || p.asked < best.asked ||
+			p.asked == best.asked && p.who.Zone == c.me.Zone && best.who.Zone != c.me.Zone {
 			best = p
 		}
 	}
 	if best != nil {
 		c.wantedAt = now
+		best.asked++
 		best.line.Send(&parley.Message{Want: []string{charterName}})
 	}
 }
