Attempt: machines that fall silent are noticed in one to two seconds

Change: unacknowledged bytes end a connection after 0.8 s, a probe without an answer after about 2 s, a connect after 0.25 s.

--- a/attempt/attempt.go
+++ b/attempt/attempt.go
@@ -70,7 +70,7 @@
 type Options struct {
 	Dial        func(ctx context.Context, addr string) (net.Conn, error) // default: TCP over IPv4
 	Now         func() time.Time                                         // default: time.Now
-	DialTimeout time.Duration                                            // default 400 ms
+	DialTimeout time.Duration                                            // default 250 ms
 	HoldMost    int                                                      // bytes of a body taken whole, default 64 KB
 	MostIdle    int                                                      // idle connections a backend, default 8
 	IdleFor     time.Duration                                            // without a word of the backend, default 8 s
@@ -92,7 +92,7 @@
 		o.Now = time.Now
 	}
 	if o.DialTimeout == 0 {
-		o.DialTimeout = 400 * time.Millisecond
+		o.DialTimeout = 250 * time.Millisecond
 	}
 	if o.HoldMost == 0 {
 		o.HoldMost = 64 << 10
--- a/attempt/conn.go
+++ b/attempt/conn.go
@@ -290,12 +290,23 @@
 	return p.o.IdleFor
 }
 
+// A machine without power says nothing at all: bytes that stay unacknowledged end the connection, and so does a probe
+// without an answer while a request is at work there, where the kernel would go on for minutes or hours. A safe request
+// can then still be served elsewhere. Without these options the try's deadline still holds, so an error is no reason
+// to fail.
+const (
+	unackedFor = 800 * time.Millisecond
+	probeAfter = time.Second
+
+	tcpUserTimeout = 18 // of IPPROTO_TCP; syscall does not name it
+)
+
 var dialer = net.Dialer{
-	KeepAlive: -1, // idle ones live for seconds
+	KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeAfter, Interval: probeAfter, Count: 1},
 	Control: func(_, _ string, raw syscall.RawConn) error {
-		// 18 is TCP_USER_TIMEOUT: bytes that stay unacknowledged for 2 s end the connection, where the kernel
-		// would go on for minutes. Without it the try's deadline still holds, so an error is no reason to fail.
-		return raw.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, 18, 2000) })
+		return raw.Control(func(fd uintptr) {
+			_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(unackedFor.Milliseconds()))
+		})
 	},
 }
 
