Verdict: two silent machines of a zone make its others be asked one at a time

Cause: each backend of a dark zone was found out by losing requests of its own. Change: those of the zone that have not answered since are half open until they answer.

--- a/transit/front.go
+++ b/transit/front.go
@@ -316,7 +316,9 @@
 	var f *fault.Fault
 	switch {
 	case errors.As(err, &f):
+		var slow net.Error
 		m.Kind = f.Kind
+		m.Silent = f.Kind != fault.Late && errors.As(f.Cause, &slow) && slow.Timeout()
 	case err != nil:
 		m.Kind = fault.Broken
 	case a.Status >= 500:
--- a/transit/transit.go
+++ b/transit/transit.go
@@ -407,7 +407,7 @@
 		c.pool.Forget(l.Address)
 		return
 	}
-	c.settler.Put(verdict.Backend{ID: l.ID, Service: l.Service, Address: l.Address, Zone: l.Zone, Capacity: l.Capacity,
+	c.settler.Put(now, verdict.Backend{ID: l.ID, Service: l.Service, Address: l.Address, Zone: l.Zone, Capacity: l.Capacity,
 		Usable: l.State == parley.Ready && !c.evacuated(l.Zone) && !c.doubted(now, l), ColdUntil: l.coldUntil})
 }
 
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -19,7 +19,9 @@
 	downFirst   = 500 * time.Millisecond // a backend that could not be reached is left alone for so long, doubled each time
 	downMost    = 4 * time.Second
 	silentDown  = time.Second
-	foreignDown = 3 * time.Second // the address is another's: a word of it comes, or it is dropped
+	zoneWithin  = 1500 * time.Millisecond // two machines of a zone fall silent so close to each other: the zone may be
+	zoneDown    = 200 * time.Millisecond  // ... so that its others are asked one request at a time, after this
+	foreignDown = 3 * time.Second         // the address is another's: a word of it comes, or it is dropped
 	shedDown    = 150 * time.Millisecond
 	illAfter    = 3   // failures in a row that say that a backend is ill
 	spillAt     = 1.0 // load over capacity of the better of two from which others are looked at
@@ -60,6 +62,8 @@
 	took     time.Duration
 	answers  float64
 	waiting  bool
+	answered time.Duration // when it last answered
+	silentAt time.Duration // when it last was found silent
 }
 
 type service struct {
@@ -117,10 +121,10 @@
 func (s *Settler) Cold(name string) time.Duration { return s.service(name).cold }
 
 // Put sets what is known of a backend; what was met at it stays.
-func (s *Settler) Put(b Backend) {
+func (s *Settler) Put(now time.Duration, b Backend) {
 	old := s.backends[b.ID]
 	if old == nil {
-		b.weight, b.coldAt, b.othersAt = -1, -time.Hour, -time.Hour
+		b.weight, b.coldAt, b.othersAt, b.answered, b.silentAt = -1, -time.Hour, -time.Hour, now, -time.Hour
 		old = &b
 		s.backends[b.ID] = old
 		v := s.service(b.Service)
@@ -352,14 +356,14 @@
 
 // Met is what a try at a backend brought.
 type Met struct {
-	Kind     fault.Kind // None: an answer
-	Took     time.Duration
-	Running  int // as the answer told; with Waiting
-	Waiting  int
-	HasLoad  bool
-	Cold     time.Duration
-	HasCold  bool
-	Answered bool // an answer of this backend, whatever it said
+	Kind    fault.Kind // None: an answer
+	Took    time.Duration
+	Running int // as the answer told; with Waiting
+	Waiting int
+	HasLoad bool
+	Cold    time.Duration
+	HasCold bool
+	Silent  bool // its machine said nothing at all, as one without power does
 }
 
 // End ends a pick.
@@ -374,8 +378,12 @@
 	if m.HasCold && m.Cold > 0 {
 		b.ColdUntil = max(b.ColdUntil, now+m.Cold)
 	}
+	if m.Silent {
+		s.silent(now, b, now-m.Took)
+	}
 	switch m.Kind {
 	case fault.None, fault.Failed:
+		b.answered = now
 		b.failures, b.downTill = 0, 0
 		if m.Kind == fault.Failed {
 			b.voided++
@@ -386,6 +394,7 @@
 		b.voided++
 		b.down(now, min(downFirst<<min(b.failures, 4), downMost))
 	case fault.Turned:
+		b.answered = now
 		b.down(now, shedDown)
 		b.failures = 0
 		if !m.HasLoad { // it is full: no room for a moment
@@ -407,6 +416,23 @@
 	}
 }
 
+// silent takes note of a machine that says nothing. Two in a zone at once: it may be the zone, or the way there. Those
+// of it that have not answered since are asked one request at a time until they answer, as a request that may run once
+// only is lost at a machine without power.
+func (s *Settler) silent(now time.Duration, b *Backend, since time.Duration) {
+	b.silentAt = now
+	b.downTill = max(b.downTill, now+silentDown)
+	others := false
+	for _, o := range s.backends {
+		others = others || o != b && o.Zone == b.Zone && o.Address != b.Address && now < o.silentAt+zoneWithin
+	}
+	for _, o := range s.backends {
+		if others && o.Zone == b.Zone && o.answered < since && o.downTill <= now {
+			o.downTill = now + zoneDown
+		}
+	}
+}
+
 func (b *Backend) down(now, for_ time.Duration) { b.failures, b.downTill = b.failures+1, now+for_ }
 
 // Again says whether a request may go to another backend after a failure: one that has not run always, one that may
