--- a/attempt/conn.go
+++ b/attempt/conn.go
@@ -122,6 +122,22 @@
 		}
 		p.drop(k)
 	}
+	k, err := p.open(ctx, addr, deadline)
+	if err != nil {
+		return nil, err
+	}
+	if err := k.quiet(); err != nil { // beyond maxConns a backend resets at once: seen here, it's known not to have run
+		p.drop(k)
+		if err == errSurplus {
+			return nil, fault.New(fault.Dial, addr, err)
+		}
+		return nil, fault.New(fault.Full, addr, err)
+	}
+	return k, nil
+}
+
+// open dials.
+func (p *Pool) open(ctx context.Context, addr string, deadline time.Time) (*conn, error) {
 	p.mu.Lock()
 	h := p.homes[addr]
 	if h == nil {
@@ -131,7 +147,7 @@
 	h.open++
 	era := h.era
 	p.mu.Unlock()
-	end := now.Add(p.o.DialTimeout)
+	end := p.o.Now().Add(p.o.DialTimeout)
 	if end.After(deadline) {
 		end = deadline
 	}
@@ -144,16 +160,19 @@
 	}
 	k := newConn(nc, addr, era)
 	k.SetDeadline(deadline)
-	if err := k.quiet(); err != nil { // beyond maxConns a backend resets at once: seen here, it's known not to have run
-		p.drop(k)
-		if err == errSurplus {
-			return nil, fault.New(fault.Dial, addr, err)
-		}
-		return nil, fault.New(fault.Full, addr, err)
-	}
 	return k, nil
 }
 
+// Connect brings up a connection that the next request can use: it shows that a backend's machine is there again
+// without putting a request at risk.
+func (p *Pool) Connect(ctx context.Context, addr string) error {
+	k, err := p.open(ctx, addr, p.o.Now().Add(p.o.DialTimeout+time.Millisecond))
+	if err == nil {
+		p.put(k, p.o.IdleFor)
+	}
+	return err
+}
+
 // unsent is the fault of a request of which no byte was written.
 func (p *Pool) unsent(addr string, deadline time.Time, err error) *fault.Fault {
 	if !p.o.Now().Before(deadline) {
--- a/transit/front.go
+++ b/transit/front.go
@@ -24,6 +24,9 @@
 const (
 	holdMost   = 128 << 10 // of a request's body that is held, so that it can be sent again
 	dialsMost  = 4         // backends that could not be reached, beside those that the request was sent to
+	proveAfter = 100 * time.Millisecond
+	proveMost  = 800 * time.Millisecond
+	unsureFor  = 300 * time.Millisecond // beside a beat, until a backend's word that it is cold has come here
 	budgetMost = 10 * time.Minute
 )
 
@@ -263,7 +266,8 @@
 			break
 		}
 		c.mu.Lock()
-		b, kind := c.settler.Pick(c.now(), q.service, tried, [2]float64{rand.Float64(), rand.Float64()})
+		b, kind := c.settler.Pick(c.now(), verdict.Ask{Service: q.service, Tried: tried,
+			ToAim: q.route.Target - c.o.Clock.Now().Sub(q.began), Draws: [2]float64{rand.Float64(), rand.Float64()}})
 		c.mu.Unlock()
 		if b == nil {
 			if last == fault.None || !ran && offered == 0 && last != fault.Dial {
@@ -277,7 +281,14 @@
 		met, failed := meet(got, err, c.o.Clock.Now().Sub(began))
 		c.mu.Lock()
 		c.settler.End(c.now(), b, met)
+		var doubts []*verdict.Backend
+		if failed != fault.None {
+			doubts = c.settler.Doubts()
+		}
 		c.mu.Unlock()
+		for _, d := range doubts {
+			go c.prove(d)
+		}
 		if answer, last = got, failed; failed == fault.None {
 			break
 		}
@@ -302,11 +313,35 @@
 		c.pass(q, answer)
 	case ran && !last.Rule().MayHave: // an earlier backend may have run it: no promise can be made any more
 		c.refuse(q, fault.Broken, 0)
+	case last == fault.Full:
+		c.refuse(q, last, verdict.After(q.route.Target, rand.Float64()))
 	default:
 		c.refuse(q, last, 0)
 	}
 }
 
+// prove brings up a connection to a backend in doubt, again and again until one does or the backend is gone.
+func (c *Carrier) prove(b *verdict.Backend) {
+	c.pool.Forget(b.Address) // the idle ones are as doubtful
+	for wait := proveAfter; ; wait = min(wait*2, proveMost) {
+		err := c.pool.Connect(context.Background(), b.Address)
+		c.mu.Lock()
+		wanted := c.settler.Wanted(b)
+		if wanted && err == nil {
+			c.settler.Proved(c.now(), b, c.o.Settings.Beat.Span()+unsureFor)
+		}
+		c.mu.Unlock()
+		if !wanted || err == nil {
+			return
+		}
+		select {
+		case <-c.o.Clock.After(wait):
+		case <-c.stop:
+			return
+		}
+	}
+}
+
 // meet says what a try brought: for the settler, and as the kind of its failure.
 func meet(a *attempt.Answer, err error, took time.Duration) (verdict.Met, fault.Kind) {
 	m := verdict.Met{Took: took}
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -16,17 +16,23 @@
 
 // Tuned values.
 const (
-	downFirst   = 500 * time.Millisecond // a backend that could not be reached is left alone for so long, doubled each time
-	downMost    = 4 * time.Second
-	silentDown  = time.Second
+	illFirst    = 500 * time.Millisecond // an ill backend is left alone for so long
+	illDown     = time.Second
 	zoneWithin  = 1500 * time.Millisecond // two machines of a zone fall silent so close to each other: the zone may be
-	zoneDown    = 200 * time.Millisecond  // ... so that its others are asked one request at a time, after this
+	silentLong  = time.Second             // silent for so long, a backend may come back cold
 	foreignDown = 3 * time.Second         // the address is another's: a word of it comes, or it is dropped
 	shedDown    = 150 * time.Millisecond
 	illAfter    = 3   // failures in a row that say that a backend is ill
 	spillAt     = 1.0 // load over capacity of the better of two from which others are looked at
 	farPenalty  = 0.5 // ... by which one of another zone must be less loaded
-	loadHalf    = 400 * time.Millisecond
+	loadHalf    = 800 * time.Millisecond
+	waitPart    = 0.75 // part of the time to the aim that may pass at a backend before nobody more is sent there
+	loadLeast   = 1.25 // load over capacity that a backend may have at least, and of which late requests have their part
+	loadMost    = 8.0
+	tookKeep    = 0.9                    // of the mean time of work, at each answer
+	tookFirst   = 100 * time.Millisecond // ... before there was one
+	afterLeast  = 50 * time.Millisecond
+	afterMost   = time.Second
 	buckets     = 10   // of a window of the budget
 	safeRatio   = 0.75 // part of the shared budget's ratio and slack that the carriers use up together
 	safeSlack   = 0.6
@@ -54,7 +60,9 @@
 	othersAt time.Duration
 	downTill time.Duration
 	failures int
-	probing  bool
+	Doubted  bool // not to be asked until it is proved to be there
+	proving  bool
+	doubtAt  time.Duration
 	coldAt   time.Duration // when the last request to it while cold was let go
 	owner    bool          // this carrier is the one that sends to it while it is cold
 	tries    float64       // since the last report
@@ -75,7 +83,8 @@
 	tokensAt time.Duration
 	asked    [buckets]float64 // by part of the window
 	again    [buckets]float64
-	at       int64 // the part that was written last
+	at       int64         // the part that was written last
+	took     time.Duration // of work alone: answers of backends where nobody waited
 	maxConns int
 	coldRate float64
 	cold     time.Duration
@@ -258,7 +267,7 @@
 // may says whether a backend may be asked now, but for those that were asked already.
 func (s *Settler) may(now time.Duration, v *service, b *Backend, share int) bool {
 	switch {
-	case !b.Usable, now < b.downTill, b.downTill > 0 && b.probing, b.busy >= share:
+	case !b.Usable, b.Doubted, now < b.downTill, b.busy >= share:
 		return false
 	case now < b.ColdUntil:
 		return s.mayCold(now, v, b)
@@ -277,13 +286,34 @@
 	return rate > 0 && now >= b.coldAt+time.Duration(float64(time.Second)/rate)
 }
 
-// Pick chooses a backend of a service for a request that was at the tried ones before. The draws are of [0,1). Where
-// none may be asked it says why. A pick must be ended by End.
-func (s *Settler) Pick(now time.Duration, name string, tried []string, draws [2]float64) (*Backend, fault.Kind) {
-	v := s.services[name]
+// Ask is what a request wants of a backend.
+type Ask struct {
+	Service string
+	ToAim   time.Duration // what is left of the time inside which an answer earns its full worth; may be negative
+	Tried   []string      // backends that it was at before
+	Draws   [2]float64    // of [0,1)
+}
+
+// limit is the load from which a backend gets no more of such requests. Guards against an overload in which each is
+// served, and each late: backends queue more than can be answered inside the aim.
+func (v *service) limit(a Ask) float64 {
+	took := cmp.Or(v.took, tookFirst)
+	return min(max(waitPart*float64(a.ToAim)/float64(took), loadLeast), loadMost)
+}
+
+// After is when a request that found all backends full may come again: soon enough to be served inside its aim,
+// spread by chance, so that those refused together do not return together.
+func After(target time.Duration, u float64) time.Duration {
+	return min(max(time.Duration(float64(target)/4*(0.6+0.8*u)), afterLeast), afterMost)
+}
+
+// Pick chooses a backend for a request. Where none may be asked it says why. A pick must be ended by End.
+func (s *Settler) Pick(now time.Duration, a Ask) (*Backend, fault.Kind) {
+	v := s.services[a.Service]
 	if v == nil || len(v.backends) == 0 {
 		return nil, fault.NoBackend
 	}
+	tried, limit := a.Tried, v.limit(a)
 	share := s.share(v)
 	var best *Backend
 	bestLoad := 0.0
@@ -296,7 +326,7 @@
 		}
 	}
 	if sum > 0 {
-		for _, u := range draws {
+		for _, u := range a.Draws {
 			x := u * sum
 			for _, b := range v.backends {
 				if w := s.weightOf(v, b); w > 0 && s.may(now, v, b, share) && !slices.Contains(tried, b.ID) {
@@ -324,7 +354,7 @@
 			}
 		}
 	}
-	if best == nil {
+	if best == nil || best.load(now) >= limit {
 		for _, b := range v.backends {
 			if b.Usable {
 				return nil, fault.Full
@@ -336,9 +366,6 @@
 	if now < best.ColdUntil {
 		best.coldAt = now
 	}
-	if best.downTill > 0 {
-		best.probing = true
-	}
 	return best, fault.None
 }
 
@@ -369,7 +396,6 @@
 // End ends a pick.
 func (s *Settler) End(now time.Duration, b *Backend, m Met) {
 	b.busy--
-	b.probing = false
 	b.tries++
 	if m.HasLoad {
 		b.others, b.othersAt = max(float64(m.Running+m.Waiting-b.busy-1), 0), now
@@ -384,7 +410,13 @@
 	switch m.Kind {
 	case fault.None, fault.Failed:
 		b.answered = now
+		if !b.proving {
+			b.Doubted = false
+		}
 		b.failures, b.downTill = 0, 0
+		if v := s.service(b.Service); m.HasLoad && m.Waiting == 0 || v.took == 0 || m.Took < v.took {
+			v.took = time.Duration(tookKeep*float64(cmp.Or(v.took, m.Took)) + (1-tookKeep)*float64(m.Took))
+		}
 		if m.Kind == fault.Failed {
 			b.voided++
 		} else {
@@ -392,7 +424,7 @@
 		}
 	case fault.Dial:
 		b.voided++
-		b.down(now, min(downFirst<<min(b.failures, 4), downMost))
+		b.doubt(now)
 	case fault.Turned:
 		b.answered = now
 		b.down(now, shedDown)
@@ -406,31 +438,63 @@
 	case fault.Late:
 		b.voided++
 		if b.failures++; b.failures >= illAfter {
-			b.downTill = now + silentDown
+			b.downTill = now + illDown
 		}
 	case fault.Broken, fault.Garbled, fault.Foreign, fault.CutOff:
 		b.voided++
 		if b.failures++; b.failures >= illAfter {
-			b.downTill = now + downFirst
+			b.downTill = now + illFirst
 		}
 	}
 }
 
 // silent takes note of a machine that says nothing. Two in a zone at once: it may be the zone, or the way there. Those
-// of it that have not answered since are asked one request at a time until they answer, as a request that may run once
-// only is lost at a machine without power.
+// of it that have not answered since are in doubt too, as a request that may run once only is lost at a machine
+// without power.
 func (s *Settler) silent(now time.Duration, b *Backend, since time.Duration) {
 	b.silentAt = now
-	b.downTill = max(b.downTill, now+silentDown)
+	b.doubt(now)
 	others := false
 	for _, o := range s.backends {
 		others = others || o != b && o.Zone == b.Zone && o.Address != b.Address && now < o.silentAt+zoneWithin
 	}
 	for _, o := range s.backends {
-		if others && o.Zone == b.Zone && o.answered < since && o.downTill <= now {
-			o.downTill = now + zoneDown
+		if others && o.Zone == b.Zone && o.answered < since {
+			o.doubt(now)
+		}
+	}
+}
+
+// doubt takes a backend out until it is proved to be there: by a connection that comes up beside the requests, never by
+// one of them.
+func (b *Backend) doubt(now time.Duration) {
+	if !b.Doubted {
+		b.Doubted, b.doubtAt = true, now
+	}
+}
+
+// Doubts are the backends that wait to be proved and for which nobody is at it yet; whoever takes them proves them.
+func (s *Settler) Doubts() (all []*Backend) {
+	for _, b := range s.backends {
+		if b.Doubted && !b.proving {
+			b.proving = true
+			all = append(all, b)
 		}
 	}
+	slices.SortFunc(all, func(a, b *Backend) int { return cmp.Compare(a.ID, b.ID) })
+	return all
+}
+
+// Wanted says whether a backend that is being proved is still known.
+func (s *Settler) Wanted(b *Backend) bool { return s.backends[b.ID] == b }
+
+// Proved says that a backend in doubt is there. One that was away for long may come back cold, and nobody has said so
+// yet: unsure is how long that may take to be heard.
+func (s *Settler) Proved(now time.Duration, b *Backend, unsure time.Duration) {
+	if b.Doubted && now > b.doubtAt+silentLong {
+		b.ColdUntil = max(b.ColdUntil, now+unsure)
+	}
+	b.Doubted, b.proving, b.failures, b.downTill = false, false, 0, 0
 }
 
 func (b *Backend) down(now, for_ time.Duration) { b.failures, b.downTill = b.failures+1, now+for_ }
