Verdict: queues known from answers fade slowly, waiting takes half of the aim

Change: what others have at a backend where requests wait fades in 3 s, the limit is half of the time to the aim.

--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -22,12 +22,13 @@
 	silentLong  = time.Second             // silent for so long, a backend may come back cold
 	foreignDown = 3 * time.Second         // the address is another's: a word of it comes, or it is dropped
 	shedDown    = 150 * time.Millisecond
-	illAfter    = 3   // failures in a row that say that a backend is ill
-	spillAt     = 1.0 // load over capacity of the better of two from which others are looked at
-	farPenalty  = 0.5 // ... by which one of another zone must be less loaded
-	loadHalf    = 800 * time.Millisecond
-	waitPart    = 0.75 // part of the time to the aim that may pass at a backend before nobody more is sent there
-	loadLeast   = 1.25 // load over capacity that a backend may have at least, and of which late requests have their part
+	illAfter    = 3                      // failures in a row that say that a backend is ill
+	spillAt     = 1.0                    // load over capacity of the better of two from which others are looked at
+	farPenalty  = 0.5                    // ... by which one of another zone must be less loaded
+	loadHalf    = 800 * time.Millisecond // in which what others have there fades, as far as it is not told anew
+	waitHalf    = 3 * time.Second        // ... where requests waited
+	waitPart    = 0.5                    // part of the time to the aim that may pass at a backend before nobody more is sent there
+	loadLeast   = 1.25                   // load over capacity that a backend may have at least, and of which late requests have their part
 	loadMost    = 8.0
 	tookKeep    = 0.9                    // of the mean time of work, at each answer
 	tookFirst   = 100 * time.Millisecond // ... before there was one
@@ -253,7 +254,11 @@
 
 // load is the part of a backend's capacity that is held to be taken.
 func (b *Backend) load(now time.Duration) float64 {
-	fade := math.Exp2(-float64(now-b.othersAt) / float64(loadHalf))
+	half := loadHalf
+	if b.others+float64(b.busy) > float64(b.Capacity) { // nobody else's are answered sooner than it can
+		half = waitHalf
+	}
+	fade := math.Exp2(-float64(now-b.othersAt) / float64(half))
 	return (float64(b.busy) + b.others*fade) / float64(max(b.Capacity, 1))
 }
 
