--- a/counsel/counsel.go
+++ b/counsel/counsel.go
@@ -287,8 +287,8 @@
 			}
 		}
 		s.expire(now)
-		s.steer.tick(now)
 	}
+	s.steer.step(now)
 	for seq, w := range s.words {
 		if now > w.until {
 			delete(s.words, seq)
--- a/counsel/lines.go
+++ b/counsel/lines.go
@@ -126,7 +126,7 @@
 	s.do(func() {
 		if c := s.carriers[line]; c != nil {
 			delete(s.carriers, line)
-			s.steer.left(c.who.Name)
+			s.steer.left(c.who.Name, line)
 		}
 	})
 }
--- a/counsel/main.go
+++ b/counsel/main.go
@@ -25,8 +25,8 @@
 	return entry.Main("counsel", about, args, out, errs, serve)
 }
 
-func serve(settings *premise.Settings) error {
-	ring, log := trace.New(settings.Name, os.Stderr, time.Now)
+func serve(settings *premise.Settings, o entry.Options) error {
+	ring, log := trace.New(settings.Name, os.Stderr, time.Now, o.Verbose)
 	if settings.Listen["control"] == "" || settings.DataDir == "" {
 		return errors.New("listen.control, dataDir: a controller needs both")
 	}
--- a/counsel/steer.go
+++ b/counsel/steer.go
@@ -1,18 +1,108 @@
 package counsel
 
 import (
+	"maps"
+	"slices"
 	"time"
 
+	"elmfold/bearing"
 	"elmfold/charter"
 	"elmfold/parley"
+	"elmfold/verdict"
 )
 
-// steering is where the decisions of the zone's controller attach.
-type steering struct{ s *Server }
+// steering hands what is known here to the decisions, and what they order to the carriers that steer here: those of
+// the own zone, and of zones whose controller is away.
+type steering struct {
+	s        *Server
+	b        *bearing.Bearing
+	dirty    bool                    // the backends may have changed
+	here     map[string]*parley.Line // carriers that steer here, by name
+	services map[string]bearing.Service
+	counted  bool // the decisions know the members
+}
 
-func newSteering(s *Server) *steering                    { return &steering{s: s} }
-func (t *steering) configured(c *charter.Charter)        {}
-func (t *steering) changed()                             {}
-func (t *steering) tick(now time.Duration)               {}
-func (t *steering) left(name string)                     {}
-func (t *steering) report(c *carrier, m *parley.Message) {}
+func newSteering(s *Server) *steering {
+	zones := slices.Sorted(maps.Keys(s.o.Settings.Zones))
+	// Controllers that start together do not tick together.
+	first := time.Duration(verdict.Rank(s.me.Name, "tick") % uint64(time.Second))
+	t := &steering{s: s, b: bearing.New(zones, first), here: map[string]*parley.Line{}}
+	t.b.Log = func(service, text string) { s.log.Debug(text, "service", service) }
+	return t
+}
+
+// configured takes the services of a configuration: the strictest route decides what is late. A service keeps its
+// target as long as a route has it: each new one begins its levels anew, and routes come and go.
+func (t *steering) configured(c *charter.Charter) {
+	services, stays := map[string]bearing.Service{}, map[string]bool{}
+	for _, r := range c.Routes() {
+		for _, split := range r.Splits {
+			if have, ok := services[split.Service]; !ok || r.Target < have.Target {
+				services[split.Service] = bearing.Service{Target: r.Target}
+			}
+			stays[split.Service] = stays[split.Service] || r.Target == t.services[split.Service].Target
+		}
+	}
+	for name := range services {
+		if stays[name] {
+			services[name] = t.services[name]
+		}
+	}
+	t.services = services
+	t.b.Configure(services)
+	t.dirty = true
+}
+
+// changed: backends, evacuations or members did.
+func (t *steering) changed() { t.dirty, t.counted = true, false }
+
+// step lets the decisions be made that are due and tells the carriers what changed.
+func (t *steering) step(now time.Duration) {
+	if !t.counted {
+		t.counted = true
+		t.b.Members(t.s.table.Members())
+	}
+	if t.dirty {
+		t.dirty = false
+		evacuated := t.s.evacuated()
+		var all []bearing.Backend
+		for _, l := range t.s.table.Lives() {
+			if l.Service != "" {
+				all = append(all, bearing.Backend{ID: l.ID, Service: l.Service, Zone: l.Zone, Capacity: l.Capacity,
+					Ready: l.State == parley.Ready && !evacuated[l.Zone]})
+			}
+		}
+		t.b.Backends(now, all)
+	}
+	for name, tables := range t.b.Step(now) {
+		if line := t.here[name]; line != nil {
+			line.Send(&parley.Message{Tables: tables})
+		}
+	}
+}
+
+// report takes what a carrier's renewal tells.
+func (t *steering) report(c *carrier, m *parley.Message) {
+	name := c.who.Name
+	if !m.Steer {
+		if t.here[name] == c.line {
+			t.left(name, c.line)
+		}
+		return
+	}
+	if t.here[name] != c.line { // a new life, or a new line: it holds no table of ours
+		if t.here[name] != nil {
+			t.b.Leave(name)
+		}
+		t.here[name] = c.line
+		t.b.Join(name, c.who.Zone)
+	}
+	t.b.Report(name, m.Uses, m.Met, m.Spent)
+}
+
+func (t *steering) left(name string, line *parley.Line) {
+	if t.here[name] == line {
+		delete(t.here, name)
+		t.b.Leave(name)
+	}
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -79,9 +79,14 @@
 	return nil
 }
 
+// Options of the command line.
+type Options struct {
+	Verbose bool `short:"v" long:"verbose" description:"write each log line as it comes, not only when something goes wrong"`
+}
+
 // Main reads the command line of a program; without a command it runs it on the settings that the environment names.
-func Main(name, about string, args []string, out, errs io.Writer, run func(*premise.Settings) error) int {
-	var options struct{}
+func Main(name, about string, args []string, out, errs io.Writer, run func(*premise.Settings, Options) error) int {
+	var options Options
 	check, version, start := &checkCommand{out: out}, &versionCommand{name, out}, &runCommand{}
 	p := flags.NewNamedParser(name, flags.HelpFlag|flags.PassDoubleDash)
 	p.ShortDescription, p.LongDescription = about, about
@@ -111,7 +116,7 @@
 		fmt.Fprintf(errs, "%s: %v\n", name, err)
 		return Wrong
 	}
-	if err := run(settings); err != nil {
+	if err := run(settings, options); err != nil {
 		fmt.Fprintf(errs, "%s: %v\n", name, err)
 		return Bad
 	}
--- a/trace/trace.go
+++ b/trace/trace.go
@@ -24,11 +24,13 @@
 	size    int
 	wroteAt time.Time
 	now     func() time.Time
+	verbose bool
 }
 
-// New makes a ring that is written out to out, and a logger of the name that fills it.
-func New(name string, out io.Writer, now func() time.Time) (*Ring, hclog.Logger) {
-	r := &Ring{out: out, now: now}
+// New makes a ring that is written out to out, and a logger of the name that fills it. Verbose: each line is written
+// as it comes, and nothing is kept.
+func New(name string, out io.Writer, now func() time.Time, verbose bool) (*Ring, hclog.Logger) {
+	r := &Ring{out: out, now: now, verbose: verbose}
 	return r, hclog.New(&hclog.LoggerOptions{Name: name, Level: hclog.Debug, Output: r, TimeFn: now,
 		TimeFormat: "15:04:05.000"})
 }
@@ -38,6 +40,9 @@
 func (r *Ring) Write(line []byte) (int, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.verbose {
+		return r.out.Write(line)
+	}
 	r.lines, r.size = append(r.lines, bytes.Clone(line)), r.size+len(line)
 	for r.size > ringBytes {
 		r.size -= len(r.lines[0])
--- a/transit/main.go
+++ b/transit/main.go
@@ -24,8 +24,8 @@
 	return entry.Main("transit", about, args, out, errs, serve)
 }
 
-func serve(settings *premise.Settings) error {
-	ring, log := trace.New(settings.Name, os.Stderr, time.Now)
+func serve(settings *premise.Settings, o entry.Options) error {
+	ring, log := trace.New(settings.Name, os.Stderr, time.Now, o.Verbose)
 	if settings.Listen["front"] == "" || settings.Listen["readiness"] == "" {
 		return errors.New("listen.front, listen.readiness: a carrier needs both")
 	}
