Accord: a full or hanging disk takes no part in a write that others can make safe

Cause: the value was dropped when the own disk failed and its caller waited 3 s; where more disks forgot than are to be borne nobody voted ever again. Change: what begins here is offered to the others after 0.15 s or a failure, the own disk is told of separately and tried again each second; a disk that heard all other founders may vote.

--- a/accord/accord.go
+++ b/accord/accord.go
@@ -16,10 +16,12 @@
 )
 
 const (
+	diskWithin  = 150 * time.Millisecond // a disk that is slower takes no part in a write that began here
+	diskAgain   = time.Second            // until one that failed is tried again
 	finishAfter = 200 * time.Millisecond // what is held and not known to be safe is written on by whoever holds it
 	sweepEvery  = 3 * time.Second        // stamps are compared with the others'
 	askAgain    = 300 * time.Millisecond // of those that have not answered
-	sameFor    = 5000                   // ms for which an order counts as the same: after that a half-done one may lie between
+	sameFor     = 5000                   // ms for which an order counts as the same: after that a half-done one may lie between
 	// WriteWithin is how long a write may take. One that has not become safe by then may still hold, or not; its
 	// caller is told that nothing is known.
 	WriteWithin = 3 * time.Second
@@ -107,10 +109,13 @@
 type held struct {
 	Register           // on this disk
 	next     *Register // on its way to the disk
+	own      bool      // ... as a write that began here, and when
+	nextAt   time.Duration
+	putAt    time.Duration // the last try at a disk that failed
+	disk     Stamp         // what the disk has: it may lag behind Register, and only this is told as held
 	has      map[string]bool
 	safe     bool // Register is
 	told     Stamp
-	since    time.Duration // when Register came
 	triedAt  time.Duration
 }
 
@@ -136,6 +141,7 @@
 	regs     map[string]*held
 	asks     []*asking
 	answered map[string]bool // by founder: while this disk has forgotten, who told all of it
+	heardOf  map[string]bool // ... who told what it has, though it may have forgotten itself
 	sweptAt  time.Duration
 	askedAt  time.Duration
 	round    uint64
@@ -146,9 +152,9 @@
 // New makes a Replica of what its disk holds. Votes: the disk is known never to have forgotten anything.
 func New(me string, faults int, votes bool, disk []Register) *Replica {
 	r := &Replica{me: me, faults: faults, votes: votes, up: map[string]bool{}, regs: map[string]*held{},
-		answered: map[string]bool{}, sweptAt: -time.Hour, askedAt: -time.Hour}
+		answered: map[string]bool{}, heardOf: map[string]bool{}, sweptAt: -time.Hour, askedAt: -time.Hour}
 	for _, reg := range disk {
-		r.regs[reg.Name] = &held{Register: reg, has: map[string]bool{me: true}}
+		r.regs[reg.Name] = &held{Register: reg, disk: reg.Stamp, has: map[string]bool{me: true}}
 	}
 	return r
 }
@@ -235,7 +241,7 @@
 		}
 	case Write:
 		r.asks = append(r.asks, &asking{kind: e, token: e.Token, name: e.Name, stamp: e.Stamp, began: r.now})
-		r.take(e.Register)
+		r.take(e.Register, true)
 		if h := r.regs[e.Name]; h.next == nil && !h.Stamp.Less(e.Stamp) {
 			r.offer(h) // a value that is there already and perhaps not safe yet is written on first
 		}
@@ -253,26 +259,39 @@
 }
 
 // take lets a register be put on the disk if it is newer than what is there or on its way.
-func (r *Replica) take(reg Register) {
+func (r *Replica) take(reg Register, own bool) {
 	h := r.reg(reg.Name)
 	if !h.Stamp.Less(reg.Stamp) || h.next != nil && !h.next.Stamp.Less(reg.Stamp) {
 		return
 	}
-	h.next = &reg
+	h.next, h.own, h.nextAt = &reg, own, r.now
 	r.order(Persist{reg})
 }
 
 func (r *Replica) persisted(e Persisted) {
 	h := r.reg(e.Name)
-	if h.next == nil || h.next.Stamp != e.Stamp {
-		return // a newer one is on its way, and its own word will come
+	if e.Err == nil && h.disk.Less(e.Stamp) {
+		h.disk = e.Stamp
 	}
-	if e.Err != nil {
+	switch {
+	case h.next != nil && h.next.Stamp == e.Stamp && (e.Err == nil || h.own):
+		r.hold(h, e.Err == nil)
+	case h.next != nil && h.next.Stamp == e.Stamp:
 		h.next = nil // this disk takes no part in that write; others may
-		return
+	case e.Err == nil && h.Stamp == e.Stamp && !h.has[r.me]: // it took longer, or was tried again
+		h.has[r.me] = true
+		r.toFounders(&parley.Message{Held: r.some(h)})
+		r.count(h)
+	}
+}
+
+// hold makes the value that was on its way the one that is held, here in memory and, if disk says so, on the disk. The
+// founders are offered it either way: a full or hanging disk takes no part in a write, and need not hinder one.
+func (r *Replica) hold(h *held, disk bool) {
+	h.Register, h.next, h.safe, h.triedAt, h.putAt = *h.next, nil, false, r.now, r.now
+	if h.has = map[string]bool{}; disk {
+		h.has[r.me] = true
 	}
-	h.Register, h.next, h.safe, h.since, h.triedAt = *h.next, nil, false, r.now, r.now
-	h.has = map[string]bool{r.me: true}
 	r.offer(h)
 	r.count(h)
 }
@@ -287,7 +306,13 @@
 	}
 }
 
-func (r *Replica) some(h *held) map[string]Stamp { return map[string]Stamp{h.Name: h.Stamp} }
+// some is what this disk has of a register.
+func (r *Replica) some(h *held) map[string]Stamp {
+	if h.disk == (Stamp{}) {
+		return nil
+	}
+	return map[string]Stamp{h.Name: h.disk}
+}
 
 // count says from when a value is safe.
 func (r *Replica) count(h *held) {
@@ -301,7 +326,7 @@
 	if write > 0 && n >= write && !h.safe && h.Stamp != (Stamp{}) {
 		r.force(h)
 		for _, to := range slices.Sorted(maps.Keys(r.up)) {
-			r.send(to, &parley.Message{Safe: r.some(h)})
+			r.send(to, &parley.Message{Safe: map[string]Stamp{h.Name: h.Stamp}})
 		}
 	}
 }
@@ -317,8 +342,8 @@
 func (r *Replica) stamps() map[string]Stamp {
 	all := map[string]Stamp{}
 	for name, h := range r.regs {
-		if h.Stamp != (Stamp{}) {
-			all[name] = h.Stamp
+		if h.disk != (Stamp{}) {
+			all[name] = h.disk
 		}
 	}
 	return all
@@ -327,8 +352,10 @@
 func (r *Replica) heard(who string, m *parley.Message) {
 	for _, reg := range m.Offers {
 		h := r.reg(reg.Name)
-		r.take(reg)
-		if h.next == nil { // it is on this disk already, or something newer is
+		r.take(reg, false)
+		// It is on this disk already, or something newer is. A disk that lags says nothing: an older stamp would
+		// only bring the same offer again.
+		if h.next == nil && !h.disk.Less(reg.Stamp) {
 			r.send(who, &parley.Message{Held: r.some(h)})
 		}
 	}
@@ -358,6 +385,9 @@
 		}
 		r.answered[who] = r.answered[who] || r.holds(m.Held) // else it is asked again when that has come
 	}
+	if m.Round > 0 && !m.Ask && r.isFounder(who) {
+		r.heardOf[who] = r.holds(m.Held)
+	}
 }
 
 // holds says whether this disk has all that, or newer.
@@ -393,22 +423,33 @@
 func (r *Replica) tend() {
 	write, read := r.Quorums()
 	if !r.votes && write > 0 && r.now >= r.askedAt+askAgain {
-		n := 0
+		n, all := 0, true
 		for _, f := range r.founders {
 			if r.answered[f] && f != r.me {
 				n++
 			}
+			all = all && (f == r.me || r.heardOf[f])
 		}
-		if others := min(max(len(r.founders)-r.faults, read), len(r.founders)-1); n >= others && !r.pending() {
+		// Where more disks forgot than are to be borne, what is left of all of them is the best there is.
+		if others := min(max(len(r.founders)-r.faults, read), len(r.founders)-1); (n >= others || all) && !r.pending() {
 			r.votes = true
 			r.order(Complete{})
 		} else {
 			r.askedAt = r.now
-			r.toFounders(&parley.Message{Ask: true})
+			r.round++
+			r.toFounders(&parley.Message{Ask: true, Round: r.round})
 		}
 	}
 	for _, name := range slices.Sorted(maps.Keys(r.regs)) {
-		if h := r.regs[name]; !h.safe && h.Stamp != (Stamp{}) && r.now >= h.triedAt+finishAfter {
+		h := r.regs[name]
+		if h.next != nil && h.own && r.now >= h.nextAt+diskWithin {
+			r.hold(h, false)
+		}
+		if h.Stamp != (Stamp{}) && !h.has[r.me] && h.next == nil && r.now >= h.putAt+diskAgain {
+			h.putAt = r.now
+			r.order(Persist{h.Register})
+		}
+		if !h.safe && h.Stamp != (Stamp{}) && r.now >= h.triedAt+finishAfter {
 			r.offer(h) // the one that began the write may be gone
 			r.count(h)
 		}
@@ -474,7 +515,7 @@
 				break
 			}
 			a.stamp = Stamp{Hi: max(newest.Hi+1, e.At), Lo: e.Tie}
-			r.take(Register{Name: a.name, Stamp: a.stamp, Value: e.Value})
+			r.take(Register{Name: a.name, Stamp: a.stamp, Value: e.Value}, true)
 		}
 	}
 	if h.safe && !h.Stamp.Less(a.stamp) {
