--- a/attempt/attempt.go
+++ b/attempt/attempt.go
@@ -66,6 +66,13 @@
 	HasCold bool
 }
 
+// End closes what is left of an answer that nobody will read; it may be nil.
+func (a *Answer) End() {
+	if a != nil && a.Rest != nil {
+		_ = a.Rest.Close()
+	}
+}
+
 // Options of a Pool; zero values take the defaults.
 type Options struct {
 	Dial        func(ctx context.Context, addr string) (net.Conn, error) // default: TCP over IPv4
--- a/premise/premise.go
+++ b/premise/premise.go
@@ -6,8 +6,10 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"net/netip"
 	"os"
+	"slices"
 	"time"
 )
 
@@ -133,7 +135,8 @@
 			bad(fmt.Sprintf("seedNodes[%d]", i), "%v", err)
 		}
 	}
-	for name, a := range s.Listen {
+	for _, name := range slices.Sorted(maps.Keys(s.Listen)) {
+		a := s.Listen[name]
 		if _, err := netip.ParseAddrPort(a); err != nil {
 			bad("listen."+name, "%v", err)
 		}
@@ -141,6 +144,14 @@
 	if s.Beat <= 0 {
 		bad("beatS", "%v is no span", s.Beat)
 	}
+	for _, b := range []struct {
+		key  string
+		span Seconds
+	}{{"graceS", s.Bounds.Grace}, {"retryWindowS", s.Bounds.RetryWindow}} {
+		if !(b.span > 0 && b.span < 1e6) { // what divides or waits by it must not meet 0
+			bad("bounds."+b.key, "%v is no span", b.span)
+		}
+	}
 	if len(faults) > 0 {
 		return nil, errors.Join(faults...)
 	}
--- a/trace/trace.go
+++ b/trace/trace.go
@@ -50,26 +50,31 @@
 	}
 	switch {
 	case bytes.Contains(line, []byte("[ERROR]")):
-		r.flush()
+		if !r.flush(false) {
+			_, _ = r.out.Write(line)
+		}
 	case bytes.Contains(line, []byte("[WARN]")):
 		_, _ = r.out.Write(line)
 	}
 	return len(line), nil
 }
 
-// Flush writes all that the ring holds, if that was not done just now.
+// Flush writes all that the ring holds.
 func (r *Ring) Flush() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.flush()
+	r.flush(true)
 }
 
-func (r *Ring) flush() {
-	if now := r.now(); now.Sub(r.wroteAt) > again || r.wroteAt.IsZero() {
-		r.wroteAt = now
-		for _, l := range r.lines {
-			_, _ = r.out.Write(l)
-		}
-		r.lines, r.size = nil, 0
+func (r *Ring) flush(must bool) bool {
+	now := r.now()
+	if !must && now.Sub(r.wroteAt) <= again && !r.wroteAt.IsZero() {
+		return false
+	}
+	r.wroteAt = now
+	for _, l := range r.lines {
+		_, _ = r.out.Write(l)
 	}
+	r.lines, r.size = nil, 0
+	return true
 }
--- a/transit/front.go
+++ b/transit/front.go
@@ -25,9 +25,12 @@
 	holdMost   = 128 << 10 // of a request's body that is held, so that it can be sent again
 	dialsMost  = 4         // backends that could not be reached, beside those that the request was sent to
 	proveAfter = 100 * time.Millisecond
-	proveMost  = 800 * time.Millisecond
+	proveMost  = 700 * time.Millisecond
+	proveSoon  = 25 // connections, after which they become rare
+	proveLate  = 5 * time.Second
 	unsureFor  = 300 * time.Millisecond // beside a beat, until a backend's word that it is cold has come here
 	budgetMost = 10 * time.Minute
+	writeMore  = 2 * time.Second // that a client may take longer to read than it said it waits
 )
 
 // clientConn bounds how long a client may take or stay idle by the limits in force when it begins to: http.Server's
@@ -87,7 +90,9 @@
 			_ = conn.Close()
 			continue
 		}
-		return &clientConn{Conn: conn, c: l.c}, nil
+		k := &clientConn{Conn: conn, c: l.c}
+		_ = k.SetReadDeadline(time.Time{}) // the server sets none before the first request
+		return k, nil
 	}
 }
 
@@ -97,7 +102,7 @@
 	// Every path and method is carried as it came; nothing is cleaned or redirected.
 	mux.NotFound(c.carry)
 	mux.MethodNotAllowed(c.carry)
-	c.server = &http.Server{Handler: mux, MaxHeaderBytes: 1 << 20, ErrorLog: c.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+	c.server = &http.Server{Handler: mux, MaxHeaderBytes: 1 << 20, DisableGeneralOptionsHandler: true, ErrorLog: c.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 		ConnState: func(conn net.Conn, state http.ConnState) {
 			k, ok := conn.(*clientConn)
 			if !ok {
@@ -151,9 +156,9 @@
 		c.refuse(&q, kind, 0)
 		return
 	}
-	c.mu.Lock()
-	kind, after := c.settler.Admit(c.now(), q.service)
-	c.mu.Unlock()
+	var kind fault.Kind
+	var after time.Duration
+	c.settle(func(s *verdict.Settler) { kind, after = s.Admit(c.now(), q.service) })
 	if kind != fault.None {
 		c.refuse(&q, kind, after)
 		return
@@ -165,6 +170,13 @@
 	c.try(&q)
 }
 
+// settle lets f use the settler. A panic in it must not leave the lock behind: net/http goes on serving after one.
+func (c *Carrier) settle(f func(s *verdict.Settler)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	f(c.settler)
+}
+
 // read settles the route and the time from the request's head.
 func (q *request) read() fault.Kind {
 	r, limits := q.r, q.charter.Limits
@@ -265,34 +277,37 @@
 			}
 			break
 		}
-		c.mu.Lock()
-		b, kind := c.settler.Pick(c.now(), verdict.Ask{Service: q.service, Tried: tried,
-			ToAim: q.route.Target - c.o.Clock.Now().Sub(q.began), Draws: [2]float64{rand.Float64(), rand.Float64()}})
-		c.mu.Unlock()
+		var b *verdict.Backend
+		var kind fault.Kind
+		ask := verdict.Ask{Service: q.service, Tried: tried, ToAim: q.route.Target - c.o.Clock.Now().Sub(q.began),
+			Priority: q.route.Priority, Draws: [2]float64{rand.Float64(), rand.Float64()}}
+		c.settle(func(s *verdict.Settler) {
+			if b, kind = s.Pick(c.now(), ask); b != nil {
+				call.Addr, call.Instance = b.Address, b.ID // they may change once the lock is free
+			}
+		})
 		if b == nil {
 			if last == fault.None || !ran && offered == 0 && last != fault.Dial {
 				last = kind
 			}
 			break
 		}
-		call.Addr, call.Instance = b.Address, b.ID
 		began := c.o.Clock.Now()
 		got, err := c.pool.Do(context.Background(), &call)
 		met, failed := meet(got, err, c.o.Clock.Now().Sub(began))
-		c.mu.Lock()
-		c.settler.End(c.now(), b, met)
-		var doubts []*verdict.Backend
-		if failed != fault.None {
-			doubts = c.settler.Doubts()
-		}
-		c.mu.Unlock()
+		var doubts []verdict.Doubt
+		c.settle(func(s *verdict.Settler) {
+			if s.End(c.now(), b, met); failed != fault.None {
+				doubts = s.Doubts()
+			}
+		})
 		for _, d := range doubts {
 			go c.prove(d)
 		}
 		if answer, last = got, failed; failed == fault.None {
 			break
 		}
-		tried = append(tried, b.ID)
+		tried = append(tried, call.Instance)
 		if last == fault.Dial {
 			if unreached++; unreached >= dialsMost {
 				break
@@ -301,16 +316,22 @@
 			offered++
 		}
 		ran = ran || last.Rule().MayHave
-		c.mu.Lock()
-		again := q.stream == nil && c.settler.Again(c.now(), q.service, last, q.route.Safe, offered, q.route.MaxTries)
-		c.mu.Unlock()
+		again := false
+		c.settle(func(s *verdict.Settler) {
+			again = q.stream == nil && s.Again(c.now(), q.service, last, q.route.Safe, offered, q.route.MaxTries)
+		})
 		if !again {
 			break
 		}
+		answer.End()
 	}
 	switch {
-	case answer != nil && (last == fault.None || last == fault.Failed):
+	case answer != nil && (last == fault.None || last == fault.Failed) && !promises(answer.Status):
 		c.pass(q, answer)
+		return
+	case answer != nil && (last == fault.None || last == fault.Failed):
+		// A backend's own 503 without the word that it has not run it: passed on, it would be a promise.
+		c.refuse(q, fault.Failed, 0)
 	case ran && !last.Rule().MayHave: // an earlier backend may have run it: no promise can be made any more
 		c.refuse(q, fault.Broken, 0)
 	case last == fault.Full:
@@ -318,22 +339,36 @@
 	default:
 		c.refuse(q, last, 0)
 	}
+	answer.End()
+}
+
+// promises says whether a status promises that the request has not run.
+func promises(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
 }
 
 // prove brings up a connection to a backend in doubt, again and again until one does or the backend is gone.
-func (c *Carrier) prove(b *verdict.Backend) {
-	c.pool.Forget(b.Address) // the idle ones are as doubtful
-	for wait := proveAfter; ; wait = min(wait*2, proveMost) {
-		err := c.pool.Connect(context.Background(), b.Address)
-		c.mu.Lock()
-		wanted := c.settler.Wanted(b)
-		if wanted && err == nil {
-			c.settler.Proved(c.now(), b, c.o.Settings.Beat.Span()+unsureFor)
-		}
-		c.mu.Unlock()
+func (c *Carrier) prove(d verdict.Doubt) {
+	c.pool.Forget(d.Address) // the idle ones are as doubtful
+	for tries := 1; ; tries++ {
+		err := c.pool.Connect(context.Background(), d.Address)
+		wanted := false
+		c.settle(func(s *verdict.Settler) {
+			if wanted = s.Wanted(d); wanted && err == nil {
+				s.Proved(c.now(), d, c.o.Settings.Beat.Span()+unsureFor)
+			}
+		})
 		if !wanted || err == nil {
 			return
 		}
+		wait := min(proveAfter*time.Duration(tries), proveMost)
+		if tries > proveSoon { // it may be gone without a word
+			wait = proveLate
+		}
 		select {
 		case <-c.o.Clock.After(wait):
 		case <-c.stop:
@@ -375,6 +410,8 @@
 		h.Set("Content-Length", strconv.FormatInt(a.Length, 10))
 	}
 	c.persist(h, q)
+	// A client that does not read must not hold the answer for ever.
+	_ = http.NewResponseController(q.w).SetWriteDeadline(q.deadline.Add(writeMore))
 	q.w.WriteHeader(a.Status)
 	if len(a.Body) > 0 {
 		_, _ = q.w.Write(a.Body)
@@ -436,7 +473,10 @@
 	began := c.o.Clock.Now()
 	notice := min(2500*time.Millisecond, span/2) // two misses a second apart, and a little
 	<-c.o.Clock.After(notice)
-	c.do(c.leave)
+	c.do(func() {
+		c.left = true // the tick renews no lease from here on
+		c.leave()
+	})
 	ctx, cancel := context.WithTimeout(context.Background(), span-c.o.Clock.Now().Sub(began))
 	defer cancel()
 	if c.server != nil {
--- a/transit/main.go
+++ b/transit/main.go
@@ -30,6 +30,9 @@
 		return errors.New("listen.front, listen.readiness: a carrier needs both")
 	}
 	debug.SetGCPercent(60)
+	if mb := settings.Limits.MemoryMB; mb > 0 {
+		debug.SetMemoryLimit(int64(mb * 0.8 * (1 << 20)))
+	}
 	readiness, err := entry.Listen(settings.Listen["readiness"])
 	if err != nil {
 		return err
--- a/transit/transit.go
+++ b/transit/transit.go
@@ -53,7 +53,8 @@
 	line    *parley.Line // nil: down
 	life    uint64
 	upAt    time.Duration
-	settled bool // it knows of backends what others know
+	lostAt  time.Duration // when the line broke
+	settled bool          // it knows of backends what others know
 	votes   bool
 	held    map[string]parley.Stamp // as it said at the line's first word
 	safe    parley.Stamp            // the newest configuration that it said to be in force
@@ -69,6 +70,7 @@
 	lonelyAt  time.Duration   // since when nobody vouches
 	coldUntil time.Duration
 	goneAt    time.Duration
+	heardAt   time.Duration // the last word of it
 }
 
 // Carrier is one process that carries.
@@ -98,10 +100,12 @@
 	founders    []parley.Controller
 	lives       map[string]*life
 	zones       map[string]parley.Register // evacuations
+	have        parley.Stamp               // of the configuration in the view
 	wanted      parley.Stamp               // the newest configuration that is in force somewhere
 	wantedAt    time.Duration
 	renewal     uint64
 	steersAt    string
+	left        bool          // the leases were given back
 	heardAt     time.Duration // the first word of any controller
 }
 
@@ -178,7 +182,7 @@
 			line.Close()
 			c.do(func() {
 				if p := c.controllers[name]; p != nil && p.line == line {
-					p.line = nil
+					p.line, p.lostAt = nil, c.now()
 					c.log.Info("line lost", "to", name)
 				}
 			})
@@ -291,7 +295,7 @@
 		return
 	}
 	if r.Name == charterName {
-		if old := c.view.Load(); old != nil && uint64(old.Version) >= r.Stamp.Hi {
+		if !c.have.Less(r.Stamp) { // of two bodies under one version, all keep the same
 			return
 		}
 		next, err := charter.Read(r.Value)
@@ -299,11 +303,12 @@
 			c.log.Error("a configuration in force cannot be read", "err", err)
 			return
 		}
-		c.mu.Lock()
-		for _, p := range next.Pools {
-			c.settler.Configure(p.Name, p.MaxConns, p.ColdRate, p.Cold)
-		}
-		c.mu.Unlock()
+		c.settle(func(s *verdict.Settler) {
+			for _, p := range next.Pools {
+				s.Configure(p.Name, p.MaxConns, p.ColdRate, p.Cold)
+			}
+		})
+		c.have = r.Stamp
 		c.view.Store(next)
 		c.log.Info("configuration", "version", next.Version)
 		return
@@ -314,7 +319,7 @@
 		for _, l := range c.lives {
 			if l.Zone == zone {
 				if was && !c.evacuated(zone) { // they may have become cold shortly before
-					l.coldUntil = max(l.coldUntil, now+c.settler.Cold(l.Service))
+					c.settle(func(s *verdict.Settler) { l.coldUntil = max(l.coldUntil, now+s.Cold(l.Service)) })
 				}
 				c.put(now, l)
 			}
@@ -327,7 +332,7 @@
 // want asks for the newest configuration: of those that said that it is in force the nearest, and another each time
 // that no answer came. Guards against the nearest one being cut off from the core: it has only what is older.
 func (c *Carrier) want(now time.Duration) {
-	if v := c.view.Load(); v != nil && uint64(v.Version) >= c.wanted.Hi || c.wanted == (parley.Stamp{}) ||
+	if !c.have.Less(c.wanted) ||
 		c.wantedAt >= 0 && now < c.wantedAt+wantAgain {
 		return
 	}
@@ -373,6 +378,7 @@
 			l.State = was
 		}
 	}
+	l.heardAt = now
 	if b.ColdLeft > 0 {
 		l.coldUntil = max(l.coldUntil, now+time.Duration(b.ColdLeft)*time.Millisecond)
 	}
@@ -415,9 +421,15 @@
 // away, or have just started, their silence says nothing.
 func (c *Carrier) doubted(now time.Duration, l *life) bool {
 	span := doubtBeats * c.o.Settings.Beat.Span()
-	if len(l.vouchers) > 0 || now < l.lonelyAt+span {
+	if now < l.lonelyAt+span {
 		return false
 	}
+	for name := range l.vouchers {
+		// One that is gone vouches for nobody any more, once others have had the time to hear the beats.
+		if p := c.controllers[name]; p == nil || p.line != nil || now < p.lostAt+span {
+			return false
+		}
+	}
 	for _, p := range c.controllers {
 		if p.line != nil && now > p.upAt+span {
 			return true
@@ -443,9 +455,7 @@
 		all = append(all, m)
 	}
 	slices.SortFunc(all, func(a, b verdict.Member) int { return strings.Compare(a.Name, b.Name) })
-	c.mu.Lock()
-	c.settler.Members(all)
-	c.mu.Unlock()
+	c.settle(func(s *verdict.Settler) { s.Members(all) })
 }
 
 // setRight: a member is one whose lease most founders renewed; the right ends by this clock before theirs gives it away.
@@ -461,9 +471,7 @@
 		return
 	}
 	slices.SortFunc(sent, func(a, b time.Duration) int { return int(b - a) })
-	c.mu.Lock()
-	c.settler.Right(sent[need-1] + presence.RightFor)
-	c.mu.Unlock()
+	c.settle(func(s *verdict.Settler) { s.Right(sent[need-1] + presence.RightFor) })
 }
 
 func (c *Carrier) setTables(now time.Duration, tables []parley.Table) {
@@ -486,7 +494,7 @@
 	c.pool.Prune(c.o.Clock.Now())
 	c.chooseSteerer()
 	for _, p := range c.sorted() {
-		if p.line != nil {
+		if p.line != nil && !c.left {
 			c.renew(p, true)
 		}
 	}
@@ -494,8 +502,11 @@
 		switch {
 		case l.State == parley.Gone && now > l.goneAt+forgetAfter:
 			delete(c.lives, id)
-		case l.State != parley.Gone && len(l.vouchers) == 0:
-			c.put(now, l)
+		case l.State != parley.Gone && c.doubted(now, l):
+			if c.put(now, l); now > max(l.lonelyAt, l.heardAt)+forgetAfter { // gone without a word
+				c.settle(func(s *verdict.Settler) { s.Drop(id) })
+				delete(c.lives, id)
+			}
 		}
 	}
 	c.want(now)
@@ -507,9 +518,8 @@
 	p.sent[m.Renew%uint64(len(p.sent))] = c.now()
 	if report && p.who.Name == c.steersAt {
 		m.Steer = true
-		c.mu.Lock()
-		r := c.settler.Report()
-		c.mu.Unlock()
+		var r verdict.Report
+		c.settle(func(s *verdict.Settler) { r = s.Report() })
 		for _, u := range r.Uses {
 			m.Uses = append(m.Uses, parley.Use{Service: u.Service, Came: u.Came, Voided: u.Voided})
 		}
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -30,6 +30,8 @@
 	waitPart    = 0.5                    // part of the time to the aim that may pass at a backend before nobody more is sent there
 	loadLeast   = 1.25                   // load over capacity that a backend may have at least, and of which late requests have their part
 	loadMost    = 8.0
+	rankPart    = 0.06 // of the limit that each rank below the highest gives up, for so many ranks
+	rankMost    = 5
 	tookKeep    = 0.9                    // of the mean time of work, at each answer
 	tookFirst   = 100 * time.Millisecond // ... before there was one
 	afterLeast  = 50 * time.Millisecond
@@ -299,13 +301,16 @@
 	ToAim   time.Duration // what is left of the time inside which an answer earns its full worth; may be negative
 	Tried   []string      // backends that it was at before
 	Draws   [2]float64    // of [0,1)
+	// Priority is the rank of the request's route, 0 the highest: the lower ones are shed first.
+	Priority int
 }
 
 // limit is the load from which a backend gets no more of such requests. Guards against an overload in which each is
 // served, and each late: backends queue more than can be answered inside the aim.
 func (v *service) limit(a Ask) float64 {
 	took := cmp.Or(v.took, tookFirst)
-	return min(max(waitPart*float64(a.ToAim)/float64(took), loadLeast), loadMost)
+	rank := 1 - rankPart*float64(min(max(a.Priority, 0), rankMost))
+	return min(max(rank*waitPart*float64(a.ToAim)/float64(took), loadLeast), loadMost)
 }
 
 // After is when a request that found all backends full may come again: soon enough to be served inside its aim,
@@ -432,6 +437,8 @@
 	case fault.Dial:
 		b.voided++
 		b.doubt(now)
+	case fault.Full: // beyond its connections
+		b.down(now, shedDown)
 	case fault.Turned:
 		b.answered = now
 		b.down(now, shedDown)
@@ -445,12 +452,12 @@
 	case fault.Late:
 		b.voided++
 		if b.failures++; b.failures >= illAfter {
-			b.downTill = now + illDown
+			b.downTill = max(b.downTill, now+illDown)
 		}
 	case fault.Broken, fault.Garbled, fault.Foreign, fault.CutOff:
 		b.voided++
 		if b.failures++; b.failures >= illAfter {
-			b.downTill = now + illFirst
+			b.downTill = max(b.downTill, now+illFirst)
 		}
 	}
 }
@@ -480,31 +487,40 @@
 	}
 }
 
+// Doubt is a backend to be proved.
+type Doubt struct {
+	Address string
+	b       *Backend
+}
+
 // Doubts are the backends that wait to be proved and for which nobody is at it yet; whoever takes them proves them.
-func (s *Settler) Doubts() (all []*Backend) {
+func (s *Settler) Doubts() (all []Doubt) {
 	for _, b := range s.backends {
 		if b.Doubted && !b.proving {
 			b.proving = true
-			all = append(all, b)
+			all = append(all, Doubt{b.Address, b})
 		}
 	}
-	slices.SortFunc(all, func(a, b *Backend) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(all, func(a, b Doubt) int { return cmp.Compare(a.b.ID, b.b.ID) })
 	return all
 }
 
-// Wanted says whether a backend that is being proved is still known.
-func (s *Settler) Wanted(b *Backend) bool { return s.backends[b.ID] == b }
+// Wanted says whether a backend that is being proved is still known, at that address.
+func (s *Settler) Wanted(d Doubt) bool { return s.backends[d.b.ID] == d.b && d.b.Address == d.Address }
 
 // Proved says that a backend in doubt is there. One that was away for long may come back cold, and nobody has said so
 // yet: unsure is how long that may take to be heard.
-func (s *Settler) Proved(now time.Duration, b *Backend, unsure time.Duration) {
+func (s *Settler) Proved(now time.Duration, d Doubt, unsure time.Duration) {
+	b := d.b
 	if b.Doubted && now > b.doubtAt+silentLong {
 		b.ColdUntil = max(b.ColdUntil, now+unsure)
 	}
 	b.Doubted, b.proving, b.failures, b.downTill = false, false, 0, 0
 }
 
-func (b *Backend) down(now, for_ time.Duration) { b.failures, b.downTill = b.failures+1, now+for_ }
+func (b *Backend) down(now, for_ time.Duration) {
+	b.failures, b.downTill = b.failures+1, max(b.downTill, now+for_)
+}
 
 // Again says whether a request may go to another backend after a failure: one that has not run always, one that may
 // have run if its route allows repetition. Offered is how many backends it was sent to, each of them after the
--- a/verdict/verdict_test.go
+++ b/verdict/verdict_test.go
@@ -239,7 +239,7 @@
 				if r.IntN(2) == 0 {
 					s.Proved(now, b, 0)
 				} else {
-					b.proving = false
+					b.b.proving = false
 				}
 			}
 			if len(open) > 0 && r.IntN(5) < 3 {
@@ -271,7 +271,7 @@
 			for i, b := range all {
 				before[i] = may(b)
 			}
-			b, kind := s.Pick(now, Ask{"s", time.Hour, tried, [2]float64{r.Float64(), r.Float64()}})
+			b, kind := s.Pick(now, Ask{Service: "s", ToAim: time.Hour, Tried: tried, Draws: [2]float64{r.Float64(), r.Float64()}})
 			switch {
 			case b == nil && (home+away > 0 || kind == fault.None):
 				t.Fatalf("seed %d: nobody is picked (%v), %d and %d have room", seed, kind, home, away)
@@ -305,7 +305,7 @@
 	var zones string
 	var kind fault.Kind
 	for u := 0.05; ; u += 0.37 {
-		b, k := s.Pick(0, Ask{"s", 0, nil, [2]float64{u - float64(int(u)), 0.5}})
+		b, k := s.Pick(0, Ask{Service: "s", Draws: [2]float64{u - float64(int(u)), 0.5}})
 		if kind = k; b == nil {
 			break
 		}
@@ -329,14 +329,15 @@
 	}
 	one, two := pick(0), pick(0)
 	s.End(time.Second, one, Met{Kind: fault.Dial})
-	if first, second := s.Doubts(), s.Doubts(); len(first) != 1 || len(second) != 0 {
+	first, second := s.Doubts(), s.Doubts()
+	if len(first) != 1 || len(second) != 0 {
 		t.Errorf("proved by %d, then by %d", len(first), len(second))
 	}
 	s.End(2*time.Second, two, Met{Kind: fault.None}) // an older one ends; the proof is still under way
 	if pick(time.Minute) != nil {
 		t.Error("a request goes to a backend in doubt")
 	}
-	s.Proved(time.Minute, one, 0)
+	s.Proved(time.Minute, first[0], 0)
 	if pick(time.Minute) == nil {
 		t.Error("nothing goes to it once it is proved")
 	}
