Counsel: founders are told once kept, two signals end it once, refusals do not block

Cause: a second signal closed a closed channel, a refused Put called back on the owner's full queue, replies of non-founders counted, founders were told before they were kept. Change: each mended.

--- a/counsel/counsel.go
+++ b/counsel/counsel.go
@@ -13,6 +13,7 @@
 	"net"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -37,6 +38,7 @@
 	pingEvery    = time.Second
 	wordFor      = 900 * time.Millisecond // a word of leaving that is not with enough others by then is not acknowledged
 	wokeLate     = time.Second            // a tick that late: this process was frozen, and what it reads may be old
+	markAgain    = time.Second
 	distrustFor  = 500 * time.Millisecond
 	founders     = "founders" // names of records that are not registers
 	complete     = record.Marker
@@ -91,6 +93,7 @@
 	began   time.Time
 	queue   chan func()
 	stopped chan struct{}
+	once    sync.Once
 
 	// Owned by own.
 	replica   *accord.Replica
@@ -112,6 +115,8 @@
 	doubtTill time.Duration
 	steer     *steering
 	diskFails int
+	markAt    time.Duration // when the mark is to be tried again; 0: it need not be
+	founding  bool          // founders are on their way to the disk
 }
 
 // New makes a Server; Run starts it.
@@ -138,7 +143,7 @@
 	votes := o.Known || first
 	s.replica = accord.New(s.me.Name, o.Settings.FaultBudget.Machines, votes, disk)
 	if s.settled = first; first {
-		o.Disk.PutAsync(complete, []byte{1}, func(error) {})
+		s.mark()
 	}
 	s.steer = newSteering(s)
 	return s
@@ -167,7 +172,7 @@
 }
 
 // Stop ends Run.
-func (s *Server) Stop() { close(s.stopped) }
+func (s *Server) Stop() { s.once.Do(func() { close(s.stopped) }) }
 
 func (s *Server) do(f func()) {
 	select {
@@ -176,6 +181,16 @@
 	}
 }
 
+// post is do for callbacks that may come on the owner's own goroutine, as those of the disk do when it refuses at
+// once: they must not wait for it.
+func (s *Server) post(f func()) {
+	select {
+	case s.queue <- f:
+	default:
+		go s.do(f)
+	}
+}
+
 // now is the steady time since the start.
 func (s *Server) now() time.Duration { return s.o.Clock.Now().Sub(s.began) }
 
@@ -204,7 +219,7 @@
 		switch o := o.(type) {
 		case accord.Persist:
 			s.o.Disk.PutAsync(registerMark+o.Name, encode(o.Register), func(err error) {
-				s.do(func() {
+				s.post(func() {
 					if err != nil {
 						s.diskFails++
 						s.log.Error("the disk failed", "register", o.Name, "err", err)
@@ -225,11 +240,23 @@
 			}
 		case accord.Complete:
 			s.log.Info("the disk has read what it forgot")
-			s.o.Disk.PutAsync(complete, []byte{1}, func(error) {})
+			s.mark()
 		}
 	}
 }
 
+// mark writes down that this disk has forgotten nothing, again until the disk takes it.
+func (s *Server) mark() {
+	s.o.Disk.PutAsync(complete, []byte{1}, func(err error) {
+		if err != nil {
+			s.post(func() {
+				s.log.Error("the mark of a whole disk could not be kept", "err", err)
+				s.markAt = s.now() + markAgain
+			})
+		}
+	})
+}
+
 // inForce tells carriers of what has become safe. They ask for a configuration where it is nearest to them.
 func (s *Server) inForce(r accord.Register) {
 	s.log.Info("in force", "register", r.Name, "hi", r.Stamp.Hi)
@@ -289,6 +316,10 @@
 		s.expire(now)
 	}
 	s.steer.step(now)
+	if s.markAt > 0 && now >= s.markAt {
+		s.markAt = 0
+		s.mark()
+	}
 	for seq, w := range s.words {
 		if now > w.until {
 			delete(s.words, seq)
@@ -336,18 +367,18 @@
 
 // keepFounders writes the founders down, then counts by them.
 func (s *Server) keepFounders(all []parley.Controller) {
-	if s.founders != nil {
+	if s.founders != nil || s.founding {
 		return
 	}
-	s.founders = all // no second set is taken while the disk is at work
+	s.founding = true // nobody is told before the disk has them, and no second set is taken meanwhile
 	text, _ := json.Marshal(all)
 	s.o.Disk.PutAsync(founders, text, func(err error) {
-		s.do(func() {
-			if err != nil {
-				s.founders = nil
+		s.post(func() {
+			if s.founding = false; err != nil {
 				s.log.Error("founders could not be kept", "err", err)
 				return
 			}
+			s.founders = all
 			s.found(all)
 		})
 	})
--- a/counsel/lines.go
+++ b/counsel/lines.go
@@ -2,11 +2,11 @@
 
 import (
 	"net"
+	"slices"
 	"time"
 
 	"elmfold/accord"
 	"elmfold/parley"
-	"elmfold/presence"
 )
 
 // dial keeps a line to the controller at an address, from now on.
@@ -159,7 +159,7 @@
 	if m.Seq > 0 {
 		line.Send(&parley.Message{Reply: m.Seq})
 	}
-	if w := s.words[m.Reply]; m.Reply > 0 && w != nil {
+	if w := s.words[m.Reply]; m.Reply > 0 && w != nil && s.isFounder(name) {
 		if w.need--; w.need <= 0 {
 			delete(s.words, m.Reply)
 			w.done <- nil
@@ -170,6 +170,10 @@
 	}
 }
 
+func (s *Server) isFounder(name string) bool {
+	return slices.ContainsFunc(s.founders, func(f parley.Controller) bool { return f.Name == name })
+}
+
 // toldBackends takes words of another controller; what is news here is passed on to the carriers at once, as the one
 // that it came from may be gone before it told them all.
 func (s *Server) toldBackends(words []parley.Backend) {
@@ -223,7 +227,7 @@
 		s.carriers[line] = c
 		first := &parley.Message{Hello: &parley.Hello{Who: s.me, Life: s.life}, Know: s.known(), Founders: s.founders,
 			Held: map[string]parley.Stamp{}, Safe: map[string]parley.Stamp{}, All: s.replica.Votes(),
-			Backends: s.table.All(now), Settled: s.settled}
+			Backends: s.table.All(now), Settled: s.settled, Members: s.table.Members()}
 		for _, name := range s.replica.Names() {
 			r, safe := s.replica.Newest(name)
 			if first.Held[name] = r.Stamp; safe {
@@ -242,8 +246,6 @@
 		line.Send(&parley.Message{Renewed: m.Renew})
 		if s.table.Renew(now, parley.Member{Name: c.who.Name, Zone: c.who.Zone}) {
 			s.tellMembers()
-		} else if m.Renew == 1 { // the first on this line
-			line.Send(&parley.Message{Members: s.table.Members()})
 		}
 		s.steer.report(c, m)
 	}
@@ -256,5 +258,3 @@
 		s.tellMembers()
 	}
 }
-
-var _ = presence.LeaseFor
--- a/counsel/main.go
+++ b/counsel/main.go
@@ -31,6 +31,9 @@
 		return errors.New("listen.control, dataDir: a controller needs both")
 	}
 	debug.SetGCPercent(60)
+	if mb := settings.Limits.MemoryMB; mb > 0 {
+		debug.SetMemoryLimit(int64(mb * 0.8 * (1 << 20)))
+	}
 	store, found, err := record.Open(settings.DataDir, int64(settings.Limits.DiskMB*0.8)<<20)
 	if err != nil {
 		return err
