Counsel: whole tables from the steerer alone, members told as changes once a second

Change: a new line brings what its controller vouches for and what leaves, the steerer the rest; members go as changes.

--- a/counsel/counsel.go
+++ b/counsel/counsel.go
@@ -338,16 +338,13 @@
 		s.toCarriers(&parley.Message{Backends: news})
 		s.steer.changed()
 	}
-	if s.table.Expire(now) {
-		s.tellMembers()
+	// Once a second and as changes: while a fleet starts, each member told at once to each would be its square.
+	if went, came := s.table.Changes(now); len(went)+len(came) > 0 {
+		s.toCarriers(&parley.Message{Went: went, Came: came})
+		s.steer.changed()
 	}
 }
 
-func (s *Server) tellMembers() {
-	s.toCarriers(&parley.Message{Members: s.table.Members()})
-	s.steer.changed()
-}
-
 // gather settles who the founders are, once, where nobody knows of any: the first of the seeds, which are the same for
 // all and up at the first start, waits until nobody new comes and writes them down before it tells them. One decider
 // with a disk needs no vote; a disk that it loses after that is not asked again, as bootstrap is false then.
--- a/counsel/lines.go
+++ b/counsel/lines.go
@@ -227,7 +227,7 @@
 		s.carriers[line] = c
 		first := &parley.Message{Hello: &parley.Hello{Who: s.me, Life: s.life}, Know: s.known(), Founders: s.founders,
 			Held: map[string]parley.Stamp{}, Safe: map[string]parley.Stamp{}, All: s.replica.Votes(),
-			Backends: s.table.All(now), Settled: s.settled, Members: s.table.Members()}
+			Backends: s.table.Own(now), Settled: s.settled, Members: s.table.Members()}
 		for _, name := range s.replica.Names() {
 			r, safe := s.replica.Newest(name)
 			if first.Held[name] = r.Stamp; safe {
@@ -244,9 +244,7 @@
 	}
 	if m.Renew > 0 {
 		line.Send(&parley.Message{Renewed: m.Renew})
-		if s.table.Renew(now, parley.Member{Name: c.who.Name, Zone: c.who.Zone}) {
-			s.tellMembers()
-		}
+		s.table.Renew(now, parley.Member{Name: c.who.Name, Zone: c.who.Zone})
 		s.steer.report(c, m)
 	}
 	for _, name := range m.Want {
@@ -254,7 +252,7 @@
 			line.Send(&parley.Message{Offers: []parley.Register{r}, Safe: map[string]parley.Stamp{name: r.Stamp}})
 		}
 	}
-	if m.Leave && s.table.Release(c.who.Name) {
-		s.tellMembers()
+	if m.Leave {
+		s.table.Release(c.who.Name)
 	}
 }
--- a/parley/parley.go
+++ b/parley/parley.go
@@ -136,6 +136,8 @@
 	Spent   float64  `cbor:"20,keyasint,omitempty"` // seconds that Uses and Met cover
 	Steer   bool     `cbor:"21,keyasint,omitempty"` // the speaker wants its tables from this controller
 	Tables  []Table  `cbor:"22,keyasint,omitempty"`
+	Came    []Member `cbor:"25,keyasint,omitempty"` // since the Members of the line's first word
+	Went    []string `cbor:"26,keyasint,omitempty"`
 	Leave   bool     `cbor:"23,keyasint,omitempty"` // the lease is given back
 }
 
--- a/presence/presence.go
+++ b/presence/presence.go
@@ -46,6 +46,8 @@
 	lives  map[string]*Life
 	at     map[string]string // the newest life by address
 	leases map[string]lease
+	came   []parley.Member // since Changes
+	went   []string
 }
 
 // New makes a Table; beat is the span between two beats of a backend.
@@ -181,12 +183,23 @@
 	return news
 }
 
-// All is every life, for a carrier or controller that has a new line here.
+// All is every life, for a controller that has a new line here and for a carrier that is steered from here.
 func (t *Table) All(now time.Duration) []parley.Backend {
-	all := make([]parley.Backend, 0, len(t.lives))
+	return t.words(now, func(*Life) bool { return true })
+}
+
+// Own are the lives that this controller vouches for, and those that leave: what a carrier with a new line here cannot
+// do without. The rest it hears from whoever vouches, and as a whole from the one that steers it.
+func (t *Table) Own(now time.Duration) []parley.Backend {
+	return t.words(now, func(l *Life) bool { return l.vouched || l.State != parley.Ready })
+}
+
+func (t *Table) words(now time.Duration, which func(*Life) bool) []parley.Backend {
+	var all []parley.Backend
 	for _, id := range slices.Sorted(maps.Keys(t.lives)) {
-		l := t.lives[id]
-		all = append(all, t.word(now, l, l.vouched))
+		if l := t.lives[id]; which(l) {
+			all = append(all, t.word(now, l, l.vouched))
+		}
 	}
 	return all
 }
@@ -206,29 +219,40 @@
 	return all
 }
 
-// Renew takes a carrier's renewal; it says whether the members changed.
-func (t *Table) Renew(now time.Duration, m parley.Member) (changed bool) {
+// Renew takes a carrier's renewal; it says whether it is a new member.
+func (t *Table) Renew(now time.Duration, m parley.Member) (came bool) {
 	_, held := t.leases[m.Name]
 	t.leases[m.Name] = lease{Member: m, until: now + LeaseFor}
+	if !held {
+		t.came = append(t.came, m)
+	}
 	return !held
 }
 
 // Release gives a lease back.
-func (t *Table) Release(name string) (changed bool) {
-	_, held := t.leases[name]
-	delete(t.leases, name)
-	return held
-}
-
-// Expire ends the leases that were not renewed; it says whether the members changed.
-func (t *Table) Expire(now time.Duration) (changed bool) {
-	for name, l := range t.leases {
-		if now > l.until {
-			delete(t.leases, name)
-			changed = true
+func (t *Table) Release(name string) {
+	if _, held := t.leases[name]; held {
+		t.went = append(t.went, name)
+		delete(t.leases, name)
+	}
+}
+
+// Changes ends the leases that were not renewed, and says who became a member and who is none any more since the last
+// call, in that order: one in both went, and came again after.
+func (t *Table) Changes(now time.Duration) (went []string, came []parley.Member) {
+	for _, name := range slices.Sorted(maps.Keys(t.leases)) {
+		if now > t.leases[name].until {
+			t.Release(name)
 		}
 	}
-	return changed
+	went = t.went
+	for _, m := range t.came {
+		if _, held := t.leases[m.Name]; held {
+			came = append(came, m)
+		}
+	}
+	t.went, t.came = nil, nil
+	return went, came
 }
 
 // Members are those that hold a lease, in the order of their names.
--- a/presence/presence_test.go
+++ b/presence/presence_test.go
@@ -135,14 +135,28 @@
 	if got := fmt.Sprint(table.Members()); got != "[{e0 b} {e1 a}]" {
 		t.Error(got)
 	}
-	if !table.Release("e0") || table.Release("e0") {
-		t.Error("a lease is given back once")
+	told := func(at time.Duration) string { went, came := table.Changes(at); return fmt.Sprint(went, came) }
+	if got := told(11 * s); got != "[] [{e1 a} {e0 b}]" {
+		t.Error("who came:", got)
+	}
+	table.Release("e0")
+	table.Release("e0")
+	if got := told(11 * s); got != "[e0] []" {
+		t.Error("a lease is given back once:", got)
 	}
 	// The renewal that is heard at 11 s was sent at 11 s or before.
-	if table.Expire(11*s+RightFor) || table.Expire(11*s+LeaseFor) || len(table.Members()) != 1 {
-		t.Error("the lease ends while its holder may use it")
+	if got := told(11*s+RightFor) + told(11*s+LeaseFor); got != "[] [][] []" || len(table.Members()) != 1 {
+		t.Error("the lease ends while its holder may use it:", got)
+	}
+	if got := told(11*s+LeaseFor+1) + told(20*s); got != "[e1] [][] []" || len(table.Members()) != 0 {
+		t.Error("the lease does not end, or is told again:", got)
 	}
-	if !table.Expire(11*s+LeaseFor+1) || table.Expire(20*s) || len(table.Members()) != 0 {
-		t.Error("the lease does not end, or is told again")
+	// One that went and came again between two tellings is a member to whoever hears them in their order.
+	table.Renew(30*s, parley.Member{Name: "e1", Zone: "a"})
+	told(30 * s)
+	table.Release("e1")
+	table.Renew(31*s, parley.Member{Name: "e1", Zone: "a"})
+	if got := told(31 * s); got != "[e1] [{e1 a}]" {
+		t.Error("went and came:", got)
 	}
 }
--- a/transit/transit.go
+++ b/transit/transit.go
@@ -59,7 +59,7 @@
 	held    map[string]parley.Stamp // as it said at the line's first word
 	safe    parley.Stamp            // the newest configuration that it said to be in force
 	asked   int                     // how often it was asked for the one that is wanted
-	members []parley.Member
+	members map[string]parley.Member
 	sent    [8]time.Duration // of the renewals, by their number
 	renewed time.Duration    // the sending of the newest that was answered; negative: none
 }
@@ -206,7 +206,8 @@
 			p = &controller{}
 			c.controllers[name] = p
 		}
-		*p = controller{who: m.Hello.Who, line: line, life: m.Hello.Life, upAt: now, votes: m.All, held: m.Held, renewed: -1}
+		*p = controller{who: m.Hello.Who, line: line, life: m.Hello.Life, upAt: now, votes: m.All, held: m.Held, renewed: -1,
+			members: map[string]parley.Member{}}
 		if c.heardAt < 0 {
 			c.heardAt = now
 		}
@@ -246,8 +247,18 @@
 			c.told(now, name, b)
 		}
 	}
-	if m.Members != nil {
-		p.members = m.Members
+	if m.Hello != nil {
+		for _, k := range m.Members {
+			p.members[k.Name] = k
+		}
+	}
+	for _, name := range m.Went {
+		delete(p.members, name)
+	}
+	for _, k := range m.Came {
+		p.members[k.Name] = k
+	}
+	if m.Hello != nil || len(m.Went)+len(m.Came) > 0 {
 		c.setMembers()
 	}
 	if m.Renewed > 0 && m.Renewed+uint64(len(p.sent)) > c.renewal {
