--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -24,6 +24,7 @@
 	shedDown    = 150 * time.Millisecond
 	illAfter    = 3                      // failures in a row that say that a backend is ill
 	spillAt     = 1.0                    // load over capacity of the better of two from which others are looked at
+	loadPart    = 0.4                    // of a load in what an answer is held to cost, where there is room
 	farPenalty  = 0.5                    // ... by which one of another zone must be less loaded
 	loadHalf    = 800 * time.Millisecond // in which what others have there fades, as far as it is not told anew
 	waitHalf    = 3 * time.Second        // ... where requests waited
@@ -75,6 +76,7 @@
 	took     time.Duration
 	answers  float64
 	waiting  bool
+	work     time.Duration // the mean time of its answers where nobody waited
 	answered time.Duration // when it last answered
 	silentAt time.Duration // when it last was found silent
 }
@@ -266,6 +268,17 @@
 	return (float64(b.busy) + b.others*fade) / float64(max(b.Capacity, 1))
 }
 
+// cost is how long an answer will take beside one of the service's usual backends with room: by how long it works, as
+// backends of a service vary in speed, by how far what is there must be worked off first, and a little by its load, as
+// some become slower when nearly full.
+func (b *Backend) cost(now time.Duration, v *service) float64 {
+	speed, load := 1.0, b.load(now)
+	if b.work > 0 && v.took > 0 {
+		speed = min(max(float64(b.work)/float64(v.took), 0.5), 3)
+	}
+	return speed*(1+max(load+1/float64(max(b.Capacity, 1))-1, 0)) + loadPart*load
+}
+
 func (s *Settler) share(v *service) int {
 	if v.maxConns == 0 {
 		return math.MaxInt
@@ -328,9 +341,9 @@
 	tried, limit := a.Tried, v.limit(a)
 	share := s.share(v)
 	var best *Backend
-	bestLoad := 0.0
-	// Two by their weights, of them the less loaded (Mitzenmacher 2001): what is known of loads is late, and all that
-	// see the same would run to the same least loaded one.
+	cost := 0.0
+	// Two by their weights, of them the one that answers sooner (Mitzenmacher 2001): what is known of loads is late,
+	// and all that see the same would run to the same best one.
 	sum := 0.0
 	for _, b := range v.backends {
 		if s.may(now, v, b, share) && !slices.Contains(tried, b.ID) {
@@ -343,8 +356,8 @@
 			for _, b := range v.backends {
 				if w := s.weightOf(v, b); w > 0 && s.may(now, v, b, share) && !slices.Contains(tried, b.ID) {
 					if x -= w; x < 0 {
-						if l := b.load(now); best == nil || l < bestLoad {
-							best, bestLoad = b, l
+						if l := b.cost(now, v); best == nil || l < cost {
+							best, cost = b, l
 						}
 						break
 					}
@@ -352,7 +365,8 @@
 			}
 		}
 	}
-	if best == nil || bestLoad >= spillAt {
+	if best == nil || best.load(now) >= spillAt {
+		best = nil
 		for _, b := range v.backends {
 			if !s.may(now, v, b, share) || slices.Contains(tried, b.ID) {
 				continue
@@ -361,8 +375,8 @@
 			if b.Zone != s.zone {
 				l += farPenalty
 			}
-			if best == nil || l < bestLoad {
-				best, bestLoad = b, l
+			if best == nil || l < cost {
+				best, cost = b, l
 			}
 		}
 	}
@@ -426,6 +440,9 @@
 			b.Doubted = false
 		}
 		b.failures, b.downTill = 0, 0
+		if m.Kind == fault.None && (!m.HasLoad || m.Waiting == 0) {
+			b.work = time.Duration(tookKeep*float64(cmp.Or(b.work, m.Took)) + (1-tookKeep)*float64(m.Took))
+		}
 		if v := s.service(b.Service); m.HasLoad && m.Waiting == 0 || v.took == 0 || m.Took < v.took {
 			v.took = time.Duration(tookKeep*float64(cmp.Or(v.took, m.Took)) + (1-tookKeep)*float64(m.Took))
 		}
