--- a/accord/accord.go
+++ b/accord/accord.go
@@ -51,6 +51,9 @@
 	Value []byte
 	At    uint64
 	Tie   uint64 // tells writers apart
+	// Next makes the value of the newest one there is, in place of Value; again says that the order is that one's
+	// over again, which is then only made safe.
+	Next func(newest Register) (value []byte, again bool)
 }
 
 // Read asks for the newest value of a register that is safe. Done tells it.
@@ -510,12 +513,23 @@
 			}
 			a.stamp = newest // asked for when its stamp was heard
 		case Amend:
-			if newest == h.Stamp && newest.Hi+sameFor > e.At && slices.Equal(h.Value, e.Value) {
+			latest := h.Register
+			if h.next != nil {
+				latest = *h.next
+			}
+			if latest.Stamp.Less(newest) && e.Next != nil {
+				return false // it was asked for when its stamp was heard
+			}
+			value, again := e.Value, newest == h.Stamp && newest.Hi+sameFor > e.At && slices.Equal(h.Value, e.Value)
+			if e.Next != nil {
+				value, again = e.Next(latest)
+			}
+			if again && newest == h.Stamp {
 				a.stamp = newest // the same word again: it is only made safe
 				break
 			}
 			a.stamp = Stamp{Hi: max(newest.Hi+1, e.At), Lo: e.Tie}
-			r.take(Register{Name: a.name, Stamp: a.stamp, Value: e.Value}, true)
+			r.take(Register{Name: a.name, Stamp: a.stamp, Value: value}, true)
 		}
 	}
 	if h.safe && !h.Stamp.Less(a.stamp) {
--- a/accord/accord_test.go
+++ b/accord/accord_test.go
@@ -102,7 +102,7 @@
 	r := replica(true, holding(1_000, "1"))
 	r.Step(time.Second, Heard{"c1", &parley.Message{Held: told(1_000)}})
 	c1 := other(holding(1_000, "1"))
-	orders := r.Step(20*time.Second, Amend{1, "zone/a", []byte("1"), 20_000, 1})
+	orders := r.Step(20*time.Second, Amend{Token: 1, Name: "zone/a", Value: []byte("1"), At: 20_000, Tie: 1})
 	orders = r.Step(20*time.Second+ms, answers(c1, 20*time.Second, sent(orders, "c1"))...)
 	if p, n := one[Persist](orders); n > 0 {
 		r.Step(20*time.Second+2*ms, Persisted{Name: "zone/a", Stamp: p.Stamp},
--- a/accord/drawn_test.go
+++ b/accord/drawn_test.go
@@ -547,7 +547,7 @@
 				i := w.rand.IntN(len(w.nodes))
 				at := uint64(w.now.Milliseconds() + 1_700_000_000_000 + w.nodes[i].clockSkews)
 				w.ask(i, zone, n, func(token uint64) Event {
-					return Amend{token, zone, []byte(value), at, uint64(i + 1)}
+					return Amend{Token: token, Name: zone, Value: []byte(value), At: at, Tie: uint64(i + 1)}
 				})
 			}
 		})
--- a/counsel/calls.go
+++ b/counsel/calls.go
@@ -42,9 +42,9 @@
 		case "config.read":
 			answer, err = s.read()
 		case "evacuation.begin":
-			answer, err = s.evacuate(of, "1")
+			answer, err = s.evacuate(of, true)
 		case "evacuation.finish":
-			answer, err = s.evacuate(of, "0")
+			answer, err = s.evacuate(of, false)
 		default:
 			err = fault.New(fault.UnknownCall, call, nil)
 		}
@@ -239,15 +239,15 @@
 	return d.Value, err
 }
 
-func (s *Server) evacuate(zone, value string) ([]byte, error) {
+func (s *Server) evacuate(zone string, begins bool) ([]byte, error) {
 	if _, known := s.o.Settings.Zones[zone]; !known {
 		return nil, fault.New(fault.Invalid, "of", fmt.Errorf("%q is no zone", zone))
 	}
 	tie := fnv.New64a()
 	_, _ = tie.Write([]byte(s.me.Name))
 	_, err := s.ask(func(token uint64) accord.Event {
-		return accord.Amend{Token: token, Name: zonePrefix + zone, Value: []byte(value),
-			At: uint64(s.o.TimeOfDay().UnixMilli()), Tie: tie.Sum64()}
+		at := uint64(s.o.TimeOfDay().UnixMilli())
+		return accord.Amend{Token: token, Name: zonePrefix + zone, Next: accord.Evacuate(begins, at), At: at, Tie: tie.Sum64()}
 	}, time.Time{})
 	return []byte("{}"), err
 }
--- a/counsel/counsel.go
+++ b/counsel/counsel.go
@@ -287,7 +287,7 @@
 	out := map[string]bool{}
 	for _, name := range s.replica.Names() {
 		if zone, ok := strings.CutPrefix(name, zonePrefix); ok {
-			if r, safe := s.replica.Newest(name); safe && string(r.Value) == "1" {
+			if r, safe := s.replica.Newest(name); safe && accord.Evacuated(r.Value) {
 				out[zone] = true
 			}
 		}
--- a/transit/transit.go
+++ b/transit/transit.go
@@ -19,6 +19,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/jonboulle/clockwork"
 
+	"elmfold/accord"
 	"elmfold/attempt"
 	"elmfold/charter"
 	"elmfold/parley"
@@ -338,7 +339,7 @@
 	}
 }
 
-func (c *Carrier) evacuated(zone string) bool { return string(c.zones[zone].Value) == "1" }
+func (c *Carrier) evacuated(zone string) bool { return accord.Evacuated(c.zones[zone].Value) }
 
 // want asks for the newest configuration: of those that said that it is in force the nearest, and another each time
 // that no answer came. Guards against the nearest one being cut off from the core: it has only what is older.
