--- a/attempt/attempt.go
+++ b/attempt/attempt.go
@@ -44,7 +44,10 @@
 	// after Do has returned, when the backend answered before the end of the body.
 	Stream    io.Reader
 	StreamLen int64
-	Deadline  time.Time // of the whole try, its Rest included; what is left goes out as the budget
+	// MostOpen is how many connections may stand to the address, this one included; with more, this one is closed when
+	// the answer has come. 0: any number.
+	MostOpen int
+	Deadline time.Time // of the whole try, its Rest included; what is left goes out as the budget
 }
 
 // Load is what a backend says of itself: requests running, requests waiting, slots.
@@ -352,7 +355,7 @@
 		ok = false // the client went away meanwhile: it is being closed
 	}
 	if ok {
-		t.p.put(t.k, t.keep)
+		t.p.put(t.k, t.keep, t.c.MostOpen)
 	} else {
 		t.p.drop(t.k)
 	}
--- a/attempt/conn.go
+++ b/attempt/conn.go
@@ -168,7 +168,7 @@
 func (p *Pool) Connect(ctx context.Context, addr string) error {
 	k, err := p.open(ctx, addr, p.o.Now().Add(p.o.DialTimeout+time.Millisecond))
 	if err == nil {
-		p.put(k, p.o.IdleFor)
+		p.put(k, p.o.IdleFor, 0)
 	}
 	return err
 }
@@ -197,14 +197,14 @@
 }
 
 // put takes a connection back for some time, in place of the oldest idle one if there are too many.
-func (p *Pool) put(k *conn, keep time.Duration) {
+func (p *Pool) put(k *conn, keep time.Duration, mostOpen int) {
 	k.until = p.o.Now().Add(keep)
 	p.mu.Lock()
 	h := p.homes[k.addr]
 	if keep > 0 && k.era == h.era {
 		h.idle = append(h.idle, k)
 		k = nil
-		if len(h.idle) > p.o.MostIdle {
+		if len(h.idle) > p.o.MostIdle || mostOpen > 0 && h.open > mostOpen {
 			k = h.idle[0]
 			h.idle = append(h.idle[:0], h.idle[1:]...)
 		}
--- a/transit/front.go
+++ b/transit/front.go
@@ -283,7 +283,7 @@
 			Priority: q.route.Priority, Draws: [2]float64{rand.Float64(), rand.Float64()}}
 		c.settle(func(s *verdict.Settler) {
 			if b, kind = s.Pick(c.now(), ask); b != nil {
-				call.Addr, call.Instance = b.Address, b.ID // they may change once the lock is free
+				call.Addr, call.Instance, call.MostOpen = b.Address, b.ID, b.Share() // they may change once the lock is free
 			}
 		})
 		if b == nil {
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -64,6 +64,7 @@
 	busy     int     // requests of this carrier
 	others   float64 // requests of others, as last told of, at othersAt
 	othersAt time.Duration
+	share    int // connections that this carrier may have to it, as of the last pick
 	downTill time.Duration
 	failures int
 	Doubted  bool // not to be asked until it is proved to be there
@@ -332,6 +333,9 @@
 	return min(max(time.Duration(float64(target)/4*(0.6+0.8*u)), afterLeast), afterMost)
 }
 
+// Share is how many connections this carrier may have to the backend, idle ones included: they all count there.
+func (b *Backend) Share() int { return b.share }
+
 // Pick chooses a backend for a request. Where none may be asked it says why. A pick must be ended by End.
 func (s *Settler) Pick(now time.Duration, a Ask) (*Backend, fault.Kind) {
 	v := s.services[a.Service]
@@ -389,6 +393,7 @@
 		return nil, fault.NoBackend
 	}
 	best.busy++
+	best.share = share
 	if now < best.ColdUntil {
 		best.coldAt = now
 	}
