Entry: lines to machines that were dark are dialled again after 0.35 s

Cause: after a loss of all power a dial to a controller that was still dark hung for 0.8 s, and carriers called themselves ready 0.65 s later than they served. Change: 0.35 s.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -126,7 +126,7 @@
 // Dial reaches another of the system's processes. A side that has lost its power says nothing, so what was sent is
 // given up after a while.
 func Dial(address string) (net.Conn, error) {
-	d := net.Dialer{Timeout: 800 * time.Millisecond, KeepAlive: -1, Control: func(_, _ string, c syscall.RawConn) error {
+	d := net.Dialer{Timeout: 350 * time.Millisecond, KeepAlive: -1, Control: func(_, _ string, c syscall.RawConn) error {
 		return c.Control(func(fd uintptr) {
 			_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, userTimeout, 3000)
 		})
