Transit: ready only once evacuations that controllers hold are known too

Cause: readiness looked at the configuration alone; a new life that met controllers which had just started could serve into an evacuated zone. Change: every register that they hold counts.

--- a/transit/transit.go
+++ b/transit/transit.go
@@ -291,7 +291,13 @@
 	for _, f := range c.founders {
 		if p := c.controllers[f.Name]; p != nil && p.line != nil && p.settled && p.votes {
 			read++
-			behind = behind || uint64(c.view.Load().Version) < p.held[charterName].Hi
+			for name, held := range p.held { // what it holds may be in force, evacuations too
+				have := c.have
+				if zone, ok := strings.CutPrefix(name, zonePrefix); ok {
+					have = c.zones[zone].Stamp
+				}
+				behind = behind || have.Less(held)
+			}
 		}
 	}
 	if enough := read >= c.quorum() && c.quorum() > 0 && !behind; enough || now > c.heardAt+readAtLeast {
