--- /dev/null
+++ b/gauntlet/backend.go
@@ -0,0 +1,450 @@
+package gauntlet
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Act is what a backend does with a request that it runs.
+type Act uint8
+
+// Acts.
+const (
+	Proper    Act = iota
+	Twice         // answers twice
+	Afterword     // sends bytes after its answer, a moment later
+	Short         // breaks off within the body
+	Mute          // runs it and says nothing
+	Snap          // runs it and resets the connection
+	Garble        // sends bytes that are no answer
+	Lost          // resets before it runs it, after it has read it
+)
+
+// Backend is one life of a scripted one.
+type Backend struct {
+	w             *World
+	host          *Host
+	ID, Service   string
+	Zone, Address string
+	Slots, Queue  int
+	Work          time.Duration
+	Size          int                   // bytes of its answers' bodies
+	Script        func(id string) Act   // nil: Proper always
+	Meanwhile     func(r *http.Request) // called while it works
+	state         string
+	coldTill      time.Duration
+	mu            sync.Mutex
+	running       int
+	waiting       []chan struct{}
+	seq           uint64
+	target        string
+	rand          *rand.Rand
+	begun         time.Duration
+}
+
+// Backend starts one. Cold: it is slow for the service's coldS, and must not be sent much.
+func (w *World) Backend(service, zone, ip string, slots int, work time.Duration, cold bool) *Backend {
+	w.mu.Lock()
+	w.lives++
+	n := w.lives
+	w.mu.Unlock()
+	b := &Backend{w: w, host: w.Net.Host(ip), ID: fmt.Sprintf("i-%s-%d", ip, n), Service: service, Zone: zone,
+		Address: ip + ":8080", Slots: slots, Queue: 2 * slots, Work: work, Size: 600, state: "ready",
+		rand: w.Rand("backend", uint64(n)), begun: w.Now()}
+	if cold {
+		w.Cold(b, coldFor)
+	}
+	l, err := b.host.Listen(b.Address)
+	if err != nil {
+		panic(err)
+	}
+	w.mu.Lock()
+	w.backends[b.ID] = b
+	w.mu.Unlock()
+	go b.accept(l)
+	go b.beat()
+	return b
+}
+
+// Cold makes it cold for a span.
+func (w *World) Cold(b *Backend, span time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.coldTill = w.Now() + span
+	w.Ledger.do(func() {
+		w.Ledger.Colds = append(w.Ledger.Colds, Cold{Backend: b.ID, From: w.Now(), To: b.coldTill, Rate: coldRate})
+	})
+}
+
+func (b *Backend) script(f func(id string) Act) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.Script = f
+}
+
+// Crash ends it without a word.
+func (b *Backend) Crash() {
+	b.w.gone(b)
+	b.host.Kill()
+}
+
+func (b *Backend) accept(l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go b.serve(c)
+	}
+}
+
+const idleFor = 12 * time.Second // of connections to backends
+
+func (b *Backend) serve(c net.Conn) {
+	defer c.Close()
+	in := bufio.NewReader(c)
+	for {
+		_ = c.SetReadDeadline(time.Now().Add(idleFor))
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		_ = c.SetReadDeadline(time.Now().Add(30 * time.Second))
+		body, err := io.ReadAll(r.Body)
+		if err != nil || !b.answer(c, r, body) {
+			return
+		}
+	}
+}
+
+// take waits for a slot; refused says that there is no room, or no time is left.
+func (b *Backend) take(budget time.Duration) (ok bool) {
+	b.mu.Lock()
+	if b.running < b.Slots {
+		b.running++
+		b.mu.Unlock()
+		return true
+	}
+	if len(b.waiting) >= b.Queue {
+		b.mu.Unlock()
+		return false
+	}
+	turn := make(chan struct{})
+	b.waiting = append(b.waiting, turn)
+	b.mu.Unlock()
+	t := time.NewTimer(budget)
+	defer t.Stop()
+	select {
+	case <-turn:
+		return true
+	case <-t.C:
+	case <-b.host.gone:
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for i, w := range b.waiting {
+		if w == turn {
+			b.waiting = append(b.waiting[:i:i], b.waiting[i+1:]...)
+			return false
+		}
+	}
+	return true // it came at the same moment
+}
+
+func (b *Backend) free() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.waiting) > 0 {
+		close(b.waiting[0])
+		b.waiting = b.waiting[1:]
+	} else {
+		b.running--
+	}
+}
+
+func (b *Backend) load() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return fmt.Sprintf("%d,%d,%d", b.running, len(b.waiting), b.Slots)
+}
+
+func (b *Backend) cold() time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return max(b.coldTill-b.w.Now(), 0)
+}
+
+// answer serves one request; false: the connection ends.
+func (b *Backend) answer(c net.Conn, r *http.Request, body []byte) bool {
+	id := r.Header.Get("X-Elmfold-Attempt-Id")
+	if r.Method == http.MethodGet && r.RequestURI == "/health" && id == "" {
+		status := 200
+		b.mu.Lock()
+		if b.state != "ready" {
+			status = 503
+		}
+		b.mu.Unlock()
+		return say(c, status, "", map[string]string{"X-Elmfold-Instance-Id": b.ID, "X-Elmfold-Server-Load": b.load(),
+			"X-Elmfold-Cold-Ms": strconv.FormatInt(b.cold().Milliseconds(), 10)}, nil)
+	}
+	from, _, _ := net.SplitHostPort(c.RemoteAddr().String())
+	a := Arrival{ID: id, At: b.w.Now(), Backend: b.ID, Service: b.Service, Zone: b.Zone, From: from, Method: r.Method,
+		Target: r.RequestURI, Body: sum(body)}
+	note := func(o Outcome) { a.Outcome = o; b.w.Ledger.Arrive(a) }
+	fields := map[string]string{"X-Elmfold-Attempt-Id": id, "X-Elmfold-Server-Load": b.load(),
+		"Keep-Alive": fmt.Sprintf("timeout=%d", int(idleFor.Seconds()))}
+	if t := r.Header.Get("X-Elmfold-Target-Instance"); t != "" && t != b.ID {
+		note(Misdirected)
+		return say(c, http.StatusMisdirectedRequest, "", fields, nil)
+	}
+	budget := 10 * time.Second
+	if ms, err := strconv.Atoi(r.Header.Get("X-Elmfold-Time-Budget-Ms")); err == nil {
+		budget = time.Duration(ms) * time.Millisecond
+	}
+	act := Proper
+	b.mu.Lock()
+	script := b.Script
+	b.mu.Unlock()
+	if script != nil {
+		act = script(id)
+	}
+	if act == Lost {
+		note(Shed)
+		b.w.Ledger.Reply(id, Reply{Backend: b.ID})
+		c.(*end).abort()
+		return false
+	}
+	if !b.take(budget) {
+		note(Shed)
+		fields["X-Elmfold-Not-Executed"] = "1"
+		return say(c, http.StatusServiceUnavailable, "", fields, nil)
+	}
+	defer b.free()
+	if over, _ := c.(*end).ended(); over { // dropped before it ran
+		note(Shed)
+		return false
+	}
+	note(Ran)
+	if b.Meanwhile != nil {
+		b.Meanwhile(r)
+	}
+	work := b.Work
+	if b.cold() > 0 {
+		work *= 2
+	}
+	t := time.NewTimer(min(work, budget))
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-b.host.gone:
+		b.w.Ledger.Reply(id, Reply{Backend: b.ID})
+		return false
+	}
+	status := 200
+	if work > budget {
+		status = http.StatusGatewayTimeout
+	}
+	size := b.Size
+	if len(id) > 0 && id[0] < '4' && b.Service == "views" {
+		size = 80 << 10 // more than a carrier holds: it flows
+	}
+	page := []byte(strings.Repeat(id+" ", size/(len(id)+1)+1))
+	seal := fmt.Sprintf("%s.%d.%x", b.ID, len(page), sum([]byte(id+b.ID)))
+	reply := Reply{Backend: b.ID, Status: status, Seal: seal, Sum: sum(page), Whole: act <= Afterword}
+	b.w.Ledger.Reply(id, reply)
+	fields["X-Elmfold-Server-Load"] = b.load()
+	if cold := b.cold(); cold > 0 {
+		fields["X-Elmfold-Cold-Ms"] = strconv.FormatInt(cold.Milliseconds(), 10)
+	}
+	switch act {
+	case Mute:
+		select {
+		case <-time.After(budget + time.Second):
+		case <-b.host.gone:
+		}
+		return false
+	case Snap:
+		c.(*end).abort()
+		return false
+	case Garble:
+		_, _ = c.Write([]byte("\x00\x7fHTTP/9 what\r\n\r\nnothing\r\n"))
+		return false
+	case Short:
+		_, _ = c.Write(answerBytes(status, seal, fields, page)[:200+len(page)*9/10])
+		return false
+	case Twice:
+		return say(c, status, seal, fields, page) && say(c, status, seal, fields, page)
+	case Afterword:
+		if !say(c, status, seal, fields, page) {
+			return false
+		}
+		time.Sleep(3 * time.Millisecond)
+		return say(c, status, seal, fields, page)
+	}
+	return say(c, status, seal, fields, page)
+}
+
+func answerBytes(status int, seal string, fields map[string]string, body []byte) []byte {
+	out := fmt.Appendf(nil, "HTTP/1.1 %d %s\r\n", status, http.StatusText(status))
+	if len(body) > 64<<10 && seal[len(seal)-1]&1 == 0 { // half of the long ones come in chunks
+		out = append(out, "Transfer-Encoding: chunked\r\n"...)
+		body = fmt.Appendf(nil, "%x\r\n%s\r\n%x\r\n%s\r\n0\r\n\r\n", 100, body[:100], len(body)-100, body[100:])
+	} else {
+		out = fmt.Appendf(out, "Content-Length: %d\r\n", len(body))
+	}
+	for _, name := range sortedKeys(fields) {
+		out = fmt.Appendf(out, "%s: %s\r\n", name, fields[name])
+	}
+	if seal != "" {
+		out = fmt.Appendf(out, "X-Elmfold-Server-Seal: %s\r\n", seal)
+	}
+	return append(append(out, "\r\n"...), body...)
+}
+
+func say(c net.Conn, status int, seal string, fields map[string]string, body []byte) bool {
+	_, err := c.Write(answerBytes(status, seal, fields, body))
+	return err == nil
+}
+
+// abort resets the connection.
+func (e *end) abort() {
+	e.n.mu.Lock()
+	defer e.n.mu.Unlock()
+	if !e.closed {
+		e.closed = true
+		e.n.push(e.peer, segment{kind: reset}, 0)
+		e.stir()
+	}
+}
+
+// beat tells the controllers that it is there.
+func (b *Backend) beat() {
+	every := b.w.Beat
+	pause := time.Duration(b.rand.Int64N(int64(every / 5)))
+	for b.sleep(pause) {
+		b.say(b.rand, "ready")
+		pause = every - every/10 + time.Duration(b.rand.Int64N(int64(every/5)))
+		b.mu.Lock()
+		draining := b.state != "ready"
+		b.mu.Unlock()
+		if draining {
+			return
+		}
+	}
+}
+
+func (b *Backend) sleep(d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-b.host.gone:
+		return false
+	}
+}
+
+// say sends one word until a controller acknowledges it, or each was asked once; it gives the one that did.
+func (b *Backend) say(r *rand.Rand, state string) (by string) {
+	b.mu.Lock()
+	b.seq++
+	word := map[string]any{"address": b.Address,
+		"descriptor": map[string]any{"service": b.Service, "generation": "v1", "zone": b.Zone, "capacity": b.Slots},
+		"observed": map[string]any{"state": state, "callSeq": b.seq,
+			"coldLeftS": max(b.coldTill-b.w.Now(), 0).Seconds()}}
+	first := b.target
+	b.mu.Unlock()
+	text, _ := json.Marshal(word)
+	for _, at := range b.w.controls(r, first) {
+		status, body, err := b.host.call(at, "instances.heartbeat", b.ID, text, time.Second)
+		if err != nil || status/100 != 2 || len(body) > 4096 {
+			continue
+		}
+		var answer struct{ BeatTarget string }
+		if json.Unmarshal(body, &answer) == nil && answer.BeatTarget != "" {
+			at = answer.BeatTarget
+		}
+		b.mu.Lock()
+		b.target = at
+		b.mu.Unlock()
+		return at
+	}
+	b.mu.Lock()
+	b.target = ""
+	b.mu.Unlock()
+	return ""
+}
+
+// Drain says that it leaves, serves on for drainS after the acknowledgement, says that it is gone, and ends.
+func (b *Backend) Drain() {
+	b.mu.Lock()
+	b.state = "draining"
+	b.mu.Unlock()
+	w := b.w
+	r := w.Rand("drain "+b.ID, 0)
+	acked := ""
+	for began := w.Now(); acked == "" && w.Now() < began+5*time.Second; {
+		if acked = b.sayLeaving(r); acked == "" && !b.sleep(200*time.Millisecond) {
+			return
+		}
+	}
+	if !b.sleep(w.Ledger.Bounds.Drain.Span() + 700*time.Millisecond) {
+		return
+	}
+	for _, at := range w.controls(r, acked) {
+		if status, _, err := b.host.call(at, "instances.deregister", b.ID, nil, time.Second); err == nil && status/100 == 2 {
+			w.left(b, at)
+			break
+		}
+	}
+	b.sleep(300 * time.Millisecond)
+	b.Crash()
+}
+
+func (b *Backend) sayLeaving(r *rand.Rand) string {
+	by := b.say(r, "draining")
+	if by != "" {
+		b.w.left(b, by)
+	}
+	return by
+}
+
+// call is one call of the system's own interface.
+func (h *Host) call(address, call, of string, body []byte, within time.Duration) (status int, answer []byte, err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	c, err := h.Dial(ctx, address, within)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(within))
+	target := "/v1/rpc?call=" + call
+	if of != "" {
+		target += "&of=" + url.QueryEscape(of)
+	}
+	head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n",
+		target, address, len(body))
+	if _, err = c.Write(append([]byte(head), body...)); err != nil {
+		return 0, nil, err
+	}
+	r, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0, nil, err
+	}
+	if answer, err = io.ReadAll(r.Body); err != nil {
+		return 0, nil, err
+	}
+	return r.StatusCode, answer, nil
+}
--- /dev/null
+++ b/gauntlet/days.go
@@ -0,0 +1,394 @@
+package gauntlet
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Zones, Plain, Flows and Charter are the deployment of most days.
+var Zones = []string{"north", "west", "south"}
+
+// Plain is three controllers, one of which may be lost, and four carriers.
+var Plain = Shape{Zones: Zones, Cores: 3, Carriers: 4, Faults: 1}
+
+// Flows are two kinds that may be repeated and one that may not.
+var Flows = []Flow{
+	{Name: "page", Host: "a.example", Prefix: "/page/", Service: "pages", Safe: true, Rate: 60,
+		Deadline: 3 * time.Second, Timeout: 4 * time.Second},
+	{Name: "order", Method: "POST", Host: "a.example", Prefix: "/order/", Service: "orders", Rate: 24,
+		Deadline: 4 * time.Second, Timeout: 5 * time.Second, Body: 300},
+	{Name: "view", Host: "b.example", Prefix: "/", Service: "views", Safe: true, Rate: 24,
+		Deadline: 5 * time.Second, Timeout: 6 * time.Second},
+}
+
+// Charter is a configuration that lets the flows through.
+func Charter(version uint32) *Config {
+	c := &Config{Version: version, Services: []string{"pages", "orders", "views"}}
+	for _, f := range Flows {
+		c.Routes = append(c.Routes, Route{Host: f.Host, Prefix: f.Prefix, Safe: f.Safe, Services: []string{f.Service},
+			TimeoutS: f.Timeout.Seconds(), MaxTries: 2})
+	}
+	return c
+}
+
+// Begin starts a world with two backends a service and zone, and a configuration, and waits until it serves.
+func Begin(seed uint64, shape Shape) *World {
+	w := NewWorld(seed, shape)
+	w.Start()
+	for i, f := range Flows {
+		for z, zone := range shape.Zones {
+			for n := range 2 {
+				w.Backend(f.Service, zone, fmt.Sprintf("10.%d.1.%d", z, 10*(i+1)+n), 4, workOf(f.Service), false)
+			}
+		}
+	}
+	time.Sleep(4 * time.Second)
+	w.Replace(Charter(1), true, nil, 5*time.Second)
+	time.Sleep(3 * time.Second)
+	return w
+}
+
+func workOf(service string) time.Duration {
+	return map[string]time.Duration{"pages": 60, "orders": 100, "views": 140}[service] * time.Millisecond
+}
+
+// draw is the faults of one day.
+type draw struct {
+	w       *World
+	r       *rand.Rand
+	mu      sync.Mutex
+	version uint32
+	coreTo  time.Duration // until then the core has lost what it may lose
+	zoned   bool          // a zone is evacuated
+	spare   int
+	Log     []string
+}
+
+func (d *draw) log(format string, args ...any) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.Log = append(d.Log, fmt.Sprintf("%7.3f ", d.w.Now().Seconds())+fmt.Sprintf(format, args...))
+}
+
+// Drawn plays a day of a span with faults that the seed draws, `mean` apart; it returns what was done.
+func Drawn(w *World, span, mean time.Duration) []string {
+	d := &draw{w: w, r: w.Rand("faults", 0), version: 1}
+	var wait sync.WaitGroup
+	extra := Flow{Name: "extra", Host: "a.example", Prefix: "/extra-", Service: "pages", Safe: true, Rate: 8,
+		Deadline: 2 * time.Second, Timeout: 4 * time.Second, Probe: true}
+	tail := 9 * time.Second
+	wait.Go(func() { w.Load(span+tail, append(slices.Clone(Flows), extra)...) })
+	end := w.Now() + span
+	for {
+		time.Sleep(time.Duration(d.r.ExpFloat64() * float64(mean)))
+		if w.Now() > end {
+			break
+		}
+		d.one()
+	}
+	if d.r.IntN(2) == 0 {
+		w.Go(func() { d.close() })
+	}
+	wait.Wait()
+	w.ReadBack()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.Log
+}
+
+func pick[T any](r *rand.Rand, all []T) (one T) {
+	if len(all) > 0 {
+		one = all[r.IntN(len(all))]
+	}
+	return one
+}
+
+// span is between a and b seconds.
+func (d *draw) span(a, b float64) time.Duration {
+	return time.Duration((a + d.r.Float64()*(b-a)) * float64(time.Second))
+}
+
+// core gives the core's machine that may be lost now, for a span; nil: none may be.
+func (d *draw) core(span time.Duration) *Machine {
+	if d.w.Now() < d.coreTo {
+		return nil
+	}
+	d.coreTo = d.w.Now() + span + d.w.Ledger.Bounds.CatchUp.Span()
+	return pick(d.r, d.w.Cores)
+}
+
+// one draws a fault. All is drawn before it begins, so that what the programs do shifts nothing.
+func (d *draw) one() {
+	w, r := d.w, d.r
+	span := d.span(0.2, 5)
+	b := pick(r, w.Backends())
+	m := pick(r, w.Carriers)
+	switch r.IntN(22) {
+	case 0:
+		d.log("kill %s", m.Name)
+		w.Go(func() { w.Kill(m); time.Sleep(span / 4); w.Run(m) })
+	case 1:
+		d.log("power %s for %v", m.Name, span)
+		w.Go(func() { w.Power(m); time.Sleep(span); w.PowerOn(m) })
+	case 2:
+		d.log("term %s", m.Name)
+		w.Go(func() { w.Term(m); time.Sleep(span / 4); w.Run(m) })
+	case 3:
+		d.log("freeze %s for %v", m.Name, span)
+		w.Go(func() { w.Freeze(m, span) })
+	case 4:
+		d.log("reset %s", m.Name)
+		w.Reset(m)
+	case 5:
+		both := r.IntN(2) == 0
+		d.log("cut %s from the core for %v, both ways %t", m.Name, span, both)
+		var joins []func()
+		for _, c := range w.Cores {
+			joins = append(joins, w.Cut(m, c, both))
+		}
+		w.Go(func() { time.Sleep(span); each(joins) })
+	case 6, 7:
+		if c := d.core(span); c != nil {
+			how := r.IntN(5)
+			d.log("%s: %s for %v", c.Name, []string{"kill", "power", "power, disk wiped", "power, disk torn", "freeze"}[how], span)
+			w.Go(func() { d.harm(c, how, span) })
+		}
+	case 8:
+		if c := d.core(span); c != nil {
+			both := r.IntN(2) == 0
+			d.log("cut %s from the core for %v, both ways %t", c.Name, span, both)
+			var joins []func()
+			for _, o := range w.Cores {
+				if o != c {
+					joins = append(joins, w.Cut(c, o, both))
+				}
+			}
+			w.Go(func() { time.Sleep(span); each(joins) })
+		}
+	case 9:
+		if c := d.core(span); c != nil {
+			full := r.IntN(2) == 0
+			d.log("disk of %s for %v, full %t (else it hangs)", c.Name, span, full)
+			end := w.Ledger.Trouble(w.Now(), c.Name, "disk", false)
+			if full {
+				c.Disk.Full(true)
+			} else {
+				c.Disk.Hang(span)
+			}
+			w.Go(func() { time.Sleep(span); c.Disk.Full(false); end(w.Now()) })
+		}
+	case 10:
+		if w.Now() >= d.coreTo {
+			d.coreTo = w.Now() + span + w.Ledger.Bounds.CatchUp.Span()
+			d.log("kill all")
+			w.Go(func() { d.all(false, span/5) })
+		}
+	case 11:
+		if w.Now() >= d.coreTo {
+			zone := pick(r, w.shape.Zones)
+			d.coreTo = w.Now() + span + w.Ledger.Bounds.CatchUp.Span()
+			d.log("%s without power for %v", zone, span)
+			w.Go(func() { d.zone(zone, span) })
+		}
+	case 12:
+		d.log("crash %s", b.ID)
+		reuse := r.IntN(2) == 0
+		service := pick(r, []string{"pages", "orders", "views"})
+		w.Go(func() {
+			b.Crash()
+			if time.Sleep(w.Ledger.Bounds.AddrReuse.Span() + span/4); reuse {
+				d.log("%s at the address of %s", service, b.ID)
+				w.Backend(service, b.Zone, strings.TrimSuffix(b.Address, ":8080"), 4, workOf(service), true)
+			} else {
+				d.fresh(b)
+			}
+		})
+	case 13, 14:
+		d.log("replace %s", b.ID)
+		w.Go(func() { d.fresh(b); time.Sleep(span / 4); b.Drain() })
+	case 15, 16:
+		act := Act(1 + r.IntN(int(Lost)))
+		odds, own := 2+r.IntN(8), rand.New(rand.NewPCG(r.Uint64(), 0))
+		d.log("%s does %d in one of %d for %v", b.ID, act, odds, span)
+		var mu sync.Mutex
+		b.script(func(string) Act {
+			mu.Lock()
+			defer mu.Unlock()
+			if own.IntN(odds) == 0 {
+				return act
+			}
+			return Proper
+		})
+		w.Go(func() { time.Sleep(span); b.script(nil) })
+	case 17, 18:
+		d.change(1)
+	case 19:
+		d.change(2)
+	case 20:
+		d.version++
+		c := d.next()
+		c.Routes[0].Services = []string{pick(r, []string{"nobody", "pages"})}
+		if c.Routes[0].Services[0] == "pages" {
+			c.Routes[0].TimeoutS = 700
+		}
+		d.log("an invalid configuration %08x", c.Version)
+		w.Go(func() { w.Replace(c, false, nil, 4*time.Second) })
+	case 21:
+		if !d.zoned {
+			d.zoned = true
+			zone := pick(r, w.shape.Zones)
+			d.log("evacuate %s", zone)
+			from, to := pick(r, w.Cores), pick(r, w.Cores)
+			w.Go(func() {
+				w.Evacuate(zone, true, from)
+				time.Sleep(w.Ledger.Bounds.Evacuate.Span() + span)
+				for _, b := range w.Backends() {
+					if b.Zone == zone {
+						w.Cold(b, coldFor+time.Second)
+					}
+				}
+				time.Sleep(200 * time.Millisecond)
+				d.log("take back %s", zone)
+				w.Evacuate(zone, false, to)
+			})
+		}
+	}
+}
+
+func each(all []func()) {
+	for _, f := range all {
+		f()
+	}
+}
+
+func (d *draw) harm(m *Machine, how int, span time.Duration) {
+	w := d.w
+	switch how {
+	case 0:
+		w.Kill(m)
+		time.Sleep(span / 4)
+		w.Run(m)
+		return
+	case 4:
+		w.Freeze(m, span)
+		return
+	case 1, 2, 3:
+		w.Power(m)
+	}
+	switch how {
+	case 2:
+		m.Disk.Wipe()
+	case 3:
+		m.Disk.Tear(3, true)
+	}
+	time.Sleep(span)
+	w.PowerOn(m)
+}
+
+// all ends every process of the gateway at once, and starts them again.
+func (d *draw) all(power bool, span time.Duration) {
+	w := d.w
+	var all []*Machine
+	for _, m := range slices.Concat(w.Cores, w.Carriers) {
+		if m.running() {
+			all = append(all, m)
+			if power {
+				w.Power(m)
+			} else {
+				w.Kill(m)
+			}
+		}
+	}
+	time.Sleep(span)
+	for _, m := range all {
+		w.PowerOn(m)
+	}
+}
+
+func (d *draw) zone(zone string, span time.Duration) {
+	w := d.w
+	var all []*Machine
+	for _, m := range slices.Concat(w.Cores, w.Carriers) {
+		if m.Zone == zone && m.running() {
+			w.Power(m)
+			all = append(all, m)
+		}
+	}
+	var lost []*Backend
+	for _, b := range w.Backends() {
+		if b.Zone == zone {
+			w.gone(b)
+			w.Net.Dark(b.host.IP, true)
+			b.host.Power()
+			lost = append(lost, b)
+		}
+	}
+	time.Sleep(span)
+	for _, m := range all {
+		w.PowerOn(m)
+	}
+	for _, b := range lost {
+		w.Net.Dark(b.host.IP, false)
+		w.Backend(b.Service, b.Zone, b.host.IP, b.Slots, b.Work, true)
+	}
+}
+
+// fresh starts a backend in place of another, at an address of its own.
+func (d *draw) fresh(b *Backend) {
+	d.mu.Lock()
+	d.spare++
+	n := d.spare
+	d.mu.Unlock()
+	z := slices.Index(d.w.shape.Zones, b.Zone)
+	d.w.Backend(b.Service, b.Zone, fmt.Sprintf("10.%d.3.%d", z, n), b.Slots, b.Work, true)
+}
+
+// next is a configuration of the next version, by chance unlike the last.
+func (d *draw) next() *Config {
+	d.version += uint32(1 + d.r.IntN(3))
+	c := Charter(d.version)
+	c.Routes[0].Services = pick(d.r, [][]string{{"pages"}, {"views"}, {"pages", "views"}})
+	for k := range 36 { // the flow "extra" goes to one of them
+		if d.r.IntN(2) == 0 {
+			c.Routes = append(c.Routes, Route{Host: "a.example", Prefix: fmt.Sprintf("/extra-%s", string("0123456789abcdefghijklmnopqrstuvwxyz"[k])),
+				Safe: true, Services: []string{"pages"}, TimeoutS: 4, MaxTries: 2})
+		}
+	}
+	return c
+}
+
+// change sends configurations at the same time, to controllers of their own.
+func (d *draw) change(n int) {
+	for range n {
+		c, at := d.next(), pick(d.r, d.w.Cores)
+		d.log("configuration %08x at %s", c.Version, at.Name)
+		d.w.Go(func() { d.w.Replace(c, true, at, 8*time.Second) })
+	}
+}
+
+// close is the closing fault, just after a configuration was acknowledged.
+func (d *draw) close() {
+	w := d.w
+	for w.Now() < d.coreTo {
+		time.Sleep(100 * time.Millisecond)
+	}
+	c, how, span := d.next(), d.r.IntN(3), d.span(0.2, 1)
+	victim := pick(d.r, w.Cores)
+	if o := w.Replace(c, true, victim, 5*time.Second); o.Acked > 0 && o.By != "" {
+		victim = w.Machines[o.By]
+	}
+	w.Ledger.do(func() { w.Ledger.Closing = w.Now() })
+	d.log("the day closes: %s", []string{"all without power", "all killed", victim.Name + " loses its disk"}[how])
+	switch how {
+	case 0:
+		d.all(true, span)
+	case 1:
+		d.all(false, span)
+	default:
+		d.harm(victim, 2, span)
+	}
+}
--- /dev/null
+++ b/gauntlet/ledger.go
@@ -0,0 +1,270 @@
+package gauntlet
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/zeebo/xxh3"
+
+	"elmfold/premise"
+)
+
+// Ledger is all that clients, backends and the operator saw, and what was done to the machines. Times are since the
+// world began.
+type Ledger struct {
+	mu       sync.Mutex
+	Bounds   premise.Bounds
+	Revert   time.Duration // revertSlackS
+	Tries    []*Try
+	byID     map[string]*Try
+	Unknown  []Arrival // of ids that no client sent
+	Strays   []Stray
+	Colds    []Cold
+	Leaves   []Leave
+	Orders   []*Order
+	Reads    []Read
+	Troubles []Trouble
+	Terms    []Term
+	Requests []Request // of clients, with their further tries
+	Closing  time.Duration
+}
+
+// Request is what a client wanted, whatever tries it took.
+type Request struct {
+	Flow    string
+	At, End time.Duration
+	Served  bool
+}
+
+// Served counts the requests that were sent in a span, and those of them that ended in a success within a time.
+func (l *Ledger) Served(from, to, within time.Duration) (asked, served int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, r := range l.Requests {
+		if r.At >= from && r.At < to {
+			if asked++; r.Served && r.End-r.At <= within {
+				served++
+			}
+		}
+	}
+	return asked, served
+}
+
+// Try is one request on the wire.
+type Try struct {
+	ID, Method, Host, Target string
+	Body                     uint64 // sum of it
+	Safe                     bool
+	Service                  string // where the operator sends such requests first; for the budget
+	At, Written              time.Duration
+	Carrier                  string // the machine that took it
+	Life                     int    // ... and which of its processes
+	Arrivals                 []Arrival
+	Replies                  []Reply
+
+	End      time.Duration
+	Status   int  // of the answer; 0: none came
+	Whole    bool // the answer came to its end
+	Seal     string
+	AnswerID string
+	Sum      uint64 // of the answer's body
+	GaveUp   bool   // the client would not wait any longer
+	Timeout  time.Duration
+}
+
+// Arrival is a request at a backend.
+type Arrival struct {
+	ID             string
+	At             time.Duration
+	Backend        string // its id
+	Service, Zone  string
+	From           string // ip
+	Outcome        Outcome
+	Method, Target string
+	Body           uint64
+}
+
+// Outcome is what a backend did with it.
+type Outcome uint8
+
+// Outcomes.
+const (
+	Ran Outcome = iota
+	Shed
+	Misdirected
+)
+
+// Reply is what a backend said to a request it ran.
+type Reply struct {
+	Backend string
+	Status  int
+	Seal    string
+	Sum     uint64
+	Whole   bool // as the backend sent it
+}
+
+// Stray is bytes that a client got while no request of its waited on the connection.
+type Stray struct {
+	At      time.Duration
+	Carrier string
+}
+
+// Cold is a span in which a backend was cold.
+type Cold struct {
+	Backend  string
+	From, To time.Duration // To 0: until the end
+	Rate     float64
+}
+
+// Leave is the acknowledgement of a backend's word that it drains or is gone.
+type Leave struct {
+	Backend string
+	At      time.Duration
+	By      string // the controller's machine
+}
+
+// Order is a call of the operator, until its clear answer.
+type Order struct {
+	Config *Config // a configuration, else
+	Zone   string  // an evacuation,
+	Begin  bool    // its begin or its end
+	Valid  bool    // of a configuration
+	At     time.Duration
+	Acked  time.Duration // 0: not
+	By     string        // the controller's machine
+	Status int           // of the clear answer; 0: none came
+}
+
+// Read is a configuration read back at the end.
+type Read struct {
+	At   time.Duration
+	OK   bool
+	Body string
+}
+
+// Trouble is what was done to a machine. Core: to the core as a whole, which is not settled then.
+type Trouble struct {
+	Machine  string
+	Core     bool
+	What     string
+	From, To time.Duration // To -1: it has not ended
+}
+
+// Term is a SIGTERM.
+type Term struct {
+	Machine string
+	At      time.Duration
+}
+
+// NewLedger makes an empty one.
+func NewLedger(b premise.Bounds) *Ledger {
+	return &Ledger{Bounds: b, Revert: 250 * time.Millisecond, byID: map[string]*Try{}, Closing: -1}
+}
+
+// Add begins a try.
+func (l *Ledger) Add(t *Try) *Try {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.Tries = append(l.Tries, t)
+	l.byID[t.ID] = t
+	return t
+}
+
+// Arrive notes a request at a backend.
+func (l *Ledger) Arrive(a Arrival) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if t := l.byID[a.ID]; t != nil {
+		t.Arrivals = append(t.Arrivals, a)
+	} else {
+		l.Unknown = append(l.Unknown, a)
+	}
+}
+
+// Reply notes what a backend said.
+func (l *Ledger) Reply(id string, r Reply) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if t := l.byID[id]; t != nil {
+		t.Replies = append(t.Replies, r)
+	}
+}
+
+// do changes it under its lock.
+func (l *Ledger) do(f func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	f()
+}
+
+// Trouble notes a moment or the beginning of a span; the function ends it.
+func (l *Ledger) Trouble(at time.Duration, machine, what string, core bool) (end func(at time.Duration)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	k := len(l.Troubles)
+	l.Troubles = append(l.Troubles, Trouble{Machine: machine, Core: core, What: what, From: at, To: -1})
+	return func(at time.Duration) { l.do(func() { l.Troubles[k].To = at }) }
+}
+
+func (t Trouble) meets(from, to time.Duration) bool {
+	return t.From <= to && (t.To < 0 || t.To >= from)
+}
+
+// InTouch says whether a machine was so at every moment of a span.
+func (l *Ledger) InTouch(machine string, from, to time.Duration) bool {
+	from -= l.Bounds.Contact.Span()
+	return !slices.ContainsFunc(l.Troubles, func(t Trouble) bool {
+		return (t.Core || t.Machine == machine) && t.meets(from, to)
+	})
+}
+
+// calm says that nothing unplanned befell a machine in a span.
+func (l *Ledger) calm(machine string, from, to time.Duration) bool {
+	return !slices.ContainsFunc(l.Troubles, func(t Trouble) bool {
+		return t.Machine == machine && t.What != "term" && t.meets(from, to)
+	})
+}
+
+// Config is a configuration as the operator means it.
+type Config struct {
+	Version  uint32
+	Routes   []Route
+	Services []string
+	Header   float64 // headerTimeoutS; 0: 3
+	Idle     float64 // idleTimeoutS; 0: 15
+	Spoilt   string  // replaces the body: what an invalid one says
+}
+
+// Route is one of them.
+type Route struct {
+	Host, Prefix string
+	Safe         bool
+	Services     []string // with equal shares
+	TimeoutS     float64
+	MaxTries     int
+}
+
+// route is the one that a request falls to.
+func (c *Config) route(host, target string) *Route {
+	path, _, _ := strings.Cut(target, "?")
+	var best *Route
+	for i, r := range c.Routes {
+		if r.Host == host && strings.HasPrefix(path, r.Prefix) && (best == nil || len(r.Prefix) > len(best.Prefix)) {
+			best = &c.Routes[i]
+		}
+	}
+	return best
+}
+
+// allows says whether the configuration lets a request go to a service; "": it answers 404 to it.
+func (c *Config) allows(host, target, service string) bool {
+	r := c.route(host, target)
+	if r == nil || service == "" {
+		return r == nil && service == ""
+	}
+	return slices.Contains(r.Services, service)
+}
+
+func sum(b []byte) uint64 { return xxh3.Hash(b) }
--- /dev/null
+++ b/gauntlet/rules.go
@@ -0,0 +1,390 @@
+package gauntlet
+
+import (
+	"cmp"
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+)
+
+// Broken is one breach of a rule.
+type Broken struct {
+	Rule string
+	At   time.Duration
+	Why  string
+}
+
+func (b Broken) String() string {
+	return fmt.Sprintf("%s at %.3f s: %s", b.Rule, b.At.Seconds(), b.Why)
+}
+
+type breaches []Broken
+
+func (b *breaches) add(rule string, at time.Duration, format string, args ...any) {
+	*b = append(*b, Broken{rule, at, fmt.Sprintf(format, args...)})
+}
+
+// Check holds the ledger against every rule. It reads nothing else, so that planted ledgers check the checkers.
+func Check(l *Ledger) []Broken {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out breaches
+	l.requests(&out)
+	l.answers(&out)
+	l.leaving(&out)
+	l.evacuations(&out)
+	l.budget(&out)
+	l.colds(&out)
+	l.configs(&out)
+	l.readBack(&out)
+	l.cutOff(&out)
+	slices.SortStableFunc(out, func(a, b Broken) int {
+		return cmp.Or(cmp.Compare(a.Rule, b.Rule), cmp.Compare(a.At, b.At))
+	})
+	return out
+}
+
+// runs are the arrivals of a try that a backend worked on.
+func (t *Try) runs() (n int, last time.Duration) {
+	for _, a := range t.Arrivals {
+		if a.Outcome == Ran {
+			n, last = n+1, a.At
+		}
+	}
+	return n, last
+}
+
+// requests: TWICE, REFUSED, UNASKED.
+func (l *Ledger) requests(out *breaches) {
+	for _, a := range l.Unknown {
+		if a.Outcome == Ran {
+			out.add("UNASKED", a.At, "%s ran %s %s with id %q, which no client sent", a.Backend, a.Method, a.Target, a.ID)
+		}
+	}
+	for _, t := range l.Tries {
+		n, last := t.runs()
+		if !t.Safe && n > 1 {
+			out.add("TWICE", last, "%s ran %d times", t.ID, n)
+		}
+		switch t.Status {
+		case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout,
+			http.StatusMisdirectedRequest:
+			if !t.Safe && n > 0 {
+				out.add("REFUSED", last, "%s was answered %d and has run", t.ID, t.Status)
+			}
+		}
+		for _, a := range t.Arrivals {
+			if a.Outcome == Ran && (a.Method != t.Method || a.Target != t.Target || a.Body != t.Body) {
+				out.add("UNASKED", a.At, "%s came as %s %s, sent as %s %s (body alike: %t)", t.ID, a.Method, a.Target,
+					t.Method, t.Target, a.Body == t.Body)
+			}
+		}
+	}
+}
+
+// answers: MIXED.
+func (l *Ledger) answers(out *breaches) {
+	for _, s := range l.Strays {
+		out.add("MIXED", s.At, "bytes from %s where no request waited", s.Carrier)
+	}
+	for _, t := range l.Tries {
+		switch {
+		case t.Status == 0:
+			continue
+		case t.AnswerID != "" && t.AnswerID != t.ID:
+			out.add("MIXED", t.End, "%s got the answer to %s", t.ID, t.AnswerID)
+			continue
+		case t.Status/100 != 2 || !t.Whole:
+			continue
+		case t.Seal == "":
+			out.add("MIXED", t.End, "%s: success without a seal", t.ID)
+			continue
+		}
+		i := slices.IndexFunc(t.Replies, func(r Reply) bool { return r.Seal == t.Seal })
+		switch {
+		case i < 0:
+			out.add("MIXED", t.End, "%s: no backend gave it the seal %s", t.ID, t.Seal)
+		case t.Replies[i].Status/100 != 2:
+			out.add("MIXED", t.End, "%s: success where %s had answered %d", t.ID, t.Replies[i].Backend, t.Replies[i].Status)
+		case !t.Replies[i].Whole || t.Replies[i].Sum != t.Sum:
+			out.add("MIXED", t.End, "%s: its body is not the whole body of %s", t.ID, t.Replies[i].Backend)
+		}
+	}
+}
+
+// machine is the name of the carrier that sent an arrival on.
+func (t *Try) touches(l *Ledger, to time.Duration) bool { return l.InTouch(t.Carrier, t.At, to) }
+
+// leaving: DRAIN.
+func (l *Ledger) leaving(out *breaches) {
+	first := map[string]time.Duration{}
+	for _, d := range l.Leaves {
+		if at, there := first[d.Backend]; l.InTouch(d.By, d.At, d.At) && (!there || d.At < at) {
+			first[d.Backend] = d.At
+		}
+	}
+	for _, t := range l.Tries {
+		for _, a := range t.Arrivals {
+			if at, there := first[a.Backend]; there && a.Outcome != Misdirected && a.At > at+l.Bounds.Drain.Span() &&
+				t.touches(l, a.At) {
+				out.add("DRAIN", a.At, "%s reached %s by %s %.3f s after its leaving was acknowledged", t.ID, a.Backend,
+					t.Carrier, (a.At - at).Seconds())
+			}
+		}
+	}
+}
+
+// evacuations: EVAC.
+func (l *Ledger) evacuations(out *breaches) {
+	for _, o := range l.Orders {
+		if o.Zone == "" || !o.Begin || o.Acked == 0 {
+			continue
+		}
+		till := time.Duration(1<<63 - 1)
+		for _, f := range l.Orders {
+			if f.Zone == o.Zone && !f.Begin && f.At >= o.At {
+				till = min(till, f.At)
+			}
+		}
+		for _, t := range l.Tries {
+			for _, a := range t.Arrivals {
+				if a.Zone == o.Zone && a.Outcome != Misdirected && a.At > o.Acked+l.Bounds.Evacuate.Span() && a.At < till &&
+					t.touches(l, a.At) {
+					out.add("EVAC", a.At, "%s reached %s in %s by %s %.3f s after the evacuation was acknowledged", t.ID,
+						a.Backend, a.Zone, t.Carrier, (a.At - o.Acked).Seconds())
+				}
+			}
+		}
+	}
+}
+
+// budget: BUDGET.
+func (l *Ledger) budget(out *breaches) {
+	asked, again := map[string][]time.Duration{}, map[string][]time.Duration{}
+	for _, t := range l.Tries {
+		asked[t.Service] = append(asked[t.Service], t.At)
+		arrivals := slices.Clone(t.Arrivals)
+		slices.SortFunc(arrivals, func(a, b Arrival) int { return cmp.Compare(a.At, b.At) })
+		for i, a := range arrivals {
+			if i > 0 {
+				again[a.Service] = append(again[a.Service], a.At)
+			}
+		}
+	}
+	w := l.Bounds.RetryWindow.Span()
+	for service, extra := range again {
+		slices.Sort(extra)
+		slices.Sort(asked[service])
+		in := func(from, to time.Duration) int { // (from, to]
+			all := asked[service]
+			a, _ := slices.BinarySearch(all, from+1)
+			b, _ := slices.BinarySearch(all, to+1)
+			return b - a
+		}
+		from := 0
+		for i, at := range extra {
+			for extra[from] <= at-w {
+				from++
+			}
+			most := max(in(at-w, at), in(at-2*w, at-w), in(at-3*w/2, at-w/2))
+			if n := float64(i - from + 1); n > l.Bounds.RetryRatio*float64(most)+l.Bounds.RetrySlack {
+				out.add("BUDGET", at, "%s got %.0f further arrivals in a window, of %d requests", service, n, most)
+				break
+			}
+		}
+	}
+}
+
+// colds: FAILBACK.
+func (l *Ledger) colds(out *breaches) {
+	at := map[string][]time.Duration{}
+	for _, t := range l.Tries {
+		for _, a := range t.Arrivals {
+			if a.Outcome != Misdirected {
+				at[a.Backend] = append(at[a.Backend], a.At)
+			}
+		}
+	}
+	for _, c := range l.Colds {
+		var all []time.Duration
+		for _, a := range at[c.Backend] {
+			if a >= c.From && (c.To == 0 || a < c.To) {
+				all = append(all, a)
+			}
+		}
+		slices.Sort(all)
+		from := 0
+		for i, a := range all {
+			for all[from] <= a-time.Second {
+				from++
+			}
+			if n := float64(i - from + 1); n > c.Rate*l.Bounds.ColdExcess+l.Bounds.ColdSlack {
+				out.add("FAILBACK", a, "%s got %.0f requests within a second while cold", c.Backend, n)
+				break
+			}
+		}
+	}
+}
+
+// seen is how a carrier handled a request: to which service it went, or "" for a 404.
+type seen struct {
+	t       *Try
+	at      time.Duration
+	service string
+}
+
+// configs: CONFIG, ROUTE, DENIED.
+func (l *Ledger) configs(out *breaches) {
+	var all []*Order
+	for _, o := range l.Orders {
+		if o.Config == nil {
+			continue
+		}
+		all = append(all, o)
+		if !o.Valid && o.Acked > 0 {
+			out.add("CONFIG", o.Acked, "version %08x is invalid and was acknowledged", o.Config.Version)
+		}
+	}
+	lives := map[string][]seen{}
+	denied, proper := 0, 0
+	for _, t := range l.Tries {
+		life := fmt.Sprint(t.Carrier, " ", t.Life)
+		proper++
+		for _, a := range t.Arrivals {
+			if a.Outcome == Ran {
+				lives[life] = append(lives[life], seen{t, a.At, a.Service})
+			}
+		}
+		if t.Status == http.StatusNotFound && len(t.Arrivals) == 0 {
+			lives[life] = append(lives[life], seen{t, t.End, ""})
+		}
+		if t.Status/100 == 4 && len(t.Arrivals) == 0 && t.Status != 404 && t.Status != 408 && t.Status != 421 &&
+			t.Status != 429 && t.touches(l, t.End) {
+			denied++
+		}
+	}
+	for _, life := range sortedKeys(lives) {
+		handled := lives[life]
+		slices.SortFunc(handled, func(a, b seen) int { return cmp.Compare(a.at, b.at) })
+		type effect struct {
+			at      time.Duration
+			version uint32
+		}
+		var effects []effect // with rising versions
+		for _, s := range handled {
+			acked := uint32(0)
+			for _, o := range all {
+				if o.Valid && o.Acked > 0 && s.t.At > o.Acked+l.Bounds.ConfigApply.Span() {
+					acked = max(acked, o.Config.Version)
+				}
+			}
+			shown := uint32(0)
+			for _, e := range effects {
+				if s.t.At > e.at+l.Revert {
+					shown = max(shown, e.version)
+				}
+			}
+			var oldest, newest uint32
+			fits, refused := false, false
+			for _, o := range all {
+				if o.At > s.at || !o.Config.allows(s.t.Host, s.t.Target, s.service) {
+					continue
+				}
+				if !o.Valid || o.Acked == 0 && o.Status/100 == 4 {
+					refused = true
+					continue
+				}
+				if !fits || o.Config.Version < oldest {
+					oldest = o.Config.Version
+				}
+				newest, fits = max(newest, o.Config.Version), true
+			}
+			what := "run by " + s.service
+			if s.service == "" {
+				what = "answered 404"
+			}
+			inTouch := s.t.touches(l, s.at)
+			switch {
+			case !fits && refused:
+				out.add("CONFIG", s.at, "%s was %s, as only a refused configuration has it", s.t.ID, what)
+			case !fits && s.service != "":
+				out.add("ROUTE", s.at, "%s was %s, where no configuration sends it", s.t.ID, what)
+			case !fits && inTouch:
+				denied++
+			case fits && newest < acked && inTouch:
+				out.add("CONFIG", s.at, "%s was %s by %s, as up to version %08x; %08x is acknowledged", s.t.ID, what,
+					s.t.Carrier, newest, acked)
+			case fits && newest < shown && inTouch:
+				out.add("CONFIG", s.at, "%s was %s by %s, as up to version %08x; it has shown %08x: it goes back", s.t.ID,
+					what, s.t.Carrier, newest, shown)
+			}
+			if fits && s.service != "" && (len(effects) == 0 || effects[len(effects)-1].version < oldest) {
+				effects = append(effects, effect{s.at, oldest})
+			}
+		}
+	}
+	if denied > 5+proper/500 {
+		out.add("DENIED", 0, "%d of %d proper requests", denied, proper)
+	}
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	var all []string
+	for k := range m {
+		all = append(all, k)
+	}
+	slices.Sort(all)
+	return all
+}
+
+// readBack: CONFIG, and LOST after a closing fault, of what the operator reads at the end.
+func (l *Ledger) readBack(out *breaches) {
+	newest := uint32(0)
+	for _, o := range l.Orders {
+		if o.Config != nil && o.Acked > 0 {
+			newest = max(newest, o.Config.Version)
+		}
+	}
+	rule := "CONFIG"
+	if l.Closing >= 0 {
+		rule = "LOST"
+	}
+	if len(l.Reads) == 0 || newest == 0 {
+		return
+	}
+	last := l.Reads[len(l.Reads)-1]
+	if !last.OK {
+		out.add(rule, last.At, "the configuration cannot be read back; %08x is acknowledged", newest)
+		return
+	}
+	for _, o := range l.Orders {
+		if o.Config != nil && o.Valid && string(o.Config.JSON()) == last.Body {
+			if o.Config.Version < newest {
+				out.add(rule, last.At, "version %08x is read back; %08x is acknowledged", o.Config.Version, newest)
+			}
+			return
+		}
+	}
+	out.add(rule, last.At, "what is read back is not what was sent")
+}
+
+// cutOff: LOST around planned ends.
+func (l *Ledger) cutOff(out *breaches) {
+	for _, term := range l.Terms {
+		till := term.At + l.Bounds.Grace.Span() + time.Second
+		for _, t := range l.Tries {
+			if t.Carrier != term.Machine || t.End < term.At || t.End > till || t.Written == 0 || t.GaveUp {
+				continue
+			}
+			broke := slices.ContainsFunc(t.Replies, func(r Reply) bool { return !r.Whole })
+			ran, _ := t.runs()
+			cut := !t.Whole && (len(t.Arrivals) > 0 || t.End > t.Written+l.Bounds.LossSlack.Span())
+			inPlace := t.Whole && t.Seal == "" && t.Status/100 == 5 && ran > 0 && len(t.Replies) == 0 && t.End < t.At+t.Timeout
+			late := t.End > term.At+l.Bounds.Grace.Span()/2 && ran > 0 // its backend was still at work
+			if (cut || inPlace) && !broke && !late && l.calm(term.Machine, t.At-l.Bounds.Contact.Span(), t.End) {
+				out.add("LOST", t.End, "%s was broken off by %s after its SIGTERM", t.ID, t.Carrier)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/gauntlet/rules_test.go
@@ -0,0 +1,137 @@
+package gauntlet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"elmfold/premise"
+)
+
+// sec is a time of a ledger.
+func sec(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// sheet is a ledger by hand: one configuration in force since second 1, on which a request at second `at` was served.
+type sheet struct{ *Ledger }
+
+func blank() sheet {
+	l := NewLedger(premise.Default().Bounds)
+	l.Orders = []*Order{{Config: Charter(1), Valid: true, At: sec(0.5), Acked: sec(1), By: "core-0", Status: 200}}
+	return sheet{l}
+}
+
+func (s sheet) try(at float64, safe bool) *Try {
+	id := fmt.Sprint("t", len(s.Tries))
+	t := s.Add(&Try{ID: id, Method: "GET", Host: "a.example", Target: "/page/1", Safe: safe, Service: "pages", At: sec(at),
+		Written: sec(at), Carrier: "edge-0", Life: 1, Timeout: sec(4)})
+	s.ran(t, at+0.01, "b1", "pages")
+	t.Replies = []Reply{{Backend: "b1", Status: 200, Seal: "s" + id, Sum: 7, Whole: true}}
+	t.Status, t.Whole, t.Seal, t.AnswerID, t.Sum, t.End = 200, true, "s"+id, id, 7, sec(at+0.1)
+	return t
+}
+
+func (s sheet) ran(t *Try, at float64, backend, service string) {
+	t.Arrivals = append(t.Arrivals, Arrival{ID: t.ID, At: sec(at), Backend: backend, Service: service, Zone: "north",
+		Method: t.Method, Target: t.Target, Body: t.Body})
+}
+
+// Each rule's breach is planted once, beside the nearest thing that is none.
+func TestRulesCatchWhatIsPlanted(t *testing.T) {
+	moved := func(version uint32, at, acked float64, service string) *Order {
+		c := Charter(version)
+		c.Routes[0].Services = []string{service}
+		return &Order{Config: c, Valid: true, At: sec(at), Acked: sec(acked), By: "core-0"}
+	}
+	for _, c := range []struct {
+		rule  string
+		sound func(s sheet) // must pass
+		fault func(s sheet) // is put on top, and must be caught
+	}{
+		{"TWICE", func(s sheet) { s.ran(s.try(5, true), 5.05, "b2", "pages") },
+			func(s sheet) { s.ran(s.try(5, false), 5.05, "b2", "pages") }},
+		{"REFUSED", func(s sheet) { s.try(5, false).Status = 502 }, func(s sheet) { s.try(5, false).Status = 503 }},
+		{"UNASKED", func(s sheet) { s.Unknown = []Arrival{{ID: "x", Outcome: Misdirected}} },
+			func(s sheet) { s.Unknown = []Arrival{{ID: "x", Outcome: Ran}} }},
+		{"UNASKED", func(s sheet) { s.try(5, true) }, func(s sheet) { s.try(5, true).Arrivals[0].Target = "/page/./1" }},
+		{"MIXED", func(s sheet) { x := s.try(5, true); x.Sum, x.Whole = 6, false }, func(s sheet) { s.try(5, true).Sum = 6 }},
+		{"MIXED", func(s sheet) { s.try(5, true) }, func(s sheet) { s.try(5, true).Seal = "st0" }},
+		{"MIXED", func(s sheet) { s.try(5, true) }, func(s sheet) { s.try(5, true).Replies[0].Status = 500 }},
+		{"MIXED", func(s sheet) {}, func(s sheet) { s.Strays = []Stray{{Carrier: "edge-0"}} }},
+		{"ROUTE", func(s sheet) { x := s.try(5, true); x.Arrivals[0].Outcome, x.Status = Misdirected, 503 },
+			func(s sheet) { s.try(5, true).Arrivals[0].Service = "orders" }},
+		{"DRAIN", func(s sheet) { s.Leaves = []Leave{{"b1", sec(4), "core-0"}}; s.try(5.9, true) },
+			func(s sheet) { s.try(6.1, true) }},
+		{"EVAC", func(s sheet) {
+			s.Orders = append(s.Orders, &Order{Zone: "north", Begin: true, At: sec(3), Acked: sec(3.1)},
+				&Order{Zone: "north", At: sec(12), Acked: sec(12.1)})
+			s.try(8, true)
+			s.try(12.05, true)
+		}, func(s sheet) { s.try(8.2, true) }},
+		{"BUDGET", func(s sheet) {
+			for i := range 100 {
+				s.ran(s.try(5+float64(i)/100, true), 6.5, "b2", "pages")
+			}
+			for range 100 { // 0.2 of 200 requests and 60 more are allowed
+				s.try(6, true)
+			}
+		}, func(s sheet) { s.ran(s.Tries[150], 6.6, "b2", "pages") }},
+		{"FAILBACK", func(s sheet) {
+			s.Colds = []Cold{{Backend: "b1", From: sec(4), To: sec(7), Rate: 4}}
+			for i := range 11 {
+				s.try(5+float64(i)/20, true)
+			}
+			s.try(7.5, true)
+		}, func(s sheet) { s.try(5.9, true) }},
+		{"CONFIG", func(s sheet) { // older than acknowledged
+			s.Orders = append(s.Orders, moved(2, 5, 5.1, "views"))
+			s.try(7, true)
+		}, func(s sheet) { s.try(7.2, true) }},
+		{"CONFIG", func(s sheet) { // goes back, though nothing is acknowledged
+			s.Orders = append(s.Orders, moved(2, 5, 0, "views"))
+			s.try(5.2, true)
+			s.try(6, true).Arrivals[0].Service = "views"
+			s.try(6.2, true)
+			x := s.try(7, true) // another life may
+			x.Life = 2
+		}, func(s sheet) { s.try(6.4, true) }},
+		{"CONFIG", func(s sheet) { // what was refused is in force
+			o := moved(2, 5, 0, "views")
+			o.Valid, o.Status = false, 400
+			s.Orders = append(s.Orders, o)
+			s.try(9, true)
+		}, func(s sheet) { s.try(9, true).Arrivals[0].Service = "views" }},
+		{"CONFIG", func(s sheet) { s.Orders = append(s.Orders, &Order{Config: Charter(2), At: sec(5), Status: 400}) },
+			func(s sheet) { s.Orders = append(s.Orders, &Order{Config: Charter(3), At: sec(5), Acked: sec(5.1)}) }},
+		{"CONFIG", func(s sheet) { s.Reads = []Read{{sec(20), true, string(Charter(1).JSON())}} },
+			func(s sheet) { s.Reads = []Read{{sec(20), true, string(Charter(2).JSON())}} }},
+		{"LOST", func(s sheet) { s.Closing = sec(15); s.Reads = []Read{{sec(20), true, string(Charter(1).JSON())}} },
+			func(s sheet) { s.Orders = append(s.Orders, &Order{Config: Charter(2), Valid: true, At: 2, Acked: 3}) }},
+		{"LOST", func(s sheet) {
+			s.Terms = []Term{{"edge-0", sec(10)}}
+			x := s.try(9, true)
+			x.Status, x.Whole, x.End = 0, false, sec(9.9)
+		}, func(s sheet) {
+			x := s.try(10.5, true)
+			x.Status, x.Whole, x.End = 0, false, sec(10.9)
+		}},
+		{"DENIED", func(s sheet) {
+			for range 5 {
+				x := s.try(5, true)
+				x.Arrivals, x.Replies, x.Status, x.Seal = nil, nil, 404, ""
+			}
+		}, func(s sheet) {
+			x := s.try(5, true)
+			x.Arrivals, x.Replies, x.Status, x.Seal = nil, nil, 400, ""
+		}},
+	} {
+		s := blank()
+		c.sound(s)
+		if got := Check(s.Ledger); len(got) > 0 {
+			t.Errorf("%s: caught what is none: %v", c.rule, got)
+		}
+		c.fault(s)
+		if got := Check(s.Ledger); len(got) != 1 || got[0].Rule != c.rule {
+			t.Errorf("%s was planted, caught: %v", c.rule, got)
+		}
+	}
+}
--- /dev/null
+++ b/gauntlet/world.go
@@ -0,0 +1,470 @@
+// Package gauntlet runs the whole gateway in one process, in virtual time: real controllers and carriers over
+// connections and disks in memory, scripted backends, an operator and clients beside them, and an exact ledger of what
+// each of them saw. It must be run inside a testing/synctest bubble.
+//
+// A seed draws the load and the faults. It fixes what is done and when; how goroutines that are ready at the same
+// virtual moment follow one another it does not, as the programs draw by chance of their own.
+package gauntlet
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/jonboulle/clockwork"
+
+	"elmfold/attempt"
+	"elmfold/counsel"
+	"elmfold/premise"
+	"elmfold/transit"
+)
+
+const (
+	coldFor  = 3 * time.Second
+	coldRate = 1.0
+	ports    = 7540
+)
+
+// Shape is a deployment.
+type Shape struct {
+	Zones    []string
+	Cores    int // spread over the zones in turn
+	Carriers int
+	Faults   int // machineFaults
+	Log      hclog.Logger
+}
+
+// Machine is one that runs a program of the gateway.
+type Machine struct {
+	Name, IP, Zone string
+	Disk           *Disk // nil: it carries
+	life           int
+	host           *Host // nil: no process runs
+	carrier        *transit.Carrier
+	controller     *counsel.Server
+	stop           func() // of what the process leaves behind in this one
+	started        bool   // once before
+	leaving        bool
+	up             func(at time.Duration) // ends its trouble
+	in             bool                   // the platform sends clients there
+	missed         int
+}
+
+// World is one day.
+type World struct {
+	Net      *Net
+	Ledger   *Ledger
+	Beat     time.Duration
+	Machines map[string]*Machine
+	Cores    []*Machine
+	Carriers []*Machine
+	shape    Shape
+	seed     uint64
+	began    time.Time
+	mu       sync.Mutex // of backends, and of the machines' processes
+	backends map[string]*Backend
+	lives    int
+	loads    atomic.Uint64
+	platform *Host
+	operator *Host
+	done     chan struct{}
+	busy     sync.WaitGroup // clients' requests, and scripts
+}
+
+// NewWorld makes the machines of a day; none is started.
+func NewWorld(seed uint64, shape Shape) *World {
+	if shape.Log == nil {
+		shape.Log = hclog.NewNullLogger()
+	}
+	w := &World{Ledger: NewLedger(premise.Default().Bounds), Beat: 1500 * time.Millisecond, Machines: map[string]*Machine{},
+		shape: shape, seed: seed, began: time.Now(), backends: map[string]*Backend{}, done: make(chan struct{})}
+	w.Net = NewNet(func(from, to string) time.Duration {
+		zone := func(ip string) string { return ip[:strings.Index(ip[3:], ".")+3] }
+		switch {
+		case from == to:
+			return 20 * time.Microsecond
+		case zone(from) == zone(to):
+			return 200 * time.Microsecond
+		}
+		return 1400 * time.Microsecond
+	})
+	for i := range shape.Cores {
+		m := &Machine{Name: fmt.Sprintf("core-%d", i), IP: fmt.Sprintf("10.%d.0.%d", i%len(shape.Zones), 10+i),
+			Zone: shape.Zones[i%len(shape.Zones)], Disk: NewDisk(time.Millisecond)}
+		w.Machines[m.Name] = m
+		w.Cores = append(w.Cores, m)
+	}
+	for i := range shape.Carriers {
+		m := &Machine{Name: fmt.Sprintf("edge-%d", i), IP: fmt.Sprintf("10.%d.0.%d", i%len(shape.Zones), 100+i),
+			Zone: shape.Zones[i%len(shape.Zones)]}
+		w.Machines[m.Name] = m
+		w.Carriers = append(w.Carriers, m)
+	}
+	w.platform, w.operator = w.Net.Host("10.90.0.1"), w.Net.Host("10.91.0.1")
+	return w
+}
+
+// Now is since the world began.
+func (w *World) Now() time.Duration { return time.Since(w.began) }
+
+// Rand is a stream of chance of its own for each actor, so that none shifts another's.
+func (w *World) Rand(actor string, n uint64) *rand.Rand {
+	return rand.New(rand.NewPCG(w.seed, sum([]byte(actor))+n))
+}
+
+// Start starts all machines that carry or control, and the platform.
+func (w *World) Start() {
+	for _, m := range w.Cores {
+		w.Run(m)
+	}
+	for _, m := range w.Carriers {
+		w.Run(m)
+	}
+	go w.watch()
+}
+
+func (w *World) settings(m *Machine) *premise.Settings {
+	s := premise.Default()
+	s.Name, s.IP, s.Zone, s.Region = m.Name, m.IP, m.Zone, "land"
+	s.Zones = map[string]string{}
+	for _, z := range w.shape.Zones {
+		s.Zones[z] = "land"
+	}
+	s.Ports, s.Bootstrap, s.Counted = [2]int{ports, ports + 15}, !m.started, m.Disk != nil
+	for _, c := range w.Cores[:min(3, len(w.Cores))] {
+		s.Seeds = append(s.Seeds, c.control())
+	}
+	s.Limits.MaxFDs, s.FaultBudget.Machines, s.FaultBudget.Zones = 4100, w.shape.Faults, 1
+	s.Beat, s.Bounds = premise.Seconds(w.Beat.Seconds()), w.Ledger.Bounds
+	s.Listen = map[string]string{"front": m.front(), "readiness": m.IP + ":8542"}
+	if m.Disk != nil {
+		s.Listen = map[string]string{"control": m.control()}
+	}
+	return &s
+}
+
+func (m *Machine) running() bool { return m.host != nil }
+
+func (m *Machine) control() string { return m.IP + ":8544" }
+func (m *Machine) front() string   { return m.IP + ":8548" }
+
+func must(l net.Listener, err error) net.Listener {
+	if err != nil {
+		panic(err)
+	}
+	return l
+}
+
+// Run starts the machine's process.
+func (w *World) Run(m *Machine) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if m.host != nil {
+		return
+	}
+	m.life++
+	h := w.Net.Host(m.IP)
+	m.host, m.leaving = h, false
+	set := w.settings(m)
+	log := w.shape.Log.Named(m.Name)
+	if w.shape.Log.IsInfo() {
+		log = log.With("t", hclog.Fmt("%v", logTime{w}))
+	}
+	quiet := func(s *http.Server) *http.Server {
+		s.ErrorLog = hclog.NewNullLogger().StandardLogger(nil)
+		s.ReadHeaderTimeout, s.IdleTimeout = 5*time.Second, 20*time.Second
+		return s
+	}
+	dial := func(address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(context.Background(), 800*time.Millisecond)
+		defer cancel()
+		return h.Dial(ctx, address, 3*time.Second)
+	}
+	if m.Disk != nil {
+		disk, known, fresh := m.Disk.Open(h)
+		s := counsel.New(counsel.Options{Settings: set, Disk: disk, Known: known, Fresh: fresh, Log: log,
+			Clock: clockwork.NewRealClock(), Dial: dial, Listen: must(h.Listen(set.Own())), TimeOfDay: time.Now})
+		calls := quiet(&http.Server{Handler: s.Handler(), ReadTimeout: 20 * time.Second})
+		listen := must(h.Listen(m.control()))
+		go func() { _ = calls.Serve(listen) }()
+		go s.Run()
+		m.controller = s
+		m.stop = func() {
+			_ = calls.Close()
+			// Calls that wait end by their own times; a Server that was stopped leaves them waiting for ever.
+			time.Sleep(6 * time.Second)
+			s.Stop()
+		}
+	} else {
+		c := transit.New(transit.Options{Settings: set, Log: log, Clock: clockwork.NewRealClock(), Dial: dial,
+			Backends: attempt.Options{Dial: func(ctx context.Context, address string) (net.Conn, error) {
+				return h.Dial(ctx, address, 2*time.Second)
+			}}})
+		ready := quiet(&http.Server{Handler: c.Readiness()})
+		listen, front := must(h.Listen(m.IP+":8542")), must(h.Listen(m.front()))
+		go func() { _ = ready.Serve(listen) }()
+		go func() { _ = c.Serve(front) }()
+		go c.Run()
+		m.carrier = c
+		m.stop = func() {
+			_ = ready.Close()
+			c.Shutdown(0)
+		}
+	}
+	if m.started {
+		w.Ledger.Trouble(w.Now(), m.Name, "start", m.Disk != nil)(w.Now())
+	}
+	if m.up != nil {
+		m.up(w.Now())
+		m.up = nil
+	}
+	m.started = true
+}
+
+type logTime struct{ w *World }
+
+func (t logTime) String() string { return fmt.Sprintf("%.4f", t.w.Now().Seconds()) }
+
+// Kill ends a machine's process as SIGKILL does.
+func (w *World) Kill(m *Machine) { w.end(m, "kill", false) }
+
+// Power takes a machine's power; Run gives it back.
+func (w *World) Power(m *Machine) {
+	w.Net.Dark(m.IP, true)
+	w.end(m, "power", true)
+}
+
+// PowerOn gives it back and starts the process.
+func (w *World) PowerOn(m *Machine) {
+	w.Net.Dark(m.IP, false)
+	w.Run(m)
+}
+
+func (w *World) end(m *Machine, what string, silent bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	h, leaving := m.host, m.leaving
+	if h == nil {
+		return
+	}
+	if what != "exit" {
+		m.up = w.Ledger.Trouble(w.Now(), m.Name, what, false)
+		if m.Disk != nil { // a core that runs by more than half settles again without it
+			w.Ledger.Trouble(w.Now(), m.Name, what, true)(w.Now())
+		}
+	}
+	m.host = nil
+	if silent {
+		h.Power()
+	} else {
+		h.Kill()
+	}
+	if stop := m.stop; !leaving {
+		w.busy.Go(stop)
+	}
+}
+
+// Term sends SIGTERM; the process ends by itself, or by SIGKILL after graceS.
+func (w *World) Term(m *Machine) {
+	grace := w.Ledger.Bounds.Grace.Span()
+	w.mu.Lock()
+	if m.host == nil || m.leaving {
+		w.mu.Unlock()
+		return
+	}
+	w.Ledger.Trouble(w.Now(), m.Name, "term", m.Disk != nil)(w.Now() + grace)
+	c, life := m.carrier, m.life
+	if m.leaving = m.Disk == nil; m.leaving {
+		w.Ledger.do(func() { w.Ledger.Terms = append(w.Ledger.Terms, Term{m.Name, w.Now()}) })
+	}
+	w.mu.Unlock()
+	if c == nil {
+		w.end(m, "exit", false)
+		return
+	}
+	stopped := make(chan struct{})
+	w.busy.Go(func() {
+		c.Shutdown(grace - 300*time.Millisecond)
+		close(stopped)
+	})
+	select {
+	case <-stopped:
+	case <-time.After(grace):
+	}
+	if m.life == life {
+		w.end(m, "exit", false)
+	}
+}
+
+// Cut parts two machines, both ways or from the first to the second only; the function joins them.
+func (w *World) Cut(a, b *Machine, both bool) (join func()) {
+	core := a.Disk != nil && b.Disk != nil
+	var ends []func(time.Duration)
+	for _, m := range []*Machine{a, b} {
+		if core || m.Disk == nil {
+			ends = append(ends, w.Ledger.Trouble(w.Now(), m.Name, "cut", core))
+		}
+	}
+	w.Net.Cut(a.IP, b.IP)
+	if both {
+		w.Net.Cut(b.IP, a.IP)
+	}
+	return func() {
+		w.Net.Join(a.IP, b.IP)
+		w.Net.Join(b.IP, a.IP)
+		for _, end := range ends {
+			end(w.Now())
+		}
+	}
+}
+
+// Freeze keeps a machine from all others, which is as near as one process comes to freezing another.
+func (w *World) Freeze(m *Machine, span time.Duration) {
+	end := w.Ledger.Trouble(w.Now(), m.Name, "freeze", m.Disk != nil)
+	w.Net.Dark(m.IP, true)
+	time.Sleep(span)
+	w.Net.Dark(m.IP, false)
+	end(w.Now())
+}
+
+// Reset breaks a machine's connections.
+func (w *World) Reset(m *Machine) {
+	w.Ledger.Trouble(w.Now(), m.Name, "reset", m.Disk != nil)(w.Now())
+	w.Net.Reset(m.IP)
+}
+
+// running are the machines of a list with a process.
+func (w *World) running(all []*Machine) (out []*Machine) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, m := range all {
+		if m.host != nil {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// controls are the addresses of the controllers as a caller asks them: the first, then the others by chance.
+func (w *World) controls(r *rand.Rand, first string) []string {
+	var all []string
+	for _, m := range w.Cores {
+		all = append(all, m.control())
+	}
+	r.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	if i := slices.Index(all, first); i > 0 {
+		all[0], all[i] = all[i], all[0]
+	}
+	return all
+}
+
+func (w *World) machineAt(address string) string {
+	for name, m := range w.Machines {
+		if strings.HasPrefix(address, m.IP+":") {
+			return name
+		}
+	}
+	return ""
+}
+
+func (w *World) left(b *Backend, at string) {
+	w.Ledger.do(func() {
+		w.Ledger.Leaves = append(w.Ledger.Leaves, Leave{Backend: b.ID, At: w.Now(), By: w.machineAt(at)})
+	})
+}
+
+func (w *World) gone(b *Backend) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.backends, b.ID)
+}
+
+// Backends are those that run, in the order of their ids.
+func (w *World) Backends() (all []*Backend) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, id := range sortedKeys(w.backends) {
+		all = append(all, w.backends[id])
+	}
+	return all
+}
+
+// Go runs a script beside the day; Finish waits for it.
+func (w *World) Go(f func()) { w.busy.Go(f) }
+
+// watch is the platform: it asks each carrier every second whether it is ready.
+func (w *World) watch() {
+	for {
+		for _, m := range w.Carriers {
+			go w.probe(m)
+		}
+		select {
+		case <-time.After(time.Second):
+		case <-w.done:
+			return
+		}
+	}
+}
+
+func (w *World) probe(m *Machine) {
+	ok := w.platform.get(m.IP+":8542", "/v1/readiness") == http.StatusOK
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if ok {
+		m.in, m.missed = true, 0
+	} else if m.missed++; m.missed >= 2 {
+		m.in = false
+	}
+}
+
+// carriersFor are the carriers for a client of a zone, in the order in which its tries reach them.
+func (w *World) carriersFor(zone string, hash uint64) []*Machine {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var near, in, other []*Machine // the platform uses all of a zone that has none, or too few, when it must
+	for _, m := range w.Carriers {
+		switch {
+		case m.Zone == zone:
+			if near = append(near, m); m.in {
+				in = append(in, m)
+			}
+		case m.in:
+			other = append(other, m)
+		}
+	}
+	switch {
+	case len(in) == 0 && len(other) > 0:
+		in = other
+	case 2*len(in) < len(near):
+		in = near
+	}
+	if len(in) == 0 {
+		return nil
+	}
+	k := int(hash % uint64(len(in)))
+	return slices.Concat(in[k:], in[:k])
+}
+
+// Finish ends the day: clients and scripts first, then all machines, so that no goroutine outlives it.
+func (w *World) Finish() {
+	close(w.done)
+	w.busy.Wait()
+	for _, b := range w.Backends() {
+		b.Crash()
+	}
+	for _, m := range slices.Concat(w.Cores, w.Carriers) {
+		w.Kill(m)
+	}
+	w.platform.Kill()
+	w.operator.Kill()
+	w.busy.Wait()
+	time.Sleep(10 * time.Second)
+}
