Counsel: controllers that all started anew say at once that nobody knows more

Cause: after a kill of all no controller called itself settled for two beats, and carriers became ready by their time-out alone, 3 s later; calls under way at a stop hung; a second Shutdown panicked. Change: settled once all founders have told their first words; calls end with the process; once.

--- a/counsel/calls.go
+++ b/counsel/calls.go
@@ -140,7 +140,7 @@
 		target = s.beatTarget(word.Zone)
 		done <- nil
 	})
-	if err := <-done; err != nil {
+	if err := s.wait(done); err != nil {
 		return nil, err
 	}
 	if target != "" {
@@ -174,7 +174,17 @@
 		}
 		s.spreadSure(news, done)
 	})
-	return []byte("{}"), <-done
+	return []byte("{}"), s.wait(done)
+}
+
+// wait waits for the owner's word, unless the process ends.
+func (s *Server) wait(done <-chan error) error {
+	select {
+	case err := <-done:
+		return err
+	case <-s.stopped:
+		return fault.New(fault.Stopping, "", nil)
+	}
 }
 
 // ask puts a question to the replica and waits. A controller that stands with too few others says so at once: the
@@ -210,6 +220,8 @@
 		return d, nil
 	case err := <-failed:
 		return accord.Done{}, err
+	case <-s.stopped:
+		return accord.Done{}, fault.New(fault.Stopping, "", nil)
 	case <-s.o.Clock.After(accord.WriteWithin + time.Second):
 		return accord.Done{}, fault.New(fault.Unsafe, "", nil)
 	}
--- a/counsel/counsel.go
+++ b/counsel/counsel.go
@@ -67,6 +67,7 @@
 }
 
 type peer struct {
+	told bool // its first words on the line that stands have come
 	who  parley.Controller
 	out  *parley.Line // nil: down
 	life uint64
@@ -326,8 +327,8 @@
 			w.done <- fault.New(fault.Unsafe, "", nil)
 		}
 	}
-	// Nobody who knows more is there: what beats say is all there is.
-	if !s.settled && now > 2*s.o.Settings.Beat.Span() {
+	// Nobody who knows more is there: all founders have told what they know, or what beats say is all there is.
+	if !s.settled && (s.metAll() || now > 2*s.o.Settings.Beat.Span()) {
 		s.settled = true
 		s.toCarriers(&parley.Message{Settled: true})
 	}
@@ -398,6 +399,16 @@
 	s.toCarriers(m)
 }
 
+// metAll says whether all other founders have told their first words on the lines that stand.
+func (s *Server) metAll() bool {
+	for _, f := range s.founders {
+		if p := s.peers[f.Name]; f.Name != s.me.Name && (p == nil || p.out == nil || !p.told) {
+			return false
+		}
+	}
+	return len(s.founders) > 0
+}
+
 // know takes word of controllers.
 func (s *Server) know(all ...parley.Controller) {
 	for _, c := range all {
--- a/counsel/lines.go
+++ b/counsel/lines.go
@@ -70,7 +70,7 @@
 			p = &peer{}
 			s.peers[name] = p
 		}
-		p.who, p.out, p.life = m.Hello.Who, line, m.Hello.Life
+		p.who, p.out, p.life, p.told = m.Hello.Who, line, m.Hello.Life, true
 		s.log.Info("line up", "to", name)
 		line.Send(&parley.Message{Know: s.known(), Founders: s.founders, Backends: s.table.All(s.now())})
 		s.step(accord.Up{Who: name})
--- a/transit/front.go
+++ b/transit/front.go
@@ -98,11 +98,16 @@
 
 // Serve takes clients' connections until Shutdown.
 func (c *Carrier) Serve(l net.Listener) error {
+	return c.server.Serve(clientListener{l, c})
+}
+
+// newServer makes the server of clients' connections.
+func (c *Carrier) newServer() *http.Server {
 	mux := chi.NewRouter()
 	// Every path and method is carried as it came; nothing is cleaned or redirected.
 	mux.NotFound(c.carry)
 	mux.MethodNotAllowed(c.carry)
-	c.server = &http.Server{Handler: mux, MaxHeaderBytes: 1 << 20, DisableGeneralOptionsHandler: true, ErrorLog: c.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+	return &http.Server{Handler: mux, MaxHeaderBytes: 1 << 20, DisableGeneralOptionsHandler: true, ErrorLog: c.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 		ConnState: func(conn net.Conn, state http.ConnState) {
 			k, ok := conn.(*clientConn)
 			if !ok {
@@ -116,7 +121,6 @@
 				k.phase.Store(phaseIdle)
 			}
 		}}
-	return c.server.Serve(clientListener{l, c})
 }
 
 // Readiness answers the platform.
@@ -479,8 +483,6 @@
 	})
 	ctx, cancel := context.WithTimeout(context.Background(), span-c.o.Clock.Now().Sub(began))
 	defer cancel()
-	if c.server != nil {
-		_ = c.server.Shutdown(ctx)
-	}
-	close(c.stop)
+	_ = c.server.Shutdown(ctx)
+	c.once.Do(func() { close(c.stop) })
 }
--- a/transit/transit.go
+++ b/transit/transit.go
@@ -83,6 +83,7 @@
 	began time.Time
 	queue chan func()
 	stop  chan struct{}
+	once  sync.Once
 
 	view     atomic.Pointer[charter.Charter]
 	ready    atomic.Bool
@@ -122,6 +123,7 @@
 		c.clientsMost = 2400
 	}
 	c.pool = attempt.New(o.Backends)
+	c.server = c.newServer()
 	c.settler = verdict.New(set.Name, set.Zone, verdict.Bounds{RetryRatio: set.Bounds.RetryRatio,
 		RetrySlack: set.Bounds.RetrySlack, RetryWindow: set.Bounds.RetryWindow.Span(), ColdExcess: set.Bounds.ColdExcess,
 		ColdSlack: set.Bounds.ColdSlack}, 0)
