Lab carry: the carriers' settling beside a central picture and plain ways

Need: how far the picks are from the best that can be had, and by what cause. Change: a model in virtual time with the real settler and bearing, five other ways on the same draws.

--- /dev/null
+++ b/emu/carry/carrier.go
@@ -0,0 +1,210 @@
+package carry
+
+import (
+	"slices"
+	"time"
+
+	"elmfold/fault"
+	"elmfold/verdict"
+)
+
+// As transit and attempt have them.
+const (
+	dialFor    = 250 * ms
+	dialsMost  = 4
+	maxTries   = 2
+	keepFor    = 7500 * ms // an idle connection
+	idleMost   = 8
+	proveAfter = 100 * ms
+	proveMost  = 700 * ms
+	unsureFor  = 300 * ms
+)
+
+type carrier struct {
+	w     *world
+	index int
+	zone  int
+	conns map[*backend]*conns
+}
+
+// conns are those of a carrier to a backend.
+type conns struct {
+	idle []idle
+	open int
+}
+
+type idle struct {
+	until time.Duration
+	epoch int
+}
+
+// try is one of a client's, at a carrier.
+type try struct {
+	c         *carrier
+	r         *request
+	sent      time.Duration // by the client
+	came      time.Duration // here
+	deadline  time.Duration
+	tried     []*backend
+	picked    *verdict.Backend // as the settler knows it
+	offered   int
+	unreached int
+	arrived   int // at backends
+	ran       int
+	mayHave   bool
+	last      fault.Kind
+	answer    func(kind fault.Kind, after time.Duration)
+}
+
+func (c *carrier) to(b *backend) *conns {
+	k := c.conns[b]
+	if k == nil {
+		k = &conns{}
+		c.conns[b] = k
+	}
+	k.idle = slices.DeleteFunc(k.idle, func(i idle) bool {
+		over := c.w.now >= i.until || b.gone
+		if over {
+			k.open--
+		}
+		return over
+	})
+	return k
+}
+
+// carry takes a try from the client, as transit does.
+func (c *carrier) carry(t *try) {
+	w := c.w
+	kind, after := w.way.admit(c, t)
+	if kind != fault.None {
+		t.refuse(kind, after)
+		return
+	}
+	c.next(t)
+}
+
+func (c *carrier) next(t *try) {
+	w := c.w
+	if w.now >= t.deadline {
+		if t.last = fault.OutOfTime; t.mayHave {
+			t.last = fault.Late
+		}
+		c.finish(t)
+		return
+	}
+	b, share, kind := w.way.pick(c, t)
+	if b == nil {
+		if t.last == fault.None || !t.mayHave && t.offered == 0 && t.last != fault.Dial {
+			t.last = kind
+		}
+		c.finish(t)
+		return
+	}
+	began := w.now
+	c.do(t, b, func(m verdict.Met) {
+		m.Took = w.now - began
+		w.way.end(c, t, b, m)
+		if t.last = m.Kind; m.Kind == fault.None {
+			c.finish(t)
+			return
+		}
+		t.tried = append(t.tried, b)
+		if m.Kind == fault.Dial {
+			if t.unreached++; t.unreached >= dialsMost {
+				c.finish(t)
+				return
+			}
+		} else {
+			t.offered++
+		}
+		t.mayHave = t.mayHave || m.Kind.Rule().MayHave
+		if !w.way.again(c, t, m.Kind) {
+			c.finish(t)
+			return
+		}
+		c.next(t)
+	}, share)
+}
+
+// do sends a try to a backend on an idle connection or a new one.
+func (c *carrier) do(t *try, b *backend, done func(verdict.Met), share int) {
+	w, k, lag := c.w, c.to(b), b.oneWay(c)
+	j := &job{t: t, b: b}
+	b.coming = append(b.coming, j)
+	j.done = func(m verdict.Met) {
+		b.coming = slices.DeleteFunc(b.coming, func(o *job) bool { return o == j })
+		if m.HasLoad && m.Kind != fault.Late && k.open <= share && len(k.idle) < idleMost {
+			k.idle = append(k.idle, idle{w.now + keepFor, b.epoch})
+		} else {
+			k.open--
+		}
+		done(m)
+	}
+	send := func(epoch int) {
+		j.sentAt = w.now
+		w.after(lag, func() { b.arrive(j, epoch) })
+	}
+	if n := len(k.idle); n > 0 {
+		epoch := k.idle[n-1].epoch
+		k.idle = k.idle[:n-1]
+		send(epoch)
+	} else {
+		k.open++
+		c.connect(b, t.deadline, func(kind fault.Kind, silent bool) {
+			if kind != fault.None && !j.over {
+				j.over = true
+				j.done(verdict.Met{Kind: kind, Silent: silent})
+			} else if !j.over {
+				send(b.epoch)
+			}
+		})
+	}
+	w.at(t.deadline, func() {
+		if !j.over {
+			j.over = true
+			if j.sentAt == 0 {
+				j.done(verdict.Met{Kind: fault.OutOfTime})
+				return
+			}
+			b.cancel(j)
+			j.done(verdict.Met{Kind: fault.Late})
+		}
+	})
+}
+
+// connect brings up a connection.
+func (c *carrier) connect(b *backend, deadline time.Duration, then func(kind fault.Kind, silent bool)) {
+	w, lag := c.w, b.oneWay(c)
+	switch {
+	case b.dark:
+		if end := w.now + dialFor; end < deadline {
+			w.at(end, func() { then(fault.Dial, true) })
+		} // else the try's own deadline ends it
+	case b.gone:
+		w.after(2*lag, func() { then(fault.Dial, false) })
+	default:
+		w.s.Connections++
+		w.after(2*lag+handshake, func() { then(fault.None, false) })
+	}
+}
+
+// finish answers the client by what was met last, as transit does.
+func (c *carrier) finish(t *try) {
+	switch rule := t.last.Rule(); {
+	case t.last == fault.None:
+		t.answer(fault.None, 0)
+	case t.mayHave && !rule.MayHave:
+		t.refuse(fault.Broken, 0)
+	case t.last == fault.Full:
+		t.refuse(t.last, c.w.way.later(c, t))
+	default:
+		t.refuse(t.last, 0)
+	}
+}
+
+func (t *try) refuse(kind fault.Kind, after time.Duration) {
+	if after <= 0 {
+		after = kind.Rule().After
+	}
+	t.answer(kind, after)
+}
--- /dev/null
+++ b/emu/carry/ways.go
@@ -0,0 +1,401 @@
+package carry
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"elmfold/bearing"
+	"elmfold/fault"
+	"elmfold/parley"
+	"elmfold/verdict"
+)
+
+// Ways to choose; the first is the one in service, the last the bound. The blind one knows all but the works, which
+// nobody can know: it shows how much of the bound's worth comes from that. It is not a bound itself.
+var Ways = []string{"settler", "round robin", "least loaded", "two choices", "central, blind", "central"}
+
+// way is how carriers choose.
+type way interface {
+	begin()
+	word(b *backend, there bool) // what a beat said, or that none came
+	sees() bool                  // it knows the true state at once
+	admit(c *carrier, t *try) (fault.Kind, time.Duration)
+	pick(c *carrier, t *try) (b *backend, share int, kind fault.Kind)
+	end(c *carrier, t *try, b *backend, m verdict.Met)
+	again(c *carrier, t *try, kind fault.Kind) bool
+	later(c *carrier, t *try) time.Duration
+}
+
+func newWay(name string, w *world) way {
+	switch name {
+	case "settler":
+		return &settled{w: w}
+	case "central", "central, blind":
+		return &central{w: w, blind: name != "central"}
+	}
+	return &plain{w: w, name: name}
+}
+
+// settled is the way in service: a settler a carrier, a bearing a zone.
+type settled struct {
+	w        *world
+	settlers []*verdict.Settler
+	bearings []*bearing.Bearing
+	byID     map[string]*backend
+	listed   []bearing.Backend
+}
+
+func (s *settled) begin() {
+	w := s.w
+	s.byID = map[string]*backend{}
+	var members []verdict.Member
+	var leases []parley.Member
+	zones, services := []string{}, map[string]bearing.Service{}
+	for z := range w.Zones {
+		zones = append(zones, zoneName(z))
+	}
+	for _, k := range w.Kinds {
+		services[k.Name] = bearing.Service{Target: k.Aim}
+	}
+	name := func(i int) string { return fmt.Sprintf("c%d", i) }
+	for i, c := range w.carriers {
+		members = append(members, verdict.Member{Name: name(i), Zone: zoneName(c.zone)})
+		leases = append(leases, parley.Member{Name: name(i), Zone: zoneName(c.zone)})
+	}
+	for z := range zones {
+		b := bearing.New(zones, time.Duration(verdict.Rank(zones[z], "tick")%uint64(time.Second)))
+		b.Configure(services)
+		b.Members(leases)
+		s.bearings = append(s.bearings, b)
+	}
+	for i, c := range w.carriers {
+		v := verdict.New(name(i), zoneName(c.zone), verdict.Bounds{RetryRatio: retryRatio, RetrySlack: retrySlack,
+			RetryWindow: retryWindow, ColdExcess: coldExcess, ColdSlack: coldSlack}, 0)
+		for _, k := range w.Kinds {
+			v.Configure(k.Name, k.MaxConns, k.ColdRate, k.Cold)
+		}
+		v.Members(members)
+		v.Right(time.Hour)
+		s.settlers = append(s.settlers, v)
+	}
+	for _, b := range w.backends {
+		s.word(b, true)
+	}
+	for i, c := range w.carriers {
+		s.bearings[c.zone].Join(name(i), zoneName(c.zone))
+		s.renew(i, name(i), time.Duration(verdict.Rank(name(i), "renew")%uint64(time.Second)))
+	}
+	for z := range zones {
+		s.step(z)
+	}
+}
+
+// renew reports to the zone's controller each second.
+func (s *settled) renew(i int, name string, after time.Duration) {
+	w := s.w
+	w.after(after, func() {
+		r := s.settlers[i].Report()
+		var uses []parley.Use
+		var met []parley.Met
+		for _, u := range r.Uses {
+			uses = append(uses, parley.Use{Service: u.Service, Came: u.Came, Voided: u.Voided})
+		}
+		for _, t := range r.Met {
+			met = append(met, parley.Met{ID: t.ID, Tries: t.Tries, Voided: t.Voided,
+				Took: int64(t.Took / (100 * time.Microsecond)), Waiting: t.Waiting})
+		}
+		s.bearings[w.carriers[i].zone].Report(name, uses, met, 1)
+		if w.now < w.end {
+			s.renew(i, name, time.Second)
+		}
+	})
+}
+
+// step lets a zone's controller decide, five times a second.
+func (s *settled) step(z int) {
+	w := s.w
+	tables := s.bearings[z].Step(w.now)
+	w.after(acrossZone, func() {
+		for i := range s.settlers {
+			for _, t := range tables[fmt.Sprintf("c%d", i)] {
+				if t.Whole || t.Weights != nil {
+					s.settlers[i].Weights(t.Service, t.Whole, t.Weights)
+				}
+				if t.Gated {
+					s.settlers[i].Level(t.Service, t.Level, w.now)
+				}
+			}
+		}
+	})
+	if w.now < w.end {
+		w.after(200*ms, func() { s.step(z) })
+	}
+}
+
+func (s *settled) word(b *backend, there bool) {
+	w := s.w
+	if s.byID[b.id] == nil {
+		s.listed = append(s.listed, bearing.Backend{ID: b.id, Service: w.Kinds[b.kind].Name, Zone: zoneName(b.zone),
+			Capacity: b.slots, Ready: true})
+	}
+	s.byID[b.id] = b
+	for _, v := range s.settlers {
+		v.Put(w.now, verdict.Backend{ID: b.id, Service: w.Kinds[b.kind].Name, Address: b.address, Zone: zoneName(b.zone),
+			Capacity: b.slots, Usable: there, ColdUntil: b.coldUntil})
+	}
+	for _, v := range s.bearings {
+		v.Backends(w.now, s.listed)
+	}
+}
+
+func (s *settled) sees() bool { return false }
+
+func (s *settled) admit(c *carrier, t *try) (fault.Kind, time.Duration) {
+	return s.settlers[c.index].Admit(s.w.now, s.w.Kinds[t.r.kind].Name)
+}
+
+func (s *settled) pick(c *carrier, t *try) (*backend, int, fault.Kind) {
+	k := s.w.Kinds[t.r.kind]
+	var tried []string
+	for _, b := range t.tried {
+		tried = append(tried, b.id)
+	}
+	b, kind := s.settlers[c.index].Pick(s.w.now, verdict.Ask{Service: k.Name, Tried: tried,
+		ToAim: k.Aim - (s.w.now - t.came), Priority: k.Priority, Draws: [2]float64{t.r.chance.Float64(), t.r.chance.Float64()}})
+	if b == nil {
+		return nil, 0, kind
+	}
+	t.picked = b
+	return s.byID[b.ID], b.Share(), fault.None
+}
+
+func (s *settled) end(c *carrier, t *try, _ *backend, m verdict.Met) {
+	v := s.settlers[c.index]
+	v.End(s.w.now, t.picked, m)
+	if m.Kind != fault.None {
+		for _, d := range v.Doubts() {
+			i := slices.IndexFunc(s.w.backends, func(o *backend) bool { return o.address == d.Address })
+			s.prove(c, d, s.w.backends[i], 1)
+		}
+	}
+}
+
+// prove brings up a connection beside the requests until one does.
+func (s *settled) prove(c *carrier, d verdict.Doubt, b *backend, tries int) {
+	w, v, k := s.w, s.settlers[c.index], c.to(b)
+	if tries == 1 {
+		k.open -= len(k.idle)
+		k.idle = nil
+	}
+	c.connect(b, w.now+time.Hour, func(kind fault.Kind, _ bool) {
+		if !v.Wanted(d) {
+			return
+		}
+		if kind == fault.None {
+			v.Proved(w.now, d, beat+unsureFor)
+			k.open++
+			k.idle = append(k.idle, idle{w.now + keepFor, b.epoch})
+			return
+		}
+		if w.now < w.end {
+			w.after(min(proveAfter*time.Duration(tries), proveMost), func() { s.prove(c, d, b, tries+1) })
+		}
+	})
+}
+
+func (s *settled) again(c *carrier, t *try, kind fault.Kind) bool {
+	k := s.w.Kinds[t.r.kind]
+	return s.settlers[c.index].Again(s.w.now, k.Name, kind, k.Safe, t.offered, maxTries)
+}
+
+func (s *settled) later(_ *carrier, t *try) time.Duration {
+	return verdict.After(s.w.Kinds[t.r.kind].Aim, t.r.chance.Float64())
+}
+
+// plain are the naive ways. All of them leave a backend alone for a second after a connection that did not come up or
+// broke, and know nothing else: no budget, no cold ones, no shedding but the backends' own.
+type plain struct {
+	w    *world
+	name string
+	own  []map[*backend]*seen // by carrier
+	turn []int
+}
+
+type seen struct {
+	busy int
+	till time.Duration
+}
+
+func (p *plain) begin() {
+	for range p.w.carriers {
+		p.own = append(p.own, map[*backend]*seen{})
+		p.turn = append(p.turn, 0)
+	}
+}
+
+func (p *plain) word(*backend, bool) {}
+func (p *plain) sees() bool          { return false }
+
+func (p *plain) admit(*carrier, *try) (fault.Kind, time.Duration) { return fault.None, 0 }
+
+func (p *plain) see(c *carrier, b *backend) *seen {
+	v := p.own[c.index][b]
+	if v == nil {
+		v = &seen{}
+		p.own[c.index][b] = v
+	}
+	return v
+}
+
+func (p *plain) pick(c *carrier, t *try) (*backend, int, fault.Kind) {
+	var all []*backend
+	for _, b := range p.w.backends {
+		if b.kind == t.r.kind && p.w.now >= p.see(c, b).till && !slices.Contains(t.tried, b) {
+			all = append(all, b)
+		}
+	}
+	if len(all) == 0 {
+		return nil, 0, fault.NoBackend
+	}
+	u, v := t.r.chance.IntN(len(all)), t.r.chance.IntN(len(all))
+	best := all[u]
+	switch p.name {
+	case "round robin":
+		p.turn[c.index]++
+		best = all[p.turn[c.index]%len(all)]
+	case "two choices":
+		if p.see(c, all[v]).busy < p.see(c, best).busy {
+			best = all[v]
+		}
+	default: // the least loaded, from a place drawn by chance, so that not all begin with the same
+		for i := range all {
+			if b := all[(u+i)%len(all)]; p.see(c, b).busy < p.see(c, best).busy {
+				best = b
+			}
+		}
+	}
+	p.see(c, best).busy++
+	return best, idleMost, fault.None
+}
+
+func (p *plain) end(c *carrier, _ *try, b *backend, m verdict.Met) {
+	v := p.see(c, b)
+	v.busy--
+	if m.Kind == fault.Dial || m.Kind == fault.Broken {
+		v.till = p.w.now + time.Second
+	}
+}
+
+func (p *plain) again(_ *carrier, t *try, kind fault.Kind) bool {
+	rule := kind.Rule()
+	return rule.Elsewhere && (!rule.MayHave || p.w.Kinds[t.r.kind].Safe) && t.offered < maxTries
+}
+
+func (p *plain) later(_ *carrier, t *try) time.Duration {
+	return verdict.After(p.w.Kinds[t.r.kind].Aim, t.r.chance.Float64())
+}
+
+// central is one picture with the true state: it knows what runs and waits where and for how long, each work before it
+// begins, and what is dark. It asks the backend that answers soonest and refuses at once what cannot be answered inside
+// its aim, but where waiting is not the cause: that is served late. It does not look ahead at what has not come yet.
+type central struct {
+	w     *world
+	blind bool // it takes the mean for each work that has not begun
+}
+
+func (z *central) begin()                                           {}
+func (z *central) word(*backend, bool)                              {}
+func (z *central) sees() bool                                       { return true }
+func (z *central) admit(*carrier, *try) (fault.Kind, time.Duration) { return fault.None, 0 }
+func (z *central) end(*carrier, *try, *backend, verdict.Met)        {}
+
+// soonest is when the client would have its answer, and how long it would wait for a slot.
+func (z *central) soonest(b *backend, c *carrier, t *try) (answered, waits time.Duration) {
+	work := func(r *request) time.Duration {
+		if z.blind {
+			return z.w.meanWork(r.kind)
+		}
+		return r.work
+	}
+	free := make([]time.Duration, b.slots)
+	for i := range free {
+		if free[i] = b.w.now; i < len(b.running) {
+			j := b.running[i]
+			if free[i] = j.ends; z.blind {
+				free[i] = max(j.began+b.takes(work(j.t.r), i), b.w.now+b.takes(work(j.t.r), i)/5)
+			}
+		}
+	}
+	take := func(from, work time.Duration) (time.Duration, time.Duration) {
+		at, others := 0, 0
+		for i := range free {
+			if free[i] < free[at] {
+				at = i
+			}
+		}
+		begin := max(free[at], from)
+		for i := range free {
+			if i != at && free[i] > begin {
+				others++
+			}
+		}
+		free[at] = begin + b.takes(work, others)
+		return begin, free[at]
+	}
+	for _, list := range [][]*job{b.waiting, b.coming} {
+		for _, j := range list {
+			take(b.w.now, work(j.t.r))
+		}
+	}
+	lag := b.oneWay(c)
+	from := b.w.now + lag
+	if len(c.to(b).idle) == 0 {
+		from += 2*lag + handshake
+	}
+	begin, end := take(from, work(t.r))
+	return end + lag + toClient, begin - from
+}
+
+func (z *central) best(c *carrier, t *try) (best *backend, answered, waits time.Duration) {
+	for _, b := range z.w.backends {
+		if b.kind != t.r.kind || b.dark || b.gone || slices.Contains(t.tried, b) ||
+			len(b.waiting)+len(b.coming) >= z.w.Kinds[b.kind].Queue ||
+			b.cold() && z.w.now < b.lastCold+time.Duration(float64(time.Second)/z.w.Kinds[b.kind].ColdRate) {
+			continue
+		}
+		if a, v := z.soonest(b, c, t); best == nil || a < answered {
+			best, answered, waits = b, a, v
+		}
+	}
+	return best, answered, waits
+}
+
+func (z *central) pick(c *carrier, t *try) (*backend, int, fault.Kind) {
+	b, answered, waits := z.best(c, t)
+	kind := z.w.Kinds[t.r.kind]
+	if b != nil && z.blind { // nineteen of twenty must not take longer
+		sigma := math.Sqrt(math.Log(1 + kind.Spread*kind.Spread))
+		answered += time.Duration(float64(b.takes(kind.Work, 0)) * (math.Exp(1.645*sigma-sigma*sigma/2) - 1))
+	}
+	if b == nil || answered > t.sent+kind.Aim && waits > 0 {
+		return nil, 0, fault.Full
+	}
+	if b.cold() {
+		b.lastCold = z.w.now
+	}
+	return b, idleMost, fault.None
+}
+
+func (z *central) again(_ *carrier, t *try, kind fault.Kind) bool {
+	rule := kind.Rule()
+	return rule.Elsewhere && (!rule.MayHave || z.w.Kinds[t.r.kind].Safe) && t.offered < maxTries
+}
+
+// later is when there is room for one that finds none, by what is there now.
+func (z *central) later(c *carrier, t *try) time.Duration {
+	aim := z.w.Kinds[t.r.kind].Aim
+	_, answered, _ := z.best(c, t)
+	return max(answered-t.sent-aim, 0) + verdict.After(aim, t.r.chance.Float64())
+}
