--- a/cmd/lab/cells.go
+++ b/cmd/lab/cells/cells.go
@@ -1,4 +1,5 @@
-package main
+// Package cells plays cells of tenants, in the emulator and by the step.
+package cells
 
 import (
 	"fmt"
@@ -14,6 +15,7 @@
 
 	"elmfold/cells"
 	"elmfold/choice"
+	"elmfold/cmd/lab/report"
 	"elmfold/emu"
 )
 
@@ -23,26 +25,31 @@
 	harmedUnder                   = 0.95 // service over that of before
 )
 
+// Commands of the lab.
+func Commands() []*cobra.Command {
+	return []*cobra.Command{cellsCommand(), movesCommand(), stepCommand()}
+}
+
 func cellsCommand() *cobra.Command {
-	var w where
+	var w report.Where
 	c := &cobra.Command{Use: "cells", Short: "one tenant is poisoned: what the others get without cells, with fixed and with shuffled ones",
 		Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error { return playCells(w) }}
-	w.flags(c)
+	w.Flags(c)
 	return c
 }
 
-func playCells(w where) error {
-	d := emu.Campus(w.seed)
+func playCells(w report.Where) error {
+	d := emu.Campus(w.Seed)
 	ways := []struct {
 		name string
 		plan *cells.Plan
 	}{{"no cells", nil}, {"4 fixed cells", d.Confine(0, "red", "blue", "green", "gold")}, {"shuffled, 2 a zone", d.Confine(2)}}
-	r := newReport("cells", w.seed, fmt.Sprintf("60 proxies in 20 tenants, 24 backends, 500 txns/s; %s's txns take %d times the work and are repeated from %d to %d s",
+	r := report.New("cells", w.Seed, fmt.Sprintf("60 proxies in 20 tenants, 24 backends, 500 txns/s; %s's txns take %d times the work and are repeated from %d to %d s",
 		emu.Tenant(7), poisonWork, cellsCalm, cellsEnd))
 	type figures struct{ mean, worst, own, before, harmed, doubled, tipped, bare any }
 	var all []figures
 	p := plot.New()
-	p.Title.Text = fmt.Sprintf("one tenant of 20 poisoned from %d to %d s, seed %d", cellsCalm, cellsEnd, w.seed)
+	p.Title.Text = fmt.Sprintf("one tenant of 20 poisoned from %d to %d s, seed %d", cellsCalm, cellsEnd, w.Seed)
 	p.X.Label.Text, p.Y.Label.Text = "s", "service of the other tenants"
 	p.Legend.Left = true
 	p.Add(plotter.NewGrid())
@@ -70,7 +77,7 @@
 		}
 		harmedBy[way.name] = harmed
 		poisoned := world.Over(emu.Tenant(7), cellsCalm+3, cellsEnd)
-		all = append(all, figures{three(total.Service()), three(slices.Min(others)), three(poisoned.Service()), three(calm.Service()), harmed,
+		all = append(all, figures{report.Three(total.Service()), report.Three(slices.Min(others)), report.Three(poisoned.Service()), report.Three(calm.Service()), harmed,
 			world.Doubled(), len(world.Tipped), world.Bare})
 		if world.Doubled() > 0 {
 			r.Missed = append(r.Missed, fmt.Sprintf("%s: %d effects doubled", way.name, world.Doubled()))
@@ -98,7 +105,7 @@
 		for _, one := range all {
 			cells = append(cells, f(one))
 		}
-		r.row(name, cells...)
+		r.Row(name, cells...)
 	}
 	row("service of the 19 others before", func(f figures) any { return f.before })
 	row("service of the 19 others", func(f figures) any { return f.mean })
@@ -111,19 +118,17 @@
 	if harmedBy[ways[2].name] > harmedBy[ways[0].name] {
 		r.Missed = append(r.Missed, "shuffled cells harm more tenants than none")
 	}
-	r.Figure = fmt.Sprintf("seed %d: service of the others %v without cells, %v fixed, %v shuffled; harmed %v, %v, %v of 19", w.seed,
+	r.Figure = fmt.Sprintf("seed %d: service of the others %v without cells, %v fixed, %v shuffled; harmed %v, %v, %v of 19", w.Seed,
 		all[0].mean, all[1].mean, all[2].mean, all[0].harmed, all[1].harmed, all[2].harmed)
-	if err := r.leave(w.out); err != nil {
+	if err := r.Leave(w.Out); err != nil {
 		return err
 	}
-	if w.out != "" {
-		return p.Save(16*vg.Centimeter, 10*vg.Centimeter, filepath.Join(w.out, fmt.Sprintf("cells-seed%d.png", w.seed)))
+	if w.Out != "" {
+		return p.Save(16*vg.Centimeter, 10*vg.Centimeter, filepath.Join(w.Out, fmt.Sprintf("cells-seed%d.png", w.Seed)))
 	}
 	return nil
 }
 
-func three(v float64) string { return fmt.Sprintf("%.3f", v) }
-
 const (
 	moveEvery  = 4 * choice.Second // a move begins
 	moveCount  = 40
@@ -131,16 +136,16 @@
 )
 
 func movesCommand() *cobra.Command {
-	var w where
+	var w report.Where
 	c := &cobra.Command{Use: "cells-move", Short: "40 moves of tenants under load, with cuts and controllers killed",
 		Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error { return playMoves(w) }}
-	w.flags(c)
+	w.Flags(c)
 	return c
 }
 
-func playMoves(w where) error {
-	d := emu.Campus(w.seed)
-	chance := rand.New(rand.NewPCG(w.seed, 5))
+func playMoves(w report.Where) error {
+	d := emu.Campus(w.Seed)
+	chance := rand.New(rand.NewPCG(w.Seed, 5))
 	names := []string{"red", "blue", "green"}
 	d.Plan = d.Confine(0, names...)
 	d.Plan.Settle, d.Plan.Part = moveSettle, 0.34
@@ -217,23 +222,23 @@
 			}
 		}
 	}
-	r := newReport("cells-move", w.seed, fmt.Sprintf("%d moves of 20 tenants among 3 cells at 500 txns/s, %d streams cut and %d controllers killed in mid-move", moveCount, cuts, kills), "elmfold")
-	r.expect("effects doubled", world.Doubled(), 0)
-	r.expect("txns that found no line", world.Bare, 0)
-	r.expect("cold backends pushed over", len(world.Tipped), 0)
-	r.expect("lines outside the cell at the end", wrong, 0)
+	r := report.New("cells-move", w.Seed, fmt.Sprintf("%d moves of 20 tenants among 3 cells at 500 txns/s, %d streams cut and %d controllers killed in mid-move", moveCount, cuts, kills), "elmfold")
+	r.Expect("effects doubled", world.Doubled(), 0)
+	r.Expect("txns that found no line", world.Bare, 0)
+	r.Expect("cold backends pushed over", len(world.Tipped), 0)
+	r.Expect("lines outside the cell at the end", wrong, 0)
 	total := emu.Sum{}
 	for n := range 20 {
 		s := world.Over(emu.Tenant(n), 5, end)
 		total.Asked, total.Served, total.Voided, total.Declined = total.Asked+s.Asked, total.Served+s.Served, total.Voided+s.Voided, total.Declined+s.Declined
 	}
-	r.row("txns asked", total.Asked)
-	r.row("txns voided, all day", total.Voided)
-	r.row("effects in the ledger", len(world.Effects))
-	r.row("service of the moved tenant, 8 s before", three(before.Service()))
-	r.row("service of the moved tenant, 8 s from the move", three(during.Service()))
-	r.row("... of the worst move", three(worst))
-	r.Figure = fmt.Sprintf("seed %d: doubled %d, without a line %d, pushed over %d; service of the moved tenant %s before, %s during", w.seed, world.Doubled(),
-		world.Bare, len(world.Tipped), three(before.Service()), three(during.Service()))
-	return r.leave(w.out)
+	r.Row("txns asked", total.Asked)
+	r.Row("txns voided, all day", total.Voided)
+	r.Row("effects in the ledger", len(world.Effects))
+	r.Row("service of the moved tenant, 8 s before", report.Three(before.Service()))
+	r.Row("service of the moved tenant, 8 s from the move", report.Three(during.Service()))
+	r.Row("... of the worst move", report.Three(worst))
+	r.Figure = fmt.Sprintf("seed %d: doubled %d, without a line %d, pushed over %d; service of the moved tenant %s before, %s during", w.Seed, world.Doubled(),
+		world.Bare, len(world.Tipped), report.Three(before.Service()), report.Three(during.Service()))
+	return r.Leave(w.Out)
 }
--- a/cmd/lab/step.go
+++ b/cmd/lab/cells/step.go
@@ -1,4 +1,4 @@
-package main
+package cells
 
 import (
 	"fmt"
@@ -9,6 +9,7 @@
 
 	"elmfold/cells"
 	"elmfold/choice"
+	"elmfold/cmd/lab/report"
 )
 
 const (
@@ -16,10 +17,10 @@
 )
 
 func stepCommand() *cobra.Command {
-	var w where
+	var w report.Where
 	c := &cobra.Command{Use: "cells-step", Short: "time of a step at 5,000 proxies and 500 backends when one backend comes, when one tenant moves",
 		Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error { return playSteps(w) }}
-	w.flags(c)
+	w.Flags(c)
 	return c
 }
 
@@ -71,10 +72,10 @@
 	return s
 }
 
-func playSteps(w where) error {
+func playSteps(w report.Where) error {
 	var list []cells.Backend
 	for i := range stepBackends {
-		list = append(list, cells.Backend{At: i, ID: fmt.Sprintf("s-%d-%03d", w.seed, i), Zone: i % 2, Status: choice.Ready, Weight: 1})
+		list = append(list, cells.Backend{At: i, ID: fmt.Sprintf("s-%d-%03d", w.Seed, i), Zone: i % 2, Status: choice.Ready, Weight: 1})
 	}
 	shuffled, moved := cells.Usual(), cells.Usual()
 	shuffled.Shuffle, shuffled.Size = true, stepSize
@@ -91,12 +92,12 @@
 		}
 		moved.Tenants = append(moved.Tenants, t)
 	}
-	r := newReport("cells-step", w.seed, fmt.Sprintf("%d proxies, %d backends", stepProxies, stepBackends), "cells, ms", "choice, ms", "proxies told", "least possible")
-	millis := func(d time.Duration) string { return ms(float64(d) / float64(time.Millisecond)) }
+	r := report.New("cells-step", w.Seed, fmt.Sprintf("%d proxies, %d backends", stepProxies, stepBackends), "cells, ms", "choice, ms", "proxies told", "least possible")
+	millis := func(d time.Duration) string { return report.Ms(float64(d) / float64(time.Millisecond)) }
 
 	s := stageFor(shuffled, list[:stepBackends-1])
 	quiet, quietChoice, told := s.step(nil, nil)
-	r.row("shuffled, nothing happens", millis(quiet), millis(quietChoice), told, 0)
+	r.Row("shuffled, nothing happens", millis(quiet), millis(quietChoice), told, 0)
 	enter := 0
 	plan := shuffled
 	plan.Products, plan.Zones = []choice.Product{{}, {OwnZone: true}}, 2
@@ -107,25 +108,25 @@
 	}
 	inCells, inChoice, told := s.step([]cells.Event{cells.Listed{Backends: list}},
 		[]choice.Event{choice.Listed{Entries: []choice.Entry{{Backend: stepBackends - 1, Zone: 1, Status: choice.Ready, Weight: 1}}}})
-	r.row("shuffled, one backend comes", millis(inCells), millis(inChoice), told, enter)
+	r.Row("shuffled, one backend comes", millis(inCells), millis(inChoice), told, enter)
 	if told != enter {
 		r.Missed = append(r.Missed, fmt.Sprintf("%d proxies are told, the sets of %d change", told, enter))
 	}
 	s = stageFor(moved, list)
 	quiet, quietChoice, told = s.step(nil, nil)
-	r.row("20 fixed cells, nothing happens", millis(quiet), millis(quietChoice), told, 0)
+	r.Row("20 fixed cells, nothing happens", millis(quiet), millis(quietChoice), told, 0)
 	inCells, inChoice, told = s.step([]cells.Event{cells.Move{Tenant: "t0", Cell: "c1"}}, nil)
-	r.row("20 fixed cells, a tenant of 10 proxies begins to move", millis(inCells), millis(inChoice), told, 3)
+	r.Row("20 fixed cells, a tenant of 10 proxies begins to move", millis(inCells), millis(inChoice), told, 3)
 	worst, all := time.Duration(0), 0
 	for range 30 {
 		a, _, n := s.step(nil, nil)
 		worst, all = max(worst, a), all+n
 	}
-	r.row("... its other steps, the longest, all told", millis(worst), "", all, 17)
+	r.Row("... its other steps, the longest, all told", millis(worst), "", all, 17)
 	inCells, inChoice, told = s.step([]cells.Event{cells.Listed{Backends: list[:stepBackends-1]}},
 		[]choice.Event{choice.Listed{Entries: []choice.Entry{{Backend: stepBackends - 1, Status: choice.Gone}}}})
-	r.row("20 fixed cells, one backend goes", millis(inCells), millis(inChoice), told, 250)
+	r.Row("20 fixed cells, one backend goes", millis(inCells), millis(inChoice), told, 250)
 	r.Figure = fmt.Sprintf("one backend that comes to %d: %s ms in cells, %d of %d proxies told, %d is the least", stepBackends, r.Rows[1].Figures[0],
 		enter, stepProxies, enter)
-	return r.leave(w.out)
+	return r.Leave(w.Out)
 }
--- a/cmd/lab/channel.go
+++ b/cmd/lab/channel/channel.go
@@ -1,4 +1,5 @@
-package main
+// Package channel plays the pub-sub channel and the streams beside it.
+package channel
 
 import (
 	"context"
@@ -15,6 +16,7 @@
 	"elmfold/channel/client"
 	"elmfold/channel/session"
 	"elmfold/choice"
+	"elmfold/cmd/lab/report"
 	"elmfold/deployment"
 	"elmfold/desk"
 	"elmfold/edge"
@@ -29,11 +31,16 @@
 	chanWithin                        = 2 * time.Minute       // for all to hold what was ordered
 )
 
+// Commands of the lab.
+func Commands() []*cobra.Command {
+	return []*cobra.Command{channelCommand()}
+}
+
 func channelCommand() *cobra.Command {
-	var w where
+	var w report.Where
 	c := &cobra.Command{Use: "channel", Short: "2,000 proxies subscribe on loopback, 43% are cut off three times, 50 are slow: orders sent, applied, twice, missing",
 		Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error { return playChannel(w) }}
-	w.flags(c)
+	w.Flags(c)
 	return c
 }
 
@@ -51,7 +58,7 @@
 	at      map[string]time.Time // of the last order for a backend, until it took effect
 }
 
-func playChannel(w where) error {
+func playChannel(w report.Where) error {
 	names := deployment.Names{Products: []string{"look"}, Zones: []string{"a"}, Kinds: []string{"s"}}
 	streams, joined := make([]atomic.Pointer[desk.PartStream], chanProxies), atomic.Int64{}
 	var left atomic.Int64
@@ -67,7 +74,7 @@
 			left.Add(1)
 		}
 	}
-	hub, err := channel.Listen(channel.Plan{Listen: "127.0.0.1:0", Linger: time.Minute, Onlookers: 4}, chanProxies, names, hear, silent())
+	hub, err := channel.Listen(channel.Plan{Listen: "127.0.0.1:0", Linger: time.Minute, Onlookers: 4}, chanProxies, names, hear, report.Silent())
 	if err != nil {
 		return err
 	}
@@ -105,7 +112,7 @@
 	runtime.GC()
 	runtime.ReadMemStats(&after)
 	perSession := float64(after.HeapAlloc+after.StackInuse-before.HeapAlloc-before.StackInuse) / chanProxies
-	chance := rand.New(rand.NewPCG(w.seed, 19))
+	chance := rand.New(rand.NewPCG(w.Seed, 19))
 	began, sent, most := time.Now(), 0, 0
 	for n := range chanOrders {
 		i, id, weight := drawOrder(chance, n)
@@ -147,36 +154,36 @@
 	}
 	stop()
 	hub.Close()
-	other, err := playStreams(w.seed)
+	other, err := playStreams(w.Seed)
 	if err != nil {
 		return err
 	}
 	text, packed := sizes()
 	asText, asValues := costs()
-	r := newReport("channel", w.seed, fmt.Sprintf("%d proxies on loopback, %.0f%% cut off %d times, %d slow by %v a message", chanProxies, 100*chanCut, chanCuts, chanSlow, chanSlowness), "channel", "streams")
-	r.row("orders sent", sent, sent)
-	r.row("messages that took effect", effects, "")
-	r.row("lines sent again though they had taken effect", same, other.again)
-	r.expect("messages that took effect twice", twice, 0)
-	r.expect("proxies that lack an order at the end", missing, 0)
-	r.row("proxies that lack an order at the end, streams", "", other.missing)
-	r.expect("joinings", int(joined.Load()), chanProxies)
-	r.row("joinings, streams", "", other.joinings)
-	r.expect("leavings", int(left.Load()), 0)
-	r.row(fmt.Sprintf("most sets in a message (a topic holds %d keys)", chanBackends), largest)
-	r.row(fmt.Sprintf("greatest backlog of a proxy, values not in effect yet, sampled each 2,000 orders (bound: %d)", chanBackends), most)
+	r := report.New("channel", w.Seed, fmt.Sprintf("%d proxies on loopback, %.0f%% cut off %d times, %d slow by %v a message", chanProxies, 100*chanCut, chanCuts, chanSlow, chanSlowness), "channel", "streams")
+	r.Row("orders sent", sent, sent)
+	r.Row("messages that took effect", effects, "")
+	r.Row("lines sent again though they had taken effect", same, other.again)
+	r.Expect("messages that took effect twice", twice, 0)
+	r.Expect("proxies that lack an order at the end", missing, 0)
+	r.Row("proxies that lack an order at the end, streams", "", other.missing)
+	r.Expect("joinings", int(joined.Load()), chanProxies)
+	r.Row("joinings, streams", "", other.joinings)
+	r.Expect("leavings", int(left.Load()), 0)
+	r.Row(fmt.Sprintf("most sets in a message (a topic holds %d keys)", chanBackends), largest)
+	r.Row(fmt.Sprintf("greatest backlog of a proxy, values not in effect yet, sampled each 2,000 orders (bound: %d)", chanBackends), most)
 	if most > chanBackends || largest > chanBackends {
 		r.Missed = append(r.Missed, fmt.Sprintf("a message of %d sets, a backlog of %d, where a topic holds %d", largest, most, chanBackends))
 	}
-	r.row("ms from order to effect, median", ms(part(delays, 0.5)), ms(part(other.delays, 0.5)))
-	r.row("... 99th percentile (cuts and slow ones are among them)", ms(part(delays, 0.99)), ms(part(other.delays, 0.99)))
-	r.row("s of ordering; until all held it", fmt.Sprintf("%.1f; %.1f", ordered.Seconds(), settled.Seconds()), fmt.Sprintf("%.1f", other.settled.Seconds()))
-	r.row("kB of heap and stacks a session, both sides and the stand-in", fmt.Sprintf("%.0f", perSession/1000))
-	r.row("bytes of a first table", packed[0], text[0])
-	r.row("bytes of a change of two lines", packed[1], text[1])
-	r.row("us of one core for an order of two lines, settled and encoded", ms(asValues/1000), ms(asText/1000))
-	r.Figure = fmt.Sprintf("seed %d: %d orders, twice %d, missing %d, %s ms to effect at the median", w.seed, sent, twice, missing, ms(part(delays, 0.5)))
-	return r.leave(w.out)
+	r.Row("ms from order to effect, median", report.Ms(report.Part(delays, 0.5)), report.Ms(report.Part(other.delays, 0.5)))
+	r.Row("... 99th percentile (cuts and slow ones are among them)", report.Ms(report.Part(delays, 0.99)), report.Ms(report.Part(other.delays, 0.99)))
+	r.Row("s of ordering; until all held it", fmt.Sprintf("%.1f; %.1f", ordered.Seconds(), settled.Seconds()), fmt.Sprintf("%.1f", other.settled.Seconds()))
+	r.Row("kB of heap and stacks a session, both sides and the stand-in", fmt.Sprintf("%.0f", perSession/1000))
+	r.Row("bytes of a first table", packed[0], text[0])
+	r.Row("bytes of a change of two lines", packed[1], text[1])
+	r.Row("us of one core for an order of two lines, settled and encoded", report.Ms(asValues/1000), report.Ms(asText/1000))
+	r.Figure = fmt.Sprintf("seed %d: %d orders, twice %d, missing %d, %s ms to effect at the median", w.Seed, sent, twice, missing, report.Ms(report.Part(delays, 0.5)))
+	return r.Leave(w.Out)
 }
 
 // drawOrder is the nth order: a weight that no other has, or 0, for a backend's line at a proxy.
--- a/cmd/lab/streams.go
+++ b/cmd/lab/channel/streams.go
@@ -1,4 +1,4 @@
-package main
+package channel
 
 import (
 	"bufio"
@@ -12,6 +12,7 @@
 
 	"elmfold/channel"
 	"elmfold/channel/session"
+	"elmfold/cmd/lab/report"
 	"elmfold/edge"
 	"elmfold/standin/link"
 	"elmfold/stream"
@@ -52,7 +53,7 @@
 		from.Send(edge.Append(nil, []edge.Part{{Products: []string{"look"}, Whole: true, Lines: lines}}))
 		conns[j.Proxy].Store(from)
 	}
-	ln, err := stream.Listen("127.0.0.1:0", 1<<30, 2*chanProxies+100, hear, silent())
+	ln, err := stream.Listen("127.0.0.1:0", 1<<30, 2*chanProxies+100, hear, report.Silent())
 	if err != nil {
 		return b, err
 	}
--- a/cmd/lab/kept.go
+++ b/cmd/lab/desk/kept.go
@@ -1,4 +1,4 @@
-package main
+package desk
 
 import (
 	"fmt"
@@ -9,6 +9,7 @@
 	"github.com/spf13/cobra"
 
 	"elmfold/choice"
+	"elmfold/cmd/lab/report"
 	"elmfold/recall"
 	"elmfold/store"
 )
@@ -19,21 +20,21 @@
 )
 
 func keptCommand() *cobra.Command {
-	var w where
+	var w report.Where
 	c := &cobra.Command{Use: "step-kept", Short: "what keeping facts costs a step of the desk at 5,000 proxies, and bytes written a second",
 		Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error { return playKept(w) }}
-	w.flags(c)
+	w.Flags(c)
 	return c
 }
 
-func playKept(w where) error {
+func playKept(w report.Where) error {
 	dir, err := os.MkdirTemp("", "kept")
 	if err != nil {
 		return err
 	}
 	defer os.RemoveAll(dir)
 	path := filepath.Join(dir, "state")
-	s, _, err := store.Open(path, "lab", 0, silent())
+	s, _, err := store.Open(path, "lab", 0, report.Silent())
 	if err != nil {
 		return err
 	}
@@ -80,18 +81,18 @@
 		size += len(store.Encode(r)) + len(r.Key) + 1
 	}
 	perS := float64(facts) / keptTicks * float64(size) / float64(max(len(all), 1))
-	r := newReport("step-kept", w.seed, fmt.Sprintf("%d proxies, %d backends, %d ticks with all reports", keptProxies, keptBackends, keptTicks), "p50, ms", "p99, ms")
-	r.row("nothing is kept", ms(part(plain, 0.5)), ms(part(plain, 0.99)))
-	r.row("facts are kept", ms(part(kept, 0.5)), ms(part(kept, 0.99)))
-	r.row("facts handed over a second", fmt.Sprintf("%.0f", float64(facts)/keptTicks))
-	r.row("kB of them a second", fmt.Sprintf("%.0f", perS/1000))
-	r.row("kB of the file", bytes/1000)
-	times := part(kept, 0.5) / part(plain, 0.5)
+	r := report.New("step-kept", w.Seed, fmt.Sprintf("%d proxies, %d backends, %d ticks with all reports", keptProxies, keptBackends, keptTicks), "p50, ms", "p99, ms")
+	r.Row("nothing is kept", report.Ms(report.Part(plain, 0.5)), report.Ms(report.Part(plain, 0.99)))
+	r.Row("facts are kept", report.Ms(report.Part(kept, 0.5)), report.Ms(report.Part(kept, 0.99)))
+	r.Row("facts handed over a second", fmt.Sprintf("%.0f", float64(facts)/keptTicks))
+	r.Row("kB of them a second", fmt.Sprintf("%.0f", perS/1000))
+	r.Row("kB of the file", bytes/1000)
+	times := report.Part(kept, 0.5) / report.Part(plain, 0.5)
 	if times > keptMost {
 		r.Missed = append(r.Missed, fmt.Sprintf("a step costs %.2f times as much, %.2f is allowed", times, keptMost))
 	}
-	r.Figure = fmt.Sprintf("a step that keeps facts costs %.2f times one that does not at p50, %.2f at p99", times, part(kept, 0.99)/part(plain, 0.99))
-	return r.leave(w.out)
+	r.Figure = fmt.Sprintf("a step that keeps facts costs %.2f times one that does not at p50, %.2f at p99", times, report.Part(kept, 0.99)/report.Part(plain, 0.99))
+	return r.Leave(w.Out)
 }
 
 // storeLook closes the store and reads it whole.
--- a/cmd/lab/moments.go
+++ b/cmd/lab/desk/moments.go
@@ -1,4 +1,5 @@
-package main
+// Package desk plays what a moment costs the desk.
+package desk
 
 import (
 	"cmp"
@@ -21,6 +22,7 @@
 	"gonum.org/v1/plot/vg"
 
 	"elmfold/choice"
+	"elmfold/cmd/lab/report"
 	"elmfold/deployment"
 	"elmfold/desk"
 	"elmfold/edge"
@@ -32,13 +34,18 @@
 
 const joinsAtOnce = 20 // that come within a moment, while a fleet joins bit by bit
 
+// Commands of the lab.
+func Commands() []*cobra.Command {
+	return []*cobra.Command{momentsCommand(), keptCommand()}
+}
+
 func momentsCommand() *cobra.Command {
-	var w where
+	var w report.Where
 	var beside string
 	var raw bool
 	c := &cobra.Command{Use: "step", Short: "time of a moment at the desk and the decisions, at sizes that one controller may come to own",
 		Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error { return playMoments(w, beside, raw) }}
-	w.flags(c)
+	w.Flags(c)
 	c.Flags().StringVar(&beside, "beside", "", "another build of this program to be measured in the same run")
 	c.Flags().BoolVar(&raw, "raw", false, "print the figures alone, for --beside of another build")
 	return c
@@ -229,7 +236,7 @@
 	return all
 }
 
-func playMoments(w where, beside string, raw bool) error {
+func playMoments(w report.Where, beside string, raw bool) error {
 	var old []moment
 	if beside != "" { // its own figures, on the same machine, just before
 		text, err := exec.Command(beside, "step", "--raw").Output()
@@ -244,7 +251,7 @@
 	if raw {
 		return json.NewEncoder(os.Stdout).Encode(all)
 	}
-	r := newReport("step", w.seed, "desk and decisions, streams in memory; the least of three", "ms", "allocations", "proxies told")
+	r := report.New("step", w.Seed, "desk and decisions, streams in memory; the least of three", "ms", "allocations", "proxies told")
 	if old != nil {
 		r.Columns = append(r.Columns, "ms before", "times faster")
 	}
@@ -257,21 +264,21 @@
 				worst, least = m, times
 			}
 		}
-		r.row(fmt.Sprintf("%d x %d, %s", m.Proxies, m.Backends, m.Name), row...)
+		r.Row(fmt.Sprintf("%d x %d, %s", m.Proxies, m.Backends, m.Name), row...)
 	}
 	r.Figure = fmt.Sprintf("%d moments at %d sizes", len(all)/len(fleets), len(fleets))
 	if old != nil {
 		r.Figure += fmt.Sprintf("; the least gain is %.1f times, at %d x %d, %s", least, worst.Proxies, worst.Backends, worst.Name)
 	}
-	if w.out != "" {
-		if err := os.MkdirAll(w.out, 0o755); err != nil {
+	if w.Out != "" {
+		if err := os.MkdirAll(w.Out, 0o755); err != nil {
 			return err
 		}
-		if err := drawMoments(filepath.Join(w.out, fmt.Sprintf("step-seed%d.png", w.seed)), all, old); err != nil {
+		if err := drawMoments(filepath.Join(w.Out, fmt.Sprintf("step-seed%d.png", w.Seed)), all, old); err != nil {
 			return err
 		}
 	}
-	return r.leave(w.out)
+	return r.Leave(w.Out)
 }
 
 // drawMoments draws a line for each kind of moment over the sizes, dashed what it was before.
--- a/cmd/lab/edits.go
+++ b/cmd/lab/edits/edits.go
@@ -1,4 +1,5 @@
-package main
+// Package edits plays edits of parted sites.
+package edits
 
 import (
 	"cmp"
@@ -16,6 +17,7 @@
 
 	"github.com/spf13/cobra"
 
+	"elmfold/cmd/lab/report"
 	"elmfold/jobs"
 	"elmfold/standin/fleet"
 	"elmfold/standin/link"
@@ -32,13 +34,18 @@
 	editSkew   = time.Hour       // by which a site's clock may be off
 )
 
+// Commands of the lab.
+func Commands() []*cobra.Command {
+	return []*cobra.Command{editsCommand()}
+}
+
 func editsCommand() *cobra.Command {
-	var w where
+	var w report.Where
 	var program string
 	var edits, faults int
 	c := &cobra.Command{Use: "edits", Short: "sites of real processes take edits of the same jobs while links and processes fail, and come to the same",
 		Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error { return playEdits(w, program, edits, faults) }}
-	w.flags(c)
+	w.Flags(c)
 	c.Flags().StringVar(&program, "program", "bin/elmfold-full", "the controller")
 	c.Flags().IntVar(&edits, "edits", 100_000, "that are answered")
 	c.Flags().IntVar(&faults, "faults", 1000, "cuts, kills, stops, old copies")
@@ -64,7 +71,7 @@
 	quiet   atomic.Bool    // no more faults
 }
 
-func playEdits(w where, program string, edits, faults int) error {
+func playEdits(w report.Where, program string, edits, faults int) error {
 	dir, err := os.MkdirTemp("", "edits")
 	if err != nil {
 		return err
@@ -84,7 +91,7 @@
 	if err := rig.StartAll(); err != nil {
 		return err
 	}
-	e := &editing{Rig: rig, seed: w.seed, unsure: map[jobs.ID]bool{}, holds: make([]sync.RWMutex, n)}
+	e := &editing{Rig: rig, seed: w.Seed, unsure: map[jobs.ID]bool{}, holds: make([]sync.RWMutex, n)}
 	e.left.Store(int64(edits))
 	e.faults.Store(int64(faults))
 	began := time.Now()
@@ -123,7 +130,7 @@
 		return err
 	}
 	took := time.Since(began)
-	r := newReport("edits", w.seed, fmt.Sprintf("%d processes at %d sites, %d jobs, %d edits answered, %d faults, %.0f s", n, editSites, editJobs, len(e.all), injected, took.Seconds()), "")
+	r := report.New("edits", w.Seed, fmt.Sprintf("%d processes at %d sites, %d jobs, %d edits answered, %d faults, %.0f s", n, editSites, editJobs, len(e.all), injected, took.Seconds()), "")
 	views := make([][]jobs.View, n)
 	memory := 0 // of the largest
 	for i, p := range rig.Processes {
@@ -133,7 +140,7 @@
 		}
 		views[i] = slices.DeleteFunc(views[i], func(v jobs.View) bool { return v.State.Ended() && len(v.Lost) == 0 }) // each forgets them in its own time
 		c.Close()
-		memory = max(memory, residentOf(p.ID()))
+		memory = max(memory, report.ResidentOf(p.ID()))
 	}
 	differ := 0
 	for _, v := range views[1:] {
@@ -142,26 +149,26 @@
 		}
 	}
 	lost, wrong, rules := e.judge(views[0])
-	r.expect("edits that were answered and are lost", lost, 0)
-	r.expect("processes whose jobs differ after the heal", differ, 0)
-	r.expect("jobs that are not what their edits come to by the rules", wrong, 0)
+	r.Expect("edits that were answered and are lost", lost, 0)
+	r.Expect("processes whose jobs differ after the heal", differ, 0)
+	r.Expect("jobs that are not what their edits come to by the rules", wrong, 0)
 	slices.Sort(heals)
-	p50, p99 := part(heals, 0.5), part(heals, 0.99)
-	r.row("seconds from the heal until all are one", fmt.Sprintf("p50 %.2f", p50), fmt.Sprintf("p99 %.2f of %d", p99, len(heals)))
+	p50, p99 := report.Part(heals, 0.5), report.Part(heals, 0.99)
+	r.Row("seconds from the heal until all are one", fmt.Sprintf("p50 %.2f", p50), fmt.Sprintf("p99 %.2f of %d", p99, len(heals)))
 	if p99 > healMost.Seconds() {
 		r.Missed = append(r.Missed, fmt.Sprintf("p99 from the heal until all are one is %.2f s", p99))
 	}
-	r.row("edits a second, answered", fmt.Sprintf("%.0f", float64(len(e.all))/took.Seconds()))
-	r.row("jobs with an answer that did not come", len(e.unsure))
+	r.Row("edits a second, answered", fmt.Sprintf("%.0f", float64(len(e.all))/took.Seconds()))
+	r.Row("jobs with an answer that did not come", len(e.unsure))
 	for rule := 1; rule <= 8; rule++ {
-		r.row(fmt.Sprintf("shown as lost by rule %d", rule), rules[rule])
+		r.Row(fmt.Sprintf("shown as lost by rule %d", rule), rules[rule])
 	}
-	r.row("resident memory at the end, most of a process, MB", memory>>20)
+	r.Row("resident memory at the end, most of a process, MB", memory>>20)
 	vanish, apart := e.byClock()
-	r.row("baseline: last writer by clock, wishes that vanish though the winner did not know of them", vanish)
-	r.row("baseline: ... of them withdrawals and holds", apart)
+	r.Row("baseline: last writer by clock, wishes that vanish though the winner did not know of them", vanish)
+	r.Row("baseline: ... of them withdrawals and holds", apart)
 	r.Figure = fmt.Sprintf("%d edits, %d faults: lost %d, differ %d; one %.2f s after a heal (p99 %.2f); by clock %d wishes vanish", len(e.all), injected, lost, differ, p50, p99, vanish)
-	return r.leave(w.out)
+	return r.Leave(w.Out)
 }
 
 func editID(i int) jobs.ID {
@@ -417,14 +424,3 @@
 	}
 	return vanish, cautious
 }
-
-// residentOf is how much memory a process holds, in bytes.
-func residentOf(pid int) int {
-	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
-	if err != nil {
-		return 0
-	}
-	var size, pages int
-	_, _ = fmt.Sscan(string(raw), &size, &pages)
-	return pages * os.Getpagesize()
-}
--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -1,33 +1,37 @@
 // Lab runs experiments on elmfold's parts against stand-ins: lab NAME --seed N --out DIR. Each leaves a table, JSON
-// and a chart, ends with 1 where an expected total is missed, and its last line is the figure.
+// and a chart, ends with 1 where an expected total is missed, and its last line is the figure. A package below plays
+// each subsystem.
 package main
 
 import (
-	"errors"
+	"context"
 	"fmt"
 	"os"
+	"os/signal"
+	"slices"
 
 	"github.com/spf13/cobra"
-)
 
-var errMissed = errors.New("an expected total is missed")
+	"elmfold/cmd/lab/carry"
+	"elmfold/cmd/lab/cells"
+	"elmfold/cmd/lab/channel"
+	"elmfold/cmd/lab/desk"
+	"elmfold/cmd/lab/edits"
+	"elmfold/cmd/lab/gateway"
+	"elmfold/cmd/lab/plugin"
+	"elmfold/cmd/lab/registry"
+	"elmfold/cmd/lab/restart"
+	"elmfold/cmd/lab/spread"
+)
 
 func main() {
 	root := &cobra.Command{Use: "lab", Short: "experiments on elmfold's parts", SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(registryCommand(), sizeCommand(), followerCommand(), cellsCommand(), movesCommand(), stepCommand(), momentsCommand(), killsCommand(), storerCommand(), restartCommand(), processCommand(), keptCommand(), channelCommand(), pluginCallCommand(), spreadCommand(), editsCommand())
-	if err := root.Execute(); err != nil {
+	root.AddCommand(slices.Concat(registry.Commands(), cells.Commands(), desk.Commands(), restart.Commands(), channel.Commands(),
+		plugin.Commands(), spread.Commands(), edits.Commands(), gateway.Commands(), carry.Commands())...)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	if err := root.ExecuteContext(ctx); err != nil {
 		fmt.Fprintf(os.Stderr, "lab: %v\n", err)
 		os.Exit(1)
 	}
 }
-
-// where is what every experiment is told.
-type where struct {
-	seed uint64
-	out  string
-}
-
-func (w *where) flags(c *cobra.Command) {
-	c.Flags().Uint64Var(&w.seed, "seed", 1, "of the schedule")
-	c.Flags().StringVar(&w.out, "out", "", "folder for the table, JSON and chart; none are kept without it")
-}
--- a/cmd/lab/plugins.go
+++ b/cmd/lab/plugin/plugins.go
@@ -1,4 +1,5 @@
-package main
+// Package plugin plays calls of plug-ins.
+package plugin
 
 import (
 	"fmt"
@@ -8,6 +9,7 @@
 
 	"github.com/spf13/cobra"
 
+	"elmfold/cmd/lab/report"
 	"elmfold/plugin"
 	told "elmfold/plugin/moment"
 )
@@ -17,17 +19,22 @@
 	pluginMost                                 = 50.0 // ms a call may take at the 99th percentile
 )
 
+// Commands of the lab.
+func Commands() []*cobra.Command {
+	return []*cobra.Command{pluginCallCommand()}
+}
+
 func pluginCallCommand() *cobra.Command {
-	var w where
+	var w report.Where
 	var module string
 	c := &cobra.Command{Use: "plugin-call", Short: "time of a plug-in's call with 500 backends and 500 tenants, and memory of 1 and of 8 of them",
 		Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error { return playPluginCalls(w, module) }}
-	w.flags(c)
+	w.Flags(c)
 	c.Flags().StringVar(&module, "module", "", "a built plug-in, as in docs/plugins.md")
 	return c
 }
 
-func playPluginCalls(w where, module string) error {
+func playPluginCalls(w report.Where, module string) error {
 	code, err := os.ReadFile(module)
 	if err != nil {
 		return fmt.Errorf("name a built plug-in with --module: %w", err)
@@ -47,7 +54,7 @@
 		runtime.ReadMemStats(&s)
 		return float64(s.HeapAlloc) / 1e6
 	}
-	r := newReport("plugin-call", w.seed, fmt.Sprintf("%d backends, %d tenants, %d calls, a module of %.1f MB", pluginBackends, pluginTenants, pluginCalls, float64(len(code))/1e6),
+	r := report.New("plugin-call", w.Seed, fmt.Sprintf("%d backends, %d tenants, %d calls, a module of %.1f MB", pluginBackends, pluginTenants, pluginCalls, float64(len(code))/1e6),
 		"start, ms", "call p50, ms", "p99, ms", "MB of heap each")
 	before := held()
 	var all []*plugin.Plugin
@@ -74,12 +81,12 @@
 				took = append(took, float64(time.Since(began).Microseconds())/1000)
 			}
 		}
-		worst = max(worst, part(took, 0.99))
-		r.row(fmt.Sprintf("%d loaded", count), fmt.Sprintf("%.0f", start), ms(part(took, 0.5)), ms(part(took, 0.99)), fmt.Sprintf("%.1f", (held()-before)/float64(count)))
+		worst = max(worst, report.Part(took, 0.99))
+		r.Row(fmt.Sprintf("%d loaded", count), fmt.Sprintf("%.0f", start), report.Ms(report.Part(took, 0.5)), report.Ms(report.Part(took, 0.99)), fmt.Sprintf("%.1f", (held()-before)/float64(count)))
 	}
 	if worst > pluginMost {
 		r.Missed = append(r.Missed, fmt.Sprintf("a call takes %.1f ms at the 99th percentile, %.0f is the limit", worst, pluginMost))
 	}
-	r.Figure = fmt.Sprintf("a call takes %s ms at the 99th percentile", ms(worst))
-	return r.leave(w.out)
+	r.Figure = fmt.Sprintf("a call takes %s ms at the 99th percentile", report.Ms(worst))
+	return r.Leave(w.Out)
 }
--- a/cmd/lab/naive.go
+++ b/cmd/lab/registry/naive.go
@@ -1,4 +1,4 @@
-package main
+package registry
 
 import (
 	"context"
--- a/cmd/lab/registry.go
+++ b/cmd/lab/registry/registry.go
@@ -1,4 +1,5 @@
-package main
+// Package registry plays how a key-value registry is followed: delays, size, memory.
+package registry
 
 import (
 	"encoding/json"
@@ -16,6 +17,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
 
+	"elmfold/cmd/lab/report"
 	"elmfold/command"
 	"elmfold/operator"
 	"elmfold/roster"
@@ -39,8 +41,13 @@
 	hold        = time.Second
 )
 
+// Commands of the lab.
+func Commands() []*cobra.Command {
+	return []*cobra.Command{registryCommand(), sizeCommand(), followerCommand()}
+}
+
 func registryCommand() *cobra.Command {
-	var w where
+	var w report.Where
 	var kind string
 	c := &cobra.Command{Use: "registry", Short: "a registry that cuts, compacts and is restored, beside a client that reads all each second",
 		Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error {
@@ -49,20 +56,20 @@
 				kinds = []string{operator.Etcd, operator.Consul}
 			}
 			// Side by side: neither fills a core, and both end within a minute.
-			reports, errs := make([]*Report, len(kinds)), make([]error, len(kinds))
+			reports, errs := make([]*report.Report, len(kinds)), make([]error, len(kinds))
 			var playing sync.WaitGroup
 			for i, k := range kinds {
-				playing.Go(func() { reports[i], errs[i] = playRegistry(k, w.seed) })
+				playing.Go(func() { reports[i], errs[i] = playRegistry(k, w.Seed) })
 			}
 			playing.Wait()
 			for i, r := range reports {
 				if errs[i] == nil {
-					errs[i] = r.leave(w.out)
+					errs[i] = r.Leave(w.Out)
 				}
 			}
 			return errors.Join(errs...)
 		}}
-	w.flags(c)
+	w.Flags(c)
 	c.Flags().StringVar(&kind, "kind", "", "etcd or consul; both without it")
 	return c
 }
@@ -208,7 +215,7 @@
 	return fmt.Sprintf(`{"id":%q,"host_port":"10.1.0.18:3000","locality":"a","flavor":"m2","cell":3,"phase":%q,"size":%d,"up_since_ms":0}`, id, phase, number)
 }
 
-func playRegistry(kind string, seed uint64) (*Report, error) {
+func playRegistry(kind string, seed uint64) (*report.Report, error) {
 	began := time.Now()
 	chance := rand.New(rand.NewPCG(seed, 16))
 	store := kv.New(77)
@@ -368,30 +375,28 @@
 	ours.Close()
 	theirs.Close()
 
-	r := newReport("registry-"+kind, seed, fmt.Sprintf("%d backends, %d changes, %d cuts, %d compactions, %d restarts of which %d with an older list",
+	r := report.New("registry-"+kind, seed, fmt.Sprintf("%d backends, %d changes, %d cuts, %d compactions, %d restarts of which %d with an older list",
 		backends, changes, done["cut"], done["compact"], done["restart"]+done["older"], done["older"]), "elmfold", "reads all each second")
-	r.expect("missed at a checkpoint", missed, 0)
-	r.expect("doubled", mine.doubled, 0)
-	r.expect("out of order", mine.wrong, 0)
-	r.expect("drains told later than 2 s", mine.late, 0)
-	r.row("drains told", len(mine.drains), len(naive.drains))
-	r.row("changes told", mine.changes, naive.changes)
-	r.row("delay, median ms", ms(part(mine.delays, 0.5)), ms(part(naive.delays, 0.5)))
-	r.row("delay, p99 ms", ms(part(mine.delays, 0.99)), ms(part(naive.delays, 0.99)))
-	r.row("delay of drains, p99 ms", ms(part(mine.drains, 0.99)), ms(part(naive.drains, 0.99)))
-	r.row("bytes received", ours.Passed(), theirs.Passed())
-	r.row("connections", ours.Taken(), theirs.Taken())
-	r.row("requests answered", answered-naive.requests, naive.requests)
-	r.row("first whole list, ms", ms(float64(first)/float64(time.Millisecond)), "")
-	r.row("seconds", fmt.Sprintf("%.1f", time.Since(began).Seconds()), "")
-	r.curves["elmfold"], r.curves["reads all each second"] = mine.delays, naive.delays
+	r.Expect("missed at a checkpoint", missed, 0)
+	r.Expect("doubled", mine.doubled, 0)
+	r.Expect("out of order", mine.wrong, 0)
+	r.Expect("drains told later than 2 s", mine.late, 0)
+	r.Row("drains told", len(mine.drains), len(naive.drains))
+	r.Row("changes told", mine.changes, naive.changes)
+	r.Row("delay, median ms", report.Ms(report.Part(mine.delays, 0.5)), report.Ms(report.Part(naive.delays, 0.5)))
+	r.Row("delay, p99 ms", report.Ms(report.Part(mine.delays, 0.99)), report.Ms(report.Part(naive.delays, 0.99)))
+	r.Row("delay of drains, p99 ms", report.Ms(report.Part(mine.drains, 0.99)), report.Ms(report.Part(naive.drains, 0.99)))
+	r.Row("bytes received", ours.Passed(), theirs.Passed())
+	r.Row("connections", ours.Taken(), theirs.Taken())
+	r.Row("requests answered", answered-naive.requests, naive.requests)
+	r.Row("first whole list, ms", report.Ms(float64(first)/float64(time.Millisecond)), "")
+	r.Row("seconds", fmt.Sprintf("%.1f", time.Since(began).Seconds()), "")
+	r.Curves["elmfold"], r.Curves["reads all each second"] = mine.delays, naive.delays
 	r.Figure = fmt.Sprintf("%s seed %d: missed %d, doubled %d, out of order %d, drains late %d; delay median %s ms, p99 %s ms", kind, seed,
-		missed, mine.doubled, mine.wrong, mine.late, ms(part(mine.delays, 0.5)), ms(part(mine.delays, 0.99)))
+		missed, mine.doubled, mine.wrong, mine.late, report.Ms(report.Part(mine.delays, 0.5)), report.Ms(report.Part(mine.delays, 0.99)))
 	return r, nil
 }
 
-func ms(v float64) string { return fmt.Sprintf("%.1f", v) }
-
 func everyone(made map[string][]deed) map[string]bool {
 	all := map[string]bool{}
 	for id := range made {
@@ -439,10 +444,10 @@
 }
 
 func sizeCommand() *cobra.Command {
-	var w where
+	var w report.Where
 	c := &cobra.Command{Use: "registry-size", Short: "memory and time of following 10,000 keys of 300 bytes, in a process of its own",
 		Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error { return playSize(w) }}
-	w.flags(c)
+	w.Flags(c)
 	return c
 }
 
@@ -451,8 +456,8 @@
 	sizeBytes = 300
 )
 
-func playSize(w where) error {
-	r := newReport("registry-size", w.seed, fmt.Sprintf("%d keys of %d bytes, a follower in a process of its own", sizeKeys, sizeBytes),
+func playSize(w report.Where) error {
+	r := report.New("registry-size", w.Seed, fmt.Sprintf("%d keys of %d bytes, a follower in a process of its own", sizeKeys, sizeBytes),
 		operator.Etcd, operator.Consul)
 	got := map[string]footprint{}
 	for _, kind := range []string{operator.Etcd, operator.Consul} {
@@ -479,19 +484,19 @@
 		got[kind] = f
 	}
 	a, b := got[operator.Etcd], got[operator.Consul]
-	r.row("backends told", a.Backends, b.Backends)
-	r.row("first whole read, ms", ms(a.Ms), ms(b.Ms))
-	r.row("resident before, KiB", a.Before, b.Before)
-	r.row("resident while following, KiB", a.After, b.After)
-	r.row("heap while following, KiB", a.Heap, b.Heap)
-	r.row("heap for each backend, bytes", a.Heap*1024/sizeKeys, b.Heap*1024/sizeKeys)
+	r.Row("backends told", a.Backends, b.Backends)
+	r.Row("first whole read, ms", report.Ms(a.Ms), report.Ms(b.Ms))
+	r.Row("resident before, KiB", a.Before, b.Before)
+	r.Row("resident while following, KiB", a.After, b.After)
+	r.Row("heap while following, KiB", a.Heap, b.Heap)
+	r.Row("heap for each backend, bytes", a.Heap*1024/sizeKeys, b.Heap*1024/sizeKeys)
 	for kind, f := range got {
 		if f.Backends != sizeKeys {
 			r.Missed = append(r.Missed, fmt.Sprintf("%s told %d backends", kind, f.Backends))
 		}
 	}
-	r.Figure = fmt.Sprintf("following %d keys: heap %d KiB (etcd), %d KiB (Consul); first whole read %s and %s ms", sizeKeys, a.Heap, b.Heap, ms(a.Ms), ms(b.Ms))
-	return r.leave(w.out)
+	r.Figure = fmt.Sprintf("following %d keys: heap %d KiB (etcd), %d KiB (Consul); first whole read %s and %s ms", sizeKeys, a.Heap, b.Heap, report.Ms(a.Ms), report.Ms(b.Ms))
+	return r.Leave(w.Out)
 }
 
 // footprint is what a follower costs.
--- a/cmd/lab/report.go
+++ b/cmd/lab/report/report.go
@@ -1,4 +1,5 @@
-package main
+// Package report is what every experiment of the lab shares: its flags, its table, JSON and chart, its expected totals.
+package report
 
 import (
 	"encoding/json"
@@ -33,15 +34,19 @@
 	Missed  []string // expected totals that are not met
 	Figure  string
 
-	curves map[string][]float64 // by column, in ms
+	Curves map[string][]float64 `json:"-"` // by column, in ms
+	Axes   [2]string            `json:"-"` // what the chart is labelled with
 }
 
-func newReport(name string, seed uint64, size string, columns ...string) *Report {
-	return &Report{Name: name, Seed: seed, Size: size, Columns: columns, curves: map[string][]float64{},
+// New begins a report; size is that of the experiment, in words.
+func New(name string, seed uint64, size string, columns ...string) *Report {
+	return &Report{Name: name, Seed: seed, Size: size, Columns: columns, Curves: map[string][]float64{},
+		Axes:    [2]string{"ms from the change until it is told", "part of all changes told"},
 		Machine: fmt.Sprintf("%d cores, %s, %s/%s", runtime.NumCPU(), runtime.Version(), runtime.GOOS, runtime.GOARCH)}
 }
 
-func (r *Report) row(name string, figures ...any) {
+// Row adds a line of figures, one for each column.
+func (r *Report) Row(name string, figures ...any) {
 	row := Row{Name: name}
 	for _, f := range figures {
 		row.Figures = append(row.Figures, fmt.Sprint(f))
@@ -49,15 +54,16 @@
 	r.Rows = append(r.Rows, row)
 }
 
-// expect notes a total that is not what it must be.
-func (r *Report) expect(name string, got, want int) {
-	r.row(name+fmt.Sprintf(" (must be %d)", want), got)
+// Expect notes a total that is not what it must be.
+func (r *Report) Expect(name string, got, want int) {
+	r.Row(name+fmt.Sprintf(" (must be %d)", want), got)
 	if got != want {
 		r.Missed = append(r.Missed, fmt.Sprintf("%s %d, not %d", name, got, want))
 	}
 }
 
-func (r *Report) table() string {
+// Table is the report as text.
+func (r *Report) Table() string {
 	var text strings.Builder
 	fmt.Fprintf(&text, "%s, seed %d: %s (%s)\n\n", r.Name, r.Seed, r.Size, r.Machine)
 	w := tabwriter.NewWriter(&text, 0, 0, 2, ' ', 0)
@@ -72,21 +78,22 @@
 	return text.String() + "\n" + r.Figure + "\n"
 }
 
-// leave prints the table and keeps it, the JSON and the chart in a folder.
-func (r *Report) leave(dir string) error {
-	fmt.Print(r.table())
+// Leave prints the table and keeps it, the JSON and the chart in a folder.
+func (r *Report) Leave(dir string) error {
+	fmt.Print(r.Table())
 	if dir != "" {
-		if err := r.keep(dir); err != nil {
+		if err := r.Keep(dir); err != nil {
 			return err
 		}
 	}
 	if len(r.Missed) > 0 {
-		return errMissed
+		return ErrMissed
 	}
 	return nil
 }
 
-func (r *Report) keep(dir string) error {
+// Keep writes all three into a folder.
+func (r *Report) Keep(dir string) error {
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return err
 	}
@@ -98,10 +105,10 @@
 	if err := os.WriteFile(base+".json", append(text, '\n'), 0o644); err != nil {
 		return err
 	}
-	if err := os.WriteFile(base+".txt", []byte(r.table()), 0o644); err != nil {
+	if err := os.WriteFile(base+".txt", []byte(r.Table()), 0o644); err != nil {
 		return err
 	}
-	if len(r.curves) == 0 {
+	if len(r.Curves) == 0 {
 		return nil
 	}
 	return r.chart(base + ".png")
@@ -111,12 +118,12 @@
 func (r *Report) chart(path string) error {
 	p := plot.New()
 	p.Title.Text = fmt.Sprintf("%s, seed %d", r.Name, r.Seed)
-	p.X.Label.Text, p.Y.Label.Text = "ms from the change until it is told", "part of all changes told"
+	p.X.Label.Text, p.Y.Label.Text = r.Axes[0], r.Axes[1]
 	p.X.Scale, p.X.Tick.Marker = plot.LogScale{}, plot.LogTicks{}
 	p.Legend.Top, p.Legend.Left = true, true
 	p.Add(plotter.NewGrid())
 	for i, name := range r.Columns {
-		all := slices.Sorted(slices.Values(r.curves[name]))
+		all := slices.Sorted(slices.Values(r.Curves[name]))
 		if len(all) == 0 {
 			continue
 		}
@@ -135,11 +142,36 @@
 	return p.Save(16*vg.Centimeter, 10*vg.Centimeter, path)
 }
 
-// part gives the value below which a part of all lies.
-func part(all []float64, p float64) float64 {
+// Part gives the value below which a part of all lies.
+func Part(all []float64, p float64) float64 {
 	if len(all) == 0 {
 		return 0
 	}
 	sorted := slices.Sorted(slices.Values(all))
 	return sorted[min(len(sorted)-1, int(p*float64(len(sorted))))]
 }
+
+// DrawSeconds draws a line over the seconds for each play.
+func DrawSeconds(dir, name, what string, plays []string, values [][]float64) error {
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = name, "seconds after it", what
+	p.Legend.Top = true
+	p.Add(plotter.NewGrid())
+	for i, play := range plays {
+		var points plotter.XYs
+		for s, v := range values[i] {
+			points = append(points, plotter.XY{X: float64(s + 1), Y: v})
+		}
+		line, err := plotter.NewLine(points)
+		if err != nil {
+			return err
+		}
+		line.Color, line.Width = plotutil.Color(i), vg.Points(1.5)
+		p.Add(line)
+		p.Legend.Add(play, line)
+	}
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return err
+	}
+	return p.Save(18*vg.Centimeter, 12*vg.Centimeter, filepath.Join(dir, name+".png"))
+}
--- a/cmd/lab/kills.go
+++ b/cmd/lab/restart/kills.go
@@ -1,10 +1,10 @@
-package main
+// Package restart plays restarts: the store, kills, what is learnt anew.
+package restart
 
 import (
 	"bufio"
 	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"os"
 	"os/exec"
@@ -13,9 +13,9 @@
 	"strings"
 	"time"
 
-	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
 
+	"elmfold/cmd/lab/report"
 	"elmfold/recall"
 	"elmfold/store"
 )
@@ -27,11 +27,16 @@
 	killName  = "lab"
 )
 
+// Commands of the lab.
+func Commands() []*cobra.Command {
+	return []*cobra.Command{killsCommand(), storerCommand(), restartCommand(), processCommand()}
+}
+
 func killsCommand() *cobra.Command {
-	var w where
+	var w report.Where
 	c := &cobra.Command{Use: "store-kills", Short: "a process that writes facts is killed 1,000 times at random moments",
 		Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error { return playKills(w) }}
-	w.flags(c)
+	w.Flags(c)
 	return c
 }
 
@@ -40,7 +45,7 @@
 	var path string
 	var from int
 	c := &cobra.Command{Use: "storer", Hidden: true, Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error {
-		s, _, err := store.Open(path, killName, 0, silent())
+		s, _, err := store.Open(path, killName, 0, report.Silent())
 		if err != nil {
 			return err
 		}
@@ -64,20 +69,14 @@
 	return c
 }
 
-func silent() *logrus.Entry {
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	return logrus.NewEntry(log)
-}
-
-func playKills(w where) error {
+func playKills(w report.Where) error {
 	dir, err := os.MkdirTemp("", "kills")
 	if err != nil {
 		return err
 	}
 	defer os.RemoveAll(dir)
 	path := filepath.Join(dir, "state")
-	chance := rand.New(rand.NewPCG(w.seed, 18))
+	chance := rand.New(rand.NewPCG(w.Seed, 18))
 	written, lost, corrupt, half, batches := 0, 0, 0, 0, 0
 	began := time.Now()
 	for range killCount {
@@ -132,13 +131,13 @@
 		}
 		written = newest + 1
 	}
-	r := newReport("store-kills", w.seed, fmt.Sprintf("a process that writes batches of %d facts without a pause, killed %d times after 5 to 65 ms", killBatch, killCount), "elmfold")
-	r.expect("kills after which a fact that was said to be written is lost", lost, 0)
-	r.expect("kills that left half a batch", half, 0)
-	r.expect("kills that left a store which does not open or check", corrupt, 0)
-	r.row("batches written", batches)
-	r.row("facts written", written)
-	r.row("seconds", fmt.Sprintf("%.0f", time.Since(began).Seconds()))
-	r.Figure = fmt.Sprintf("seed %d: %d kills, lost %d, half %d, corrupt %d, %d facts written", w.seed, killCount, lost, half, corrupt, written)
-	return r.leave(w.out)
+	r := report.New("store-kills", w.Seed, fmt.Sprintf("a process that writes batches of %d facts without a pause, killed %d times after 5 to 65 ms", killBatch, killCount), "elmfold")
+	r.Expect("kills after which a fact that was said to be written is lost", lost, 0)
+	r.Expect("kills that left half a batch", half, 0)
+	r.Expect("kills that left a store which does not open or check", corrupt, 0)
+	r.Row("batches written", batches)
+	r.Row("facts written", written)
+	r.Row("seconds", fmt.Sprintf("%.0f", time.Since(began).Seconds()))
+	r.Figure = fmt.Sprintf("seed %d: %d kills, lost %d, half %d, corrupt %d, %d facts written", w.Seed, killCount, lost, half, corrupt, written)
+	return r.Leave(w.Out)
 }
--- a/cmd/lab/process.go
+++ b/cmd/lab/restart/process.go
@@ -1,4 +1,4 @@
-package main
+package restart
 
 import (
 	"bufio"
@@ -14,14 +14,16 @@
 	"time"
 
 	"github.com/spf13/cobra"
+
+	"elmfold/cmd/lab/report"
 )
 
 func processCommand() *cobra.Command {
-	var w where
+	var w report.Where
 	var program string
 	c := &cobra.Command{Use: "restart-real", Short: "a real controller is killed and started again, with a store and without: seconds until its tables are right",
 		Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error { return playProcess(w, program) }}
-	w.flags(c)
+	w.Flags(c)
 	c.Flags().StringVar(&program, "program", "bin/elmfold", "the controller")
 	return c
 }
@@ -182,8 +184,8 @@
 	return held[slowBackend], now[slowBackend], right, err
 }
 
-func playProcess(w where, program string) error {
-	r := newReport("restart-real", w.seed, "one controller as a process, ten backends of which one is 7 times slower than listed, killed with -9 after 25 s",
+func playProcess(w report.Where, program string) error {
+	r := report.New("restart-real", w.Seed, "one controller as a process, ten backends of which one is 7 times slower than listed, killed with -9 after 25 s",
 		"s until right", "its weight before", "when right, or after 30 s")
 	right := map[bool]float64{}
 	for _, stored := range []bool{false, true} {
@@ -193,11 +195,11 @@
 		}
 		name := map[bool]string{false: "cold", true: "from the store"}[stored]
 		right[stored] = took.Seconds()
-		r.row(name, fmt.Sprintf("%.2f", took.Seconds()), fmt.Sprintf("%.2f", before), fmt.Sprintf("%.2f", after))
+		r.Row(name, fmt.Sprintf("%.2f", took.Seconds()), fmt.Sprintf("%.2f", before), fmt.Sprintf("%.2f", after))
 		if stored && took > 10*time.Second {
 			r.Missed = append(r.Missed, fmt.Sprintf("tables are right after %v", took))
 		}
 	}
 	r.Figure = fmt.Sprintf("tables are right %.2f s after kill -9 with the store, %.2f s cold", right[true], right[false])
-	return r.leave(w.out)
+	return r.Leave(w.Out)
 }
--- a/cmd/lab/restart.go
+++ b/cmd/lab/restart/restart.go
@@ -1,18 +1,13 @@
-package main
+package restart
 
 import (
 	"fmt"
 	"math"
-	"os"
-	"path/filepath"
 
 	"github.com/spf13/cobra"
-	"gonum.org/v1/plot"
-	"gonum.org/v1/plot/plotter"
-	"gonum.org/v1/plot/plotutil"
-	"gonum.org/v1/plot/vg"
 
 	"elmfold/choice"
+	"elmfold/cmd/lab/report"
 	"elmfold/emu"
 )
 
@@ -25,10 +20,10 @@
 )
 
 func restartCommand() *cobra.Command {
-	var w where
+	var w report.Where
 	c := &cobra.Command{Use: "restart", Short: "all controllers are restarted at once, or one: cold, from the store, from a peer, from both",
 		Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error { return playRestarts(w) }}
-	w.flags(c)
+	w.Flags(c)
 	return c
 }
 
@@ -103,8 +98,8 @@
 	return r
 }
 
-func playRestarts(w where) error {
-	r := newReport("restart", w.seed, "5 controllers, 240 proxies, 48 backends of which 6 are slower than listed; a tenth comes back cold meanwhile",
+func playRestarts(w report.Where) error {
+	r := report.New("restart", w.Seed, "5 controllers, 240 proxies, 48 backends of which 6 are slower than listed; a tenth comes back cold meanwhile",
 		"s until right", "off after 2 s", "after 10 s", "service", "declined", "rules broken")
 	all := []int{0, 1, 2, 3, 4}
 	plays := []struct {
@@ -123,48 +118,23 @@
 	var names []string
 	var offs [][]float64
 	for _, p := range plays {
-		x := playRestart(w.seed, p.from, p.which)
+		x := playRestart(w.Seed, p.from, p.which)
 		until := fmt.Sprintf("%.0f", x.right)
 		if math.IsNaN(x.right) {
 			until, x.right = fmt.Sprintf("over %d", restartLook), restartLook
 		}
 		right[p.name] = x.right
-		r.row(p.name, until, fmt.Sprintf("%.2f", x.off[1]), fmt.Sprintf("%.2f", x.off[9]), fmt.Sprintf("%.4f", x.service), fmt.Sprintf("%.4f", x.declined), x.broken)
+		r.Row(p.name, until, fmt.Sprintf("%.2f", x.off[1]), fmt.Sprintf("%.2f", x.off[9]), fmt.Sprintf("%.4f", x.service), fmt.Sprintf("%.4f", x.declined), x.broken)
 		if x.doubled+x.broken > 0 {
 			r.Missed = append(r.Missed, fmt.Sprintf("%s: %d doubled, %d rules broken", p.name, x.doubled, x.broken))
 		}
 		names, offs = append(names, p.name), append(offs, x.off)
 	}
-	if w.out != "" {
-		if err := drawSeconds(w.out, fmt.Sprintf("restart-seed%d", w.seed), "part of the backends whose share is off by more than a tenth", names, offs); err != nil {
+	if w.Out != "" {
+		if err := report.DrawSeconds(w.Out, fmt.Sprintf("restart-seed%d", w.Seed), "part of the backends whose share is off by more than a tenth", names, offs); err != nil {
 			return err
 		}
 	}
-	r.Figure = fmt.Sprintf("seed %d: tables are right %.0f s after a restart of all from the store, %.0f s cold", w.seed, right["all at once, from the store"], right["all at once, cold"])
-	return r.leave(w.out)
-}
-
-// drawSeconds draws a line over the seconds for each play.
-func drawSeconds(dir, name, what string, plays []string, values [][]float64) error {
-	p := plot.New()
-	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = name, "seconds after it", what
-	p.Legend.Top = true
-	p.Add(plotter.NewGrid())
-	for i, play := range plays {
-		var points plotter.XYs
-		for s, v := range values[i] {
-			points = append(points, plotter.XY{X: float64(s + 1), Y: v})
-		}
-		line, err := plotter.NewLine(points)
-		if err != nil {
-			return err
-		}
-		line.Color, line.Width = plotutil.Color(i), vg.Points(1.5)
-		p.Add(line)
-		p.Legend.Add(play, line)
-	}
-	if err := os.MkdirAll(dir, 0o755); err != nil {
-		return err
-	}
-	return p.Save(18*vg.Centimeter, 12*vg.Centimeter, filepath.Join(dir, name+".png"))
+	r.Figure = fmt.Sprintf("seed %d: tables are right %.0f s after a restart of all from the store, %.0f s cold", w.Seed, right["all at once, from the store"], right["all at once, cold"])
+	return r.Leave(w.Out)
 }
--- a/cmd/lab/spread.go
+++ b/cmd/lab/spread/spread.go
@@ -1,4 +1,5 @@
-package main
+// Package spread plays many controllers of one fleet.
+package spread
 
 import (
 	"fmt"
@@ -8,6 +9,7 @@
 
 	"github.com/spf13/cobra"
 
+	"elmfold/cmd/lab/report"
 	"elmfold/emu"
 )
 
@@ -23,8 +25,13 @@
 	spreadCounted = "slow"
 )
 
+// Commands of the lab.
+func Commands() []*cobra.Command {
+	return []*cobra.Command{spreadCommand()}
+}
+
 func spreadCommand() *cobra.Command {
-	var w where
+	var w report.Where
 	var program string
 	var processes []int
 	c := &cobra.Command{Use: "spread", Short: "many controllers that each see little: sums told on, not told on, and the naive way; hard cases; bytes",
@@ -34,14 +41,14 @@
 			}
 			return playSpread(w)
 		}}
-	w.flags(c)
+	w.Flags(c)
 	c.Flags().IntSliceVar(&processes, "processes", nil, "play with so many real processes on loopback, in place of the emulator")
 	c.Flags().StringVar(&program, "program", "bin/elmfold-full", "the controller")
 	return c
 }
 
-func playSpread(w where) error {
-	r := newReport("spread", w.seed, "240 proxies, 48 backends of which 6 are 3.5 times slower than listed; seconds 30 to 60 of a day in the emulator",
+func playSpread(w report.Where) error {
+	r := report.New("spread", w.Seed, "240 proxies, 48 backends of which 6 are 3.5 times slower than listed; seconds 30 to 60 of a day in the emulator",
 		"service", "slow share", "declined", "peak/mean", "herd", "idle", "rules broken", "B/s most", "B/s mean")
 	counts := []int{1, 5, 24, 60, 120, spreadMost}
 	var plays []emu.Spread
@@ -68,7 +75,7 @@
 	for i, p := range plays {
 		all.Go(func() {
 			room <- true
-			showed[i] = p.Play(w.seed)
+			showed[i] = p.Play(w.Seed)
 			<-room
 		})
 	}
@@ -77,7 +84,7 @@
 	for i, p := range plays {
 		s := showed[i]
 		at[p] = s
-		r.row(spreadName(p), fmt.Sprintf("%.3f", s.Service), fmt.Sprintf("%.3f", s.Share), fmt.Sprintf("%.4f", s.Declined),
+		r.Row(spreadName(p), fmt.Sprintf("%.3f", s.Service), fmt.Sprintf("%.3f", s.Share), fmt.Sprintf("%.4f", s.Declined),
 			fmt.Sprintf("%.2f", s.Peak), fmt.Sprintf("%.2f", s.Herd), s.Idle, s.Broken, fmt.Sprintf("%.0f", s.Bytes), fmt.Sprintf("%.0f", s.TellsMean))
 		if s.Broken > 0 && !p.Naive && !p.Oracle {
 			r.Missed = append(r.Missed, fmt.Sprintf("%s: %d rules broken", spreadName(p), s.Broken))
@@ -117,7 +124,7 @@
 	r.Figure = fmt.Sprintf("%d controllers: service %.3f told, %.3f alone, %.3f with one; slow share %.3f, %.3f, %.3f", spreadMost,
 		at[emu.Spread{Controllers: spreadMost, Case: "slow", Told: true}].Service, alone.Service, at[emu.Spread{Controllers: 1, Case: "slow"}].Service,
 		at[emu.Spread{Controllers: spreadMost, Case: "slow", Told: true}].Share, alone.Share, at[emu.Spread{Controllers: 1, Case: "slow"}].Share)
-	return r.leave(w.out)
+	return r.Leave(w.Out)
 }
 
 func spreadName(p emu.Spread) string {
--- a/cmd/lab/spreadreal.go
+++ b/cmd/lab/spread/spreadreal.go
@@ -1,4 +1,4 @@
-package main
+package spread
 
 import (
 	"errors"
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"elmfold/cmd/lab/report"
 	"elmfold/emu"
 	"elmfold/standin/fleet"
 )
@@ -251,17 +252,17 @@
 		p.mu.Unlock()
 	}
 	for _, p := range rig.Processes {
-		memory = max(memory, residentOf(p.ID()))
+		memory = max(memory, report.ResidentOf(p.ID()))
 	}
 	return float64(sum.served) / float64(sum.asked), share, float64(sum.declined) / float64(sum.asked), memory, nil
 }
 
-func playSpreadReal(w where, program string, counts []int) error {
+func playSpreadReal(w report.Where, program string, counts []int) error {
 	program, err := filepath.Abs(program)
 	if err != nil {
 		return err
 	}
-	r := newReport("spread-real", w.seed, "a proxy a process, 48 backends of which 6 are 3.5 times slower than listed, seconds 30 to 60", "service", "slow share", "declined", "MB resident, most")
+	r := report.New("spread-real", w.Seed, "a proxy a process, 48 backends of which 6 are 3.5 times slower than listed, seconds 30 to 60", "service", "slow share", "declined", "MB resident, most")
 	var least, most float64 = math.Inf(1), 0
 	got := map[bool]float64{}
 	for i, n := range counts {
@@ -269,12 +270,12 @@
 			if !told && i < len(counts)-1 {
 				continue // alone at the largest only
 			}
-			service, share, declined, memory, err := realPlay(program, n, told, 60*time.Second, w.seed)
+			service, share, declined, memory, err := realPlay(program, n, told, 60*time.Second, w.Seed)
 			if err != nil {
 				return err
 			}
 			name := map[bool]string{true: "told", false: "alone"}[told]
-			r.row(fmt.Sprintf("%d processes, %s", n, name), fmt.Sprintf("%.3f", service), fmt.Sprintf("%.3f", share), fmt.Sprintf("%.4f", declined), fmt.Sprintf("%.1f", float64(memory)/(1<<20)))
+			r.Row(fmt.Sprintf("%d processes, %s", n, name), fmt.Sprintf("%.3f", service), fmt.Sprintf("%.3f", share), fmt.Sprintf("%.4f", declined), fmt.Sprintf("%.1f", float64(memory)/(1<<20)))
 			if got[told] = service; told {
 				least, most = math.Min(least, float64(memory)), math.Max(most, float64(memory))
 				if memory > 32<<20 {
@@ -286,10 +287,10 @@
 	if most > bytesFlat*least {
 		r.Missed = append(r.Missed, fmt.Sprintf("memory from %.1f to %.1f MB", least/(1<<20), most/(1<<20)))
 	}
-	one := emu.Spread{Controllers: 1, Case: "slow"}.Play(w.seed)
+	one := emu.Spread{Controllers: 1, Case: "slow"}.Play(w.Seed)
 	if got[true] < one.Service-2*spreadWithin {
 		r.Missed = append(r.Missed, fmt.Sprintf("service %.3f, one controller in the emulator %.3f", got[true], one.Service))
 	}
 	r.Figure = fmt.Sprintf("%d processes: service %.3f told, %.3f alone; one controller in the emulator %.3f", counts[len(counts)-1], got[true], got[false], one.Service)
-	return r.leave(w.out)
+	return r.Leave(w.Out)
 }
--- /dev/null
+++ b/standin/gateway/backend.go
@@ -0,0 +1,222 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Backend is a server that runs requests: it checks the id, seals its answers, tells its load, and beats.
+type Backend struct {
+	ID, Address string
+	Work        time.Duration
+	slots       int
+
+	beats   *beater
+	server  *http.Server
+	running atomic.Int32
+	mu      sync.Mutex
+	runs    map[string]int // by attempt
+}
+
+// StartBackend serves at an address and beats at the controllers, until Stop.
+func StartBackend(id, service, zone, address string, slots int, work time.Duration, beat float64, controls []string) (*Backend, error) {
+	l, err := net.Listen("tcp4", address)
+	if err != nil {
+		return nil, err
+	}
+	b := &Backend{ID: id, Address: l.Addr().String(), Work: work, slots: slots, runs: map[string]int{}}
+	b.server = &http.Server{Handler: b}
+	go func() { _ = b.server.Serve(l) }()
+	b.beats = startBeats(Life{ID: id, Service: service, Zone: zone, Address: b.Address, Capacity: slots}, beat, 0, controls, nil)
+	return b, nil
+}
+
+// Stop ends it without a word.
+func (b *Backend) Stop() {
+	close(b.beats.done)
+	<-b.beats.ended
+	_ = b.server.Close()
+}
+
+// Runs is how many requests it ran, and how many of their ids more than once.
+func (b *Backend) Runs() (all, twice int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, n := range b.runs {
+		if all += n; n > 1 {
+			twice++
+		}
+	}
+	return all, twice
+}
+
+func (b *Backend) load() string { return fmt.Sprintf("%d,0,%d", b.running.Load(), b.slots) }
+
+// ServeHTTP runs a request, or says that it did not.
+func (b *Backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h := w.Header()
+	h.Set("Keep-Alive", "timeout=10")
+	if r.URL.Path == "/health" {
+		h.Set("X-Elmfold-Instance-Id", b.ID)
+		h.Set("X-Elmfold-Server-Load", b.load())
+		return
+	}
+	turn := func(status int) {
+		h.Set("X-Elmfold-Not-Executed", "1")
+		w.WriteHeader(status)
+	}
+	attempt := r.Header.Get("X-Elmfold-Attempt-Id")
+	h.Set("X-Elmfold-Attempt-Id", attempt)
+	switch want := r.Header.Get("X-Elmfold-Target-Instance"); {
+	case attempt == "":
+		turn(http.StatusBadRequest)
+		return
+	case want != "" && want != b.ID:
+		turn(http.StatusMisdirectedRequest)
+		return
+	}
+	n := b.running.Add(1)
+	defer b.running.Add(-1)
+	if int(n) > b.slots {
+		turn(http.StatusServiceUnavailable)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	b.mu.Lock()
+	b.runs[attempt]++
+	b.mu.Unlock()
+	if b.Work > 0 {
+		time.Sleep(b.Work) // a stand-in of work; no verdict hangs on it
+	}
+	text := fmt.Sprintf("%s %s %d\n", b.ID, r.RequestURI, len(body))
+	h.Set("X-Elmfold-Server-Seal", "lab."+attempt)
+	h.Set("X-Elmfold-Server-Load", b.load())
+	h.Set("Content-Type", "text/plain")
+	h.Set("Content-Length", strconv.Itoa(len(text)))
+	_, _ = io.WriteString(w, text)
+}
+
+// Life is what a backend says of itself.
+type Life struct {
+	ID, Service, Zone, Address string
+	Capacity                   int
+}
+
+// beater sends the beats of one life over a connection of its own, at the address that the last answer gave, else at
+// the next controller.
+type beater struct {
+	life     Life
+	every    time.Duration
+	controls []string
+	counts   *Counts
+	seq      uint64
+	at       int
+	target   string
+	conn     net.Conn
+	in       *bufio.Reader
+	draining chan chan time.Time
+	done     chan struct{}
+	ended    chan struct{}
+}
+
+func startBeats(l Life, beat float64, phase time.Duration, controls []string, counts *Counts) *beater {
+	b := &beater{life: l, every: time.Duration(beat * float64(time.Second)), controls: controls, counts: counts,
+		draining: make(chan chan time.Time), done: make(chan struct{}), ended: make(chan struct{})}
+	go b.run(phase)
+	return b
+}
+
+func (b *beater) run(phase time.Duration) {
+	defer close(b.ended)
+	next := time.NewTimer(phase)
+	defer next.Stop()
+	defer func() {
+		if b.conn != nil {
+			b.conn.Close()
+		}
+	}()
+	state := "ready"
+	for {
+		var tell chan time.Time
+		select {
+		case <-b.done:
+			return
+		case tell = <-b.draining:
+			state = "draining"
+		case <-next.C:
+		}
+		pause := b.every
+		for range 4 {
+			if b.beat(state) {
+				pause = b.every
+				break
+			}
+			pause = min(b.every, 300*time.Millisecond) // nobody took it: not a whole beat is waited
+			select {
+			case <-b.done: // the controllers may be gone: no further ones are tried
+				return
+			default:
+			}
+			if b.target = ""; b.conn != nil {
+				b.conn.Close()
+				b.conn = nil
+			}
+			b.at++
+		}
+		if tell != nil {
+			tell <- time.Now()
+		}
+		next.Reset(pause)
+	}
+}
+
+// beat says whether it was acknowledged.
+func (b *beater) beat(state string) bool {
+	to := b.target
+	if to == "" {
+		to = b.controls[b.at%len(b.controls)]
+	}
+	if b.conn == nil {
+		c, err := (&net.Dialer{Timeout: time.Second}).DialContext(context.Background(), "tcp4", to)
+		if err != nil {
+			return false
+		}
+		if b.conn = c; b.counts != nil {
+			b.conn = counted{c, b.counts}
+		}
+		b.in = bufio.NewReaderSize(b.conn, 512)
+	}
+	b.seq++
+	body := fmt.Sprintf(`{"address":%q,"descriptor":{"service":%q,"generation":"v1","zone":%q,"capacity":%d},"observed":{"state":%q,"callSeq":%d,"coldLeftS":0}}`,
+		b.life.Address, b.life.Service, b.life.Zone, b.life.Capacity, state, b.seq)
+	_ = b.conn.SetDeadline(time.Now().Add(time.Second))
+	if _, err := fmt.Fprintf(b.conn, "POST /v1/rpc?call=instances.heartbeat&of=%s HTTP/1.1\r\nHost: %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s",
+		b.life.ID, to, len(body), body); err != nil {
+		return false
+	}
+	resp, err := http.ReadResponse(b.in, nil)
+	if err != nil {
+		return false
+	}
+	answer, err := io.ReadAll(resp.Body)
+	if err != nil || resp.StatusCode/100 != 2 {
+		return false
+	}
+	if target := beatTarget(answer); target != "" && target != to {
+		b.target = target
+		b.conn.Close()
+		b.conn = nil
+	}
+	return true
+}
