Counsel: messages are packed once, words of what comes gathered by carriers

Cause: at full size each first beat was packed for 675 lines at each controller and the fleet did not come up; each word of members settled anew who sends to each cold backend (39 ms at 7,100). Change: one packing for all lines, words of what comes wait 0.3 ms a carrier (200 ms at most), words of leaving and of cold push them out; the sender of a cold backend is worked out when asked for.

--- a/counsel/counsel.go
+++ b/counsel/counsel.go
@@ -39,6 +39,8 @@
 	wordFor      = 900 * time.Millisecond // a word of leaving that is not with enough others by then is not acknowledged
 	wokeLate     = time.Second            // a tick that late: this process was frozen, and what it reads may be old
 	markAgain    = time.Second
+	gatherEach   = 300 * time.Microsecond // for each carrier, that words of what comes may wait, up to the tick
+	gatherLeast  = 10 * time.Millisecond
 	distrustFor  = 500 * time.Millisecond
 	founders     = "founders" // names of records that are not registers
 	complete     = record.Marker
@@ -116,6 +118,9 @@
 	doubtTill time.Duration
 	steer     *steering
 	diskFails int
+	pending   []parley.Backend // words for carriers that may wait for the tick
+	list      []byte           // All, packed
+	listAt    time.Duration
 	markAt    time.Duration // when the mark is to be tried again; 0: it need not be
 	founding  bool          // founders are on their way to the disk
 }
@@ -278,8 +283,9 @@
 }
 
 func (s *Server) toCarriers(m *parley.Message) {
+	body := parley.Pack(m) // once, for all lines
 	for l := range s.carriers {
-		l.Send(m)
+		l.SendPacked(body)
 	}
 }
 
@@ -316,6 +322,7 @@
 		}
 		s.expire(now)
 	}
+	s.flush()
 	s.steer.step(now)
 	if s.markAt > 0 && now >= s.markAt {
 		s.markAt = 0
@@ -428,3 +435,38 @@
 	slices.SortFunc(all, func(a, b parley.Controller) int { return strings.Compare(a.Name, b.Name) })
 	return all
 }
+
+// later tells carriers of what comes, gathered for as long as telling all of them is work, and at once of what leaves
+// or turned cold. Few carriers are told at once: after a loss of all each moment without backends is lost.
+func (s *Server) later(news []parley.Backend) {
+	wait := time.Duration(len(s.carriers)) * gatherEach
+	first := len(s.pending) == 0
+	s.pending = append(s.pending, news...)
+	urgent := wait < gatherLeast
+	for _, b := range news {
+		urgent = urgent || b.State != parley.Ready || b.ColdLeft > 0
+	}
+	switch {
+	case urgent:
+		s.flush()
+	case first && wait < tickEvery: // else the tick does it
+		s.o.Clock.AfterFunc(wait, func() { s.post(s.flush) })
+	}
+}
+
+// flush tells carriers what has gathered since the last tick.
+func (s *Server) flush() {
+	if len(s.pending) > 0 {
+		s.toCarriers(&parley.Message{Backends: s.pending})
+		s.pending = nil
+	}
+}
+
+// packed is the whole list for a carrier that is steered here, made once a tick at most.
+func (s *Server) packed() []byte {
+	if now := s.now(); s.list == nil || now >= s.listAt+tickEvery {
+		s.flush()
+		s.list, s.listAt = parley.Pack(&parley.Message{Backends: s.table.All(now)}), now
+	}
+	return s.list
+}
--- a/counsel/lines.go
+++ b/counsel/lines.go
@@ -178,7 +178,7 @@
 // that it came from may be gone before it told them all.
 func (s *Server) toldBackends(words []parley.Backend) {
 	if news := s.table.Told(s.now(), words); len(news) > 0 {
-		s.toCarriers(&parley.Message{Backends: news})
+		s.later(news)
 		s.steer.changed()
 	}
 }
@@ -189,7 +189,7 @@
 		return
 	}
 	m := &parley.Message{Backends: news}
-	s.toCarriers(m)
+	s.later(news)
 	for _, p := range s.peers {
 		if p.out != nil {
 			p.out.Send(m)
@@ -204,6 +204,7 @@
 	write, _ := s.replica.Quorums()
 	s.seq++
 	m, n := &parley.Message{Seq: s.seq, Backends: news}, 0
+	s.flush() // in their order
 	s.toCarriers(&parley.Message{Backends: news})
 	for _, p := range s.peers {
 		if p.out != nil {
--- a/counsel/steer.go
+++ b/counsel/steer.go
@@ -95,7 +95,7 @@
 			t.b.Leave(name)
 		}
 		t.here[name] = c.line
-		c.line.Send(&parley.Message{Backends: t.s.table.All(t.s.now())})
+		c.line.SendPacked(t.s.packed())
 		t.b.Join(name, c.who.Zone)
 	}
 	t.b.Report(name, m.Uses, m.Met, m.Spent)
--- a/parley/parley.go
+++ b/parley/parley.go
@@ -116,7 +116,7 @@
 	Want   []string         `cbor:"7,keyasint,omitempty"`
 	Ask    bool             `cbor:"8,keyasint,omitempty"`
 	Round  uint64           `cbor:"24,keyasint,omitempty"` // of an Ask, repeated in its answer
-	All    bool             `cbor:"9,keyasint,omitempty"` // Held is all that the speaker has, and its disk never forgot
+	All    bool             `cbor:"9,keyasint,omitempty"`  // Held is all that the speaker has, and its disk never forgot
 
 	// Founders are the controllers whose disks count; Know are all that were heard of.
 	Founders []Controller `cbor:"10,keyasint,omitempty"`
@@ -175,11 +175,19 @@
 func (l *Line) Remote() string { return l.conn.RemoteAddr().String() }
 
 // Send queues a message.
-func (l *Line) Send(m *Message) {
+func (l *Line) Send(m *Message) { l.SendPacked(Pack(m)) }
+
+// Pack makes a message's frame once, for many lines.
+func Pack(m *Message) []byte {
 	body, err := cbor.Marshal(m)
 	if err != nil {
 		panic(fmt.Sprintf("parley: %v", err)) // the types above are all plain
 	}
+	return body
+}
+
+// SendPacked queues a frame that Pack made.
+func (l *Line) SendPacked(body []byte) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.closed {
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -72,6 +72,7 @@
 	doubtAt  time.Duration
 	coldAt   time.Duration // when the last request to it while cold was let go
 	owner    bool          // this carrier is the one that sends to it while it is cold
+	epoch    int           // of the members that said so
 	tries    float64       // since the last report
 	voided   float64
 	took     time.Duration
@@ -105,6 +106,7 @@
 	services   map[string]*service
 	backends   map[string]*Backend
 	members    []Member
+	epoch      int // of members
 	most       int // the greatest number of members heard of
 	began      time.Duration
 	right      time.Duration // until when what only a member may do is allowed
@@ -148,9 +150,11 @@
 		v.backends = append(v.backends, old)
 		slices.SortFunc(v.backends, func(a, b *Backend) int { return cmp.Compare(a.ID, b.ID) })
 	} else {
+		if old.Zone != b.Zone {
+			old.epoch = 0
+		}
 		old.Address, old.Zone, old.Capacity, old.Usable, old.ColdUntil = b.Address, b.Zone, b.Capacity, b.Usable, b.ColdUntil
 	}
-	s.own(old)
 }
 
 // Drop forgets a backend.
@@ -165,10 +169,7 @@
 // Members sets who holds a lease. The greatest number ever heard of shares the budgets: one that is cut off counts
 // itself among fewer than there are.
 func (s *Settler) Members(all []Member) {
-	s.members, s.most = all, max(s.most, len(all))
-	for _, b := range s.backends {
-		s.own(b)
-	}
+	s.members, s.most, s.epoch = all, max(s.most, len(all)), s.epoch+1
 }
 
 // Right sets until when this carrier may do what only a member may.
@@ -176,7 +177,11 @@
 
 // own settles who sends to a backend while it is cold: one member of its zone, or of all where its zone has none, by
 // rendezvous, so that all carriers that know the same members agree without a word.
-func (s *Settler) own(b *Backend) {
+// It is worked out when a cold one is asked for: members change often, cold backends are few.
+func (s *Settler) own(b *Backend) bool {
+	if b.epoch == s.epoch {
+		return b.owner
+	}
 	best, winner := uint64(0), ""
 	for _, near := range []bool{true, false} {
 		for _, m := range s.members {
@@ -191,7 +196,8 @@
 			break
 		}
 	}
-	b.owner = winner == s.name
+	b.owner, b.epoch = winner == s.name, s.epoch
+	return b.owner
 }
 
 // Rank is the rendezvous rank of a name for a thing: the greatest wins.
@@ -301,7 +307,7 @@
 // mayCold: only the one that owns it sends to a cold backend, at its rate, without a burst, and while its lease
 // stands by its own clock.
 func (s *Settler) mayCold(now time.Duration, v *service, b *Backend) bool {
-	if !b.owner || now > s.right || v.coldRate <= 0 {
+	if !s.own(b) || now > s.right || v.coldRate <= 0 {
 		return false
 	}
 	// Two that both hold themselves to be the owner for a moment stay under the bound together.
