--- a/transit/front.go
+++ b/transit/front.go
@@ -30,7 +30,8 @@
 	proveLate  = 5 * time.Second
 	unsureFor  = 300 * time.Millisecond // beside a beat, until a backend's word that it is cold has come here
 	budgetMost = 10 * time.Minute
-	writeMore  = 2 * time.Second // that a client may take longer to read than it said it waits
+	unreadFor  = 300 * time.Millisecond // that a refusal waits for a body which nobody wants
+	writeMore  = 2 * time.Second        // that a client may take longer to read than it said it waits
 )
 
 // clientConn bounds how long a client may take or stay idle by the limits in force when it begins to: http.Server's
@@ -395,7 +396,7 @@
 		m.Silent = f.Kind != fault.Late && errors.As(f.Cause, &slow) && slow.Timeout()
 	case err != nil:
 		m.Kind = fault.Broken
-	case a.Status >= 500:
+	case a.Status >= 500, promises(a.Status): // without the word that it has not run, a promise says nothing
 		m.Kind = fault.Failed
 	}
 	return m, m.Kind
@@ -463,6 +464,9 @@
 		h.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
 	}
 	c.persist(h, q)
+	if q.body == nil && q.r.ContentLength != 0 { // net/http reads what is left of it before it writes the head
+		_ = http.NewResponseController(q.w).SetReadDeadline(time.Now().Add(unreadFor))
+	}
 	h.Set("Content-Type", "text/plain")
 	text := kind.String() + "\n"
 	h.Set("Content-Length", strconv.Itoa(len(text)))
