--- a/bearing/spill.go
+++ b/bearing/spill.go
@@ -7,15 +7,15 @@
 )
 
 const (
-	sharedFrom, sharedTill = 0.6, 0.5 // part of a zone's capacity in use from which others may be asked for its excess
-	fairFrom, fairTill     = 0.5, 0.6 // ... or of its fair part of all strength that is left to it
-	sureHome               = 1.5      // by which zones of others are said to be fuller, where nothing is to leave one
+	sharedFrom, sharedTill = 0.85, 0.7 // part of a zone's capacity in use from which others may be asked for its excess
+	fairFrom, fairTill     = 0.5, 0.6  // ... or of its fair part of all strength that is left to it
+	sureHome               = 1.5       // by which zones of others are said to be fuller, where nothing is to leave one
 	rampStart, rampTurn    = 0.1, 5 * choice.Second
 )
 
 // elsewhere says what comes to the carriers that are steered by others, by zone, in requests/s: as if each of them got
 // what one here gets. Choice then lets other zones join for what a zone is asked for over its fair part. That is more
-// often than the design has it, and what crosses zones costs: where less than half of the zone's capacity is in use
+// often than the design has it, and what crosses zones costs: where some of the zone's capacity is free
 // and at least half of its fair part is there, the other zones are said to be as full as the fullest one here, which
 // keeps all at home. A single carrier's overflow is the carrier's own to place.
 func (s *service) elsewhere(at choice.Time) []float64 {
