--- a/transit/transit.go
+++ b/transit/transit.go
@@ -102,6 +102,7 @@
 	founders    []parley.Controller
 	lives       map[string]*life
 	zones       map[string]parley.Register // evacuations
+	takenBack   map[string]time.Duration   // when a zone was taken back
 	have        parley.Stamp               // of the configuration in the view
 	wanted      parley.Stamp               // the newest configuration that is in force somewhere
 	wantedAt    time.Duration
@@ -115,7 +116,7 @@
 func New(o Options) *Carrier {
 	c := &Carrier{o: o, log: o.Log, life: rand.Uint64() | 1, began: o.Clock.Now(), queue: make(chan func(), 1024),
 		stop: make(chan struct{}), dialing: map[string]bool{}, controllers: map[string]*controller{},
-		lives: map[string]*life{}, zones: map[string]parley.Register{}, heardAt: -1}
+		lives: map[string]*life{}, zones: map[string]parley.Register{}, takenBack: map[string]time.Duration{}, heardAt: -1}
 	set := o.Settings
 	c.me = parley.Controller{Name: set.Name, Zone: set.Zone, Address: set.Own()}
 	o.Backends.Now = o.Clock.Now
@@ -336,11 +337,19 @@
 	if zone, ok := strings.CutPrefix(r.Name, zonePrefix); ok && c.zones[zone].Stamp.Less(r.Stamp) {
 		was := c.evacuated(zone)
 		c.zones[zone] = r
+		// Backends of a zone that is taken back may have become cold shortly before. A new life has not seen the zone
+		// empty; the order's stamp is the time of day, a hint that is enough here.
+		ago := time.Duration(c.o.Clock.Now().UnixMilli()-int64(r.Stamp.Hi)) * time.Millisecond
+		switch {
+		case c.evacuated(zone):
+			delete(c.takenBack, zone)
+		case was:
+			c.takenBack[zone] = now
+		default:
+			c.takenBack[zone] = now - max(ago, 0)
+		}
 		for _, l := range c.lives {
 			if l.Zone == zone {
-				if was && !c.evacuated(zone) { // they may have become cold shortly before
-					c.settle(func(s *verdict.Settler) { l.coldUntil = max(l.coldUntil, now+s.Cold(l.Service)) })
-				}
 				c.put(now, l)
 			}
 		}
@@ -433,8 +442,12 @@
 		c.pool.Forget(l.Address)
 		return
 	}
+	cold := l.coldUntil
+	if back, ok := c.takenBack[l.Zone]; ok {
+		cold = max(cold, back+c.settler.Cold(l.Service))
+	}
 	c.settler.Put(now, verdict.Backend{ID: l.ID, Service: l.Service, Address: l.Address, Zone: l.Zone, Capacity: l.Capacity,
-		Usable: l.State == parley.Ready && !c.evacuated(l.Zone) && !c.doubted(now, l), ColdUntil: l.coldUntil})
+		Usable: l.State == parley.Ready && !c.evacuated(l.Zone) && !c.doubted(now, l), ColdUntil: cold})
 }
 
 // doubted: nobody hears its beats, though somebody who has listened for long enough is there. While controllers are
