--- a/attempt/conn.go
+++ b/attempt/conn.go
@@ -209,9 +209,12 @@
 			h.idle = append(h.idle[:0], h.idle[1:]...)
 		}
 	}
+	if k != nil { // counted off under the same lock: two that end at once must not both find one too many
+		p.left(k.addr, h)
+	}
 	p.mu.Unlock()
 	if k != nil {
-		p.drop(k)
+		k.Conn.Close()
 	}
 }
 
@@ -224,7 +227,11 @@
 func (p *Pool) closed(addr string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	h := p.homes[addr]
+	p.left(addr, p.homes[addr])
+}
+
+// left counts a connection off; the lock is held.
+func (p *Pool) left(addr string, h *home) {
 	if h.open--; h.open == 0 {
 		delete(p.homes, addr)
 	}
