--- a/transit/transit_test.go
+++ b/transit/transit_test.go
@@ -885,3 +885,33 @@
 		_ = s.end()
 	})
 }
+
+// Guards against a second request hidden in the first: what has two lengths, odd framing or odd line ends is refused or
+// goes on in one framing of ours, and a backend never sees more requests than clients sent.
+func TestNothingIsSmuggled(t *testing.T) {
+	play(t, 1, func(s *stage) {
+		s.cores[0].has(conf{version: 1, routes: both("alpha")})
+		s.backend("alpha", "north", ok)
+		for _, c := range []struct{ name, lines, body string }{
+			{"a length and chunks", "POST /alpha!/ HTTP/1.1 | Content-Length: 4 | " + chunks, "3\r\nabc\r\n0\r\n\r\n"},
+			{"two lengths", "POST /alpha!/ HTTP/1.1 | Content-Length: 3 | Content-Length: 30", "abc"},
+			{"the same length twice", "POST /alpha!/ HTTP/1.1 | Content-Length: 3 | Content-Length: 3", "abc"},
+			{"a length with a sign", "POST /alpha!/ HTTP/1.1 | Content-Length: +3", "abc"},
+			{"a blank before the colon", "POST /alpha!/ HTTP/1.1 | Content-Length : 3", "abc"},
+			{"another coding behind", "POST /alpha!/ HTTP/1.1 | Transfer-Encoding: chunked, identity", "3\r\nabc\r\n0\r\n\r\n"},
+			{"a coding in disguise", "POST /alpha!/ HTTP/1.1 | Transfer-Encoding: xchunked", "3\r\nabc\r\n0\r\n\r\n"},
+			{"a chunk's size that is none", "POST /alpha!/ HTTP/1.1 | " + chunks, "0x3\r\nabc\r\n0\r\n\r\n"},
+			{"a field that is folded", "GET /alpha/ HTTP/1.1 | X-One: 1\r\n Content-Length: 3", ""},
+			{"a line that ends in CR alone", "GET /alpha/ HTTP/1.1 | X-One: 1\rX-Two: 2", ""},
+			{"a blank in the target", "GET /alpha/ /alpha/two HTTP/1.1", ""},
+			{"a control byte in the target", "GET /alpha/\x01 HTTP/1.1", ""},
+		} {
+			s.part(c.name)
+			if c.body == "" {
+				s.ask(c.lines)
+			} else {
+				s.ask(c.lines, c.body)
+			}
+		}
+	})
+}
