--- a/gauntlet/stories_test.go
+++ b/gauntlet/stories_test.go
@@ -561,3 +561,35 @@
 		w.Load(10*time.Second, Flows...)
 	})
 }
+
+// Guards against a carrier that wakes with requests in its sockets and goes by what held before it was frozen: a
+// configuration came into force meanwhile. The network stands still in place of the process.
+func TestCarrierWakes(t *testing.T) {
+	story(t, 11, func(t *testing.T, w *World) {
+		during(w, func() {
+			m := w.Carriers[0]
+			thawed := make(chan time.Duration, 1)
+			w.Go(func() {
+				w.Freeze(m, 5*time.Second)
+				thawed <- w.Now()
+			})
+			time.Sleep(time.Second)
+			acked(t, w.Replace(moved(2), true, w.Cores[0], time.Second), true)
+			from := <-thawed + time.Second
+			time.Sleep(5 * time.Second)
+			served, n := 0, 0
+			w.Ledger.do(func() {
+				for _, y := range w.Ledger.Tries {
+					if y.Carrier == m.Name && y.At >= from && y.End > 0 {
+						if n++; y.Status == 200 {
+							served++
+						}
+					}
+				}
+			})
+			if n < 20 || served < n*95/100 {
+				t.Errorf("the carrier that woke served %d of %d", served, n)
+			}
+		})
+	})
+}
