--- a/accord/accord.go
+++ b/accord/accord.go
@@ -1,10 +1,19 @@
-// Package accord settles the registers that hold the operator's word: what version each has, whose disks have it, and
-// from when it may be acknowledged. It does no I/O: Step takes what happened and returns what is to be done.
+// Package accord settles the registers that hold the operator's word, and who votes on them. It does no I/O and reads
+// no clock: Step takes what happened and returns what is to be done.
 //
-// Each register is a max register: the value of the greatest stamp holds (Attiya, Bar-Noy and Dolev 1995; a read that
-// finds a higher value writes it back before it answers). A value is safe once it is on Write of the founders' disks;
-// a read asks Read of them, so that it meets every safe value. A disk that may have forgotten holds what it is given
-// but answers no reads until it has read from Read others itself. There is no log and no leader.
+// Each register stands for itself: a value is chosen by ballots (package ballot; CASPaxos, Rystsov 2018), there is no
+// log and no leader, and what an order means is a function from the value that holds to the next one. Who votes is a
+// register too, decided anew for each epoch by the voters of the one before: disks, by their own ids. The first epoch
+// is decided by the seeds. A word of another epoch, or of a disk that does not vote, counts for nothing.
+//
+//	accord.go    the events, the orders, a step
+//	register.go  votes and ballots of a register, orders, reads
+//	copies.go    what is chosen, who has it, what is missing
+//	epoch.go     founding, changes of voters, learners, leaving
+//	wish.go      who should vote
+//	touch.go     contact with a majority
+//	memory.go    records on the disk, those of older versions too
+//	zones.go     what evacuations mean
 package accord
 
 import (
@@ -12,66 +21,83 @@
 	"slices"
 	"time"
 
+	"elmfold/ballot"
 	"elmfold/parley"
 )
 
 const (
-	diskWithin  = 150 * time.Millisecond // a disk that is slower takes no part in a write that began here
-	diskAgain   = time.Second            // until one that failed is tried again
-	finishAfter = 200 * time.Millisecond // what is held and not known to be safe is written on by whoever holds it
-	sweepEvery  = 3 * time.Second        // stamps are compared with the others'
-	askAgain    = 300 * time.Millisecond // of those that have not answered
-	sameFor     = 5000                   // ms for which an order counts as the same: after that a half-done one may lie between
-	// WriteWithin is how long a write may take. One that has not become safe by then may still hold, or not; its
-	// caller is told that nothing is known.
+	diskAgain   = time.Second            // until a disk that failed is tried again
+	finishAfter = 300 * time.Millisecond // what is accepted and not known to be chosen is finished by whoever has it
+	turnGap     = 200 * time.Millisecond // ... one after the other
+	sweepEvery  = 3 * time.Second        // what disks have is compared
+	askAgain    = 200 * time.Millisecond // of those that have not answered
+	readWithin  = 100 * time.Millisecond // a read whose answers differ becomes a ballot after this
+	wantAgain   = 300 * time.Millisecond
+	pauseLeast  = 8 * time.Millisecond // of a proposer that was outbid; a part of the chance that follows is its own
+	pauseChance = 24 * time.Millisecond
+	// WriteWithin is how long an order may take. Of one that was not decided by then nothing is known, unless it was
+	// never offered to any disk.
 	WriteWithin = 3 * time.Second
 )
 
-// Stamp and Register are as they are spoken of.
+// Stamp and Register are as they are spoken of. A Register's Stamp orders its values; ballots have numbers of their own.
 type (
 	Stamp    = parley.Stamp
 	Register = parley.Register
+	Epoch    = parley.Epoch
+	Voter    = parley.Voter
 )
 
-// Event is one of the structs below.
-type Event any
+// Fate is what became of an order.
+type Fate uint8
 
-// Write asks that a register be written. Done tells of it.
-type Write struct {
-	Token uint64
-	Register
+// Fates. Untaken: it is not taken and never will be. Unknown: it may be, or be taken later.
+const (
+	Unknown Fate = iota
+	Taken
+	Refused // another value stands under its number, for good
+	Untaken
+)
+
+// Age is how long a value has held, by steady clocks; it is not Known where all who have it started after it.
+type Age struct {
+	Span  time.Duration
+	Known bool
 }
 
-// Amend asks that a register be given a value, whatever stamp that takes: it is read first. At is the time of day in
-// milliseconds, a hint that keeps a write that was left half done from winning over one that came seconds later
-// (hybrid logical clocks, Kulkarni and others 2014); the stamp is above all that were read in any case.
-type Amend struct {
+// Apply is what an order means: the next value, of the one that holds, and the order's fate once that is chosen. A next
+// value with the stamp of the one that holds changes nothing. It may be called again with another value.
+type Apply func(holds Register, age Age) (next Register, fate Fate)
+
+// Event is one of the structs below.
+type Event any
+
+// Change gives an order for a register. Done tells of it.
+type Change struct {
 	Token uint64
 	Name  string
-	Value []byte
-	At    uint64
-	Tie   uint64 // tells writers apart
-	// Next makes the value of the newest one there is, in place of Value; again says that the order is that one's
-	// over again, which is then only made safe.
-	Next func(newest Register) (value []byte, again bool)
+	Apply Apply
 }
 
-// Read asks for the newest value of a register that is safe. Done tells it.
+// Read asks for the value of a register that holds. Done tells it.
 type Read struct {
 	Token uint64
 	Name  string
 }
 
-// Persisted says that the disk has a register, or that it failed.
+// Persisted answers a Persist.
 type Persisted struct {
-	Name  string
-	Stamp Stamp
-	Err   error
+	Seq uint64
+	Err error
 }
 
-// Up says that the line to a founder or another controller stands; Down that it broke.
+// Up says that the line to a controller stands, and which disk it has; Down that it broke.
 type (
-	Up   struct{ Who string }
+	Up struct {
+		Who   parley.Controller
+		Disk  string
+		Blank bool
+	}
 	Down struct{ Who string }
 )
 
@@ -81,14 +107,18 @@
 	Message *parley.Message
 }
 
-// Found says who the founders are, as this disk has it safe.
-type Found struct{ Founders []string }
+// Leave says that this process is to end: it hands over, and orders Left.
+type Leave struct{}
 
 // Order is one of the structs below.
 type Order any
 
-// Persist asks for a register to be put on the disk.
-type Persist struct{ Register }
+// Persist asks for a record to be put on the disk; Persisted answers it. Records are put in their order.
+type Persist struct {
+	Seq    uint64
+	Record string
+	Value  []byte
+}
 
 // Send is for another controller.
 type Send struct {
@@ -96,99 +126,131 @@
 	Message *parley.Message
 }
 
-// InForce tells a value that has become safe. It is told once a stamp, in rising order for each register.
+// InForce tells a value that has been chosen, in rising order for each register.
 type InForce struct{ Register }
 
-// Done ends a Write, an Amend or a Read. Register is what holds.
+// Entered tells the newest epoch.
+type Entered struct{ Epoch }
+
+// Done ends a Change or a Read. Register is what holds, where it is known.
 type Done struct {
 	Token uint64
-	OK    bool
+	Fate  Fate
 	Register
 }
 
-// Complete says that this disk, which had forgotten, has read enough and may vote again.
-type Complete struct{}
-
-type held struct {
-	Register           // on this disk
-	next     *Register // on its way to the disk
-	own      bool      // ... as a write that began here, and when
-	nextAt   time.Duration
-	putAt    time.Duration // the last try at a disk that failed
-	disk     Stamp         // what the disk has: it may lag behind Register, and only this is told as held
-	has      map[string]bool
-	safe     bool // Register is
-	told     Stamp
-	triedAt  time.Duration
+// Left ends a Leave. Missing says what could not be handed over.
+type Left struct{ Missing []string }
+
+// Options make a Replica.
+type Options struct {
+	Me     parley.Controller
+	Life   uint64 // of this process, drawn: it tells its ballots and its questions from those of others
+	Faults int
+	Seeds  []string // the addresses of controllers, as parley.Controller has them; founding is theirs
+	Memory Memory   // what the disk has
 }
 
-type asking struct {
-	kind     Event // Write, Amend or Read
-	token    uint64
-	name     string
-	stamp    Stamp // that must be safe; zero until it is known
-	value    []byte
-	answered map[string]Stamp // by founder: what it holds
-	began    time.Duration
-	askedAt  time.Duration
-	round    uint64 // of its first Ask
+type peer struct {
+	parley.Controller
+	disk    string
+	blank   bool
+	up      bool
+	leaving bool
+	seenAt  time.Duration    // the last answer to a question of ours
+	has     map[string]Stamp // the ballots that its disk has accepted, as it said
+	hasAt   time.Duration    // when it said all of it
 }
 
 // Replica is one controller's part.
 type Replica struct {
-	me       string
-	faults   int
-	founders []string
-	votes    bool // the disk never forgot
-	up       map[string]bool
-	regs     map[string]*held
-	asks     []*asking
-	answered map[string]bool // by founder: while this disk has forgotten, who told all of it
-	heardOf  map[string]bool // ... who told what it has, though it may have forgotten itself
-	sweptAt  time.Duration
-	askedAt  time.Duration
-	round    uint64
-	now      time.Duration
+	o        Options
+	disk     string // the own disk's id
+	blank    bool
+	born     bool // ... and it is on the disk
+	epoch    Epoch
+	epochOn  uint64 // the number of the epoch that the disk has
+	regs     map[string]*register
+	peers    map[string]*peer
 	orders   []Order
-}
-
-// New makes a Replica of what its disk holds. Votes: the disk is known never to have forgotten anything.
-func New(me string, faults int, votes bool, disk []Register) *Replica {
-	r := &Replica{me: me, faults: faults, votes: votes, up: map[string]bool{}, regs: map[string]*held{},
-		answered: map[string]bool{}, heardOf: map[string]bool{}, sweptAt: -time.Hour, askedAt: -time.Hour}
-	for _, reg := range disk {
-		r.regs[reg.Name] = &held{Register: reg, disk: reg.Stamp, has: map[string]bool{me: true}}
+	now      time.Duration
+	seq      uint64
+	puts     map[uint64]put
+	round    uint64
+	reads    []*reading
+	touch    touch
+	sweptAt  time.Duration
+	joinedAt time.Duration // the last new controller
+	changed  time.Duration // the last change of the epoch
+	wished   string        // the change of voters that is wished, and since when
+	wishedAt time.Duration
+	scan     *scan
+	leaving  bool
+	left     bool
+	leaveAt  time.Duration
+	handedAt time.Duration
+	missing  []string
+
+	birthAt    time.Duration // the last try to make the disk somebody; negative: none
+	epochPutAt time.Duration // the last answer to putting the epoch
+}
+
+// New makes a Replica of what its disk holds.
+func New(o Options) *Replica {
+	r := &Replica{o: o, disk: o.Memory.Disk, blank: o.Memory.Blank, born: o.Memory.Born, epoch: o.Memory.Epoch,
+		regs: map[string]*register{}, peers: map[string]*peer{}, puts: map[uint64]put{},
+		round: o.Life >> 1, sweptAt: -time.Hour, touch: touch{at: -time.Hour, pingAt: -time.Hour}, birthAt: -1}
+	if r.born {
+		r.epochOn = r.epoch.Number
+	}
+	for name, a := range o.Memory.Acceptors {
+		g := r.reg(name)
+		g.acc = a
+		g.disk, g.valueAt = a.Accepted, neverSeen
 	}
 	return r
 }
 
-// Quorums are the number of founders' disks that make a value safe, and the number that a read asks. 0, 0 while the
-// founders are not known. With fewer founders than faults need, the write takes all that there are.
-func (r *Replica) Quorums() (write, read int) {
-	n := len(r.founders)
-	if n == 0 {
-		return 0, 0
-	}
-	write = min(max(r.faults+1, n/2+1), n)
-	return write, n - write + 1
-}
+// Epoch is the newest one that is known to be decided.
+func (r *Replica) Epoch() Epoch { return r.epoch }
+
+// Disk is the id of the own disk; Blank says that it may have forgotten that there is an epoch.
+func (r *Replica) Disk() string { return r.disk }
 
-// Votes says whether this disk answers reads.
-func (r *Replica) Votes() bool { return r.votes }
+// Blank is told in Hello.
+func (r *Replica) Blank() bool { return r.blank && r.epoch.Number == 0 }
 
-// Founders are their names; nil while they are not known.
-func (r *Replica) Founders() []string { return r.founders }
+// Votes says whether the own disk does.
+func (r *Replica) Votes() bool { return r.born && r.epoch.Voter(r.disk) }
 
-// Newest is what this disk has of a register, and whether that is known to be safe.
+// Newest is what this disk has accepted of a register, and whether that is known to be chosen.
 func (r *Replica) Newest(name string) (Register, bool) {
-	if h := r.regs[name]; h != nil {
-		return h.Register, h.safe
+	if g := r.regs[name]; g != nil {
+		return g.acc.Value, g.chosen()
 	}
 	return Register{Name: name}, false
 }
 
-// Names are the registers that this disk has.
-func (r *Replica) Names() []string { return slices.Sorted(maps.Keys(r.regs)) }
+// InForce is the newest value of a register that is known to be chosen; false: none.
+func (r *Replica) InForce(name string) (Register, bool) {
+	g := r.regs[name]
+	if g == nil || g.told == (Stamp{}) {
+		return Register{Name: name}, false
+	}
+	return g.force, true
+}
+
+// Names are the registers that this disk has values of.
+func (r *Replica) Names() []string {
+	var names []string
+	for name, g := range r.regs {
+		if name != epochName && g.acc.Accepted != (Stamp{}) {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
 
 // Step takes what happened up to now, a steady time.
 func (r *Replica) Step(now time.Duration, events ...Event) []Order {
@@ -202,339 +264,203 @@
 
 func (r *Replica) order(o Order) { r.orders = append(r.orders, o) }
 
-func (r *Replica) send(to string, m *parley.Message) {
-	if to != r.me && r.up[to] {
-		r.order(Send{To: to, Message: m})
-	}
+// put is a record on its way to the disk, and what waits for it.
+type put struct {
+	register string    // whose state it is; else:
+	epoch    uint64    // the number of the epoch that it is, or
+	birth    bool      // the last of those that make a disk somebody
+	accepted Stamp     // of the register: the ballot in it,
+	era      uint64    // the epoch in which that was,
+	waits    []waiting // and what is said once it is there
 }
 
-func (r *Replica) toFounders(m *parley.Message) {
-	for _, f := range r.founders {
-		r.send(f, m)
-	}
+func (r *Replica) persist(record string, value []byte, p put) {
+	r.seq++
+	r.puts[r.seq] = p
+	r.order(Persist{r.seq, record, value})
 }
 
-func (r *Replica) isFounder(who string) bool { return slices.Contains(r.founders, who) }
-
-func (r *Replica) reg(name string) *held {
-	h := r.regs[name]
-	if h == nil {
-		h = &held{Register: Register{Name: name}, has: map[string]bool{}}
-		r.regs[name] = h
+func (r *Replica) persisted(e Persisted) {
+	p, known := r.puts[e.Seq]
+	if !known {
+		return
 	}
-	return h
-}
-
-func (r *Replica) hear(e Event) {
-	switch e := e.(type) {
-	case Found:
-		if r.founders == nil {
-			r.founders = e.Founders
-			for _, h := range r.regs {
-				r.count(h)
-			}
-		}
-	case Up:
-		r.up[e.Who] = true
-		r.send(e.Who, &parley.Message{Held: r.stamps(), All: r.votes && r.founders != nil})
-	case Down:
-		delete(r.up, e.Who)
-		for _, h := range r.regs { // it may come back without what it said it had
-			delete(h.has, e.Who)
+	delete(r.puts, e.Seq)
+	switch {
+	case p.birth:
+		if r.birthAt = r.now; e.Err == nil {
+			r.born = true
 		}
-	case Write:
-		r.asks = append(r.asks, &asking{kind: e, token: e.Token, name: e.Name, stamp: e.Stamp, began: r.now})
-		r.take(e.Register, true)
-		if h := r.regs[e.Name]; h.next == nil && !h.Stamp.Less(e.Stamp) {
-			r.offer(h) // a value that is there already and perhaps not safe yet is written on first
+	case p.epoch > 0:
+		if r.epochPutAt = r.now; e.Err == nil {
+			r.epochOn = max(r.epochOn, p.epoch)
 		}
-	case Amend:
-		r.asks = append(r.asks, &asking{kind: e, token: e.Token, name: e.Name, value: e.Value, answered: map[string]Stamp{},
-			began: r.now, askedAt: -time.Hour})
-	case Read:
-		r.asks = append(r.asks, &asking{kind: e, token: e.Token, name: e.Name, answered: map[string]Stamp{}, began: r.now,
-			askedAt: -time.Hour})
-	case Persisted:
-		r.persisted(e)
-	case Heard:
-		r.heard(e.Who, e.Message)
+	case p.register != "":
+		r.registerPut(p, e.Err)
 	}
 }
 
-// take lets a register be put on the disk if it is newer than what is there or on its way.
-func (r *Replica) take(reg Register, own bool) {
-	h := r.reg(reg.Name)
-	if !h.Stamp.Less(reg.Stamp) || h.next != nil && !h.next.Stamp.Less(reg.Stamp) {
-		return
+func (r *Replica) send(to string, m *parley.Message) {
+	if p := r.peers[to]; p != nil && p.up {
+		m.Era, m.Disk = r.epoch.Number, r.disk
+		r.order(Send{to, m})
 	}
-	h.next, h.own, h.nextAt = &reg, own, r.now
-	r.order(Persist{reg})
 }
 
-func (r *Replica) persisted(e Persisted) {
-	h := r.reg(e.Name)
-	if e.Err == nil && h.disk.Less(e.Stamp) {
-		h.disk = e.Stamp
-	}
-	switch {
-	case h.next != nil && h.next.Stamp == e.Stamp && (e.Err == nil || h.own):
-		r.hold(h, e.Err == nil)
-	case h.next != nil && h.next.Stamp == e.Stamp:
-		h.next = nil // this disk takes no part in that write; others may
-	case e.Err == nil && h.Stamp == e.Stamp && !h.has[r.me]: // it took longer, or was tried again
-		h.has[r.me] = true
-		r.toFounders(&parley.Message{Held: r.some(h)})
-		r.count(h)
+// lines are the names of those to whom a line stands.
+func (r *Replica) lines() []string {
+	var names []string
+	for name, p := range r.peers {
+		if p.up {
+			names = append(names, name)
+		}
 	}
+	slices.Sort(names)
+	return names
 }
 
-// hold makes the value that was on its way the one that is held, here in memory and, if disk says so, on the disk. The
-// founders are offered it either way: a full or hanging disk takes no part in a write, and need not hinder one.
-func (r *Replica) hold(h *held, disk bool) {
-	h.Register, h.next, h.safe, h.triedAt, h.putAt = *h.next, nil, false, r.now, r.now
-	if h.has = map[string]bool{}; disk {
-		h.has[r.me] = true
+func (r *Replica) toAll(make func() *parley.Message) {
+	for _, to := range r.lines() {
+		r.send(to, make())
 	}
-	r.offer(h)
-	r.count(h)
 }
 
-// offer gives a value to all founders that are not known to have it.
-func (r *Replica) offer(h *held) {
-	h.triedAt = r.now
-	for _, f := range r.founders {
-		if !h.has[f] {
-			r.send(f, &parley.Message{Offers: []Register{h.Register}, Held: r.some(h)})
+func (r *Replica) hear(e Event) {
+	switch e := e.(type) {
+	case Persisted:
+		r.persisted(e)
+	case Up:
+		r.upped(e)
+	case Down:
+		if p := r.peers[e.Who]; p != nil {
+			p.up = false
 		}
+	case Heard:
+		r.heard(e.Who, e.Message)
+	case Change:
+		r.change(e)
+	case Read:
+		r.reads = append(r.reads, &reading{token: e.Token, name: e.Name, began: r.now, askedAt: -time.Hour,
+			answers: map[string]Stamp{}})
+	case Leave:
+		r.leaving, r.leaveAt = true, r.now
+		r.round++
+		round := r.round
+		r.toAll(func() *parley.Message { return &parley.Message{Leaving: true, Ask: true, Round: round} })
 	}
 }
 
-// some is what this disk has of a register.
-func (r *Replica) some(h *held) map[string]Stamp {
-	if h.disk == (Stamp{}) {
-		return nil
+func (r *Replica) upped(e Up) {
+	p := r.peers[e.Who.Name]
+	if p == nil || p.disk != e.Disk {
+		p = &peer{seenAt: r.now, has: map[string]Stamp{}}
+		r.peers[e.Who.Name], r.joinedAt = p, r.now
 	}
-	return map[string]Stamp{h.Name: h.disk}
-}
-
-// count says from when a value is safe.
-func (r *Replica) count(h *held) {
-	write, _ := r.Quorums()
-	n := 0
-	for _, f := range r.founders {
-		if h.has[f] {
-			n++
-		}
+	p.Controller, p.disk, p.blank, p.up, p.leaving = e.Who, e.Disk, e.Blank, true, false
+	m := &parley.Message{Has: r.onDisk(), All: true}
+	if r.epoch.Number > 0 {
+		m.Epoch = r.theEpoch()
 	}
-	if write > 0 && n >= write && !h.safe && h.Stamp != (Stamp{}) {
-		r.force(h)
-		for _, to := range slices.Sorted(maps.Keys(r.up)) {
-			r.send(to, &parley.Message{Safe: map[string]Stamp{h.Name: h.Stamp}})
+	r.send(e.Who.Name, m)
+	r.touch.pingAt = -time.Hour // its answer counts at once
+	for _, name := range slices.Sorted(maps.Keys(r.regs)) {
+		if g := r.regs[name]; g.prop.Phase != ballot.Idle && r.counts(p) {
+			r.resend(g, p)
 		}
 	}
 }
 
-func (r *Replica) force(h *held) {
-	h.safe = true
-	if h.told.Less(h.Stamp) {
-		h.told = h.Stamp
-		r.order(InForce{h.Register})
-	}
+func (r *Replica) theEpoch() *Epoch {
+	e := r.epoch
+	return &e
 }
 
-func (r *Replica) stamps() map[string]Stamp {
-	all := map[string]Stamp{}
-	for name, h := range r.regs {
-		if h.disk != (Stamp{}) {
-			all[name] = h.disk
-		}
+// counts says whether a peer's votes do in this epoch, or at its founding.
+func (r *Replica) counts(p *peer) bool {
+	if r.epoch.Number == 0 {
+		return slices.Contains(r.o.Seeds, p.Address)
 	}
-	return all
+	return r.epoch.Voter(p.disk)
 }
 
 func (r *Replica) heard(who string, m *parley.Message) {
-	for _, reg := range m.Offers {
-		h := r.reg(reg.Name)
-		r.take(reg, false)
-		// It is on this disk already, or something newer is. A disk that lags says nothing: an older stamp would
-		// only bring the same offer again.
-		if h.next == nil && !h.disk.Less(reg.Stamp) {
-			r.send(who, &parley.Message{Held: r.some(h)})
-		}
+	p := r.peers[who]
+	if p == nil {
+		return // its first word on a line makes it known
 	}
-	for _, name := range slices.Sorted(maps.Keys(m.Held)) {
-		r.compare(who, name, m.Held[name], m.Safe[name] == m.Held[name] && len(m.Safe) > 0)
+	if m.Leaving {
+		p.leaving = true
 	}
-	for _, name := range slices.Sorted(maps.Keys(m.Safe)) {
-		if h := r.reg(name); h.Stamp == m.Safe[name] && !h.safe {
-			r.force(h)
-		} else if h.Stamp.Less(m.Safe[name]) && h.next == nil {
-			r.send(who, &parley.Message{Want: []string{name}})
-		}
+	if m.Epoch != nil {
+		r.enter(*m.Epoch)
+	}
+	switch {
+	case m.Ping:
+		r.send(who, &parley.Message{Pong: true, Round: m.Round})
+	case m.Ask:
+		r.send(who, &parley.Message{Has: r.onDisk(), All: true, Round: m.Round})
 	}
 	for _, name := range m.Want {
-		if h := r.regs[name]; h != nil && h.Stamp != (Stamp{}) {
-			r.send(who, &parley.Message{Offers: []Register{h.Register}, Held: r.some(h)})
+		if g := r.regs[name]; g != nil && g.safe != (Stamp{}) && name != epochName {
+			r.send(who, &parley.Message{Copies: []parley.Copy{{Number: g.safe, Register: g.force}}})
 		}
 	}
-	if m.Ask {
-		r.send(who, &parley.Message{Held: r.stamps(), All: r.votes && r.founders != nil, Round: m.Round})
+	// What is chosen is so in every epoch.
+	r.hearChosen(p, m)
+	if m.Disk != p.disk {
+		return // of the life before, whose disk is another
 	}
-	if m.All && r.isFounder(who) {
-		for _, a := range r.asks {
-			if a.answered != nil && a.round > 0 && m.Round >= a.round {
-				a.answered[who] = m.Held[a.name]
-			}
-		}
-		r.answered[who] = r.answered[who] || r.holds(m.Held) // else it is asked again when that has come
+	if m.Era < r.epoch.Number && (m.Ballots != nil || m.Pong || m.Ping || m.Ask || m.All) {
+		r.send(who, &parley.Message{Epoch: r.theEpoch()}) // it is behind, and its votes do not count
 	}
-	if m.Round > 0 && !m.Ask && r.isFounder(who) {
-		r.heardOf[who] = r.holds(m.Held)
+	r.hearHas(p, m)
+	if m.Era != r.epoch.Number {
+		return
 	}
-}
-
-// holds says whether this disk has all that, or newer.
-func (r *Replica) holds(all map[string]Stamp) bool {
-	for name, s := range all {
-		if r.reg(name).Stamp.Less(s) {
-			return false
-		}
+	for i := range m.Ballots {
+		r.vote(p, &m.Ballots[i])
 	}
-	return true
-}
-
-// compare takes a stamp that another one's disk has: it counts towards ours, is asked for, or ours is offered.
-func (r *Replica) compare(who, name string, theirs Stamp, _ bool) {
-	h := r.reg(name)
-	switch {
-	case h.Stamp == theirs:
-		h.has[who] = true
-		r.count(h)
-	case theirs.Less(h.Stamp):
-		if delete(h.has, who); r.isFounder(who) {
-			r.send(who, &parley.Message{Offers: []Register{h.Register}, Held: r.some(h)})
+	if m.Pong {
+		p.seenAt = r.now
+		r.touch.answer(m.Round, p.disk)
+	}
+	if m.All && m.Round > 0 {
+		for _, q := range r.reads {
+			if q.round > 0 && m.Round >= q.round {
+				q.answers[p.disk] = m.Has[q.name]
+			}
+		}
+		if r.scan != nil && m.Round >= r.scan.round {
+			r.scan.answers[p.disk] = m.Has
 		}
-	case h.next == nil || h.next.Stamp.Less(theirs):
-		// Its disk has a newer one, and so it holds all that an older write of ours could want of it.
-		h.has[who] = true
-		r.count(h)
-		r.send(who, &parley.Message{Want: []string{name}})
 	}
 }
 
 // tend does what time asks for.
 func (r *Replica) tend() {
-	write, read := r.Quorums()
-	if !r.votes && write > 0 && r.now >= r.askedAt+askAgain {
-		n, all := 0, true
-		for _, f := range r.founders {
-			if r.answered[f] && f != r.me {
-				n++
-			}
-			all = all && (f == r.me || r.heardOf[f])
-		}
-		// Where more disks forgot than are to be borne, what is left of all of them is the best there is.
-		if others := min(max(len(r.founders)-r.faults, read), len(r.founders)-1); (n >= others || all) && !r.pending() {
-			r.votes = true
-			r.order(Complete{})
-		} else {
-			r.askedAt = r.now
-			r.round++
-			r.toFounders(&parley.Message{Ask: true, Round: r.round})
-		}
-	}
+	r.touch.tend(r)
 	for _, name := range slices.Sorted(maps.Keys(r.regs)) {
-		h := r.regs[name]
-		if h.next != nil && h.own && r.now >= h.nextAt+diskWithin {
-			r.hold(h, false)
-		}
-		if h.Stamp != (Stamp{}) && !h.has[r.me] && h.next == nil && r.now >= h.putAt+diskAgain {
-			h.putAt = r.now
-			r.order(Persist{h.Register})
-		}
-		if !h.safe && h.Stamp != (Stamp{}) && r.now >= h.triedAt+finishAfter {
-			r.offer(h) // the one that began the write may be gone
-			r.count(h)
-		}
+		r.tendRegister(r.regs[name])
 	}
-	if write > 0 && r.now >= r.sweptAt+sweepEvery {
+	if r.now >= r.sweptAt+sweepEvery {
 		r.sweptAt = r.now
-		for _, to := range slices.Sorted(maps.Keys(r.up)) { // not founders alone: others may have missed something too
-			r.send(to, &parley.Message{Held: r.stamps()})
-		}
-	}
-	r.asks = slices.DeleteFunc(r.asks, func(a *asking) bool { return r.settle(a, read) })
-}
-
-func (r *Replica) pending() bool {
-	for _, h := range r.regs {
-		if h.next != nil {
-			return true
-		}
+		r.toAll(func() *parley.Message { return &parley.Message{Has: r.onDisk(), All: true} })
 	}
-	return false
+	r.reads = slices.DeleteFunc(r.reads, r.settleRead)
+	r.tendEpoch()
+	r.tendLeaving()
 }
 
-// settle moves a question on; it says whether that is answered.
-func (r *Replica) settle(a *asking, read int) bool {
-	h := r.reg(a.name)
-	if r.now >= a.began+WriteWithin {
-		r.order(Done{Token: a.token, Register: h.Register})
-		return true
-	}
-	if _, isWrite := a.kind.(Write); !isWrite && a.stamp == (Stamp{}) {
-		if r.votes && r.isFounder(r.me) {
-			a.answered[r.me] = h.Stamp
-		}
-		if read == 0 || len(a.answered) < read {
-			if r.now >= a.askedAt+askAgain {
-				a.askedAt = r.now
-				if r.round++; a.round == 0 {
-					a.round = r.round
-				}
-				r.toFounders(&parley.Message{Ask: true, Round: r.round})
-			}
-			return false
-		}
-		newest := h.Stamp
-		if _, amends := a.kind.(Amend); amends && h.next != nil {
-			newest = h.next.Stamp // on its way to this disk; the new one goes above it
-		}
-		for _, s := range a.answered {
-			if newest.Less(s) {
-				newest = s
-			}
-		}
-		switch e := a.kind.(type) {
-		case Read:
-			if newest == (Stamp{}) {
-				r.order(Done{Token: a.token, OK: true, Register: Register{Name: a.name}})
-				return true
-			}
-			a.stamp = newest // asked for when its stamp was heard
-		case Amend:
-			latest := h.Register
-			if h.next != nil {
-				latest = *h.next
-			}
-			if latest.Stamp.Less(newest) && e.Next != nil {
-				return false // it was asked for when its stamp was heard
-			}
-			value, again := e.Value, newest == h.Stamp && newest.Hi+sameFor > e.At && slices.Equal(h.Value, e.Value)
-			if e.Next != nil {
-				value, again = e.Next(latest)
-			}
-			if again && newest == h.Stamp {
-				a.stamp = newest // the same word again: it is only made safe
-				break
-			}
-			a.stamp = Stamp{Hi: max(newest.Hi+1, e.At), Lo: e.Tie}
-			r.take(Register{Name: a.name, Stamp: a.stamp, Value: value}, true)
+// Due is when Step wants to be called again, though nothing happened: at latest on the next tick.
+func (r *Replica) Due() time.Duration {
+	due := r.now + time.Hour
+	for _, g := range r.regs {
+		if len(g.queue) > 0 && g.prop.Phase == ballot.Idle {
+			due = min(due, g.againAt)
 		}
 	}
-	if h.safe && !h.Stamp.Less(a.stamp) {
-		r.order(Done{Token: a.token, OK: true, Register: h.Register})
-		return true
+	for _, q := range r.reads {
+		due = min(due, q.began+readWithin, q.askedAt+askAgain)
 	}
-	return false
+	return max(due, r.now+time.Millisecond)
 }
--- /dev/null
+++ b/accord/copies.go
@@ -0,0 +1,154 @@
+package accord
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"elmfold/parley"
+)
+
+// onDisk are the ballots that this disk has accepted: what it may tell others.
+func (r *Replica) onDisk() map[string]Stamp {
+	all := map[string]Stamp{}
+	for name, g := range r.regs {
+		if name != epochName && g.disk != (Stamp{}) {
+			all[name] = g.disk
+		}
+	}
+	return all
+}
+
+// stored: this disk has a newer ballot.
+func (r *Replica) stored(g *register) {
+	if g.name == epochName {
+		return
+	}
+	if r.count(g); g.learned || !r.Votes() {
+		g.learned = false
+		name, number := g.name, g.disk
+		r.toAll(func() *parley.Message { return &parley.Message{Has: map[string]Stamp{name: number}} })
+	}
+}
+
+// hearHas takes what another disk has accepted. Where enough voters have the same ballot, its value is chosen; what is
+// newer than here is asked for.
+func (r *Replica) hearHas(p *peer, m *parley.Message) {
+	if m.Has == nil && !m.All || m.Era > r.epoch.Number {
+		return // of an epoch that is not known here yet: who has it does not tell what that means
+	}
+	if m.All {
+		p.has, p.hasAt = map[string]Stamp{}, r.now
+	}
+	for _, name := range slices.Sorted(maps.Keys(m.Has)) {
+		g := r.reg(name)
+		if p.has[name] = m.Has[name]; g.acc.Accepted.Less(p.has[name]) {
+			g.ahead[p.Name] = p.has[name]
+		}
+		r.count(g)
+	}
+}
+
+// count says whether enough disks have what is accepted here.
+func (r *Replica) count(g *register) {
+	if g.acc.Accepted == (Stamp{}) || g.chosen() || g.name == epochName {
+		return
+	}
+	have := map[string]bool{r.disk: g.disk == g.acc.Accepted}
+	for _, p := range r.peers {
+		have[p.disk] = have[p.disk] || p.has[g.name] == g.acc.Accepted
+	}
+	if r.epoch.Safe(r.o.Faults, func(v Voter) bool { return have[v.ID] }) {
+		number := g.acc.Accepted
+		r.toAll(func() *parley.Message { return &parley.Message{Chosen: map[string]Stamp{g.name: number}} })
+		r.choose(g, number, g.acc.Value)
+	}
+}
+
+// hearChosen takes word of ballots that are chosen, and copies of their values.
+func (r *Replica) hearChosen(p *peer, m *parley.Message) {
+	for _, name := range slices.Sorted(maps.Keys(m.Chosen)) {
+		if name == epochName {
+			if g := r.regs[name]; g != nil && m.Era == r.epoch.Number && g.acc.Accepted == m.Chosen[name] {
+				r.choose(g, g.acc.Accepted, g.acc.Value)
+			}
+			continue
+		}
+		switch g, number := r.reg(name), m.Chosen[name]; {
+		case g.acc.Accepted == number:
+			r.choose(g, number, g.acc.Value)
+		case g.acc.Accepted.Less(number):
+			if g.ahead[p.Name] = number; g.wantAt == 0 || r.now >= g.wantAt+wantAgain {
+				g.wantAt = r.now
+				r.send(p.Name, &parley.Message{Want: []string{name}})
+			}
+		}
+	}
+	for _, c := range m.Copies {
+		if c.Register.Name != epochName {
+			r.choose(r.reg(c.Register.Name), c.Number, c.Register)
+		}
+	}
+}
+
+// choose takes it that a value is chosen under a ballot. A disk that has an older one learns it.
+func (r *Replica) choose(g *register, number Stamp, v Register) {
+	if g.name == epochName {
+		if e, err := decodeEpoch(v.Value); err == nil {
+			r.enter(e)
+		}
+		return
+	}
+	if !g.safe.Less(number) {
+		return
+	}
+	g.safe, g.force = number, v
+	stays := g.acc.Value.Stamp == v.Stamp
+	if g.acc.Learn(number, v) {
+		if !stays {
+			g.valueAt = r.now
+		}
+		g.learned = true
+		r.put(g)
+	}
+	if g.told.Less(v.Stamp) {
+		g.told = v.Stamp
+		r.order(InForce{v})
+	}
+}
+
+// whole says whether a disk has all that is known here to be chosen.
+func (r *Replica) whole(p *peer) bool {
+	for name, g := range r.regs {
+		if name != epochName && p.has[name].Less(g.safe) {
+			return false
+		}
+	}
+	return true
+}
+
+// handOver gives the others what they lack, before this process ends, and says what they still do.
+func (r *Replica) handOver(again bool) (missing []string) {
+	for _, name := range slices.Sorted(maps.Keys(r.regs)) {
+		g := r.regs[name]
+		if name == epochName || g.acc.Accepted == (Stamp{}) {
+			continue
+		}
+		if !g.chosen() {
+			missing = append(missing, name)
+			continue // it is finished as always
+		}
+		for _, to := range r.lines() {
+			p := r.peers[to]
+			if !r.epoch.Voter(p.disk) || p.hasAt >= r.leaveAt && !p.has[name].Less(g.safe) {
+				continue
+			}
+			if missing = append(missing, name+" at "+to); again && p.hasAt >= r.leaveAt {
+				r.send(to, &parley.Message{Copies: []parley.Copy{{Number: g.safe, Register: g.force}}})
+			}
+		}
+	}
+	return missing
+}
+
+const handAgain = 300 * time.Millisecond
--- /dev/null
+++ b/accord/epoch.go
@@ -0,0 +1,231 @@
+package accord
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"elmfold/ballot"
+	"elmfold/parley"
+)
+
+// Who votes. Epoch N+1 is decided by the voters of epoch N, in a register that each epoch begins anew. A change takes two
+// steps: first the old voters and the new ones count, both; once all that was chosen lies on enough disks of both, the new
+// ones alone (joint consensus, Ongaro 2014, 4.3). Whoever answers in the joint epoch votes in no older one any more, so
+// that what its voters were asked for is all there is.
+const (
+	epochName  = "epoch"
+	gatherFor  = 700 * time.Millisecond // no further controller came: the first voters are those that did
+	gatherMost = 2 * time.Second        // ... and with fewer than the faults to be borne ask for, after this
+	gatherTurn = 500 * time.Millisecond // one seed after the other
+	changeGap  = 200 * time.Millisecond // between changes of voters
+	scanAgain  = 300 * time.Millisecond
+)
+
+// scan asks, while old and new voters count, what all of them have.
+type scan struct {
+	round   uint64
+	askedAt time.Duration
+	answers map[string]map[string]Stamp // by disk
+}
+
+// enter takes a newer epoch. What was under way in the old one begins anew.
+func (r *Replica) enter(e Epoch) {
+	if e.Number <= r.epoch.Number {
+		return
+	}
+	r.epoch, r.changed, r.wished, r.scan = e, r.now, "", nil
+	r.putEpoch()
+	delete(r.regs, epochName)
+	for _, g := range r.regs {
+		if g.waits = nil; g.prop.Phase != ballot.Idle {
+			g.prop.Stop()
+			r.putOff(g)
+		}
+	}
+	for _, q := range r.reads {
+		q.round, q.answers = 0, map[string]Stamp{}
+	}
+	r.touch.at, r.touch.pingAt = -time.Hour, -time.Hour
+	r.order(Entered{e})
+	r.toAll(func() *parley.Message { return &parley.Message{Epoch: r.theEpoch()} })
+}
+
+func (r *Replica) putEpoch() {
+	r.epochPutAt = r.now
+	r.persist(recordEpoch, encodeEpoch(r.epoch), put{epoch: r.epoch.Number})
+}
+
+func (r *Replica) tendEpoch() {
+	if !r.born && (r.birthAt < 0 || r.now >= r.birthAt+diskAgain) {
+		r.birthAt = r.now + time.Hour // until it is answered
+		r.bear()
+	}
+	if r.epochOn < r.epoch.Number && r.now >= r.epochPutAt+diskAgain {
+		r.putEpoch()
+	}
+	switch {
+	case !r.born:
+	case r.epoch.Number == 0:
+		r.found()
+	case !r.Votes() || !r.InTouch(r.now):
+		r.scan, r.wished = nil, ""
+	case len(r.epoch.Old) > 0:
+		r.settleJoint()
+	default:
+		r.changeVoters()
+	}
+}
+
+// seed is this controller's place among the seeds; negative: it is none.
+func (r *Replica) seed() int { return slices.Index(r.o.Seeds, r.o.Me.Address) }
+
+// founds says whether those that has says are enough of the seeds to decide the first epoch: a majority of those whose
+// disks go back to the system's first start. A disk that may have forgotten counts only where all seeds are there: then
+// nobody is left who could know of an epoch.
+func (r *Replica) founds(has func(disk string) bool) bool {
+	sure, all := 0, 0
+	count := func(disk string, blank bool) {
+		if has(disk) {
+			if all++; !blank {
+				sure++
+			}
+		}
+	}
+	for _, seed := range r.o.Seeds {
+		if seed == r.o.Me.Address {
+			count(r.disk, r.blank)
+			continue
+		}
+		for _, name := range r.lines() {
+			if p := r.peers[name]; p.Address == seed {
+				count(p.disk, p.blank)
+				break
+			}
+		}
+	}
+	return sure >= len(r.o.Seeds)/2+1 || all == len(r.o.Seeds)
+}
+
+func (r *Replica) foundable() bool {
+	return r.seed() >= 0 && r.born && r.founds(func(string) bool { return true })
+}
+
+// found proposes the first epoch: all controllers that came. Any majority of the seeds decides it, whichever is gone.
+func (r *Replica) found() {
+	at := r.joinedAt + gatherFor
+	all := []Voter{{Controller: r.o.Me, ID: r.disk}}
+	for _, name := range r.lines() {
+		all = append(all, Voter{Controller: r.peers[name].Controller, ID: r.peers[name].disk})
+	}
+	if len(all) < 2*r.o.Faults+1 {
+		at = max(at, gatherMost)
+	}
+	if !r.foundable() || r.now < at+time.Duration(r.seed())*gatherTurn {
+		return
+	}
+	r.decide(Epoch{Number: 1, Voters: sorted(all)})
+}
+
+func sorted(all []Voter) []Voter {
+	slices.SortFunc(all, func(a, b Voter) int { return strings.Compare(a.Name+a.ID, b.Name+b.ID) })
+	return all
+}
+
+// decide proposes the next epoch, unless another one is proposed already: then that one is finished.
+func (r *Replica) decide(e Epoch) {
+	g := r.reg(epochName)
+	if g.prop.Phase != ballot.Idle || len(g.queue) > 0 {
+		return
+	}
+	value, life := encodeEpoch(e), r.o.Life
+	g.queue = append(g.queue, &order{began: r.now, apply: func(holds Register, _ Age) (Register, Fate) {
+		if holds.Stamp == (Stamp{}) {
+			holds.Stamp, holds.Value = Stamp{Hi: 1, Lo: life}, value
+		}
+		return holds, Taken
+	}})
+	r.propose(g)
+}
+
+// settleJoint ends a change of voters. Each value must lie, under one ballot, on enough disks of the old voters and of the
+// new ones; those that do not are written anew.
+func (r *Replica) settleJoint() {
+	if r.now < r.changed+time.Duration(r.place(epochName))*turnGap {
+		return
+	}
+	if r.scan == nil || r.now >= r.scan.askedAt+scanAgain {
+		r.round++
+		r.scan = &scan{round: r.round, askedAt: r.now, answers: map[string]map[string]Stamp{}}
+		round := r.round
+		r.toAll(func() *parley.Message { return &parley.Message{Ask: true, Round: round} })
+	}
+	r.scan.answers[r.disk] = r.onDisk()
+	if r.epochOn < r.epoch.Number || !r.epoch.Most(func(v Voter) bool { return r.scan.answers[v.ID] != nil }) {
+		return
+	}
+	best := map[string]Stamp{}
+	for _, has := range r.scan.answers {
+		for name, number := range has {
+			if best[name].Less(number) {
+				best[name] = number
+			}
+		}
+	}
+	ready := true
+	for name, number := range best {
+		if !r.epoch.Safe(r.o.Faults, func(v Voter) bool { return r.scan.answers[v.ID][name] == number }) {
+			ready = false
+			r.finish(r.reg(name))
+		}
+	}
+	if ready {
+		r.decide(Epoch{Number: r.epoch.Number + 1, Voters: r.epoch.Voters})
+	}
+}
+
+// changeVoters proposes the voters that are wished for, one controller after the other.
+func (r *Replica) changeVoters() {
+	want := r.wish()
+	if slices.Equal(want, r.epoch.Voters) {
+		r.wished = ""
+		return
+	}
+	key := ""
+	for _, v := range want {
+		key += v.ID + " "
+	}
+	if key != r.wished {
+		r.wished, r.wishedAt = key, r.now
+	}
+	wait := time.Duration(r.place(epochName)) * turnGap
+	if r.leaving {
+		wait = 0
+	}
+	if r.now >= r.wishedAt+wait && r.now >= r.changed+changeGap {
+		r.decide(Epoch{Number: r.epoch.Number + 1, Old: r.epoch.Voters, Voters: want})
+	}
+}
+
+// tendLeaving ends a Leave once nothing needs this disk: the others have all that is chosen, and its vote has moved on
+// where that is wished.
+func (r *Replica) tendLeaving() {
+	if !r.leaving || r.left {
+		return
+	}
+	again := r.now >= r.handedAt+handAgain
+	if again {
+		r.handedAt = r.now
+	}
+	missing := r.handOver(again)
+	if r.Votes() && (len(r.epoch.Old) > 0 || !slices.Equal(r.wish(), r.epoch.Voters)) {
+		missing = append(missing, "its vote")
+	}
+	if r.missing = missing; len(missing) == 0 {
+		r.left = true
+		r.order(Left{})
+	}
+}
+
+// Missing is what a Leave has not handed over yet.
+func (r *Replica) Missing() []string { return r.missing }
--- /dev/null
+++ b/accord/memory.go
@@ -0,0 +1,158 @@
+package accord
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"elmfold/ballot"
+	"elmfold/parley"
+)
+
+// Records on a disk. Each is the newest of its name; their number is that of the registers, never that of the changes.
+const (
+	recordDisk  = "disk"     // who the disk is
+	recordEpoch = "epoch"    // the newest epoch
+	recordMark  = "complete" // since it was written nothing that was on the disk is known to be lost
+	recordReg   = "b/"       // before a register's name: what was promised and accepted
+
+	// Of the version before: the controllers whose disks counted, and before a register's name its stamp and value.
+	oldFounders = "founders"
+	oldReg      = "r/"
+)
+
+// Memory is what a disk has.
+type Memory struct {
+	Disk      string // its id
+	Blank     bool   // it is not from the system's first start: there may be an epoch that it does not know
+	Born      bool   // the id is on the disk
+	Epoch     Epoch
+	Acceptors map[string]ballot.Acceptor[Register]
+	rest      []string // records of another id, to be emptied
+}
+
+type diskRecord struct {
+	ID    string `cbor:"1,keyasint"`
+	First bool   `cbor:"2,keyasint,omitempty"` // written at the system's first start
+}
+
+type regRecord struct {
+	Era      uint64   `cbor:"1,keyasint"` // of the register of epochs: the one whose successor it decides
+	Promised Stamp    `cbor:"2,keyasint"`
+	Accepted Stamp    `cbor:"3,keyasint"`
+	Value    Register `cbor:"4,keyasint"`
+}
+
+// Load reads a disk's records. Known: it bears the mark of one that forgot nothing. First: this is the system's first
+// start and the disk is empty. Drawn is the id of a disk that is new, or may have forgotten what it voted. An error names
+// the record; what a disk has lost of itself must not be taken for nothing, so its user ends.
+func Load(me string, records map[string][]byte, known, first bool, drawn string) (Memory, error) {
+	m := Memory{Disk: drawn, Blank: !first, Acceptors: map[string]ballot.Acceptor[Register]{}}
+	bad := func(name string, err error) (Memory, error) { return m, fmt.Errorf("record %s: %w", name, err) }
+	disk, there := records[recordDisk], len(records[recordDisk]) > 0
+	switch {
+	case there && known:
+		var d diskRecord
+		if err := cbor.Unmarshal(disk, &d); err != nil {
+			return bad(recordDisk, err)
+		}
+		m.Disk, m.Blank, m.Born = d.ID, !d.First, true
+		if text := records[recordEpoch]; len(text) > 0 {
+			var err error
+			if m.Epoch, err = decodeEpoch(text); err != nil {
+				return bad(recordEpoch, err)
+			}
+		}
+		for _, name := range slices.Sorted(maps.Keys(records)) {
+			reg, is := strings.CutPrefix(name, recordReg)
+			if !is || len(records[name]) == 0 {
+				continue
+			}
+			var a regRecord
+			if err := cbor.Unmarshal(records[name], &a); err != nil {
+				return bad(name, err)
+			}
+			if reg != epochName || a.Era == m.Epoch.Number {
+				m.Acceptors[reg] = ballot.Acceptor[Register]{Promised: a.Promised, Accepted: a.Accepted, Value: a.Value}
+			}
+		}
+	case known && len(records[oldFounders]) > 0:
+		var founders []parley.Controller
+		if err := json.Unmarshal(records[oldFounders], &founders); err != nil {
+			return bad(oldFounders, err)
+		}
+		// Founders were told apart by their names alone. A disk that bears the mark is the one that was meant.
+		m.Disk, m.Blank = oldDisk(me), false
+		for _, f := range founders {
+			m.Epoch.Voters = append(m.Epoch.Voters, Voter{Controller: f, ID: oldDisk(f.Name)})
+		}
+		m.Epoch.Number, m.Epoch.Voters = 1, sorted(m.Epoch.Voters)
+		for name, value := range records {
+			if reg, is := strings.CutPrefix(name, oldReg); is && len(value) >= 16 {
+				s := Stamp{Hi: number(value), Lo: number(value[8:])}
+				m.Acceptors[reg] = ballot.Acceptor[Register]{Promised: s, Accepted: s,
+					Value: Register{Name: reg, Stamp: s, Value: value[16:]}}
+			}
+		}
+	default:
+		for _, name := range slices.Sorted(maps.Keys(records)) {
+			if len(records[name]) > 0 && name != recordDisk {
+				m.rest = append(m.rest, name)
+			}
+		}
+	}
+	return m, nil
+}
+
+func oldDisk(name string) string { return "first:" + name }
+
+func number(b []byte) (v uint64) {
+	for _, c := range b[:8] {
+		v = v<<8 | uint64(c)
+	}
+	return v
+}
+
+// bear makes the disk somebody: the rest of who it was is emptied, its id written, then what it begins with, at last the
+// mark. Before that it does not vote.
+func (r *Replica) bear() {
+	m := &r.o.Memory
+	for _, name := range m.rest {
+		r.persist(name, nil, put{})
+	}
+	r.persist(recordDisk, pack(diskRecord{m.Disk, !m.Blank}), put{})
+	if r.epoch.Number > 0 {
+		r.putEpoch()
+	}
+	for _, name := range slices.Sorted(maps.Keys(r.regs)) {
+		if g := r.regs[name]; g.acc.Accepted != (Stamp{}) && !g.putting {
+			r.put(g)
+		}
+	}
+	r.persist(recordMark, []byte{1}, put{birth: true})
+}
+
+func recordOf(name string) string { return recordReg + name }
+
+func encode(era uint64, a ballot.Acceptor[Register]) []byte {
+	return pack(regRecord{era, a.Promised, a.Accepted, a.Value})
+}
+
+func encodeEpoch(e Epoch) []byte { return pack(e) }
+
+func decodeEpoch(b []byte) (e Epoch, err error) {
+	err = cbor.Unmarshal(b, &e)
+	return e, err
+}
+
+func pack(v any) []byte {
+	b, err := cbor.Marshal(v)
+	if err != nil {
+		panic(fmt.Sprintf("accord: %v", err)) // the types above are all plain
+	}
+	return b
+}
--- /dev/null
+++ b/accord/register.go
@@ -0,0 +1,495 @@
+package accord
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"elmfold/ballot"
+	"elmfold/parley"
+)
+
+const (
+	neverSeen = time.Duration(math.MinInt64) // since when a value is here: it was at the start
+	// The upper bits of a ballot's number are the epoch's, so that each ballot of an epoch is above all before it. Guards
+	// against one that was half done in an older epoch winning over a newer one that none of its voters met.
+	eraShift = 48
+)
+
+type order struct {
+	token uint64 // 0: nobody waits for it; what is half done is only finished
+	apply Apply
+	began time.Duration
+	fate  Fate // once it is chosen
+	tried bool // it may be on some disk
+}
+
+type waiting struct { // an answer, until the state behind it is on the disk
+	to     string
+	answer parley.Ballot
+}
+
+type register struct {
+	name string
+	acc  ballot.Acceptor[Register]  // this disk's part
+	prop ballot.Proposal[*Register] // the ballot that began here
+
+	// Of the disk.
+	disk    Stamp // the ballot that it has accepted
+	putting bool
+	dirty   bool // there is more to put
+	waits   []waiting
+	failed  time.Duration // when it failed; zero: it did not
+	learned bool          // what it is to get came as a copy: others are told once it is there
+	// Of what is chosen.
+	safe    Stamp // the newest ballot that is known to be chosen
+	told    Stamp // of the value that was told to be in force
+	force   Register
+	valueAt time.Duration // since when this value is here
+	openAt  time.Duration // since when it is here and not known to be chosen
+	wantAt  time.Duration
+	ahead   map[string]Stamp // by controller: a newer ballot that it has
+	// Of the ballots that begin here.
+	queue    []*order
+	batch    []*order // in the ballot under way
+	turn     uint64
+	ages     Age
+	sentAt   time.Duration
+	againAt  time.Duration
+	outbid   int
+	accepted Stamp // of the best promise
+}
+
+func (g *register) chosen() bool { return g.acc.Accepted != (Stamp{}) && g.safe == g.acc.Accepted }
+
+func (r *Replica) reg(name string) *register {
+	g := r.regs[name]
+	if g == nil {
+		g = &register{name: name, valueAt: neverSeen, openAt: r.now, ahead: map[string]Stamp{}}
+		g.acc.Value.Name = name
+		r.regs[name] = g
+	}
+	return g
+}
+
+// vote takes a word on a ballot.
+func (r *Replica) vote(p *peer, b *parley.Ballot) {
+	g := r.reg(b.Name)
+	g.turn = max(g.turn, turnOf(b.Number))
+	switch b.Kind {
+	case parley.Ask, parley.Offer:
+		r.accept(p.Name, g, b)
+	case parley.Promise:
+		if r.counts(p) {
+			r.promised(g, p.disk, b)
+		}
+	case parley.Agreed:
+		if r.counts(p) {
+			r.agreed(g, p.disk, b)
+		}
+	case parley.Higher:
+		if g.prop.Phase != ballot.Idle && g.prop.Ballot.Less(b.Number) {
+			r.outbid(g)
+		}
+	}
+}
+
+// accept is the part of this disk. What it answers is on the disk before: an answer waits for that.
+func (r *Replica) accept(to string, g *register, b *parley.Ballot) {
+	if !r.born || r.epoch.Number > 0 && !r.epoch.Voter(r.disk) {
+		return // one that may have forgotten, or has never read, must not vote
+	}
+	answer := parley.Ballot{Name: g.name, Number: b.Number}
+	was := g.acc.Accepted
+	switch b.Kind {
+	case parley.Ask:
+		if !g.acc.Promise(b.Number) {
+			answer.Kind = parley.Higher
+			break
+		}
+		answer.Kind, answer.Accepted = parley.Promise, g.acc.Accepted
+		if g.acc.Accepted != (Stamp{}) {
+			v := g.acc.Value
+			answer.Value = &v
+		}
+		if g.valueAt != neverSeen {
+			answer.Age = uint32(min(max(r.now-g.valueAt, 0)/time.Millisecond, math.MaxUint32-1)) + 1
+		}
+	case parley.Offer:
+		v := *b.Value
+		if stays := v.Stamp == g.acc.Value.Stamp; !g.acc.Accept(b.Number, v) {
+			answer.Kind = parley.Higher
+			break
+		} else if !stays {
+			g.valueAt = r.now
+		}
+		if answer.Kind = parley.Agreed; was != g.acc.Accepted {
+			g.openAt = r.now
+		}
+	}
+	if answer.Kind == parley.Higher {
+		answer.Number = g.acc.Promised
+		r.answer(to, answer)
+		return
+	}
+	g.waits = append(g.waits, waiting{to, answer})
+	r.put(g)
+}
+
+func (r *Replica) answer(to string, b parley.Ballot) {
+	if to != r.o.Me.Name {
+		r.send(to, &parley.Message{Ballots: []parley.Ballot{b}})
+		return
+	}
+	g := r.reg(b.Name)
+	switch b.Kind {
+	case parley.Promise:
+		r.promised(g, r.disk, &b)
+	case parley.Agreed:
+		r.agreed(g, r.disk, &b)
+	case parley.Higher:
+		g.turn = max(g.turn, turnOf(b.Number))
+		if g.prop.Phase != ballot.Idle && g.prop.Ballot.Less(b.Number) {
+			r.outbid(g)
+		}
+	}
+}
+
+// put has the disk take the acceptor's state, one record at a time: what came meanwhile is one more.
+func (r *Replica) put(g *register) {
+	if g.putting {
+		g.dirty = true
+		return
+	}
+	g.putting, g.dirty = true, false
+	r.persist(recordOf(g.name), encode(r.epoch.Number, g.acc),
+		put{register: g.name, accepted: g.acc.Accepted, era: r.epoch.Number, waits: g.waits})
+	g.waits = nil
+}
+
+func (r *Replica) registerPut(p put, err error) {
+	g := r.regs[p.register]
+	if g == nil || !g.putting || p.register == epochName && p.era != r.epoch.Number {
+		return // the register of an epoch that is over
+	}
+	if g.putting = false; err != nil {
+		g.failed = max(r.now, 1) // a disk that failed says nothing; whoever asked comes again
+	} else {
+		if g.failed = 0; g.disk.Less(p.accepted) {
+			g.disk = p.accepted
+			r.stored(g)
+		}
+		// Guards against a vote that counts though the disk has not got the epoch in which it was given.
+		if p.era == r.epoch.Number && r.epochOn == p.era {
+			for _, w := range p.waits {
+				r.answer(w.to, w.answer)
+			}
+		}
+	}
+	if g.dirty {
+		r.put(g)
+	}
+}
+
+// change takes an order.
+func (r *Replica) change(e Change) {
+	g := r.reg(e.Name)
+	g.queue = append(g.queue, &order{token: e.Token, apply: e.Apply, began: r.now})
+	r.propose(g)
+}
+
+// finish has what is half done decided, without changing it.
+func (r *Replica) finish(g *register) {
+	if len(g.queue) == 0 && g.prop.Phase == ballot.Idle {
+		g.queue = append(g.queue, &order{apply: func(holds Register, _ Age) (Register, Fate) { return holds, Taken }, began: r.now})
+		r.propose(g)
+	}
+}
+
+// propose begins a ballot for all that waits.
+func (r *Replica) propose(g *register) {
+	if g.prop.Phase != ballot.Idle || len(g.queue) == 0 || r.now < g.againAt || !r.reachable() {
+		return
+	}
+	g.turn = max(g.turn, turnOf(g.acc.Promised)) + 1
+	g.prop.Begin(Stamp{Hi: r.epoch.Number<<eraShift | g.turn, Lo: r.o.Life})
+	g.batch, g.queue, g.ages, g.sentAt = g.queue, nil, Age{}, r.now
+	b := parley.Ballot{Kind: parley.Ask, Name: g.name, Number: g.prop.Ballot}
+	r.spread(b)
+}
+
+// spread gives a word to all whose votes count, itself too.
+func (r *Replica) spread(b parley.Ballot) {
+	for _, to := range r.lines() {
+		if p := r.peers[to]; r.counts(p) {
+			r.send(to, &parley.Message{Ballots: []parley.Ballot{b}})
+		}
+	}
+	r.accept(r.o.Me.Name, r.reg(b.Name), &b)
+}
+
+// resend says a ballot's word again to one that has not answered it.
+func (r *Replica) resend(g *register, p *peer) {
+	b := parley.Ballot{Kind: parley.Ask, Name: g.name, Number: g.prop.Ballot}
+	if g.prop.Phase == ballot.Offering {
+		b.Kind, b.Value = parley.Offer, g.prop.Value
+	}
+	r.send(p.Name, &parley.Message{Ballots: []parley.Ballot{b}})
+}
+
+// promised goes on with the value of the greatest ballot that was accepted, changed by the orders.
+func (r *Replica) promised(g *register, disk string, b *parley.Ballot) {
+	if !g.prop.Promised(disk, b.Number, b.Accepted, b.Value) {
+		return
+	}
+	if b.Accepted == g.prop.Best && b.Accepted != (Stamp{}) { // the longest that any of them has had this value
+		if b.Accepted != g.accepted {
+			g.accepted, g.ages = b.Accepted, Age{}
+		}
+		if age := time.Duration(b.Age-1) * time.Millisecond; b.Age > 0 && (!g.ages.Known || age > g.ages.Span) {
+			g.ages = Age{age, true}
+		}
+	}
+	if !r.most(g, g.prop.Answered) {
+		return
+	}
+	holds := Register{Name: g.name}
+	if g.prop.Value != nil {
+		holds = *g.prop.Value
+	}
+	next, ages := holds, g.ages
+	for _, o := range g.batch {
+		was := next.Stamp
+		if next, o.fate = o.apply(next, ages); next.Stamp != was {
+			ages = Age{0, true}
+		}
+	}
+	next.Name = g.name
+	if next.Stamp == (Stamp{}) { // there is nothing, and nothing is wanted
+		r.close(g, next)
+		return
+	}
+	if next.Stamp == holds.Stamp && r.lasts(g, g.prop.Has) { // it stands on enough disks under one ballot
+		r.decided(g, g.prop.Best, holds)
+		return
+	}
+	for _, o := range g.batch {
+		o.tried = true
+	}
+	g.prop.Offer(&next)
+	g.sentAt = r.now
+	r.spread(parley.Ballot{Kind: parley.Offer, Name: g.name, Number: g.prop.Ballot, Value: &next})
+}
+
+func (r *Replica) agreed(g *register, disk string, b *parley.Ballot) {
+	if g.prop.Agreed(disk, b.Number) && r.lasts(g, g.prop.Answered) {
+		r.decided(g, g.prop.Ballot, *g.prop.Value)
+	}
+}
+
+// decided: the value is chosen.
+func (r *Replica) decided(g *register, number Stamp, v Register) {
+	r.toAll(func() *parley.Message { return &parley.Message{Chosen: map[string]Stamp{g.name: number}} })
+	r.choose(g, number, v)
+	r.close(g, v)
+}
+
+// close ends a ballot whose orders have their fates.
+func (r *Replica) close(g *register, v Register) {
+	batch := g.batch
+	g.prop.Stop()
+	g.batch, g.outbid, g.againAt = nil, 0, 0
+	for _, o := range batch {
+		if o.token > 0 {
+			r.order(Done{Token: o.token, Fate: o.fate, Register: v})
+		}
+	}
+	r.propose(g)
+}
+
+// outbid: somebody else has a higher ballot. The orders wait for a while, more and more, so that two that overtake each
+// other do not do so for ever.
+func (r *Replica) outbid(g *register) {
+	g.prop.Stop()
+	g.outbid++
+	chance := mix(g.turn, r.o.Life) % uint64(pauseChance*time.Duration(min(g.outbid, 8)))
+	g.againAt = r.now + pauseLeast + time.Duration(chance)
+	r.putOff(g)
+}
+
+func (r *Replica) putOff(g *register) {
+	g.queue, g.batch = append(g.batch, g.queue...), nil
+}
+
+func (r *Replica) tendRegister(g *register) {
+	late := func(o *order) bool {
+		if r.now < o.began+WriteWithin {
+			return false
+		}
+		if o.token > 0 {
+			fate := Untaken
+			if o.tried {
+				fate = Unknown
+			}
+			r.order(Done{Token: o.token, Fate: fate, Register: g.force})
+		}
+		return true
+	}
+	g.queue, g.batch = slices.DeleteFunc(g.queue, late), slices.DeleteFunc(g.batch, late)
+	if g.prop.Phase != ballot.Idle && len(g.batch) == 0 {
+		// Guards against an order of which its caller has given up being taken when a cut heals.
+		g.prop.Stop()
+	}
+	if g.prop.Phase != ballot.Idle && r.now >= g.sentAt+askAgain {
+		g.sentAt = r.now
+		for _, to := range r.lines() {
+			if p := r.peers[to]; r.counts(p) && !g.prop.Answered(p.disk) {
+				r.resend(g, p)
+			}
+		}
+		if !g.prop.Answered(r.disk) && !g.putting { // the own disk failed before
+			b := parley.Ballot{Kind: parley.Ask, Name: g.name, Number: g.prop.Ballot}
+			if g.prop.Phase == ballot.Offering {
+				b.Kind, b.Value = parley.Offer, g.prop.Value
+			}
+			r.accept(r.o.Me.Name, g, &b)
+		}
+	}
+	if g.failed > 0 && !g.putting && r.now >= g.failed+diskAgain {
+		r.put(g)
+	}
+	for _, who := range slices.Sorted(maps.Keys(g.ahead)) {
+		if !g.acc.Accepted.Less(g.ahead[who]) {
+			delete(g.ahead, who)
+		} else if r.now >= g.wantAt+wantAgain {
+			g.wantAt = r.now
+			r.send(who, &parley.Message{Want: []string{g.name}})
+		}
+	}
+	if g.acc.Accepted != (Stamp{}) && !g.chosen() && r.now >= g.openAt+finishAfter+time.Duration(r.place(g.name))*turnGap {
+		g.openAt = r.now
+		r.finish(g) // the one that began it may be gone
+	}
+	r.propose(g)
+}
+
+// turnOf is a ballot's number within its epoch.
+func turnOf(b Stamp) uint64 { return b.Hi & (1<<eraShift - 1) }
+
+// place is the number of voters with a line that come before this one, where one is enough.
+func (r *Replica) place(name string) (n int) {
+	mine := rank(name, r.disk)
+	for _, p := range r.peers {
+		if p.up && r.counts(p) && rank(name, p.disk) < mine {
+			n++
+		}
+	}
+	return n
+}
+
+// reachable says whether lines stand to enough of those that vote: else nothing would come of a ballot but numbers.
+func (r *Replica) reachable() bool {
+	if r.epoch.Number == 0 {
+		return r.foundable()
+	}
+	up := map[string]bool{r.disk: r.born}
+	for _, p := range r.peers {
+		up[p.disk] = up[p.disk] || p.up
+	}
+	return r.epoch.Most(func(v Voter) bool { return up[v.ID] })
+}
+
+// most says whether those of a ballot that has says are enough to read from; lasts, whether they are to write to.
+func (r *Replica) most(g *register, has func(string) bool) bool {
+	if r.epoch.Number == 0 {
+		return r.founds(has)
+	}
+	return r.epoch.Most(func(v Voter) bool { return has(v.ID) })
+}
+
+func (r *Replica) lasts(g *register, has func(string) bool) bool {
+	if r.epoch.Number == 0 {
+		return r.founds(has)
+	}
+	return r.epoch.Safe(r.o.Faults, func(v Voter) bool { return has(v.ID) })
+}
+
+// reading is a question for what holds, answered by what disks have where those agree.
+type reading struct {
+	token   uint64
+	name    string
+	began   time.Duration
+	askedAt time.Duration
+	round   uint64
+	answers map[string]Stamp // by disk: the ballot that it has accepted
+}
+
+// settleRead moves a question on; it says whether that is over. Where enough disks have the same ballot, its value is
+// chosen, and no later one was before the question. Where they differ, a ballot decides.
+func (r *Replica) settleRead(q *reading) bool {
+	g := r.reg(q.name)
+	if r.now >= q.began+WriteWithin {
+		r.order(Done{Token: q.token, Fate: Unknown, Register: g.force})
+		return true
+	}
+	if q.round == 0 || r.now >= q.askedAt+askAgain {
+		if r.round++; q.round == 0 {
+			q.round = r.round
+		}
+		q.askedAt = r.now
+		round := r.round
+		r.toAll(func() *parley.Message { return &parley.Message{Ask: true, Round: round} })
+	}
+	if r.Votes() {
+		q.answers[r.disk] = g.disk
+	}
+	answered := func(v Voter) bool { _, is := q.answers[v.ID]; return is }
+	if !r.epoch.Most(answered) {
+		return false
+	}
+	var best Stamp
+	for _, b := range q.answers {
+		if best.Less(b) {
+			best = b
+		}
+	}
+	same := func(v Voter) bool { return answered(v) && q.answers[v.ID] == best }
+	if best == (Stamp{}) || r.epoch.Safe(r.o.Faults, same) {
+		switch {
+		case best == Stamp{}:
+			r.order(Done{Token: q.token, Fate: Taken, Register: Register{Name: q.name}})
+			return true
+		case g.acc.Accepted == best:
+			r.choose(g, best, g.acc.Value)
+			r.order(Done{Token: q.token, Fate: Taken, Register: g.acc.Value})
+			return true
+		}
+	}
+	if r.now < q.began+readWithin {
+		return false
+	}
+	token := q.token
+	g.queue = append(g.queue, &order{token: token, began: q.began,
+		apply: func(holds Register, _ Age) (Register, Fate) { return holds, Taken }})
+	r.propose(g)
+	return true
+}
+
+// mix and rank give each its own place, the same for all who ask.
+func mix(a, b uint64) uint64 {
+	x := a*0x9e3779b97f4a7c15 ^ b
+	x ^= x >> 31
+	x *= 0xbf58476d1ce4e5b9
+	return x ^ x>>29
+}
+
+func rank(name, disk string) uint64 {
+	h := uint64(14695981039346656037)
+	for _, s := range []string{name, "/", disk} {
+		for i := range len(s) {
+			h = (h ^ uint64(s[i])) * 1099511628211
+		}
+	}
+	return mix(h, 0)
+}
--- a/accord/zones.go
+++ b/accord/zones.go
@@ -1,49 +1,85 @@
 package accord
 
-import "strconv"
+import (
+	"bytes"
+	"encoding/binary"
+	"slices"
+	"strconv"
+	"time"
+)
 
 // The register of a zone holds how many evacuations of it are open and what the last order was: "2b" after a second
-// begin, "1f" after one of two finishes. Two operators may empty a zone for reasons of their own at overlapping times,
-// and the end of one must not send anything to what the other still empties. An order that is sent again, as calls
-// without a clear answer are, must not count twice: orders carry no number, so one that comes within RepeatFor of the
-// same order before it is held to be that one over again.
-
-// RepeatFor is a span in milliseconds: a caller without an answer goes on to another controller after a second, and a
-// little more each time.
-const RepeatFor = 2500
+// begin, "1f" after one of two finishes; then, after a colon, the ids of the last orders. Two operators may empty a zone
+// for reasons of their own at overlapping times, and the end of one must not send anything to what the other still
+// empties: a plain state, empty or not, would. An order that comes again, as calls without a clear answer do, must not
+// count twice: a zone would stay empty after its one finish. Orders carry no number, so one of the same kind as the last,
+// within the span in which it may come again, is held to be that one. Two operators that begin within that span count as
+// one: the first finish of theirs ends both. That price is paid knowingly; see docs/control.md.
 
 const (
 	begun    = 'b'
 	finished = 'f'
+	idsKept  = 8
 )
 
-func open(value []byte) (n int, last byte) {
-	if len(value) < 2 {
-		return 0, finished
+func open(value []byte) (n int, last byte, ids []uint64) {
+	state, rest, _ := bytes.Cut(value, []byte(":"))
+	if len(state) < 2 {
+		return 0, finished, nil
+	}
+	n, _ = strconv.Atoi(string(state[:len(state)-1]))
+	for ; len(rest) >= 8; rest = rest[8:] {
+		ids = append(ids, binary.BigEndian.Uint64(rest))
 	}
-	n, _ = strconv.Atoi(string(value[:len(value)-1]))
-	return n, value[len(value)-1]
+	return n, state[len(state)-1], ids
 }
 
 // Evacuated says whether a zone's register says that nothing is to be sent there.
 func Evacuated(value []byte) bool {
-	n, _ := open(value)
+	n, _, _ := open(value)
 	return n > 0
 }
 
-// Evacuate is an Amend's Next for an order that begins or finishes an evacuation, at a time of day in milliseconds.
-func Evacuate(begins bool, at uint64) func(Register) ([]byte, bool) {
-	return func(newest Register) ([]byte, bool) {
-		n, last := open(newest.Value)
-		soon := at < newest.Stamp.Hi+RepeatFor
+// Evacuate is what an order to begin or to finish an evacuation means. Id tells it from others: what was decided of it
+// already, by a ballot that somebody else ended, is not done again. Within is the span in which callers repeat an order.
+// At is the time of day in milliseconds: it says how old an order is where nobody has run since, and is a hint otherwise.
+func Evacuate(begins bool, id uint64, within time.Duration, at uint64) Apply {
+	return func(holds Register, age Age) (Register, Fate) {
+		n, last, ids := open(holds.Value)
+		if !age.Known {
+			age.Span = time.Duration(max(int64(at)-int64(holds.Stamp.Hi), 0)) * time.Millisecond
+		}
+		kind := byte(finished)
+		if begins {
+			kind = begun
+		}
+		again := holds.Stamp != (Stamp{}) && last == kind && age.Span < within
+		if again || slices.Contains(ids, id) {
+			return holds, Taken
+		}
+		if n = max(n-1, 0); begins {
+			n, _, _ = open(holds.Value)
+			n++
+		}
+		value := append(strconv.AppendInt(nil, int64(n), 10), kind, ':')
+		ids = append(ids, id)
+		for _, i := range ids[max(len(ids)-idsKept, 0):] {
+			value = binary.BigEndian.AppendUint64(value, i)
+		}
+		return Register{Name: holds.Name, Stamp: Stamp{Hi: max(holds.Stamp.Hi+1, at), Lo: id}, Value: value}, Taken
+	}
+}
+
+// Replace is what an order to replace the configuration means: a higher version sets it, the same one with the same
+// bytes is confirmed, a lower one too, as what holds is above it; the same version with other bytes is refused for good.
+func Replace(version, digest uint64, value []byte) Apply {
+	return func(holds Register, _ Age) (Register, Fate) {
 		switch {
-		case begins && soon && last == begun, !begins && soon && last == finished && newest.Stamp != Stamp{}:
-			return newest.Value, true
-		case begins:
-			n, last = n+1, begun
-		default:
-			n, last = max(n-1, 0), finished
+		case holds.Stamp.Hi < version || holds.Stamp == (Stamp{}):
+			return Register{Name: holds.Name, Stamp: Stamp{Hi: version, Lo: digest}, Value: value}, Taken
+		case holds.Stamp.Hi == version && !bytes.Equal(holds.Value, value):
+			return holds, Refused
 		}
-		return append(strconv.AppendInt(nil, int64(n), 10), last), false
+		return holds, Taken
 	}
 }
--- a/parley/parley.go
+++ b/parley/parley.go
@@ -43,6 +43,34 @@
 	Value []byte `cbor:"3,keyasint,omitempty"`
 }
 
+// Kind of a Ballot.
+type Kind uint8
+
+// Kinds: the two questions of a ballot, their answers, and that a higher one was promised.
+const (
+	Ask Kind = iota + 1
+	Promise
+	Offer
+	Agreed
+	Higher
+)
+
+// Ballot is a word on a ballot about a register.
+type Ballot struct {
+	Kind     Kind      `cbor:"1,keyasint"`
+	Name     string    `cbor:"2,keyasint"`
+	Number   Stamp     `cbor:"3,keyasint"`
+	Accepted Stamp     `cbor:"4,keyasint,omitempty"` // in a Promise: the ballot of Value
+	Value    *Register `cbor:"5,keyasint,omitempty"` // in a Promise and an Offer
+	Age      uint32    `cbor:"6,keyasint,omitempty"` // in a Promise: ms since Value came, and 1; 0: that is not known
+}
+
+// Copy is a chosen value with its ballot.
+type Copy struct {
+	Number   Stamp    `cbor:"1,keyasint"`
+	Register Register `cbor:"2,keyasint"`
+}
+
 // Backend is what a controller says of a backend. State is one of the constants below. ColdLeft is in milliseconds.
 type Backend struct {
 	ID       string `cbor:"1,keyasint"`
@@ -108,20 +136,32 @@
 	// Hello opens a line: who speaks, and in which life.
 	Hello *Hello `cbor:"3,keyasint,omitempty"`
 
-	// Registers: offers to be stored, stamps that are safe on the speaker's disk, stamps that are safe on enough
-	// disks, names of which the value is wanted, and a question for all stamps with its answer.
+	// Registers, to carriers: values in force, the stamps of what the speaker holds, of what is in force; names of
+	// which the value is wanted.
 	Offers []Register       `cbor:"4,keyasint,omitempty"`
 	Held   map[string]Stamp `cbor:"5,keyasint,omitempty"`
 	Safe   map[string]Stamp `cbor:"6,keyasint,omitempty"`
 	Want   []string         `cbor:"7,keyasint,omitempty"`
-	Ask    bool             `cbor:"8,keyasint,omitempty"`
-	Round  uint64           `cbor:"24,keyasint,omitempty"` // of an Ask, repeated in its answer
-	All    bool             `cbor:"9,keyasint,omitempty"`  // Held is all that the speaker has, and its disk never forgot
 
-	// Founders are the controllers whose disks count; Know are all that were heard of.
-	Founders []Controller `cbor:"10,keyasint,omitempty"`
-	Know     []Controller `cbor:"11,keyasint,omitempty"`
-	Join     *Controller  `cbor:"12,keyasint,omitempty"`
+	// Registers, between controllers. Era is the number of the epoch in which all of this is said, Disk the id of the
+	// speaker's disk: words of another epoch or of a disk that does not vote count for nothing.
+	Era     uint64           `cbor:"27,keyasint,omitempty"`
+	Disk    string           `cbor:"28,keyasint,omitempty"`
+	Epoch   *Epoch           `cbor:"29,keyasint,omitempty"` // the newest that the speaker knows to be decided
+	Ballots []Ballot         `cbor:"30,keyasint,omitempty"`
+	Chosen  map[string]Stamp `cbor:"31,keyasint,omitempty"` // ballots whose values are chosen
+	Copies  []Copy           `cbor:"32,keyasint,omitempty"` // values that are chosen
+	Has     map[string]Stamp `cbor:"33,keyasint,omitempty"` // ballots that the speaker's disk has accepted
+	All     bool             `cbor:"9,keyasint,omitempty"`  // Has names all that it has; to carriers: the speaker votes and is in touch
+	Ask     bool             `cbor:"8,keyasint,omitempty"`  // for Has, with All
+	Round   uint64           `cbor:"24,keyasint,omitempty"` // of an Ask or a Ping, repeated in its answer
+	Ping    bool             `cbor:"34,keyasint,omitempty"`
+	Pong    bool             `cbor:"35,keyasint,omitempty"`
+	Leaving bool             `cbor:"36,keyasint,omitempty"` // the speaker hands over and ends
+	Apart   bool             `cbor:"37,keyasint,omitempty"` // the speaker has no contact with a majority: what it says is old
+
+	// Know are all controllers that were heard of.
+	Know []Controller `cbor:"11,keyasint,omitempty"`
 
 	// Backends that changed.
 	Backends []Backend `cbor:"13,keyasint,omitempty"`
@@ -146,6 +186,8 @@
 	Who     Controller `cbor:"1,keyasint"`
 	Life    uint64     `cbor:"2,keyasint"`
 	Carrier bool       `cbor:"3,keyasint,omitempty"`
+	Disk    string     `cbor:"4,keyasint,omitempty"` // a controller's
+	Blank   bool       `cbor:"5,keyasint,omitempty"` // its disk may have forgotten that there is an epoch
 }
 
 // Line is one connection. Send is safe for many goroutines and never waits for the other side: what it has no room
