Rapport: a nameless hello is no line back to a speaker without a name

Cause: a Keeper without Self (a carrier's) would have given up for good an address that says hello without a name. Change: the name is looked at first. Measured: go test ./rapport green.

--- a/rapport/rapport.go
+++ b/rapport/rapport.go
@@ -143,7 +143,7 @@
 	Queue   *Queue // of the owner, on which Heard and Lost run
 	Clock   clockwork.Clock
 	Dial    func(address string) (net.Conn, error)
-	Self    string        // the own name: a line that leads back here is given up for good
+	Self    string        // the own name, if the others are of one's kind: a line back here is given up for good
 	Again   time.Duration // from the end of a line, or a dial that failed, to the next dial
 	Silence time.Duration // a line that says nothing for so long has died
 	Hello   func() *parley.Message
@@ -197,13 +197,13 @@
 			break
 		}
 		if m.Hello != nil {
-			if m.Hello.Who.Name == k.Self {
-				line.Close()
-				return -1
-			}
 			if who = m.Hello; who.Who.Name == "" {
 				break
 			}
+			if who.Who.Name == k.Self {
+				line.Close()
+				return -1
+			}
 		}
 		name := who.Who.Name
 		k.Queue.Do(func() {
