Transit: its queue and its lines to controllers are rapport's

Need: keepLine, do and dial were kept twice; words of an earlier life of a controller could be handed on when it was reached under two addresses. Change: rapport.Queue and rapport.Keeper in their place; heard and lost are told only of the line that speaks.

--- a/transit/front.go
+++ b/transit/front.go
@@ -376,7 +376,7 @@
 		}
 		select {
 		case <-c.o.Clock.After(wait):
-		case <-c.stop:
+		case <-c.queue.Stopped():
 			return
 		}
 	}
@@ -481,12 +481,12 @@
 	began := c.o.Clock.Now()
 	notice := min(2500*time.Millisecond, span/2) // two misses a second apart, and a little
 	<-c.o.Clock.After(notice)
-	c.do(func() {
+	c.queue.Do(func() {
 		c.left = true // the tick renews no lease from here on
 		c.leave()
 	})
 	ctx, cancel := context.WithTimeout(context.Background(), span-c.o.Clock.Now().Sub(began))
 	defer cancel()
 	_ = c.server.Shutdown(ctx)
-	c.once.Do(func() { close(c.stop) })
+	c.queue.Stop()
 }
--- a/transit/main.go
+++ b/transit/main.go
@@ -75,9 +75,9 @@
 
 // Reload takes settings that were changed while the program runs: new seeds are dialled, the rest waits for a restart.
 func (c *Carrier) Reload(next *premise.Settings) {
-	c.do(func() {
+	c.queue.Do(func() {
 		for _, seed := range next.Seeds {
-			c.dial(c.o.Settings.Peer(seed))
+			c.keep.Keep(c.o.Settings.Peer(seed))
 		}
 	})
 }
--- a/transit/transit.go
+++ b/transit/transit.go
@@ -25,6 +25,7 @@
 	"elmfold/parley"
 	"elmfold/premise"
 	"elmfold/presence"
+	"elmfold/rapport"
 	"elmfold/verdict"
 )
 
@@ -81,9 +82,8 @@
 	me    parley.Controller
 	life  uint64
 	began time.Time
-	queue chan func()
-	stop  chan struct{}
-	once  sync.Once
+	queue *rapport.Queue
+	keep  *rapport.Keeper // its Keep belongs to own
 
 	view     atomic.Pointer[charter.Charter]
 	ready    atomic.Bool
@@ -97,7 +97,6 @@
 	clientsMost int64
 
 	// Owned by own.
-	dialing     map[string]bool
 	controllers map[string]*controller
 	founders    []parley.Controller
 	lives       map[string]*life
@@ -114,11 +113,16 @@
 
 // New makes a Carrier; Run starts it.
 func New(o Options) *Carrier {
-	c := &Carrier{o: o, log: o.Log, life: rand.Uint64() | 1, began: o.Clock.Now(), queue: make(chan func(), 1024),
-		stop: make(chan struct{}), dialing: map[string]bool{}, controllers: map[string]*controller{},
-		lives: map[string]*life{}, zones: map[string]parley.Register{}, takenBack: map[string]time.Duration{}, heardAt: -1}
+	c := &Carrier{o: o, log: o.Log, life: rand.Uint64() | 1, began: o.Clock.Now(), queue: rapport.NewQueue(1024),
+		controllers: map[string]*controller{}, lives: map[string]*life{}, zones: map[string]parley.Register{},
+		takenBack: map[string]time.Duration{}, heardAt: -1}
 	set := o.Settings
 	c.me = parley.Controller{Name: set.Name, Zone: set.Zone, Address: set.Own()}
+	c.keep = &rapport.Keeper{Queue: c.queue, Clock: o.Clock, Dial: o.Dial, Again: dialAgain, Silence: silentFor,
+		Hello: func() *parley.Message {
+			return &parley.Message{Hello: &parley.Hello{Who: c.me, Life: c.life, Carrier: true}}
+		},
+		Heard: c.heard, Lost: c.lost}
 	o.Backends.Now = o.Clock.Now
 	if c.clientsMost = int64(set.Limits.MaxFDs) * 6 / 10; c.clientsMost == 0 {
 		c.clientsMost = 2400
@@ -134,75 +138,31 @@
 // Run owns what is told until Stop.
 func (c *Carrier) Run() {
 	for _, seed := range c.o.Settings.Seeds {
-		c.dial(c.o.Settings.Peer(seed))
+		c.keep.Keep(c.o.Settings.Peer(seed))
 	}
 	ticks := c.o.Clock.NewTicker(renewEvery)
 	for {
 		select {
-		case f := <-c.queue:
+		case f := <-c.queue.C():
 			f()
 		case <-ticks.Chan():
 			c.tick()
-		case <-c.stop:
+		case <-c.queue.Stopped():
 			return
 		}
 	}
 }
 
-func (c *Carrier) do(f func()) {
-	select {
-	case c.queue <- f:
-	case <-c.stop:
-	}
-}
-
 func (c *Carrier) now() time.Duration { return c.o.Clock.Now().Sub(c.began) }
 
-func (c *Carrier) dial(address string) {
-	if address == "" || c.dialing[address] {
-		return
-	}
-	c.dialing[address] = true
-	go c.keepLine(address)
-}
-
-// keepLine is a goroutine for each controller: it dials, says hello, reads until the line breaks, and begins again.
-func (c *Carrier) keepLine(address string) {
-	for {
-		if conn, err := c.o.Dial(address); err == nil {
-			line := parley.NewLine(conn)
-			line.Send(&parley.Message{Hello: &parley.Hello{Who: c.me, Life: c.life, Carrier: true}})
-			var name string
-			for {
-				m, err := line.Receive(silentFor)
-				if err != nil {
-					break
-				}
-				if m.Hello != nil {
-					name = m.Hello.Who.Name
-				}
-				c.do(func() { c.heard(name, line, m) })
-			}
-			line.Close()
-			c.do(func() {
-				if p := c.controllers[name]; p != nil && p.line == line {
-					p.line, p.lostAt = nil, c.now()
-					c.log.Info("line lost", "to", name)
-				}
-			})
-		}
-		select {
-		case <-c.o.Clock.After(dialAgain):
-		case <-c.stop:
-			return
-		}
-	}
+func (c *Carrier) lost(name string, _ *parley.Line) {
+	p := c.controllers[name]
+	p.line, p.lostAt = nil, c.now()
+	c.log.Info("line lost", "to", name)
 }
 
+// heard takes a word of the line that speaks for a controller.
 func (c *Carrier) heard(name string, line *parley.Line, m *parley.Message) {
-	if name == "" {
-		return
-	}
 	now := c.now()
 	p := c.controllers[name]
 	if m.Hello != nil {
@@ -221,17 +181,14 @@
 		c.log.Info("line up", "to", name)
 		c.renew(p, false)
 	}
-	if p == nil || p.line != line {
-		return
-	}
 	p.settled = p.settled || m.Settled
 	for _, k := range m.Know {
-		c.dial(k.Address)
+		c.keep.Keep(k.Address)
 	}
 	if len(m.Founders) > 0 && c.founders == nil {
 		c.founders = m.Founders
 		for _, f := range m.Founders {
-			c.dial(f.Address)
+			c.keep.Keep(f.Address)
 		}
 	}
 	for _, r := range m.Offers {
