--- a/accord/accord.go
+++ b/accord/accord.go
@@ -91,13 +91,15 @@
 	Err error
 }
 
-// Up says that the line to a controller stands, and which disk it has; Down that it broke.
+// Met says that a controller said hello, and which disk it has. Up says so too, and that the line to it stands; Down that
+// it broke.
 type (
-	Up struct {
+	Met struct {
 		Who   parley.Controller
 		Disk  string
 		Blank bool
 	}
+	Up   Met
 	Down struct{ Who string }
 )
 
@@ -139,8 +141,8 @@
 	Register
 }
 
-// Left ends a Leave. Missing says what could not be handed over.
-type Left struct{ Missing []string }
+// Left ends a Leave: nothing needs this process any more.
+type Left struct{}
 
 // Options make a Replica.
 type Options struct {
@@ -329,6 +331,8 @@
 	switch e := e.(type) {
 	case Persisted:
 		r.persisted(e)
+	case Met:
+		r.met(e)
 	case Up:
 		r.upped(e)
 	case Down:
@@ -350,13 +354,19 @@
 	}
 }
 
-func (r *Replica) upped(e Up) {
+func (r *Replica) met(e Met) *peer {
 	p := r.peers[e.Who.Name]
 	if p == nil || p.disk != e.Disk {
 		p = &peer{seenAt: r.now, has: map[string]Stamp{}}
 		r.peers[e.Who.Name], r.joinedAt = p, r.now
 	}
-	p.Controller, p.disk, p.blank, p.up, p.leaving = e.Who, e.Disk, e.Blank, true, false
+	p.Controller, p.disk, p.blank = e.Who, e.Disk, e.Blank
+	return p
+}
+
+func (r *Replica) upped(e Up) {
+	p := r.met(Met(e))
+	p.up, p.leaving = true, false
 	m := &parley.Message{Has: r.onDisk(), All: true}
 	if r.epoch.Number > 0 {
 		m.Epoch = r.theEpoch()
--- a/accord/epoch.go
+++ b/accord/epoch.go
@@ -46,7 +46,7 @@
 	for _, q := range r.reads {
 		q.round, q.answers = 0, map[string]Stamp{}
 	}
-	r.touch.at, r.touch.pingAt = -time.Hour, -time.Hour
+	r.touch.pingAt = -time.Hour
 	r.order(Entered{e})
 	r.toAll(func() *parley.Message { return &parley.Message{Epoch: r.theEpoch()} })
 }
--- a/accord/register.go
+++ b/accord/register.go
@@ -114,7 +114,7 @@
 			answer.Value = &v
 		}
 		if g.valueAt != neverSeen {
-			answer.Age = uint32(min(max(r.now-g.valueAt, 0)/time.Millisecond, math.MaxUint32-1)) + 1
+			answer.Age = uint64(max(r.now-g.valueAt, 0)/time.Millisecond) + 1
 		}
 	case parley.Offer:
 		v := *b.Value
@@ -324,7 +324,8 @@
 
 func (r *Replica) tendRegister(g *register) {
 	late := func(o *order) bool {
-		if r.now < o.began+WriteWithin {
+		// Without a majority nothing would come of it: its caller finds another sooner than it would by waiting.
+		if r.now < o.began+WriteWithin && (o.token == 0 || r.InTouch(r.now)) {
 			return false
 		}
 		if o.token > 0 {
@@ -429,8 +430,8 @@
 // chosen, and no later one was before the question. Where they differ, a ballot decides.
 func (r *Replica) settleRead(q *reading) bool {
 	g := r.reg(q.name)
-	if r.now >= q.began+WriteWithin {
-		r.order(Done{Token: q.token, Fate: Unknown, Register: g.force})
+	if r.now >= q.began+WriteWithin || !r.InTouch(r.now) {
+		r.order(Done{Token: q.token, Fate: Untaken, Register: g.force})
 		return true
 	}
 	if q.round == 0 || r.now >= q.askedAt+askAgain {
--- a/counsel/calls.go
+++ b/counsel/calls.go
@@ -3,10 +3,11 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
-	"hash/fnv"
 	"io"
 	"math"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -22,6 +23,11 @@
 const (
 	bodyMost = 8 << 20
 	beatMost = 64 << 10
+	// A caller that hears nothing goes on to another controller after a second.
+	staleAfter = time.Second
+	// callerPause is how long after ackS, in which orders may be given again, the last one may still arrive: a second of
+	// silence before the answer that was lost, and the pause of a caller.
+	callerPause = 1500 * time.Millisecond
 )
 
 // Handler serves the calls of operators and backends.
@@ -29,7 +35,7 @@
 	mux := chi.NewRouter()
 	mux.Post("/v1/rpc", func(w http.ResponseWriter, r *http.Request) {
 		q := r.URL.Query()
-		call, of := q.Get("call"), q.Get("of")
+		call, of, asked := q.Get("call"), q.Get("of"), s.o.Clock.Now()
 		var answer []byte
 		var err error
 		switch call {
@@ -38,13 +44,13 @@
 		case "instances.deregister":
 			answer, err = s.deregister(of)
 		case "config.replace":
-			answer, err = s.replace(r)
+			answer, err = s.replace(r, asked)
 		case "config.read":
-			answer, err = s.read()
+			answer, err = s.read(r, asked)
 		case "evacuation.begin":
-			answer, err = s.evacuate(of, true)
+			answer, err = s.evacuate(r, asked, of, true)
 		case "evacuation.finish":
-			answer, err = s.evacuate(of, false)
+			answer, err = s.evacuate(r, asked, of, false)
 		default:
 			err = fault.New(fault.UnknownCall, call, nil)
 		}
@@ -125,7 +131,7 @@
 		return nil, fault.New(fault.Invalid, "observed.state", fmt.Errorf("%q is neither ready nor draining", b.Observed.State))
 	}
 	done, target := make(chan error, 1), ""
-	s.do(func() {
+	s.queue.Do(func() {
 		news, _ := s.table.Beat(s.now(), word)
 		if word.State == parley.Draining {
 			// Every word of leaving goes to others, not only the first: it may be the repetition of one that was
@@ -137,6 +143,10 @@
 			return
 		}
 		s.spread(news)
+		if !s.inTouch() { // it is heard here, and should be heard by others too
+			done <- s.apart()
+			return
+		}
 		target = s.beatTarget(word.Zone)
 		done <- nil
 	})
@@ -167,7 +177,7 @@
 		return nil, fault.New(fault.Invalid, "of", fmt.Errorf("names no instance"))
 	}
 	done := make(chan error, 1)
-	s.do(func() {
+	s.queue.Do(func() {
 		news := s.table.Leave(s.now(), id, 0)
 		if news == nil {
 			news = []parley.Backend{{ID: id, State: parley.Gone}}
@@ -182,52 +192,59 @@
 	select {
 	case err := <-done:
 		return err
-	case <-s.stopped:
+	case <-s.queue.Stopped():
 		return fault.New(fault.Stopping, "", nil)
 	}
 }
 
-// ask puts a question to the replica and waits. A controller that stands with too few others says so at once: the
-// caller finds another sooner than it would by waiting.
-func (s *Server) ask(make_ func(token uint64) accord.Event, old time.Time) (accord.Done, error) {
+// apart is the answer of one that stands with too few others: the caller finds another sooner than it would by waiting.
+func (s *Server) apart() error {
+	return fault.New(fault.NotYet, "", errors.New("there is no contact with a majority of the voters"))
+}
+
+// ask puts a question to the replica and waits. What cannot be begun is said at once: it was not done and will not be.
+// Of what was begun and got no answer nothing is known.
+func (s *Server) ask(r *http.Request, asked time.Time, event func(token uint64) accord.Event) (accord.Done, error) {
 	done := make(chan accord.Done, 1)
 	failed := make(chan error, 1)
-	s.do(func() {
-		write, read := s.replica.Quorums()
-		with := 1
-		for _, p := range s.peers {
-			if p.out != nil {
-				with++
-			}
-		}
+	s.queue.Do(func() {
 		switch {
-		case write == 0 || with < max(write, read):
-			failed <- fault.New(fault.NotYet, "", fmt.Errorf("%d controllers are in touch", with))
-			return
+		case s.leaving:
+			failed <- fault.New(fault.Stopping, "", nil)
+		case !s.inTouch():
+			failed <- s.apart()
 		case s.now() < s.doubtTill:
-			failed <- fault.New(fault.NotYet, "", fmt.Errorf("this process was frozen just now"))
-			return
+			failed <- fault.New(fault.NotYet, "", errors.New("this process was frozen just now"))
+		case s.o.Clock.Now().Sub(asked) > staleAfter || r.Context().Err() != nil:
+			// Guards against an order being taken after its caller gave it again elsewhere, and others followed it.
+			failed <- fault.New(fault.NotYet, "", errors.New("it has waited for too long"))
+		default:
+			s.token++
+			s.waiting[s.token] = done
+			s.step(event(s.token))
 		}
-		s.token++
-		s.waiting[s.token] = done
-		s.step(make_(s.token))
 	})
 	select {
 	case d := <-done:
-		if !d.OK {
-			return d, fault.New(fault.Unsafe, "", nil)
+		switch d.Fate {
+		case accord.Taken:
+			return d, nil
+		case accord.Refused:
+			return d, fault.New(fault.Conflict, "generation", nil)
+		case accord.Untaken:
+			return d, fault.New(fault.NotYet, "", nil)
 		}
-		return d, nil
+		return d, fault.New(fault.Open, "", nil)
 	case err := <-failed:
 		return accord.Done{}, err
-	case <-s.stopped:
-		return accord.Done{}, fault.New(fault.Stopping, "", nil)
+	case <-s.queue.Stopped():
+		return accord.Done{}, fault.New(fault.Open, "", nil)
 	case <-s.o.Clock.After(accord.WriteWithin + time.Second):
-		return accord.Done{}, fault.New(fault.Unsafe, "", nil)
+		return accord.Done{}, fault.New(fault.Open, "", nil)
 	}
 }
 
-func (s *Server) replace(r *http.Request) ([]byte, error) {
+func (s *Server) replace(r *http.Request, asked time.Time) ([]byte, error) {
 	text, err := body(r, bodyMost)
 	if err != nil {
 		return nil, err
@@ -236,30 +253,28 @@
 	if err != nil {
 		return nil, err
 	}
-	_, err = s.ask(func(token uint64) accord.Event {
-		return accord.Write{Token: token, Register: accord.Register{Name: charterName,
-			Stamp: accord.Stamp{Hi: uint64(c.Version), Lo: c.Digest}, Value: bytes.Clone(text)}}
-	}, time.Time{})
+	_, err = s.ask(r, asked, func(token uint64) accord.Event {
+		return accord.Change{Token: token, Name: charterName,
+			Apply: accord.Replace(uint64(c.Version), c.Digest, bytes.Clone(text))}
+	})
 	return []byte("{}"), err
 }
 
-func (s *Server) read() ([]byte, error) {
-	d, err := s.ask(func(token uint64) accord.Event { return accord.Read{Token: token, Name: charterName} }, time.Time{})
+func (s *Server) read(r *http.Request, asked time.Time) ([]byte, error) {
+	d, err := s.ask(r, asked, func(token uint64) accord.Event { return accord.Read{Token: token, Name: charterName} })
 	if err == nil && d.Stamp == (accord.Stamp{}) {
-		err = fault.New(fault.NotYet, "", fmt.Errorf("there is no configuration yet"))
+		err = fault.New(fault.NotYet, "", errors.New("there is no configuration yet"))
 	}
 	return d.Value, err
 }
 
-func (s *Server) evacuate(zone string, begins bool) ([]byte, error) {
+func (s *Server) evacuate(r *http.Request, asked time.Time, zone string, begins bool) ([]byte, error) {
 	if _, known := s.o.Settings.Zones[zone]; !known {
 		return nil, fault.New(fault.Invalid, "of", fmt.Errorf("%q is no zone", zone))
 	}
-	tie := fnv.New64a()
-	_, _ = tie.Write([]byte(s.me.Name))
-	_, err := s.ask(func(token uint64) accord.Event {
-		at := uint64(s.o.TimeOfDay().UnixMilli())
-		return accord.Amend{Token: token, Name: zonePrefix + zone, Next: accord.Evacuate(begins, at), At: at, Tie: tie.Sum64()}
-	}, time.Time{})
+	at, within := uint64(s.o.TimeOfDay().UnixMilli()), s.o.Settings.Bounds.Ack.Span()+callerPause
+	_, err := s.ask(r, asked, func(token uint64) accord.Event {
+		return accord.Change{Token: token, Name: zonePrefix + zone, Apply: accord.Evacuate(begins, rand.Uint64(), within, at)}
+	})
 	return []byte("{}"), err
 }
--- a/counsel/counsel.go
+++ b/counsel/counsel.go
@@ -6,14 +6,11 @@
 package counsel
 
 import (
-	"encoding/json"
 	"fmt"
-	"maps"
 	"math/rand/v2"
 	"net"
 	"slices"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -25,28 +22,21 @@
 	"elmfold/parley"
 	"elmfold/premise"
 	"elmfold/presence"
-	"elmfold/record"
+	"elmfold/rapport"
 )
 
 const (
-	tickEvery    = 200 * time.Millisecond
-	gatherFor    = 700 * time.Millisecond // no further controller came: the founders are those that did
-	gatherMost   = 4 * time.Second        // ... and with fewer than the faults to be borne ask for, after this
-	dialFor      = 800 * time.Millisecond
-	dialAgain    = 300 * time.Millisecond
-	silentFor    = 3 * time.Second // a line that says nothing for so long has died; every side speaks once a second
-	pingEvery    = time.Second
-	wordFor      = 900 * time.Millisecond // a word of leaving that is not with enough others by then is not acknowledged
-	wokeLate     = time.Second            // a tick that late: this process was frozen, and what it reads may be old
-	markAgain    = time.Second
-	gatherEach   = 300 * time.Microsecond // for each carrier, that words of what comes may wait, up to the tick
-	gatherLeast  = 10 * time.Millisecond
-	distrustFor  = 500 * time.Millisecond
-	founders     = "founders" // names of records that are not registers
-	complete     = record.Marker
-	charterName  = "charter" // the register of the configuration
-	zonePrefix   = "zone/"   // ... of the evacuation of a zone
-	registerMark = "r/"      // before the names of registers among the records
+	tickEvery   = 200 * time.Millisecond
+	dialAgain   = 300 * time.Millisecond
+	silentFor   = 3 * time.Second // a line that says nothing for so long has died; every side speaks once a second
+	pingEvery   = time.Second
+	wordFor     = 900 * time.Millisecond // a word of leaving that is not with enough others by then is not acknowledged
+	wokeLate    = time.Second            // a tick that late: this process was frozen, and what it reads may be old
+	gatherEach  = 300 * time.Microsecond // for each carrier, that words of what comes may wait, up to the tick
+	gatherLeast = 10 * time.Millisecond
+	distrustFor = 500 * time.Millisecond
+	charterName = "charter" // the register of the configuration
+	zonePrefix  = "zone/"   // ... of the evacuation of a zone
 )
 
 // Disk is where records are kept; PutAsync calls done once the record is safe on the disk.
@@ -72,47 +62,45 @@
 	told bool // its first words on the line that stands have come
 	who  parley.Controller
 	out  *parley.Line // nil: down
-	life uint64
 }
 
 type carrier struct {
-	who    parley.Controller
-	line   *parley.Line
-	steers bool
+	who     parley.Controller
+	line    *parley.Line
+	renewed uint64 // the newest renewal that was heard
 }
 
 type word struct { // of a backend that leaves, waiting for others to have it
-	need  int
+	has   map[string]bool // controllers, by name
 	until time.Duration
 	done  chan<- error
 }
 
 // Server is one controller.
 type Server struct {
-	o       Options
-	log     hclog.Logger
-	me      parley.Controller
-	life    uint64
-	began   time.Time
-	queue   chan func()
-	stopped chan struct{}
-	once    sync.Once
+	o     Options
+	log   hclog.Logger
+	me    parley.Controller
+	life  uint64
+	disk  string // the id of its disk
+	blank bool   // ... which may have forgotten that there is an epoch
+	began time.Time
+	queue *rapport.Queue
+	keep  *rapport.Keeper // its Keep belongs to own
 
 	// Owned by own.
 	replica   *accord.Replica
 	table     *presence.Table
 	peers     map[string]*peer // by name
-	dialing   map[string]bool  // by address
+	callers   rapport.Lines    // lines that other controllers dialled
 	carriers  map[*parley.Line]*carrier
-	founders  []parley.Controller
-	joined    map[string]parley.Controller // that came while there were no founders
-	joinedAt  time.Duration
 	waiting   map[uint64]chan<- accord.Done
 	token     uint64
 	words     map[uint64]*word
 	seq       uint64
 	charter   *charter.Charter // in force
 	settled   bool             // what others know of backends was heard, or nobody knows more
+	touched   bool             // there was contact with a majority at the last look
 	tickAt    time.Duration
 	pingAt    time.Duration
 	doubtTill time.Duration
@@ -121,116 +109,103 @@
 	pending   []parley.Backend // words for carriers that may wait for the tick
 	list      []byte           // All, packed
 	listAt    time.Duration
-	markAt    time.Duration // when the mark is to be tried again; 0: it need not be
-	founding  bool          // founders are on their way to the disk
+	dueAt     time.Duration // of the timer that calls step; 0: none runs
+	leaving   bool
+	left      chan struct{} // closed once all is handed over
 }
 
 // New makes a Server; Run starts it.
 func New(o Options) *Server {
-	s := &Server{o: o, log: o.Log, life: rand.Uint64() | 1, began: o.Clock.Now(), queue: make(chan func(), 1024),
-		stopped: make(chan struct{}), table: presence.New(o.Settings.Beat.Span()), peers: map[string]*peer{},
-		dialing: map[string]bool{}, carriers: map[*parley.Line]*carrier{}, joined: map[string]parley.Controller{},
-		waiting: map[uint64]chan<- accord.Done{}, words: map[uint64]*word{}}
+	s := &Server{o: o, log: o.Log, life: rand.Uint64() | 1, began: o.Clock.Now(), queue: rapport.NewQueue(1024),
+		table: presence.New(o.Settings.Beat.Span()), peers: map[string]*peer{}, callers: rapport.Lines{Latest: true},
+		carriers: map[*parley.Line]*carrier{}, waiting: map[uint64]chan<- accord.Done{}, words: map[uint64]*word{},
+		left: make(chan struct{})}
 	s.me = parley.Controller{Name: o.Settings.Name, Zone: o.Settings.Zone, Address: o.Settings.Own(),
 		Control: o.Settings.Listen["control"]}
-	var disk []accord.Register
-	for name, value := range o.Disk.All() {
-		switch {
-		case name == founders:
-			if err := json.Unmarshal(value, &s.founders); err != nil {
-				s.log.Error("founders on disk", "err", err)
-			}
-		case strings.HasPrefix(name, registerMark) && len(value) >= 16:
-			disk = append(disk, decode(name, value))
-		}
-	}
-	slices.SortFunc(disk, func(a, b accord.Register) int { return strings.Compare(a.Name, b.Name) })
+	s.keep = &rapport.Keeper{Queue: s.queue, Clock: o.Clock, Dial: o.Dial, Self: s.me.Name, Again: dialAgain,
+		Silence: silentFor, Hello: func() *parley.Message { return &parley.Message{Hello: s.hello()} }, Heard: s.heardPeer,
+		Lost: s.lost}
 	first := o.Settings.Bootstrap && o.Fresh
-	votes := o.Known || first
-	s.replica = accord.New(s.me.Name, o.Settings.FaultBudget.Machines, votes, disk)
-	if s.settled = first; first {
-		s.mark()
-	}
+	drawn := fmt.Sprintf("%016x", rand.Uint64())
+	memory, err := accord.Load(s.me.Name, o.Disk.All(), o.Known, first, drawn)
+	if err != nil { // a disk that cannot be read has forgotten; the others have what was on it
+		s.log.Error("the disk is taken for a new one", "err", err)
+		memory, _ = accord.Load(s.me.Name, o.Disk.All(), false, false, drawn)
+	}
+	var seeds []string
+	for _, seed := range o.Settings.Seeds {
+		seeds = append(seeds, o.Settings.Peer(seed))
+	}
+	s.disk, s.blank = memory.Disk, memory.Blank
+	s.replica = accord.New(accord.Options{Me: s.me, Life: s.life, Faults: o.Settings.FaultBudget.Machines, Seeds: seeds,
+		Memory: memory})
+	s.settled = first
 	s.steer = newSteering(s)
 	return s
 }
 
+func (s *Server) hello() *parley.Hello {
+	return &parley.Hello{Who: s.me, Life: s.life, Disk: s.disk, Blank: s.blank}
+}
+
 // Run serves until the program ends.
 func (s *Server) Run() {
 	go s.accept()
 	ticks := s.o.Clock.NewTicker(tickEvery)
-	if s.founders != nil {
-		s.found(s.founders)
-	}
 	for _, seed := range s.o.Settings.Seeds {
-		s.dial(s.o.Settings.Peer(seed))
+		s.keep.Keep(s.o.Settings.Peer(seed))
 	}
+	for _, v := range s.replica.Epoch().All() {
+		s.keep.Keep(v.Address)
+	}
+	s.step()
 	for {
 		select {
-		case f := <-s.queue:
+		case f := <-s.queue.C():
 			f()
 		case <-ticks.Chan():
 			s.tick()
-		case <-s.stopped:
+		case <-s.queue.Stopped():
 			return
 		}
 	}
 }
 
 // Stop ends Run.
-func (s *Server) Stop() { s.once.Do(func() { close(s.stopped) }) }
-
-func (s *Server) do(f func()) {
-	select {
-	case s.queue <- f:
-	case <-s.stopped:
-	}
-}
-
-// post is do for callbacks that may come on the owner's own goroutine, as those of the disk do when it refuses at
-// once: they must not wait for it.
-func (s *Server) post(f func()) {
+func (s *Server) Stop() { s.queue.Stop() }
+
+// Leave hands over to the other controllers what needs this one: orders under way are ended, copies given, the vote moved
+// on. It returns once that is done, or after the span. New calls are told to go elsewhere from then on.
+func (s *Server) Leave(within time.Duration) {
+	s.queue.Do(func() {
+		if !s.leaving {
+			s.leaving = true
+			s.step(accord.Leave{})
+		}
+	})
 	select {
-	case s.queue <- f:
-	default:
-		go s.do(f)
+	case <-s.left:
+	case <-s.queue.Stopped():
+	case <-s.o.Clock.After(within):
+		s.queue.Do(func() { s.log.Warn("not all could be handed over", "missing", strings.Join(s.replica.Missing(), ", ")) })
 	}
 }
 
 // now is the steady time since the start.
 func (s *Server) now() time.Duration { return s.o.Clock.Now().Sub(s.began) }
 
-func decode(name string, value []byte) accord.Register {
-	u := func(at int) (v uint64) {
-		for i := range 8 {
-			v = v<<8 | uint64(value[at+i])
-		}
-		return v
-	}
-	return accord.Register{Name: strings.TrimPrefix(name, registerMark), Stamp: accord.Stamp{Hi: u(0), Lo: u(8)},
-		Value: value[16:]}
-}
-
-func encode(r accord.Register) []byte {
-	b := make([]byte, 16, 16+len(r.Value))
-	for i := range 8 {
-		b[i], b[8+i] = byte(r.Stamp.Hi>>(56-8*i)), byte(r.Stamp.Lo>>(56-8*i))
-	}
-	return append(b, r.Value...)
-}
-
 // step hands events to the replica and carries its orders out.
 func (s *Server) step(events ...accord.Event) {
 	for _, o := range s.replica.Step(s.now(), events...) {
 		switch o := o.(type) {
 		case accord.Persist:
-			s.o.Disk.PutAsync(registerMark+o.Name, encode(o.Register), func(err error) {
-				s.post(func() {
+			s.o.Disk.PutAsync(o.Record, o.Value, func(err error) {
+				s.queue.Post(func() {
 					if err != nil {
 						s.diskFails++
-						s.log.Error("the disk failed", "register", o.Name, "err", err)
+						s.log.Error("the disk failed", "record", o.Record, "err", err)
 					}
-					s.step(accord.Persisted{Name: o.Name, Stamp: o.Stamp, Err: err})
+					s.step(accord.Persisted{Seq: o.Seq, Err: err})
 				})
 			})
 		case accord.Send:
@@ -239,28 +214,77 @@
 			}
 		case accord.InForce:
 			s.inForce(o.Register)
+		case accord.Entered:
+			s.entered(o.Epoch)
 		case accord.Done:
 			if done := s.waiting[o.Token]; done != nil {
 				delete(s.waiting, o.Token)
 				done <- o
 			}
-		case accord.Complete:
-			s.log.Info("the disk has read what it forgot")
-			s.mark()
+		case accord.Left:
+			close(s.left)
 		}
 	}
+	s.lookTouch()
+	if due := s.replica.Due(); (s.dueAt == 0 || due < s.dueAt) && due < s.now()+tickEvery {
+		s.dueAt = due
+		s.o.Clock.AfterFunc(due-s.now(), func() {
+			s.queue.Post(func() {
+				if s.dueAt == due {
+					s.dueAt = 0
+				}
+				s.step()
+			})
+		})
+	}
 }
 
-// mark writes down that this disk has forgotten nothing, again until the disk takes it.
-func (s *Server) mark() {
-	s.o.Disk.PutAsync(complete, []byte{1}, func(err error) {
-		if err != nil {
-			s.post(func() {
-				s.log.Error("the mark of a whole disk could not be kept", "err", err)
-				s.markAt = s.now() + markAgain
-			})
+// entered: who votes has changed.
+func (s *Server) entered(e parley.Epoch) {
+	names := []string{}
+	for _, v := range e.Voters {
+		names = append(names, v.Name)
+	}
+	s.log.Info("epoch", "number", e.Number, "voters", strings.Join(names, " "), "changing", len(e.Old) > 0)
+	for _, v := range e.All() {
+		s.keep.Keep(v.Address)
+	}
+	s.toCarriers(&parley.Message{Epoch: &e})
+}
+
+// lookTouch tells carriers once contact with a majority is there: what is said from now on is new.
+func (s *Server) lookTouch() {
+	touched := s.inTouch()
+	if touched == s.touched {
+		return
+	}
+	if s.touched = touched; !touched {
+		s.log.Warn("no contact with a majority of the voters", "epoch", s.replica.Epoch().Number)
+		return
+	}
+	s.log.Info("in touch", "epoch", s.replica.Epoch().Number)
+	s.toCarriers(s.standing())
+}
+
+func (s *Server) inTouch() bool { return s.replica.InTouch(s.now()) }
+
+// standing is what this controller holds of the registers, as carriers are told it first on a line.
+func (s *Server) standing() *parley.Message {
+	m := &parley.Message{Held: map[string]parley.Stamp{}, Safe: map[string]parley.Stamp{}, Apart: !s.inTouch()}
+	m.All = s.replica.Votes() && !m.Apart
+	if e := s.replica.Epoch(); e.Number > 0 {
+		m.Epoch = &e
+	}
+	for _, name := range s.replica.Names() {
+		r, _ := s.replica.Newest(name)
+		m.Held[name] = r.Stamp
+		if r, is := s.replica.InForce(name); is {
+			if m.Safe[name] = r.Stamp; name != charterName {
+				m.Offers = append(m.Offers, r)
+			}
 		}
-	})
+	}
+	return m
 }
 
 // inForce tells carriers of what has become safe. They ask for a configuration where it is nearest to them.
@@ -294,7 +318,7 @@
 	out := map[string]bool{}
 	for _, name := range s.replica.Names() {
 		if zone, ok := strings.CutPrefix(name, zonePrefix); ok {
-			if r, safe := s.replica.Newest(name); safe && accord.Evacuated(r.Value) {
+			if r, is := s.replica.InForce(name); is && accord.Evacuated(r.Value) {
 				out[zone] = true
 			}
 		}
@@ -309,9 +333,6 @@
 		s.log.Warn("this process did not run", "for", now-s.tickAt)
 	}
 	s.tickAt = now
-	if s.founders == nil {
-		s.gather(now)
-	}
 	s.step()
 	if now >= s.pingAt+pingEvery {
 		s.pingAt = now
@@ -324,10 +345,6 @@
 	}
 	s.flush()
 	s.steer.step(now)
-	if s.markAt > 0 && now >= s.markAt {
-		s.markAt = 0
-		s.mark()
-	}
 	for seq, w := range s.words {
 		if now > w.until {
 			delete(s.words, seq)
@@ -353,74 +370,22 @@
 	}
 }
 
-// gather settles who the founders are, once, where nobody knows of any: the first of the seeds, which are the same for
-// all and up at the first start, waits until nobody new comes and writes them down before it tells them. One decider
-// with a disk needs no vote; a disk that it loses after that is not asked again, as bootstrap is false then.
-func (s *Server) gather(now time.Duration) {
-	set := s.o.Settings
-	if !set.Bootstrap || len(set.Seeds) == 0 || set.Peer(set.Seeds[0]) != s.me.Address || !s.replica.Votes() {
-		return
-	}
-	enough := len(s.joined)+1 >= 2*set.FaultBudget.Machines+1
-	if now < s.joinedAt+gatherFor || !enough && now < gatherMost {
-		return
-	}
-	all := append(slices.Collect(maps.Values(s.joined)), s.me)
-	slices.SortFunc(all, func(a, b parley.Controller) int { return strings.Compare(a.Name, b.Name) })
-	s.keepFounders(all)
-}
-
-// keepFounders writes the founders down, then counts by them.
-func (s *Server) keepFounders(all []parley.Controller) {
-	if s.founders != nil || s.founding {
-		return
-	}
-	s.founding = true // nobody is told before the disk has them, and no second set is taken meanwhile
-	text, _ := json.Marshal(all)
-	s.o.Disk.PutAsync(founders, text, func(err error) {
-		s.post(func() {
-			if s.founding = false; err != nil {
-				s.log.Error("founders could not be kept", "err", err)
-				return
-			}
-			s.founders = all
-			s.found(all)
-		})
-	})
-}
-
-func (s *Server) found(all []parley.Controller) {
-	names := []string{}
-	for _, f := range all {
-		names = append(names, f.Name)
-		s.dial(f.Address)
-	}
-	s.log.Info("founders", "names", fmt.Sprint(names))
-	s.step(accord.Found{Founders: names})
-	m := &parley.Message{Founders: all}
-	for _, p := range s.peers {
-		if p.out != nil {
-			p.out.Send(m)
-		}
-	}
-	s.toCarriers(m)
-}
-
-// metAll says whether all other founders have told their first words on the lines that stand.
+// metAll says whether all other voters have told their first words on the lines that stand.
 func (s *Server) metAll() bool {
-	for _, f := range s.founders {
-		if p := s.peers[f.Name]; f.Name != s.me.Name && (p == nil || p.out == nil || !p.told) {
+	e := s.replica.Epoch()
+	for _, v := range e.All() {
+		if p := s.peers[v.Name]; v.Name != s.me.Name && (p == nil || p.out == nil || !p.told) {
 			return false
 		}
 	}
-	return len(s.founders) > 0
+	return e.Number > 0
 }
 
 // know takes word of controllers.
 func (s *Server) know(all ...parley.Controller) {
 	for _, c := range all {
-		if c.Name != "" && c.Name != s.me.Name && c.Address != "" {
-			s.dial(c.Address)
+		if c.Name != "" && c.Name != s.me.Name {
+			s.keep.Keep(c.Address)
 		}
 	}
 }
@@ -450,7 +415,7 @@
 	case urgent:
 		s.flush()
 	case first && wait < tickEvery: // else the tick does it
-		s.o.Clock.AfterFunc(wait, func() { s.post(s.flush) })
+		s.o.Clock.AfterFunc(wait, func() { s.queue.Post(s.flush) })
 	}
 }
 
--- a/counsel/main.go
+++ b/counsel/main.go
@@ -1,6 +1,7 @@
 package counsel
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -18,6 +19,11 @@
 	"elmfold/trace"
 )
 
+const (
+	leaveSpare = time.Second            // of the grace, for what comes after the handing over
+	callsEnd   = 300 * time.Millisecond // answers that are on their way
+)
+
 const about = "The gateway's controller: it keeps the operator's word, knows backends and carriers, and steers."
 
 // Main is the program.
@@ -72,8 +78,13 @@
 				}
 				continue
 			}
-			_ = server.Close()
-			s.Stop()
+			go func() { // a second signal finds this under way, and waits with it
+				s.Leave(settings.Bounds.Grace.Span() - leaveSpare)
+				ctx, cancel := context.WithTimeout(context.Background(), callsEnd)
+				defer cancel()
+				_ = server.Shutdown(ctx)
+				s.Stop()
+			}()
 		}
 	}()
 	s.Run()
@@ -83,9 +94,9 @@
 
 // Reload takes settings that were changed while the program runs: new seeds are dialled, the rest waits for a restart.
 func (s *Server) Reload(next *premise.Settings) {
-	s.do(func() {
+	s.queue.Do(func() {
 		for _, seed := range next.Seeds {
-			s.dial(s.o.Settings.Peer(seed))
+			s.keep.Keep(s.o.Settings.Peer(seed))
 		}
 	})
 }
--- a/counsel/steer.go
+++ b/counsel/steer.go
@@ -76,7 +76,8 @@
 	}
 	for name, tables := range t.b.Step(now) {
 		if line := t.here[name]; line != nil {
-			line.Send(&parley.Message{Tables: tables})
+			// The carrier's last renewal goes along: what was worked out before a freeze is known by it.
+			line.Send(&parley.Message{Tables: tables, Renewed: t.s.carriers[line].renewed, Apart: !t.s.inTouch()})
 		}
 	}
 }
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -41,7 +41,9 @@
 	Invalid      // it cannot be read whole, or says what cannot be
 	UnknownCall  // there is no such call
 	Unsafe       // not enough disks have it
-	NotYet       // this controller does not know enough yet
+	NotYet       // this controller does not know enough yet, or is not in touch; nothing was done
+	Open         // an order may be taken or not, now or later
+	Conflict     // another value stands under its number, for good
 	OverCapacity // the body of an order is too large
 
 	kinds
@@ -83,6 +85,8 @@
 	UnknownCall:  {Name: "unknown call", Status: http.StatusNotFound},
 	Unsafe:       {Name: "not safe", Status: http.StatusServiceUnavailable, After: 100 * time.Millisecond},
 	NotYet:       {Name: "not yet", Status: http.StatusServiceUnavailable, After: 100 * time.Millisecond},
+	Open:         {Name: "not decided", Status: http.StatusGatewayTimeout, MayHave: true},
+	Conflict:     {Name: "another one has this number", Status: http.StatusConflict},
 	OverCapacity: {Name: "order too large", Status: http.StatusRequestEntityTooLarge},
 }
 
--- a/parley/epoch.go
+++ b/parley/epoch.go
@@ -18,7 +18,7 @@
 }
 
 // All are those whose words may count, each once.
-func (e *Epoch) All() []Voter {
+func (e Epoch) All() []Voter {
 	all := slices.Clone(e.Voters)
 	for _, v := range e.Old {
 		if !e.in(all, v.ID) {
@@ -29,20 +29,20 @@
 }
 
 // Voter says whether a disk votes.
-func (e *Epoch) Voter(id string) bool { return e.in(e.Voters, id) || e.in(e.Old, id) }
+func (e Epoch) Voter(id string) bool { return e.in(e.Voters, id) || e.in(e.Old, id) }
 
-func (e *Epoch) in(set []Voter, id string) bool {
+func (e Epoch) in(set []Voter, id string) bool {
 	return slices.ContainsFunc(set, func(v Voter) bool { return v.ID == id })
 }
 
 // Most says whether those for which has is true are a majority, of the old voters too while they count.
-func (e *Epoch) Most(has func(Voter) bool) bool { return e.enough(0, has) }
+func (e Epoch) Most(has func(Voter) bool) bool { return e.enough(0, has) }
 
 // Safe says whether those for which has is true are so many that a value lasts on their disks: a majority, and one
 // more than may be lost at once, where there are so many.
-func (e *Epoch) Safe(faults int, has func(Voter) bool) bool { return e.enough(faults, has) }
+func (e Epoch) Safe(faults int, has func(Voter) bool) bool { return e.enough(faults, has) }
 
-func (e *Epoch) enough(faults int, has func(Voter) bool) bool {
+func (e Epoch) enough(faults int, has func(Voter) bool) bool {
 	if e.Number == 0 {
 		return false
 	}
--- a/parley/parley.go
+++ b/parley/parley.go
@@ -62,7 +62,7 @@
 	Number   Stamp     `cbor:"3,keyasint"`
 	Accepted Stamp     `cbor:"4,keyasint,omitempty"` // in a Promise: the ballot of Value
 	Value    *Register `cbor:"5,keyasint,omitempty"` // in a Promise and an Offer
-	Age      uint32    `cbor:"6,keyasint,omitempty"` // in a Promise: ms since Value came, and 1; 0: that is not known
+	Age      uint64    `cbor:"6,keyasint,omitempty"` // in a Promise: ms since Value came, and 1; 0: that is not known
 }
 
 // Copy is a chosen value with its ballot.
--- a/transit/transit.go
+++ b/transit/transit.go
@@ -55,10 +55,10 @@
 	line    *parley.Line // nil: down
 	life    uint64
 	upAt    time.Duration
-	lostAt  time.Duration // when the line broke
-	settled bool          // it knows of backends what others know
-	votes   bool
-	held    map[string]parley.Stamp // as it said at the line's first word
+	lostAt  time.Duration           // when the line broke
+	settled bool                    // it knows of backends what others know
+	votes   bool                    // its disk does, and it was in contact with a majority when it said what it holds
+	held    map[string]parley.Stamp // ... then
 	safe    parley.Stamp            // the newest configuration that it said to be in force
 	asked   int                     // how often it was asked for the one that is wanted
 	members map[string]parley.Member
@@ -98,7 +98,7 @@
 
 	// Owned by own.
 	controllers map[string]*controller
-	founders    []parley.Controller
+	epoch       parley.Epoch // who votes in the core: the newest that was heard
 	lives       map[string]*life
 	zones       map[string]parley.Register // evacuations
 	takenBack   map[string]time.Duration   // when a zone was taken back
@@ -170,7 +170,7 @@
 			p = &controller{}
 			c.controllers[name] = p
 		}
-		*p = controller{who: m.Hello.Who, line: line, life: m.Hello.Life, upAt: now, votes: m.All, held: m.Held, renewed: -1,
+		*p = controller{who: m.Hello.Who, line: line, life: m.Hello.Life, upAt: now, renewed: -1,
 			members: map[string]parley.Member{}}
 		if c.heardAt < 0 {
 			c.heardAt = now
@@ -185,12 +185,15 @@
 	for _, k := range m.Know {
 		c.keep.Keep(k.Address)
 	}
-	if len(m.Founders) > 0 && c.founders == nil {
-		c.founders = m.Founders
-		for _, f := range m.Founders {
-			c.keep.Keep(f.Address)
+	if m.Epoch != nil && m.Epoch.Number > c.epoch.Number {
+		c.epoch = *m.Epoch
+		for _, v := range c.epoch.All() {
+			c.keep.Keep(v.Address)
 		}
 	}
+	if m.All { // what it holds, told in contact with a majority
+		p.votes, p.held = true, m.Held
+	}
 	for _, r := range m.Offers {
 		c.offered(now, r, m.Safe[r.Name])
 	}
@@ -222,7 +225,7 @@
 	if m.Hello != nil || len(m.Went)+len(m.Came) > 0 {
 		c.setMembers()
 	}
-	if m.Renewed > 0 && m.Renewed+uint64(len(p.sent)) > c.renewal {
+	if m.Renewed > 0 && m.Tables == nil && m.Renewed+uint64(len(p.sent)) > c.renewal {
 		p.renewed = p.sent[m.Renewed%uint64(len(p.sent))]
 		c.setRight()
 	}
@@ -232,25 +235,16 @@
 	c.judgeReady(now)
 }
 
-// quorum is the number of founders that a new life must have read: as many as meet any that a write made safe.
-func (c *Carrier) quorum() int {
-	n := len(c.founders)
-	if n == 0 {
-		return 0
-	}
-	return n - min(max(c.o.Settings.FaultBudget.Machines+1, n/2+1), n) + 1
-}
-
 // judgeReady calls this carrier ready once it has read enough controllers, and has what they hold in force; it stays
 // so, whether controllers are there or not.
 func (c *Carrier) judgeReady(now time.Duration) {
 	if c.ready.Load() || c.view.Load() == nil {
 		return
 	}
-	read, behind := 0, false
-	for _, f := range c.founders {
-		if p := c.controllers[f.Name]; p != nil && p.line != nil && p.settled && p.votes {
-			read++
+	read, behind := map[string]bool{}, false
+	for _, v := range c.epoch.All() {
+		if p := c.controllers[v.Name]; p != nil && p.line != nil && p.settled && p.votes {
+			read[v.ID] = true
 			for name, held := range p.held { // what it holds may be in force, evacuations too
 				have := c.have
 				if zone, ok := strings.CutPrefix(name, zonePrefix); ok {
@@ -260,9 +254,10 @@
 			}
 		}
 	}
-	if enough := read >= c.quorum() && c.quorum() > 0 && !behind; enough || now > c.heardAt+readAtLeast {
+	enough := c.epoch.Most(func(v parley.Voter) bool { return read[v.ID] }) && !behind
+	if enough || now > c.heardAt+readAtLeast {
 		c.ready.Store(true)
-		c.log.Info("ready", "read", read, "version", c.view.Load().Version, "backends", len(c.lives))
+		c.log.Info("ready", "read", len(read), "version", c.view.Load().Version, "backends", len(c.lives))
 	}
 }
 
@@ -450,18 +445,20 @@
 
 // setRight: a member is one whose lease most founders renewed; the right ends by this clock before theirs gives it away.
 func (c *Carrier) setRight() {
-	var sent []time.Duration
-	for _, f := range c.founders {
-		if p := c.controllers[f.Name]; p != nil && p.renewed >= 0 {
-			sent = append(sent, p.renewed)
+	// The newest instant whose renewals a majority has answered.
+	var all []time.Duration
+	for _, p := range c.controllers {
+		if p.renewed >= 0 {
+			all = append(all, p.renewed)
 		}
 	}
-	need := len(c.founders)/2 + 1
-	if len(c.founders) == 0 || len(sent) < need {
-		return
+	slices.SortFunc(all, func(a, b time.Duration) int { return int(b - a) })
+	for _, at := range all {
+		if c.epoch.Most(func(v parley.Voter) bool { p := c.controllers[v.Name]; return p != nil && p.renewed >= at }) {
+			c.settle(func(s *verdict.Settler) { s.Right(at + presence.RightFor) })
+			return
+		}
 	}
-	slices.SortFunc(sent, func(a, b time.Duration) int { return int(b - a) })
-	c.settle(func(s *verdict.Settler) { s.Right(sent[need-1] + presence.RightFor) })
 }
 
 func (c *Carrier) setTables(now time.Duration, tables []parley.Table) {
--- a/transit/transit_test.go
+++ b/transit/transit_test.go
@@ -141,11 +141,11 @@
 		}
 		k.mu.Lock()
 		if m.Hello != nil {
-			var founders []parley.Controller
+			epoch := &parley.Epoch{Number: 1}
 			for _, other := range k.s.cores {
-				founders = append(founders, other.who)
+				epoch.Voters = append(epoch.Voters, parley.Voter{Controller: other.who, ID: "disk of " + other.who.Name})
 			}
-			first := &parley.Message{Hello: &parley.Hello{Who: k.who, Life: 1}, Founders: founders,
+			first := &parley.Message{Hello: &parley.Hello{Who: k.who, Life: 1}, Epoch: epoch,
 				All: k.all, Settled: k.settled, Held: map[string]parley.Stamp{}, Safe: map[string]parley.Stamp{},
 				Backends: k.backends,
 				Members:  []parley.Member{{Name: "edge-0", Zone: "north"}}}
