--- a/accord/accord.go
+++ b/accord/accord.go
@@ -26,6 +26,7 @@
 )
 
 const (
+	never       = -time.Hour
 	diskAgain   = time.Second            // until a disk that failed is tried again
 	finishAfter = 300 * time.Millisecond // what is accepted and not known to be chosen is finished by whoever has it
 	turnGap     = 200 * time.Millisecond // ... one after the other
@@ -115,6 +116,15 @@
 // Order is one of the structs below.
 type Order any
 
+// earlyVote is a question of a ballot that came before the epoch was on the disk.
+type earlyVote struct {
+	to   string
+	era  uint64
+	word parley.Ballot
+}
+
+const earlyMost = 256
+
 // Persist asks for a record to be put on the disk; Persisted answers it. Records are put in their order.
 type Persist struct {
 	Seq    uint64
@@ -193,7 +203,10 @@
 	handedAt time.Duration
 	missing  []string
 
+	early      []earlyVote   // questions that wait for the epoch to be on the disk
 	birthAt    time.Duration // the last try to make the disk somebody; negative: none
+	bearing    int           // of its records that are on their way
+	bearFailed bool          // ... one of them failed
 	epochPutAt time.Duration // the last answer to putting the epoch
 }
 
@@ -201,7 +214,7 @@
 func New(o Options) *Replica {
 	r := &Replica{o: o, disk: o.Memory.Disk, blank: o.Memory.Blank, born: o.Memory.Born, epoch: o.Memory.Epoch,
 		regs: map[string]*register{}, peers: map[string]*peer{}, puts: map[uint64]put{},
-		round: o.Life >> 1, sweptAt: -time.Hour, touch: touch{at: -time.Hour, pingAt: -time.Hour}, birthAt: -1}
+		round: o.Life >> 1, sweptAt: never, touch: touch{at: never, pingAt: never}, birthAt: -1}
 	if r.born {
 		r.epochOn = r.epoch.Number
 	}
@@ -257,6 +270,9 @@
 // Step takes what happened up to now, a steady time.
 func (r *Replica) Step(now time.Duration, events ...Event) []Order {
 	r.now, r.orders = now, nil
+	for _, name := range slices.Sorted(maps.Keys(r.regs)) {
+		r.dropLate(r.regs[name])
+	}
 	for _, e := range events {
 		r.hear(e)
 	}
@@ -270,7 +286,7 @@
 type put struct {
 	register string    // whose state it is; else:
 	epoch    uint64    // the number of the epoch that it is, or
-	birth    bool      // the last of those that make a disk somebody
+	birth    bool      // one of those that make a disk somebody
 	accepted Stamp     // of the register: the ballot in it,
 	era      uint64    // the epoch in which that was,
 	waits    []waiting // and what is said once it is there
@@ -290,12 +306,24 @@
 	delete(r.puts, e.Seq)
 	switch {
 	case p.birth:
-		if r.birthAt = r.now; e.Err == nil {
-			r.born = true
+		r.bearing--
+		if r.bearFailed = r.bearFailed || e.Err != nil; r.bearing > 0 {
+			break
+		}
+		if r.birthAt = r.now; !r.bearFailed {
+			r.born, r.epochOn = true, max(r.epochOn, r.o.Memory.Epoch.Number)
+			r.toAll(func() *parley.Message { return r.all(0) })
 		}
 	case p.epoch > 0:
 		if r.epochPutAt = r.now; e.Err == nil {
 			r.epochOn = max(r.epochOn, p.epoch)
+			early := r.early
+			r.early = nil
+			for _, v := range early {
+				if v.era == r.epoch.Number {
+					r.accept(v.to, r.reg(v.word.Name), &v.word)
+				}
+			}
 		}
 	case p.register != "":
 		r.registerPut(p, e.Err)
@@ -344,7 +372,7 @@
 	case Change:
 		r.change(e)
 	case Read:
-		r.reads = append(r.reads, &reading{token: e.Token, name: e.Name, began: r.now, askedAt: -time.Hour,
+		r.reads = append(r.reads, &reading{token: e.Token, name: e.Name, began: r.now, askedAt: never,
 			answers: map[string]Stamp{}})
 	case Leave:
 		r.leaving, r.leaveAt = true, r.now
@@ -357,7 +385,7 @@
 func (r *Replica) met(e Met) *peer {
 	p := r.peers[e.Who.Name]
 	if p == nil || p.disk != e.Disk {
-		p = &peer{seenAt: r.now, has: map[string]Stamp{}}
+		p = &peer{seenAt: r.now, has: map[string]Stamp{}, hasAt: never}
 		r.peers[e.Who.Name], r.joinedAt = p, r.now
 	}
 	p.Controller, p.disk, p.blank = e.Who, e.Disk, e.Blank
@@ -367,12 +395,12 @@
 func (r *Replica) upped(e Up) {
 	p := r.met(Met(e))
 	p.up, p.leaving = true, false
-	m := &parley.Message{Has: r.onDisk(), All: true}
-	if r.epoch.Number > 0 {
+	m := r.all(0)
+	if m.Leaving = r.leaving; r.epoch.Number > 0 {
 		m.Epoch = r.theEpoch()
 	}
 	r.send(e.Who.Name, m)
-	r.touch.pingAt = -time.Hour // its answer counts at once
+	r.touch.pingAt = never // its answer counts at once
 	for _, name := range slices.Sorted(maps.Keys(r.regs)) {
 		if g := r.regs[name]; g.prop.Phase != ballot.Idle && r.counts(p) {
 			r.resend(g, p)
@@ -380,6 +408,19 @@
 	}
 }
 
+// all tells what this disk has accepted. Guards against a disk that is nobody yet being counted on.
+func (r *Replica) all(round uint64) *parley.Message {
+	if !r.born {
+		return &parley.Message{}
+	}
+	if r.epochOn < r.epoch.Number {
+		// What it says of this epoch must not be forgotten over a loss of power: until the epoch is on the disk it
+		// answers no question.
+		round = 0
+	}
+	return &parley.Message{Has: r.onDisk(), All: true, Round: round}
+}
+
 func (r *Replica) theEpoch() *Epoch {
 	e := r.epoch
 	return &e
@@ -408,7 +449,7 @@
 	case m.Ping:
 		r.send(who, &parley.Message{Pong: true, Round: m.Round})
 	case m.Ask:
-		r.send(who, &parley.Message{Has: r.onDisk(), All: true, Round: m.Round})
+		r.send(who, r.all(m.Round))
 	}
 	for _, name := range m.Want {
 		if g := r.regs[name]; g != nil && g.safe != (Stamp{}) && name != epochName {
@@ -436,11 +477,11 @@
 	}
 	if m.All && m.Round > 0 {
 		for _, q := range r.reads {
-			if q.round > 0 && m.Round >= q.round {
+			if q.round > 0 && m.Round >= q.round && m.Round <= r.round {
 				q.answers[p.disk] = m.Has[q.name]
 			}
 		}
-		if r.scan != nil && m.Round >= r.scan.round {
+		if r.scan != nil && m.Round >= r.scan.round && m.Round <= r.round {
 			r.scan.answers[p.disk] = m.Has
 		}
 	}
@@ -454,7 +495,7 @@
 	}
 	if r.now >= r.sweptAt+sweepEvery {
 		r.sweptAt = r.now
-		r.toAll(func() *parley.Message { return &parley.Message{Has: r.onDisk(), All: true} })
+		r.toAll(func() *parley.Message { return r.all(0) })
 	}
 	r.reads = slices.DeleteFunc(r.reads, r.settleRead)
 	r.tendEpoch()
--- a/accord/copies.go
+++ b/accord/copies.go
@@ -34,18 +34,24 @@
 // hearHas takes what another disk has accepted. Where enough voters have the same ballot, its value is chosen; what is
 // newer than here is asked for.
 func (r *Replica) hearHas(p *peer, m *parley.Message) {
-	if m.Has == nil && !m.All || m.Era > r.epoch.Number {
-		return // of an epoch that is not known here yet: who has it does not tell what that means
+	if m.Has == nil && !m.All {
+		return
 	}
-	if m.All {
+	// Only what is said in this epoch is counted. Guards against what was had in one epoch making up a majority of another:
+	// since then, who said so may have taken what is newer.
+	same := m.Era == r.epoch.Number
+	if m.All && same {
 		p.has, p.hasAt = map[string]Stamp{}, r.now
 	}
 	for _, name := range slices.Sorted(maps.Keys(m.Has)) {
 		g := r.reg(name)
-		if p.has[name] = m.Has[name]; g.acc.Accepted.Less(p.has[name]) {
-			g.ahead[p.Name] = p.has[name]
+		if g.acc.Accepted.Less(m.Has[name]) {
+			g.ahead[p.Name] = m.Has[name]
+		}
+		if same {
+			p.has[name] = m.Has[name]
+			r.count(g)
 		}
-		r.count(g)
 	}
 }
 
@@ -127,7 +133,8 @@
 	return true
 }
 
-// handOver gives the others what they lack, before this process ends, and says what they still do.
+// handOver gives the others what they lack, before this process ends, and says what still needs its disk: what is not
+// with all voters to whom a line stands, and with as many of the others as keep it safe.
 func (r *Replica) handOver(again bool) (missing []string) {
 	for _, name := range slices.Sorted(maps.Keys(r.regs)) {
 		g := r.regs[name]
@@ -138,15 +145,31 @@
 			missing = append(missing, name)
 			continue // it is finished as always
 		}
+		have := map[string]bool{}
 		for _, to := range r.lines() {
 			p := r.peers[to]
-			if !r.epoch.Voter(p.disk) || p.hasAt >= r.leaveAt && !p.has[name].Less(g.safe) {
+			told := p.hasAt >= r.leaveAt && p.hasAt != never
+			if have[p.disk] = told && !p.has[name].Less(g.safe); have[p.disk] || !r.epoch.Voter(p.disk) {
 				continue
 			}
-			if missing = append(missing, name+" at "+to); again && p.hasAt >= r.leaveAt {
+			if missing = append(missing, name+" at "+to); again && told {
 				r.send(to, &parley.Message{Copies: []parley.Copy{{Number: g.safe, Register: g.force}}})
 			}
 		}
+		for _, set := range [][]Voter{r.epoch.Voters, r.epoch.Old} {
+			n, others := 0, 0
+			for _, v := range set {
+				if v.ID != r.disk {
+					others++
+					if have[v.ID] {
+						n++
+					}
+				}
+			}
+			if n < min(max(r.o.Faults+1, len(set)/2+1), others) {
+				missing = append(missing, name)
+			}
+		}
 	}
 	return missing
 }
--- a/accord/epoch.go
+++ b/accord/epoch.go
@@ -1,6 +1,7 @@
 package accord
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -46,9 +47,18 @@
 	for _, q := range r.reads {
 		q.round, q.answers = 0, map[string]Stamp{}
 	}
-	r.touch.pingAt = -time.Hour
+	r.touch.pingAt = never
 	r.order(Entered{e})
-	r.toAll(func() *parley.Message { return &parley.Message{Epoch: r.theEpoch()} })
+	for _, p := range r.peers {
+		p.has, p.hasAt = map[string]Stamp{}, never
+	}
+	r.round++
+	round := r.round
+	r.toAll(func() *parley.Message {
+		m := r.all(0)
+		m.Epoch, m.Ask, m.Round = r.theEpoch(), true, round
+		return m
+	})
 }
 
 func (r *Replica) putEpoch() {
@@ -116,6 +126,9 @@
 	at := r.joinedAt + gatherFor
 	all := []Voter{{Controller: r.o.Me, ID: r.disk}}
 	for _, name := range r.lines() {
+		if r.peers[name].hasAt == never {
+			continue // its disk is nobody yet
+		}
 		all = append(all, Voter{Controller: r.peers[name].Controller, ID: r.peers[name].disk})
 	}
 	if len(all) < 2*r.o.Faults+1 {
@@ -154,10 +167,13 @@
 	if r.now < r.changed+time.Duration(r.place(epochName))*turnGap {
 		return
 	}
-	if r.scan == nil || r.now >= r.scan.askedAt+scanAgain {
+	if r.scan == nil {
 		r.round++
-		r.scan = &scan{round: r.round, askedAt: r.now, answers: map[string]map[string]Stamp{}}
-		round := r.round
+		r.scan = &scan{round: r.round, askedAt: never, answers: map[string]map[string]Stamp{}}
+	}
+	if r.now >= r.scan.askedAt+scanAgain {
+		r.scan.askedAt = r.now
+		round := r.scan.round
 		r.toAll(func() *parley.Message { return &parley.Message{Ask: true, Round: round} })
 	}
 	r.scan.answers[r.disk] = r.onDisk()
@@ -173,7 +189,8 @@
 		}
 	}
 	ready := true
-	for name, number := range best {
+	for _, name := range slices.Sorted(maps.Keys(best)) {
+		number := best[name]
 		if !r.epoch.Safe(r.o.Faults, func(v Voter) bool { return r.scan.answers[v.ID][name] == number }) {
 			ready = false
 			r.finish(r.reg(name))
--- a/accord/memory.go
+++ b/accord/memory.go
@@ -121,19 +121,27 @@
 // mark. Before that it does not vote.
 func (r *Replica) bear() {
 	m := &r.o.Memory
+	r.bearFailed = false
+	write := func(name string, value []byte) {
+		r.bearing++
+		r.persist(name, value, put{birth: true})
+	}
 	for _, name := range m.rest {
-		r.persist(name, nil, put{})
+		reg, is := strings.CutPrefix(name, recordReg)
+		if g := r.regs[reg]; is && g != nil && g.acc.Accepted != (Stamp{}) || name == recordEpoch && r.epoch.Number > 0 {
+			continue // it is put with what has come since
+		}
+		write(name, nil)
 	}
-	r.persist(recordDisk, pack(diskRecord{m.Disk, !m.Blank}), put{})
-	if r.epoch.Number > 0 {
-		r.putEpoch()
+	write(recordDisk, pack(diskRecord{m.Disk, !m.Blank}))
+	// What a disk of the version before begins with is on it in this version's records before it votes.
+	for _, name := range slices.Sorted(maps.Keys(m.Acceptors)) {
+		write(recordOf(name), encode(m.Epoch.Number, m.Acceptors[name]))
 	}
-	for _, name := range slices.Sorted(maps.Keys(r.regs)) {
-		if g := r.regs[name]; g.acc.Accepted != (Stamp{}) && !g.putting {
-			r.put(g)
-		}
+	if m.Epoch.Number > 0 {
+		write(recordEpoch, encodeEpoch(m.Epoch))
 	}
-	r.persist(recordMark, []byte{1}, put{birth: true})
+	write(recordMark, []byte{1})
 }
 
 func recordOf(name string) string { return recordReg + name }
--- a/accord/register.go
+++ b/accord/register.go
@@ -97,8 +97,15 @@
 
 // accept is the part of this disk. What it answers is on the disk before: an answer waits for that.
 func (r *Replica) accept(to string, g *register, b *parley.Ballot) {
-	if !r.born || r.epoch.Number > 0 && !r.epoch.Voter(r.disk) {
+	switch {
+	case !r.born, r.epoch.Number > 0 && !r.epoch.Voter(r.disk), r.epoch.Number == 0 && b.Name != epochName:
 		return // one that may have forgotten, or has never read, must not vote
+	case r.epochOn < r.epoch.Number:
+		// Guards against votes of an epoch that lie on the disk beside the epoch before.
+		if len(r.early) < earlyMost {
+			r.early = append(r.early, earlyVote{to, r.epoch.Number, *b})
+		}
+		return
 	}
 	answer := parley.Ballot{Name: g.name, Number: b.Number}
 	was := g.acc.Accepted
@@ -209,7 +216,8 @@
 
 // propose begins a ballot for all that waits.
 func (r *Replica) propose(g *register) {
-	if g.prop.Phase != ballot.Idle || len(g.queue) == 0 || r.now < g.againAt || !r.reachable() {
+	if g.prop.Phase != ballot.Idle || len(g.queue) == 0 || r.now < g.againAt || !r.reachable() ||
+		r.epoch.Number == 0 && g.name != epochName { // the seeds decide who votes, and nothing else
 		return
 	}
 	g.turn = max(g.turn, turnOf(g.acc.Promised)) + 1
@@ -322,7 +330,9 @@
 	g.queue, g.batch = append(g.batch, g.queue...), nil
 }
 
-func (r *Replica) tendRegister(g *register) {
+// dropLate ends the orders whose time is over, and a ballot for nobody else: guards against an order of which its caller
+// has given up being taken when a cut heals, or when a process wakes with promises in its sockets.
+func (r *Replica) dropLate(g *register) {
 	late := func(o *order) bool {
 		// Without a majority nothing would come of it: its caller finds another sooner than it would by waiting.
 		if r.now < o.began+WriteWithin && (o.token == 0 || r.InTouch(r.now)) {
@@ -339,9 +349,12 @@
 	}
 	g.queue, g.batch = slices.DeleteFunc(g.queue, late), slices.DeleteFunc(g.batch, late)
 	if g.prop.Phase != ballot.Idle && len(g.batch) == 0 {
-		// Guards against an order of which its caller has given up being taken when a cut heals.
 		g.prop.Stop()
 	}
+}
+
+func (r *Replica) tendRegister(g *register) {
+	r.dropLate(g)
 	if g.prop.Phase != ballot.Idle && r.now >= g.sentAt+askAgain {
 		g.sentAt = r.now
 		for _, to := range r.lines() {
@@ -360,10 +373,13 @@
 	if g.failed > 0 && !g.putting && r.now >= g.failed+diskAgain {
 		r.put(g)
 	}
+	want := r.now >= g.wantAt+wantAgain
 	for _, who := range slices.Sorted(maps.Keys(g.ahead)) {
 		if !g.acc.Accepted.Less(g.ahead[who]) {
 			delete(g.ahead, who)
-		} else if r.now >= g.wantAt+wantAgain {
+		} else if p := r.peers[who]; p == nil || !p.up {
+			delete(g.ahead, who) // it says so anew on its next line
+		} else if want {
 			g.wantAt = r.now
 			r.send(who, &parley.Message{Want: []string{g.name}})
 		}
--- a/accord/touch.go
+++ b/accord/touch.go
@@ -17,6 +17,7 @@
 type touch struct {
 	at     time.Duration // the sending of the newest question that a majority answered
 	pingAt time.Duration
+	since  time.Duration // since when contact stands
 	asked  []asked
 }
 
@@ -47,6 +48,9 @@
 	}
 	for _, a := range t.asked {
 		if a.at > t.at && r.epoch.Most(func(v Voter) bool { return a.by[v.ID] }) {
+			if r.now > t.at+TouchFor {
+				t.since = r.now
+			}
 			t.at = a.at
 		}
 	}
--- a/accord/wish.go
+++ b/accord/wish.go
@@ -28,7 +28,10 @@
 		if v.ID != r.disk {
 			s.away, s.leaving = max(r.now, flickering), false // it was not seen in this life
 			if p := r.peers[v.Name]; p != nil {
-				s.away, s.leaving, s.wiped = r.now-p.seenAt, p.leaving, p.disk != v.ID
+				// Silence counts from when this controller itself was in touch again; and a machine that was back with
+				// another disk, and is silent again, is gone like any other.
+				s.away, s.leaving = r.now-max(p.seenAt, r.touch.since), p.leaving
+				s.wiped = p.disk != v.ID && (p.up || s.away <= awayFor)
 			}
 		}
 		voters = append(voters, s)
@@ -36,7 +39,7 @@
 	for _, name := range r.lines() {
 		p := r.peers[name]
 		if !r.epoch.Voter(p.disk) && p.disk != "" && !p.leaving {
-			others = append(others, seat{Voter: Voter{Controller: p.Controller, ID: p.disk}, whole: r.whole(p) && p.hasAt > 0})
+			others = append(others, seat{Voter: Voter{Controller: p.Controller, ID: p.disk}, whole: r.whole(p) && p.hasAt != never})
 		}
 	}
 	return wish(voters, others, r.o.Faults)
