Accord: a disk of the version before is written with what it has by now

Cause: a second try to write an old disk anew could put back what copies had replaced. Change: the present state is written.

--- a/accord/memory.go
+++ b/accord/memory.go
@@ -136,7 +136,7 @@
 	write(recordDisk, pack(diskRecord{m.Disk, !m.Blank}))
 	// What a disk of the version before begins with is on it in this version's records before it votes.
 	for _, name := range slices.Sorted(maps.Keys(m.Acceptors)) {
-		write(recordOf(name), encode(m.Epoch.Number, m.Acceptors[name]))
+		write(recordOf(name), encode(r.epoch.Number, r.reg(name).acc))
 	}
 	if m.Epoch.Number > 0 {
 		write(recordEpoch, encodeEpoch(m.Epoch))
