--- /dev/null
+++ b/cmd/lab/core/carrier.go
@@ -0,0 +1,157 @@
+package core
+
+import (
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"time"
+
+	"elmfold/accord"
+	"elmfold/parley"
+)
+
+// What is evacuated can't be asked for; a carrier is told. This file is all that knows what is said on its lines.
+
+const zoneRegister = "zone/"
+
+type told map[string]parley.Register // by zone, the newest that is safe
+
+func (t told) take(m *parley.Message) {
+	for _, r := range m.Offers {
+		zone, is := strings.CutPrefix(r.Name, zoneRegister)
+		if safe, there := m.Safe[r.Name]; is && there && !safe.Less(r.Stamp) {
+			if was, known := t[zone]; !known || was.Stamp.Less(r.Stamp) {
+				t[zone] = r
+			}
+		}
+	}
+}
+
+// say opens a line as a carrier of that name.
+func say(m *machine, name string) (*parley.Line, error) {
+	conn, err := net.DialTimeout("tcp4", m.peer(), 500*time.Millisecond)
+	if err != nil {
+		return nil, err
+	}
+	line := parley.NewLine(conn)
+	line.Send(&parley.Message{Hello: &parley.Hello{Who: parley.Controller{Name: name, Zone: m.zone, Address: "127.0.0.1:9"},
+		Life: 1, Carrier: true}})
+	return line, nil
+}
+
+// look is a new carrier that asks all that serve; it gives what the newest word on a zone is.
+func (s *system) look(zone string) bool {
+	var mu sync.Mutex
+	all := told{}
+	each(s.serving(), func(_ int, m *machine) {
+		line, err := say(m, "looks")
+		if err != nil {
+			return
+		}
+		defer line.Close()
+		for end := time.Now().Add(400 * time.Millisecond); time.Now().Before(end); {
+			w, err := line.Receive(time.Until(end))
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			all.take(w)
+			mu.Unlock()
+			if w.Hello != nil { // its first word holds what it knows of zones
+				line.Send(&parley.Message{Renew: 1})
+			}
+		}
+	})
+	r, known := all[zone]
+	return known && accord.Evacuated(r.Value)
+}
+
+// rider is a carrier that keeps a line to each machine for as long as the story lasts.
+type rider struct {
+	s    *system
+	mu   sync.Mutex
+	told told
+}
+
+func (s *system) ride() *rider {
+	c := &rider{s: s, told: told{}}
+	s.done.Go(func() {
+		on := map[*machine]bool{}
+		for {
+			for _, m := range s.machines() {
+				if !on[m] {
+					on[m] = true
+					s.done.Go(func() { c.keep(m) })
+				}
+			}
+			if s.pause(200 * time.Millisecond) {
+				return
+			}
+		}
+	})
+	return c
+}
+
+// pause says whether the story has ended.
+func (s *system) pause(span time.Duration) bool {
+	select {
+	case <-s.ctx.Done():
+		return true
+	case <-time.After(span):
+		return false
+	}
+}
+
+func (c *rider) keep(m *machine) {
+	for !c.s.pause(200 * time.Millisecond) {
+		line, err := say(m, "rider")
+		if err != nil {
+			continue
+		}
+		c.s.done.Go(func() { // leases are renewed; the end of the story ends the line
+			for n := uint64(1); !c.s.pause(time.Second); n++ {
+				line.Send(&parley.Message{Renew: n})
+			}
+			line.Close()
+		})
+		for {
+			w, err := line.Receive(3 * time.Second)
+			if err != nil {
+				break
+			}
+			c.mu.Lock()
+			c.told.take(w)
+			c.mu.Unlock()
+		}
+		line.Close()
+	}
+}
+
+func (c *rider) evacuated(zone string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r, known := c.told[zone]
+	return known && accord.Evacuated(r.Value)
+}
+
+// evacuatedIs waits until both a carrier that was there and a new one hold a zone to be evacuated, or not to be, and
+// looks again after a while: an order that takes effect late must not pass.
+func (s *system) evacuatedIs(c *rider, zone string, want bool, when string) error {
+	word := map[bool]string{true: "is evacuated", false: "is not evacuated"}
+	for end := time.Now().Add(2 * time.Second); c.evacuated(zone) != want || s.look(zone) != want; {
+		if time.Now().After(end) {
+			return fmt.Errorf("%s zone %s %s", when, zone, word[!want])
+		}
+		if err := s.r.wait(100 * time.Millisecond); err != nil {
+			return err
+		}
+	}
+	if err := s.r.wait(700 * time.Millisecond); err != nil {
+		return err
+	}
+	if c.evacuated(zone) != want || s.look(zone) != want {
+		return fmt.Errorf("%s zone %s, once settled, turns: it %s", when, zone, word[!want])
+	}
+	return nil
+}
--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -15,6 +15,7 @@
 	"elmfold/cmd/lab/carry"
 	"elmfold/cmd/lab/cells"
 	"elmfold/cmd/lab/channel"
+	"elmfold/cmd/lab/core"
 	"elmfold/cmd/lab/desk"
 	"elmfold/cmd/lab/edits"
 	"elmfold/cmd/lab/gateway"
@@ -27,7 +28,7 @@
 func main() {
 	root := &cobra.Command{Use: "lab", Short: "experiments on elmfold's parts", SilenceUsage: true, SilenceErrors: true}
 	root.AddCommand(slices.Concat(registry.Commands(), cells.Commands(), desk.Commands(), restart.Commands(), channel.Commands(),
-		plugin.Commands(), spread.Commands(), edits.Commands(), gateway.Commands(), carry.Commands())...)
+		plugin.Commands(), spread.Commands(), edits.Commands(), gateway.Commands(), carry.Commands(), core.Commands())...)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
 	if err := root.ExecuteContext(ctx); err != nil {
