Accord: a value's age goes with it to those who get it late

Cause: review: a disk that got an old value as a copy held it to be young, so that a second operator's order could count as a repetition. Change: offers and copies carry the age, by steady clocks.

--- a/accord/accord.go
+++ b/accord/accord.go
@@ -453,7 +453,7 @@
 	}
 	for _, name := range m.Want {
 		if g := r.regs[name]; g != nil && g.safe != (Stamp{}) && name != epochName {
-			r.send(who, &parley.Message{Copies: []parley.Copy{{Number: g.safe, Register: g.force}}})
+			r.send(who, r.copied(g))
 		}
 	}
 	// What is chosen is so in every epoch.
--- a/accord/copies.go
+++ b/accord/copies.go
@@ -67,7 +67,7 @@
 	if r.epoch.Safe(r.o.Faults, func(v Voter) bool { return have[v.ID] }) {
 		number := g.acc.Accepted
 		r.toAll(func() *parley.Message { return &parley.Message{Chosen: map[string]Stamp{g.name: number}} })
-		r.choose(g, number, g.acc.Value)
+		r.choose(g, number, g.acc.Value, 0)
 	}
 }
 
@@ -76,13 +76,13 @@
 	for _, name := range slices.Sorted(maps.Keys(m.Chosen)) {
 		if name == epochName {
 			if g := r.regs[name]; g != nil && m.Era == r.epoch.Number && g.acc.Accepted == m.Chosen[name] {
-				r.choose(g, g.acc.Accepted, g.acc.Value)
+				r.choose(g, g.acc.Accepted, g.acc.Value, 0)
 			}
 			continue
 		}
 		switch g, number := r.reg(name), m.Chosen[name]; {
 		case g.acc.Accepted == number:
-			r.choose(g, number, g.acc.Value)
+			r.choose(g, number, g.acc.Value, 0)
 		case g.acc.Accepted.Less(number):
 			if g.ahead[p.Name] = number; g.wantAt == 0 || r.now >= g.wantAt+wantAgain {
 				g.wantAt = r.now
@@ -92,13 +92,23 @@
 	}
 	for _, c := range m.Copies {
 		if c.Register.Name != epochName {
-			r.choose(r.reg(c.Register.Name), c.Number, c.Register)
+			r.choose(r.reg(c.Register.Name), c.Number, c.Register, c.Age)
 		}
 	}
 }
 
-// choose takes it that a value is chosen under a ballot. A disk that has an older one learns it.
-func (r *Replica) choose(g *register, number Stamp, v Register) {
+// copied is what is chosen of a register, as it is given to others.
+func (r *Replica) copied(g *register) *parley.Message {
+	c := parley.Copy{Number: g.safe, Register: g.force}
+	if g.acc.Value.Stamp == g.force.Stamp {
+		c.Age = r.age(g)
+	}
+	return &parley.Message{Copies: []parley.Copy{c}}
+}
+
+// choose takes it that a value is chosen under a ballot, and its age if that came with it. A disk that has an older one
+// learns it.
+func (r *Replica) choose(g *register, number Stamp, v Register, age uint64) {
 	if g.name == epochName {
 		if e, err := decodeEpoch(v.Value); err == nil {
 			r.enter(e)
@@ -111,9 +121,7 @@
 	g.safe, g.force = number, v
 	stays := g.acc.Value.Stamp == v.Stamp
 	if g.acc.Learn(number, v) {
-		if !stays {
-			g.valueAt = r.now
-		}
+		r.aged(g, stays, age)
 		g.learned = true
 		r.put(g)
 	}
@@ -153,7 +161,7 @@
 				continue
 			}
 			if missing = append(missing, name+" at "+to); again && told {
-				r.send(to, &parley.Message{Copies: []parley.Copy{{Number: g.safe, Register: g.force}}})
+				r.send(to, r.copied(g))
 			}
 		}
 		for _, set := range [][]Voter{r.epoch.Voters, r.epoch.Old} {
--- a/accord/register.go
+++ b/accord/register.go
@@ -46,19 +46,20 @@
 	safe    Stamp // the newest ballot that is known to be chosen
 	told    Stamp // of the value that was told to be in force
 	force   Register
-	valueAt time.Duration // since when this value is here
+	valueAt time.Duration // since when this value holds, as far as that is known here
 	openAt  time.Duration // since when it is here and not known to be chosen
 	wantAt  time.Duration
 	ahead   map[string]Stamp // by controller: a newer ballot that it has
 	// Of the ballots that begin here.
-	queue    []*order
-	batch    []*order // in the ballot under way
-	turn     uint64
-	ages     Age
-	sentAt   time.Duration
-	againAt  time.Duration
-	outbid   int
-	accepted Stamp // of the best promise
+	queue     []*order
+	batch     []*order // in the ballot under way
+	turn      uint64
+	ages      Age
+	sentAt    time.Duration
+	againAt   time.Duration
+	outbid    int
+	accepted  Stamp         // of the best promise
+	decidedAt time.Duration // since when the value that is offered holds
 }
 
 func (g *register) chosen() bool { return g.acc.Accepted != (Stamp{}) && g.safe == g.acc.Accepted }
@@ -120,17 +121,15 @@
 			v := g.acc.Value
 			answer.Value = &v
 		}
-		if g.valueAt != neverSeen {
-			answer.Age = uint64(max(r.now-g.valueAt, 0)/time.Millisecond) + 1
-		}
+		answer.Age = r.age(g)
 	case parley.Offer:
 		v := *b.Value
-		if stays := v.Stamp == g.acc.Value.Stamp; !g.acc.Accept(b.Number, v) {
+		stays := v.Stamp == g.acc.Value.Stamp
+		if !g.acc.Accept(b.Number, v) {
 			answer.Kind = parley.Higher
 			break
-		} else if !stays {
-			g.valueAt = r.now
 		}
+		r.aged(g, stays, b.Age)
 		if answer.Kind = parley.Agreed; was != g.acc.Accepted {
 			g.openAt = r.now
 		}
@@ -144,6 +143,29 @@
 	r.put(g)
 }
 
+// age is how long the value here has held, as it is told: by steady clocks alone, which differ between machines in what
+// they show and not in how they run.
+func (r *Replica) age(g *register) uint64 {
+	if g.valueAt == neverSeen {
+		return 0
+	}
+	return uint64(max(r.now-g.valueAt, 0)/time.Millisecond) + 1
+}
+
+// aged takes the age that came with a value. Guards against an old value being young where it came late.
+func (r *Replica) aged(g *register, stays bool, age uint64) {
+	at := neverSeen
+	if age > 0 {
+		at = r.now - time.Duration(age-1)*time.Millisecond
+	}
+	switch {
+	case !stays || g.valueAt == neverSeen:
+		g.valueAt = at
+	case at != neverSeen:
+		g.valueAt = min(g.valueAt, at)
+	}
+}
+
 func (r *Replica) answer(to string, b parley.Ballot) {
 	if to != r.o.Me.Name {
 		r.send(to, &parley.Message{Ballots: []parley.Ballot{b}})
@@ -223,8 +245,7 @@
 	g.turn = max(g.turn, turnOf(g.acc.Promised)) + 1
 	g.prop.Begin(Stamp{Hi: r.epoch.Number<<eraShift | g.turn, Lo: r.o.Life})
 	g.batch, g.queue, g.ages, g.sentAt = g.queue, nil, Age{}, r.now
-	b := parley.Ballot{Kind: parley.Ask, Name: g.name, Number: g.prop.Ballot}
-	r.spread(b)
+	r.spread(r.word(g))
 }
 
 // spread gives a word to all whose votes count, itself too.
@@ -237,13 +258,21 @@
 	r.accept(r.o.Me.Name, r.reg(b.Name), &b)
 }
 
-// resend says a ballot's word again to one that has not answered it.
-func (r *Replica) resend(g *register, p *peer) {
+// word is what the ballot under way asks.
+func (r *Replica) word(g *register) parley.Ballot {
 	b := parley.Ballot{Kind: parley.Ask, Name: g.name, Number: g.prop.Ballot}
 	if g.prop.Phase == ballot.Offering {
 		b.Kind, b.Value = parley.Offer, g.prop.Value
+		if g.decidedAt != neverSeen {
+			b.Age = uint64(max(r.now-g.decidedAt, 0)/time.Millisecond) + 1
+		}
 	}
-	r.send(p.Name, &parley.Message{Ballots: []parley.Ballot{b}})
+	return b
+}
+
+// resend says a ballot's word again to one that has not answered it.
+func (r *Replica) resend(g *register, p *peer) {
+	r.send(p.Name, &parley.Message{Ballots: []parley.Ballot{r.word(g)}})
 }
 
 // promised goes on with the value of the greatest ballot that was accepted, changed by the orders.
@@ -270,7 +299,7 @@
 	for _, o := range g.batch {
 		was := next.Stamp
 		if next, o.fate = o.apply(next, ages); next.Stamp != was {
-			ages = Age{0, true}
+			ages = Age{Known: true}
 		}
 	}
 	next.Name = g.name
@@ -287,7 +316,10 @@
 	}
 	g.prop.Offer(&next)
 	g.sentAt = r.now
-	r.spread(parley.Ballot{Kind: parley.Offer, Name: g.name, Number: g.prop.Ballot, Value: &next})
+	if g.decidedAt = neverSeen; ages.Known {
+		g.decidedAt = r.now - ages.Span
+	}
+	r.spread(r.word(g))
 }
 
 func (r *Replica) agreed(g *register, disk string, b *parley.Ballot) {
@@ -299,7 +331,7 @@
 // decided: the value is chosen.
 func (r *Replica) decided(g *register, number Stamp, v Register) {
 	r.toAll(func() *parley.Message { return &parley.Message{Chosen: map[string]Stamp{g.name: number}} })
-	r.choose(g, number, v)
+	r.choose(g, number, v, 0)
 	r.close(g, v)
 }
 
@@ -363,10 +395,7 @@
 			}
 		}
 		if !g.prop.Answered(r.disk) && !g.putting { // the own disk failed before
-			b := parley.Ballot{Kind: parley.Ask, Name: g.name, Number: g.prop.Ballot}
-			if g.prop.Phase == ballot.Offering {
-				b.Kind, b.Value = parley.Offer, g.prop.Value
-			}
+			b := r.word(g)
 			r.accept(r.o.Me.Name, g, &b)
 		}
 	}
@@ -478,7 +507,7 @@
 			r.order(Done{Token: q.token, Fate: Taken, Register: Register{Name: q.name}})
 			return true
 		case g.acc.Accepted == best:
-			r.choose(g, best, g.acc.Value)
+			r.choose(g, best, g.acc.Value, 0)
 			r.order(Done{Token: q.token, Fate: Taken, Register: g.acc.Value})
 			return true
 		}
--- a/parley/parley.go
+++ b/parley/parley.go
@@ -62,13 +62,14 @@
 	Number   Stamp     `cbor:"3,keyasint"`
 	Accepted Stamp     `cbor:"4,keyasint,omitempty"` // in a Promise: the ballot of Value
 	Value    *Register `cbor:"5,keyasint,omitempty"` // in a Promise and an Offer
-	Age      uint64    `cbor:"6,keyasint,omitempty"` // in a Promise: ms since Value came, and 1; 0: that is not known
+	Age      uint64    `cbor:"6,keyasint,omitempty"` // in a Promise and an Offer: ms since Value was decided, and 1; 0: not known
 }
 
 // Copy is a chosen value with its ballot.
 type Copy struct {
 	Number   Stamp    `cbor:"1,keyasint"`
 	Register Register `cbor:"2,keyasint"`
+	Age      uint64   `cbor:"3,keyasint,omitempty"` // as in a Ballot
 }
 
 // Backend is what a controller says of a backend. State is one of the constants below. ColdLeft is in milliseconds.
