--- a/accord/accord.go
+++ b/accord/accord.go
@@ -170,6 +170,7 @@
 	up      bool
 	leaving bool
 	seenAt  time.Duration    // the last answer to a question of ours
+	upAt    time.Duration    // when its line stood
 	has     map[string]Stamp // the ballots that its disk has accepted, as it said
 	hasAt   time.Duration    // when it said all of it
 }
@@ -394,7 +395,7 @@
 
 func (r *Replica) upped(e Up) {
 	p := r.met(Met(e))
-	p.up, p.leaving = true, false
+	p.up, p.upAt, p.leaving = true, r.now, false
 	m := r.all(0)
 	if m.Leaving = r.leaving; r.epoch.Number > 0 {
 		m.Epoch = r.theEpoch()
--- a/accord/epoch.go
+++ b/accord/epoch.go
@@ -117,11 +117,10 @@
 	return sure >= len(r.o.Seeds)/2+1 || all == len(r.o.Seeds)
 }
 
-func (r *Replica) foundable() bool {
-	return r.seed() >= 0 && r.born && r.founds(func(string) bool { return true })
-}
+func (r *Replica) foundable() bool { return r.born && r.founds(func(string) bool { return true }) }
 
-// found proposes the first epoch: all controllers that came. Any majority of the seeds decides it, whichever is gone.
+// found proposes the first epoch: all controllers that came. Any majority of the seeds decides it, whichever is gone; the
+// others propose too, after them, as they may have lines to seeds that are cut from each other.
 func (r *Replica) found() {
 	at := r.joinedAt + gatherFor
 	all := []Voter{{Controller: r.o.Me, ID: r.disk}}
@@ -134,12 +133,29 @@
 	if len(all) < 2*r.o.Faults+1 {
 		at = max(at, gatherMost)
 	}
-	if !r.foundable() || r.now < at+time.Duration(r.seed())*gatherTurn {
+	turn := r.seed()
+	if turn < 0 {
+		turn = len(r.o.Seeds) + int(rank(epochName, r.disk)%4)
+	}
+	if !r.foundable() || r.now < at+time.Duration(turn)*gatherTurn {
 		return
 	}
 	r.decide(Epoch{Number: 1, Voters: sorted(all)})
 }
 
+// ghost says whether a voter is one of two and its disk is known to be gone, as its machine is there with another one. All
+// that was chosen by two lies on both, and a disk that is gone votes for nothing else: the other one decides alone who
+// votes next. Guards against a core of two that a wiped disk ends for good.
+func (r *Replica) ghost(v Voter) bool {
+	p := r.peers[v.Name]
+	for _, set := range [][]Voter{r.epoch.Voters, r.epoch.Old} {
+		if len(set) == 2 && slices.ContainsFunc(set, func(w Voter) bool { return w.ID == v.ID }) {
+			return v.ID != r.disk && p != nil && p.up && p.disk != v.ID
+		}
+	}
+	return false
+}
+
 func sorted(all []Voter) []Voter {
 	slices.SortFunc(all, func(a, b Voter) int { return strings.Compare(a.Name+a.ID, b.Name+b.ID) })
 	return all
@@ -177,7 +193,7 @@
 		r.toAll(func() *parley.Message { return &parley.Message{Ask: true, Round: round} })
 	}
 	r.scan.answers[r.disk] = r.onDisk()
-	if r.epochOn < r.epoch.Number || !r.epoch.Most(func(v Voter) bool { return r.scan.answers[v.ID] != nil }) {
+	if r.epochOn < r.epoch.Number || !r.epoch.Most(func(v Voter) bool { return r.scan.answers[v.ID] != nil || r.ghost(v) }) {
 		return
 	}
 	best := map[string]Stamp{}
@@ -191,7 +207,7 @@
 	ready := true
 	for _, name := range slices.Sorted(maps.Keys(best)) {
 		number := best[name]
-		if !r.epoch.Safe(r.o.Faults, func(v Voter) bool { return r.scan.answers[v.ID][name] == number }) {
+		if !r.epoch.Safe(r.o.Faults, func(v Voter) bool { return r.scan.answers[v.ID][name] == number || r.ghost(v) }) {
 			ready = false
 			r.finish(r.reg(name))
 		}
--- a/accord/register.go
+++ b/accord/register.go
@@ -443,7 +443,7 @@
 	for _, p := range r.peers {
 		up[p.disk] = up[p.disk] || p.up
 	}
-	return r.epoch.Most(func(v Voter) bool { return up[v.ID] })
+	return r.epoch.Most(func(v Voter) bool { return up[v.ID] || r.ghost(v) })
 }
 
 // most says whether those of a ballot that has says are enough to read from; lasts, whether they are to write to.
@@ -451,14 +451,14 @@
 	if r.epoch.Number == 0 {
 		return r.founds(has)
 	}
-	return r.epoch.Most(func(v Voter) bool { return has(v.ID) })
+	return r.epoch.Most(func(v Voter) bool { return has(v.ID) || g.name == epochName && r.ghost(v) })
 }
 
 func (r *Replica) lasts(g *register, has func(string) bool) bool {
 	if r.epoch.Number == 0 {
 		return r.founds(has)
 	}
-	return r.epoch.Safe(r.o.Faults, func(v Voter) bool { return has(v.ID) })
+	return r.epoch.Safe(r.o.Faults, func(v Voter) bool { return has(v.ID) || g.name == epochName && r.ghost(v) })
 }
 
 // reading is a question for what holds, answered by what disks have where those agree.
--- a/accord/touch.go
+++ b/accord/touch.go
@@ -47,7 +47,7 @@
 		r.toAll(func() *parley.Message { return &parley.Message{Ping: true, Round: round} })
 	}
 	for _, a := range t.asked {
-		if a.at > t.at && r.epoch.Most(func(v Voter) bool { return a.by[v.ID] }) {
+		if a.at > t.at && r.epoch.Most(func(v Voter) bool { return a.by[v.ID] || r.ghost(v) }) {
 			if r.now > t.at+TouchFor {
 				t.since = r.now
 			}
