Accord: a change of voters goes back where the new ones are gone

Change: what follows an epoch is decided by the old voters while both count, in either end; after 5 s a change that is not done is undone.

--- a/accord/accord.go
+++ b/accord/accord.go
@@ -476,7 +476,7 @@
 		p.seenAt = r.now
 		r.touch.answer(m.Round, p.disk)
 	}
-	if m.All && m.Round > 0 {
+	if m.All && !m.Ask && m.Round > 0 {
 		for _, q := range r.reads {
 			if q.round > 0 && m.Round >= q.round && m.Round <= r.round {
 				q.answers[p.disk] = m.Has[q.name]
--- a/accord/epoch.go
+++ b/accord/epoch.go
@@ -21,6 +21,7 @@
 	gatherTurn = 500 * time.Millisecond // one seed after the other
 	changeGap  = 200 * time.Millisecond // between changes of voters
 	scanAgain  = 300 * time.Millisecond
+	backAfter  = 5 * time.Second // a change that is not done by then is undone
 )
 
 // scan asks, while old and new voters count, what all of them have.
@@ -78,10 +79,10 @@
 	case !r.born:
 	case r.epoch.Number == 0:
 		r.found()
+	case len(r.epoch.Old) > 0 && r.Votes():
+		r.settleJoint() // it asks for itself who is there
 	case !r.Votes() || !r.InTouch(r.now):
 		r.scan, r.wished = nil, ""
-	case len(r.epoch.Old) > 0:
-		r.settleJoint()
 	default:
 		r.changeVoters()
 	}
@@ -143,6 +144,16 @@
 	r.decide(Epoch{Number: 1, Voters: sorted(all)})
 }
 
+// deciders are those who decide what follows this epoch: while a change is under way the old voters, whether it ends in the
+// new ones or goes back. Both ends need a majority of them, so there is one.
+func (r *Replica) deciders() Epoch {
+	e := r.epoch
+	if len(e.Old) > 0 {
+		e.Voters, e.Old = e.Old, nil
+	}
+	return e
+}
+
 // ghost says whether a voter is one of two and its disk is known to be gone, as its machine is there with another one. All
 // that was chosen by two lies on both, and a disk that is gone votes for nothing else: the other one decides alone who
 // votes next. Guards against a core of two that a wiped disk ends for good.
@@ -194,6 +205,7 @@
 	}
 	r.scan.answers[r.disk] = r.onDisk()
 	if r.epochOn < r.epoch.Number || !r.epoch.Most(func(v Voter) bool { return r.scan.answers[v.ID] != nil || r.ghost(v) }) {
+		r.goBack()
 		return
 	}
 	best := map[string]Stamp{}
@@ -212,11 +224,21 @@
 			r.finish(r.reg(name))
 		}
 	}
-	if ready {
+	if !ready {
+		r.goBack()
+	} else {
 		r.decide(Epoch{Number: r.epoch.Number + 1, Voters: r.epoch.Voters})
 	}
 }
 
+// goBack ends a change that cannot be ended otherwise: the new voters went before they had all. All that was chosen while
+// both counted lies on enough disks of the old ones. Guards against a core that a learner's death holds for ever.
+func (r *Replica) goBack() {
+	if r.now >= r.changed+backAfter+time.Duration(r.place(epochName))*turnGap {
+		r.decide(Epoch{Number: r.epoch.Number + 1, Voters: r.epoch.Old})
+	}
+}
+
 // changeVoters proposes the voters that are wished for, one controller after the other.
 func (r *Replica) changeVoters() {
 	want := r.wish()
--- a/accord/register.go
+++ b/accord/register.go
@@ -238,7 +238,7 @@
 
 // propose begins a ballot for all that waits.
 func (r *Replica) propose(g *register) {
-	if g.prop.Phase != ballot.Idle || len(g.queue) == 0 || r.now < g.againAt || !r.reachable() ||
+	if g.prop.Phase != ballot.Idle || len(g.queue) == 0 || r.now < g.againAt || !r.reachable(g) ||
 		r.epoch.Number == 0 && g.name != epochName { // the seeds decide who votes, and nothing else
 		return
 	}
@@ -435,7 +435,7 @@
 }
 
 // reachable says whether lines stand to enough of those that vote: else nothing would come of a ballot but numbers.
-func (r *Replica) reachable() bool {
+func (r *Replica) reachable(g *register) bool {
 	if r.epoch.Number == 0 {
 		return r.foundable()
 	}
@@ -443,7 +443,10 @@
 	for _, p := range r.peers {
 		up[p.disk] = up[p.disk] || p.up
 	}
-	return r.epoch.Most(func(v Voter) bool { return up[v.ID] || r.ghost(v) })
+	if g.name == epochName {
+		return r.deciders().Most(func(v Voter) bool { return up[v.ID] || r.ghost(v) })
+	}
+	return r.epoch.Most(func(v Voter) bool { return up[v.ID] })
 }
 
 // most says whether those of a ballot that has says are enough to read from; lasts, whether they are to write to.
@@ -451,14 +454,20 @@
 	if r.epoch.Number == 0 {
 		return r.founds(has)
 	}
-	return r.epoch.Most(func(v Voter) bool { return has(v.ID) || g.name == epochName && r.ghost(v) })
+	if g.name == epochName {
+		return r.deciders().Most(func(v Voter) bool { return has(v.ID) || r.ghost(v) })
+	}
+	return r.epoch.Most(func(v Voter) bool { return has(v.ID) })
 }
 
 func (r *Replica) lasts(g *register, has func(string) bool) bool {
 	if r.epoch.Number == 0 {
 		return r.founds(has)
 	}
-	return r.epoch.Safe(r.o.Faults, func(v Voter) bool { return has(v.ID) || g.name == epochName && r.ghost(v) })
+	if g.name == epochName {
+		return r.deciders().Most(func(v Voter) bool { return has(v.ID) || r.ghost(v) })
+	}
+	return r.epoch.Safe(r.o.Faults, func(v Voter) bool { return has(v.ID) })
 }
 
 // reading is a question for what holds, answered by what disks have where those agree.
