Counsel: an evacuation counts as sent again for ackS and half a second

Cause: all orders come from one address and carry no number, so that only time tells a repetition from a second operator; orders are sent again for ackS at most.

--- a/counsel/calls.go
+++ b/counsel/calls.go
@@ -25,9 +25,8 @@
 	beatMost = 64 << 10
 	// A caller that hears nothing goes on to another controller after a second.
 	staleAfter = time.Second
-	// callerPause is how long after ackS, in which orders may be given again, the last one may still arrive: a second of
-	// silence before the answer that was lost, and the pause of a caller.
-	callerPause = 1500 * time.Millisecond
+	// callerPause is how long after ackS, the last moment at which an order may be given again, it may still arrive.
+	callerPause = 500 * time.Millisecond
 )
 
 // Handler serves the calls of operators and backends.
