--- a/gauntlet/aimed.go
+++ b/gauntlet/aimed.go
@@ -112,7 +112,7 @@
 func moment(r *rand.Rand) { time.Sleep(between(r, 0, 4*time.Millisecond)) }
 
 func (d *draw) shuffled(r *rand.Rand) []*Machine {
-	all := slices.Clone(d.w.Cores)
+	all := slices.Clone(d.w.Cores())
 	r.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
 	return all
 }
@@ -120,7 +120,7 @@
 // ask asks all controllers now and then for a span.
 func (d *draw) ask(r *rand.Rand, span time.Duration) {
 	for end := d.w.Now() + span; d.w.Now() < end; {
-		d.w.AskCores(time.Second)
+		d.w.AskCores()
 		time.Sleep(between(r, time.Millisecond, 120*time.Millisecond))
 	}
 }
@@ -137,7 +137,7 @@
 	d.log("%s alone has %08x, acknowledged %t", a.Name, o.Config.Version, o.Acked > 0)
 	moment(r)
 	w.Power(a)
-	a.Disk.Wipe()
+	w.Wipe(a)
 	join()
 	d.ask(r, time.Second)
 	w.PowerOn(a)
@@ -151,16 +151,13 @@
 	d.reserve(7 * time.Second)
 	all := d.shuffled(r)
 	a, b, c := all[0], all[1], all[2]
-	weak, join := r.IntN(4), func() {}
+	weak, join, heal := r.IntN(4), func() {}, func() {}
 	switch weak {
-	case 0:
-		c.Disk.Hang(4 * time.Second)
-	case 1:
-		c.Disk.Full(true)
+	case 0, 1:
+		heal = w.BadDisk(c, weak == 1, 4*time.Second)
 	case 2:
 		join = w.Isolate(c, true)
 	}
-	end := w.Ledger.Trouble(w.Now(), c.Name, "disk", weak < 2)
 	o := w.Replace(d.next(r), true, a, 3*time.Second)
 	if o.By == b.Name {
 		a, b = b, a
@@ -176,9 +173,9 @@
 	w.Power(victim)
 	switch how {
 	case 0, 1:
-		victim.Disk.Wipe()
+		w.Wipe(victim)
 	case 2:
-		victim.Disk.Tear(1+r.IntN(3), true)
+		w.Tear(victim, 1+r.IntN(3), true)
 	}
 	cut := func() {}
 	if apart {
@@ -189,8 +186,7 @@
 	w.PowerOn(victim)
 	d.ask(r, 1800*time.Millisecond)
 	cut()
-	c.Disk.Full(false)
-	end(w.Now())
+	heal()
 	d.ask(r, time.Second)
 }
 
@@ -232,7 +228,7 @@
 			d.show(r, other.Version)
 			time.Sleep(200 * time.Microsecond)
 		}
-		w.AskCores(time.Second)
+		w.AskCores()
 		time.Sleep(270 * time.Millisecond)
 		for range 20 {
 			d.show(r, other.Version)
@@ -263,7 +259,7 @@
 	for_ := between(r, 5*time.Second, 6*time.Second)
 	select {
 	case by := <-at:
-		m := w.Machines[w.machineAt(by)]
+		m := w.Machine(w.machineAt(by))
 		time.Sleep(wait)
 		d.log("%s acknowledged a drain and loses power", m.Name)
 		w.Power(m)
@@ -287,13 +283,13 @@
 			b.Crash()
 			time.Sleep(w.Ledger.Bounds.AddrReuse.Span())
 			if deaf {
-				for _, c := range w.Cores {
+				for _, c := range w.Cores() {
 					w.Net.Cut(b.host.IP, c.IP)
 				}
 			}
 			w.Backend(service, b.Zone, b.host.IP, 4, workOf(service), true)
 			time.Sleep(3 * time.Second)
-			for _, c := range w.Cores {
+			for _, c := range w.Cores() {
 				w.Net.Join(b.host.IP, c.IP)
 			}
 		})
@@ -376,7 +372,7 @@
 		}
 		left = slices.DeleteFunc(left, func(m *Machine) bool { return m == best })
 		d.log("%s, which owns %s, is cut off", best.Name, b.ID)
-		for _, c := range w.Cores {
+		for _, c := range w.Cores() {
 			joins = append(joins, w.Cut(best, c, true))
 		}
 		time.Sleep(4500 * time.Millisecond)
@@ -402,15 +398,15 @@
 	w := d.w
 	zone := pick(r, w.shape.Zones)
 	d.log("evacuate %s, twice", zone)
-	w.Evacuate(zone, true, pick(r, w.Cores))
+	w.Evacuate(zone, true, pick(r, w.Cores()))
 	time.Sleep(between(r, 2800*time.Millisecond, 5*time.Second))
-	w.Evacuate(zone, true, pick(r, w.Cores))
+	w.Evacuate(zone, true, pick(r, w.Cores()))
 	time.Sleep(between(r, 3*time.Second, 4*time.Second))
 	d.log("one of two gives %s back", zone)
-	w.Evacuate(zone, false, pick(r, w.Cores))
+	w.Evacuate(zone, false, pick(r, w.Cores()))
 	time.Sleep(between(r, 3*time.Second, 5*time.Second))
 	d.log("take back %s", zone)
-	d.refill(zone, pick(r, w.Cores))
+	d.refill(zone, pick(r, w.Cores()))
 }
 
 // oldWord: a controller that is cut off from the others has an older word of a zone, and tells it to carriers that
@@ -458,7 +454,7 @@
 	}
 	d.log("%s goes back to an old copy", a.Name)
 	w.Power(a)
-	a.Disk.Tear(1, false)
+	w.Tear(a, 1, false)
 	time.Sleep(between(r, 100*time.Millisecond, time.Second))
 	w.PowerOn(a)
 	d.ask(r, 2*time.Second)
--- a/gauntlet/days.go
+++ b/gauntlet/days.go
@@ -135,7 +135,7 @@
 		return nil
 	}
 	d.coreTo = d.w.Now() + span + d.w.Ledger.Bounds.CatchUp.Span()
-	return pick(d.r, d.w.Cores)
+	return pick(d.r, d.w.Cores())
 }
 
 // one draws a fault. All is drawn before it begins, so that what the programs do shifts nothing.
@@ -164,7 +164,7 @@
 		both := r.IntN(2) == 0
 		d.log("cut %s from the core for %v, both ways %t", m.Name, span, both)
 		var joins []func()
-		for _, c := range w.Cores {
+		for _, c := range w.Cores() {
 			joins = append(joins, w.Cut(m, c, both))
 		}
 		w.Go(func() { time.Sleep(span); each(joins) })
@@ -185,13 +185,8 @@
 		if c := d.core(span); c != nil {
 			full := r.IntN(2) == 0
 			d.log("disk of %s for %v, full %t (else it hangs)", c.Name, span, full)
-			end := w.Ledger.Trouble(w.Now(), c.Name, "disk", false)
-			if full {
-				c.Disk.Full(true)
-			} else {
-				c.Disk.Hang(span)
-			}
-			w.Go(func() { time.Sleep(span); c.Disk.Full(false); end(w.Now()) })
+			heal := w.BadDisk(c, full, span)
+			w.Go(func() { time.Sleep(span); heal() })
 		}
 	case 10:
 		if d.core(span) != nil {
@@ -242,7 +237,7 @@
 		if d.claim() {
 			zone := pick(r, w.shape.Zones)
 			d.log("evacuate %s", zone)
-			from, to := pick(r, w.Cores), pick(r, w.Cores)
+			from, to := pick(r, w.Cores()), pick(r, w.Cores())
 			w.Go(func() {
 				w.Evacuate(zone, true, from)
 				time.Sleep(w.Ledger.Bounds.Evacuate.Span() + span)
@@ -281,9 +276,9 @@
 	}
 	switch how {
 	case 2:
-		m.Disk.Wipe()
+		w.Wipe(m)
 	case 3:
-		m.Disk.Tear(3, true)
+		w.Tear(m, 3, true)
 	}
 	time.Sleep(span)
 	w.PowerOn(m)
@@ -293,7 +288,7 @@
 func (d *draw) all(power bool, span time.Duration) {
 	w := d.w
 	var all []*Machine
-	for _, m := range slices.Concat(w.Cores, w.Carriers) {
+	for _, m := range slices.Concat(w.Cores(), w.Carriers) {
 		if m.running() {
 			all = append(all, m)
 			if power {
@@ -312,7 +307,7 @@
 func (d *draw) zone(zone string, span time.Duration) {
 	w := d.w
 	var all []*Machine
-	for _, m := range slices.Concat(w.Cores, w.Carriers) {
+	for _, m := range slices.Concat(w.Cores(), w.Carriers) {
 		if m.Zone == zone && m.running() {
 			w.Power(m)
 			all = append(all, m)
@@ -371,7 +366,7 @@
 // change sends configurations at the same time, to controllers of their own.
 func (d *draw) change(n int) {
 	for range n {
-		c, at := d.next(d.r), pick(d.r, d.w.Cores)
+		c, at := d.next(d.r), pick(d.r, d.w.Cores())
 		d.log("configuration %08x at %s", c.Version, at.Name)
 		d.w.Go(func() { d.w.Replace(c, true, at, 8*time.Second) })
 	}
@@ -382,9 +377,9 @@
 	w := d.w
 	d.reserve(2 * time.Second)
 	c, how, span := d.next(d.r), d.r.IntN(3), d.span(0.2, 1)
-	victim := pick(d.r, w.Cores)
+	victim := pick(d.r, w.Cores())
 	if o := w.Replace(c, true, victim, 5*time.Second); o.Acked > 0 && o.By != "" {
-		victim = w.Machines[o.By]
+		victim = w.Machine(o.By)
 	}
 	w.Ledger.do(func() { w.Ledger.Closing = w.Now() })
 	d.log("the day closes: %s", []string{"all without power", "all killed", victim.Name + " loses its disk"}[how])
--- a/gauntlet/disk.go
+++ b/gauntlet/disk.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"maps"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -20,6 +21,8 @@
 	full   bool
 	hangs  time.Time // until then nothing is written
 	queue  []put
+	busy   bool              // a write has its turn
+	hook   func(before bool) // called around each write that succeeds, without the lock; see World.AtWrite
 }
 
 // NewDisk makes an empty one.
@@ -97,7 +100,8 @@
 func (o *handle) PutAsync(name string, value []byte, done func(error)) {
 	o.d.mu.Lock()
 	defer o.d.mu.Unlock()
-	if o.d.queue = append(o.d.queue, put{o, name, bytes.Clone(value), done}); len(o.d.queue) == 1 {
+	if o.d.queue = append(o.d.queue, put{o, name, bytes.Clone(value), done}); !o.d.busy {
+		o.d.busy = true
 		time.AfterFunc(o.d.sync, o.d.write)
 	}
 }
@@ -112,13 +116,31 @@
 		d.mu.Unlock()
 		return
 	}
+	if len(d.queue) == 0 {
+		d.busy = false
+		d.mu.Unlock()
+		return
+	}
+	hook, full := d.hook, d.full
+	d.mu.Unlock()
+	if hook != nil && !full {
+		hook(true)
+	}
+	d.mu.Lock()
+	if len(d.queue) == 0 { // the machine lost its power just before it
+		d.busy = false
+		d.mu.Unlock()
+		return
+	}
 	p := d.queue[0]
 	if d.queue = d.queue[1:]; len(d.queue) > 0 {
 		time.AfterFunc(d.sync, d.write)
+	} else {
+		d.busy = false
 	}
 	var err error
 	select {
-	case <-p.o.host.gone: // what had not been synced is lost with its process
+	case <-p.o.host.gone:
 		d.mu.Unlock()
 		return
 	default:
@@ -126,15 +148,55 @@
 	if d.full {
 		err = fault.New(fault.Unsafe, "disk", errFull)
 	} else {
-		if d.before = append(d.before, maps.Clone(d.live)); len(d.before) > 16 {
-			d.before = d.before[1:]
-		}
-		d.live[p.name] = p.value
+		d.keep(p)
 	}
 	d.mu.Unlock()
+	if hook != nil && err == nil {
+		hook(false)
+		select {
+		case <-p.o.host.gone: // it is there, and nobody was told
+			return
+		default:
+		}
+	}
 	p.done(err)
 }
 
+// keep lets a value last. The lock is held.
+func (d *Disk) keep(p put) {
+	if d.before = append(d.before, maps.Clone(d.live)); len(d.before) > 16 {
+		d.before = d.before[1:]
+	}
+	d.live[p.name] = p.value
+}
+
+// lose is what the end of a process leaves of what it had not synced: of the writes in their order some first ones, as
+// each is appended to one file, and nobody was told of them.
+func (d *Disk) lose(h *Host, r *rand.Rand) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	waits := d.queue[:0:0]
+	lasts := !d.full && !time.Now().Before(d.hangs)
+	for _, p := range d.queue {
+		if p.o.host != h {
+			waits = append(waits, p)
+		} else if lasts = lasts && r.IntN(2) == 0; lasts {
+			d.keep(p)
+		}
+	}
+	d.queue = waits
+}
+
+// Size is the number of records, and their bytes.
+func (d *Disk) Size() (records, size int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for name, v := range d.live {
+		size += len(name) + len(v)
+	}
+	return len(d.live), size
+}
+
 // writes are those that Tear can take back.
 func (d *Disk) writes() int {
 	d.mu.Lock()
--- a/gauntlet/ledger.go
+++ b/gauntlet/ledger.go
@@ -1,6 +1,7 @@
 package gauntlet
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"sync"
@@ -26,7 +27,11 @@
 	Orders   []*Order
 	Reads    []Read
 	Early    []Read // answers before the day's end
+	Calls    []*Call
 	Troubles []Trouble
+	Core     []CoreState
+	Losses   []Loss
+	Faults   int // machineFaults
 	Terms    []Term
 	Requests []Request // of clients, with their further tries
 	Closing  time.Duration
@@ -134,6 +139,8 @@
 	Valid  bool    // of a configuration
 	At     time.Duration
 	Acked  time.Duration // 0: not
+	End    time.Duration // of its last call; 0: it goes on
+	Pen    int           // which of the operators
 	By     string        // the controller's machine
 	Status int           // of the clear answer; 0: none came
 }
@@ -146,10 +153,21 @@
 	From time.Duration
 }
 
-// Trouble is what was done to a machine. Core: to the core as a whole, which is not settled then.
+// Call is one of an operator's calls: of an order, which may take several, or a read.
+type Call struct {
+	Kind    string // as it is called
+	Of      string // a zone
+	Version uint32
+	Sum     uint64 // of the body that was sent
+	At, End time.Duration
+	Status  int    // 0: the answer did not come
+	Got     uint64 // sum of what was read
+	By      string // the controller's machine
+}
+
+// Trouble is what was done to a machine.
 type Trouble struct {
 	Machine  string
-	Core     bool
 	What     string
 	From, To time.Duration // To -1: it has not ended
 }
@@ -201,12 +219,15 @@
 	f()
 }
 
-// Trouble notes a moment or the beginning of a span; the function ends it.
+// Trouble notes a moment or the beginning of a span; the function ends it. Core: it unsettles the core as it begins.
 func (l *Ledger) Trouble(at time.Duration, machine, what string, core bool) (end func(at time.Duration)) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	k := len(l.Troubles)
-	l.Troubles = append(l.Troubles, Trouble{Machine: machine, Core: core, What: what, From: at, To: -1})
+	l.Troubles = append(l.Troubles, Trouble{Machine: machine, What: what, From: at, To: -1})
+	if core {
+		l.Core = append(l.Core, CoreState{At: at, Size: 1, Joined: 1})
+	}
 	return func(at time.Duration) { l.do(func() { l.Troubles[k].To = at }) }
 }
 
@@ -216,10 +237,107 @@
 
 // InTouch says whether a machine was so at every moment of a span.
 func (l *Ledger) InTouch(machine string, from, to time.Duration) bool {
-	from -= l.Bounds.Contact.Span()
-	return !slices.ContainsFunc(l.Troubles, func(t Trouble) bool {
-		return (t.Core || t.Machine == machine) && t.meets(from, to)
-	})
+	return l.settled(from, to) && l.untroubled(machine, from-l.Bounds.Contact.Span(), to)
+}
+
+// settled says whether the core was so at every moment of a span: more than half of it runs, each reaching the others,
+// and nothing was done to it in the contactS before.
+func (l *Ledger) settled(from, to time.Duration) bool {
+	k := l.before(from - l.Bounds.Contact.Span())
+	return (k == len(l.Core) || l.Core[k].At > to) && (k == 0 || 2*l.Core[k-1].Joined > l.Core[k-1].Size)
+}
+
+// before is the number of the core's states before a time.
+func (l *Ledger) before(at time.Duration) int {
+	k, _ := slices.BinarySearchFunc(l.Core, at, func(s CoreState, at time.Duration) int { return cmp.Compare(s.At, at) })
+	return k
+}
+
+// most says whether more than half of the core ran and was connected at every moment of a span.
+func (l *Ledger) most(from, to time.Duration) bool {
+	for k := max(l.before(from)-1, 0); k < len(l.Core) && l.Core[k].At <= to; k++ {
+		if 2*l.Core[k].Joined <= l.Core[k].Size {
+			return false
+		}
+	}
+	return true
+}
+
+// Span is a stretch of time.
+type Span struct{ From, To time.Duration }
+
+// forever is later than all.
+const forever = time.Duration(1<<63 - 1)
+
+// beyond are the stretches in which more was lost than is to be borne, up to when nothing is; and the moment from which
+// more disks were lost than that, so that nothing acknowledged need be there any more.
+func (l *Ledger) beyond() (spans []Span, disks time.Duration) {
+	disks = forever
+	catchUp := l.Bounds.CatchUp.Span()
+	var moments []time.Duration
+	for _, x := range l.Losses {
+		if moments = append(moments, x.From); x.To >= 0 {
+			moments = append(moments, x.To, x.To+catchUp)
+		}
+	}
+	slices.Sort(moments)
+	over := false
+	for _, at := range slices.Compact(moments) {
+		var lost, gone []string
+		for _, x := range l.Losses {
+			if x.counts(at, catchUp) {
+				if lost = append(lost, x.Machine); x.Disk {
+					gone = append(gone, x.Machine)
+				}
+			}
+		}
+		n, d := distinct(lost), distinct(gone)
+		if d > l.Faults {
+			disks = min(disks, at)
+		}
+		switch {
+		case !over && n > l.Faults:
+			over = true
+			spans = append(spans, Span{at, forever})
+		case over && n == 0:
+			over = false
+			spans[len(spans)-1].To = at
+		}
+	}
+	return spans, disks
+}
+
+func distinct(all []string) int {
+	slices.Sort(all)
+	return len(slices.Compact(all))
+}
+
+// owed are the stretches in which the system is to do all that it can: the core is settled, and no more is lost than is
+// to be borne.
+func (l *Ledger) owed(to time.Duration) (all []Span) {
+	spans, disks := l.beyond()
+	contact := l.Bounds.Contact.Span()
+	for k, s := range l.Core {
+		till := to
+		if k+1 < len(l.Core) {
+			till = l.Core[k+1].At
+		}
+		from := s.At + contact + time.Nanosecond
+		if 2*s.Joined <= s.Size || from >= till {
+			continue
+		}
+		for _, b := range spans {
+			if b.From <= from && b.To > from {
+				from = b.To
+			} else if b.From > from && b.From < till {
+				till = b.From
+			}
+		}
+		if till = min(till, disks); from < till {
+			all = append(all, Span{from, till})
+		}
+	}
+	return all
 }
 
 // calm says that nothing unplanned befell a machine in a span.
--- a/gauntlet/net.go
+++ b/gauntlet/net.go
@@ -27,15 +27,16 @@
 	delay func(from, to string) time.Duration // one way, by the machines' ip
 	ports map[string]*listener                // by "ip:port"
 	ends  map[*end]bool
-	cuts  map[[2]string]bool // from, to
-	dark  map[string]bool    // without power, or frozen
+	cuts  map[[2]string]int // from, to: how many hold it
+	dark  map[string]bool   // without power
+	still map[string]int    // frozen, by so many
 	port  int
 }
 
 // NewNet makes a Net without machines.
 func NewNet(delay func(from, to string) time.Duration) *Net {
-	return &Net{delay: delay, ports: map[string]*listener{}, ends: map[*end]bool{}, cuts: map[[2]string]bool{},
-		dark: map[string]bool{}, port: 20000}
+	return &Net{delay: delay, ports: map[string]*listener{}, ends: map[*end]bool{}, cuts: map[[2]string]int{},
+		dark: map[string]bool{}, still: map[string]int{}, port: 20000}
 }
 
 // Host is one process on a machine: what it listens on and what it has connected ends with it.
@@ -49,9 +50,35 @@
 // Host makes a process on the machine of an ip.
 func (n *Net) Host(ip string) *Host { return &Host{n: n, IP: ip, gone: make(chan struct{})} }
 
-// Cut stops all that goes from one machine to another; Join ends that.
-func (n *Net) Cut(from, to string)  { n.change(func() { n.cuts[[2]string{from, to}] = true }) }
-func (n *Net) Join(from, to string) { n.change(func() { delete(n.cuts, [2]string{from, to}) }) }
+// Cut stops all that goes from one machine to another, until as many called Join as called Cut: troubles overlap.
+func (n *Net) Cut(from, to string) { n.change(func() { n.cuts[[2]string{from, to}]++ }) }
+func (n *Net) Join(from, to string) {
+	n.change(func() {
+		if way := [2]string{from, to}; n.cuts[way] > 1 {
+			n.cuts[way]--
+		} else {
+			delete(n.cuts, way)
+		}
+	})
+}
+
+// Freeze is as Dark, but counted apart from a loss of power.
+func (n *Net) Freeze(ip string, frozen bool) {
+	n.change(func() {
+		if frozen {
+			n.still[ip]++
+		} else {
+			n.still[ip]--
+		}
+	})
+}
+
+// reaches says whether bytes go both ways between two machines now.
+func (n *Net) reaches(a, b string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.open(a, b) && n.open(b, a)
+}
 
 // Dark machines are silent: neither do they answer nor does anything reach them. Connections stay as they are.
 func (n *Net) Dark(ip string, dark bool) {
@@ -88,7 +115,7 @@
 }
 
 func (n *Net) open(from, to string) bool {
-	return !n.dark[from] && !n.dark[to] && !n.cuts[[2]string{from, to}]
+	return !n.dark[from] && !n.dark[to] && n.still[from] == 0 && n.still[to] == 0 && n.cuts[[2]string{from, to}] == 0
 }
 
 // Reset breaks all connections of a machine.
--- a/gauntlet/operator.go
+++ b/gauntlet/operator.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"time"
 )
@@ -54,30 +55,45 @@
 // Replace sends a configuration until it gets a clear answer, or the span is over. At names the first controller;
 // nil: any.
 func (w *World) Replace(c *Config, valid bool, at *Machine, span time.Duration) *Order {
-	return w.order(&Order{Config: c, Valid: valid}, "config.replace", "", c.JSON(), at, span)
+	return w.send(&Order{Config: c, Valid: valid}, at, span, 0)
 }
 
 // Evacuate begins or ends the evacuation of a zone.
 func (w *World) Evacuate(zone string, begin bool, at *Machine) *Order {
-	call := "evacuation.finish"
-	if begin {
-		call = "evacuation.begin"
+	return w.send(&Order{Zone: zone, Begin: begin, Valid: true}, at, w.Ledger.Bounds.Ack.Span(), 0)
+}
+
+// call is an order as it is called, and its body.
+func (o *Order) call() (call string, body []byte) {
+	switch {
+	case o.Config != nil:
+		return "config.replace", o.Config.JSON()
+	case o.Begin:
+		return "evacuation.begin", nil
 	}
-	return w.order(&Order{Zone: zone, Begin: begin, Valid: true}, call, zone, nil, at, w.Ledger.Bounds.Ack.Span())
+	return "evacuation.finish", nil
 }
 
-func (w *World) order(o *Order, call, of string, body []byte, at *Machine, span time.Duration) *Order {
+// send sends an order, from the operator that it names, until it gets a clear answer or the span is over. So many first
+// answers are lost on their way: after a second of silence it goes to another controller.
+func (w *World) send(o *Order, at *Machine, span time.Duration, lost int) *Order {
 	o.At = w.Now()
 	w.Ledger.do(func() { w.Ledger.Orders = append(w.Ledger.Orders, o) })
+	defer w.Ledger.do(func() { o.End = w.Now() })
 	first := ""
 	if at != nil {
 		first = at.control()
 	}
-	r := w.Rand("operator"+call+of, uint64(o.At))
+	call, _ := o.call()
+	r := w.Rand("operator"+call+o.Zone, uint64(o.At)+uint64(o.Pen))
 	odd, pause := 0, 50*time.Millisecond
 	for w.Now() < o.At+span {
 		for _, address := range w.controls(r, first) {
-			status, _, err := w.operator.call(address, call, of, body, time.Second)
+			began := w.Now()
+			status, _, err := w.ask(o.Pen, address, o, lost > 0)
+			if lost--; lost >= 0 {
+				time.Sleep(time.Second - (w.Now() - began))
+			}
 			if err == nil && status/100 == 4 && status != 408 && status != 429 {
 				switch odd++; {
 				case status == 400, status == 409, status == 412, status == 413, status == 422, odd == 3:
@@ -99,13 +115,42 @@
 	return o
 }
 
+var errLost = errors.New("the answer is lost")
+
+// ask makes one call of an order, or of a read (nil), and notes it. Lost: its answer does not come.
+func (w *World) ask(pen int, address string, o *Order, lost bool) (status int, answer []byte, err error) {
+	c := &Call{Kind: "config.read", At: w.Now(), End: -1, By: w.machineAt(address)}
+	var body []byte
+	if o != nil {
+		c.Of = o.Zone
+		c.Kind, body = o.call()
+		if o.Config != nil {
+			c.Version, c.Sum = o.Config.Version, sum(body)
+		}
+	}
+	w.Ledger.do(func() { w.Ledger.Calls = append(w.Ledger.Calls, c) })
+	status, answer, err = w.pens[pen].call(address, c.Kind, c.Of, body, time.Second)
+	if lost {
+		status, answer, err = 0, nil, errLost
+	}
+	if err == nil {
+		w.Ledger.do(func() { c.End, c.Status, c.Got = w.Now(), status, sum(answer) })
+	}
+	return status, answer, err
+}
+
+// read asks one controller for the configuration.
+func (w *World) read(m *Machine) (status int, body []byte, err error) {
+	return w.ask(0, m.control(), nil, false)
+}
+
 // ReadBack asks for the configuration for contactS at least, as the operator does at the end of a day.
 func (w *World) ReadBack() {
 	r := w.Rand("reader", 0)
 	read := Read{From: w.Now()}
 	for began := w.Now(); w.Now() < began+w.Ledger.Bounds.Contact.Span()+time.Second; {
 		for _, address := range w.controls(r, "") {
-			status, body, err := w.operator.call(address, "config.read", "", nil, time.Second)
+			status, body, err := w.ask(0, address, nil, false)
 			if read.At = w.Now(); err == nil && status == 200 {
 				read.OK, read.Body = true, string(body)
 			}
@@ -116,11 +161,11 @@
 }
 
 // AskCores asks all controllers that run, each once and all at the same time, for the configuration.
-func (w *World) AskCores(within time.Duration) {
-	for _, m := range w.running(w.Cores) {
+func (w *World) AskCores() {
+	for _, m := range w.running(w.all()) {
 		w.Go(func() {
 			read := Read{From: w.Now()}
-			status, body, err := w.operator.call(m.control(), "config.read", "", nil, within)
+			status, body, err := w.read(m)
 			if err == nil && status == 200 {
 				read.At, read.OK, read.Body = w.Now(), true, string(body)
 				w.Ledger.do(func() { w.Ledger.Early = append(w.Ledger.Early, read) })
--- a/gauntlet/stories_test.go
+++ b/gauntlet/stories_test.go
@@ -59,8 +59,8 @@
 
 // read is the version that a reader gets from each of the controllers that answer.
 func read(w *World) (versions []string) {
-	for _, m := range w.running(w.Cores) {
-		status, body, err := w.operator.call(m.control(), "config.read", "", nil, 4*time.Second)
+	for _, m := range w.running(w.Cores()) {
+		status, body, err := w.read(m)
 		switch {
 		case err != nil:
 			versions = append(versions, "none")
@@ -91,10 +91,10 @@
 				t.Error("the leaving is not acknowledged")
 				return
 			}
-			w.Power(w.Machines[acknowledger])
+			w.Power(w.Machine(acknowledger))
 			at := w.Now()
 			time.Sleep(6 * time.Second)
-			w.PowerOn(w.Machines[acknowledger])
+			w.PowerOn(w.Machine(acknowledger))
 			time.Sleep(4 * time.Second)
 			w.Ledger.do(func() {
 				for _, y := range w.Ledger.Tries {
@@ -119,13 +119,13 @@
 			w.Go(b.Drain)
 			for k := range 30 {
 				time.Sleep(300 * time.Millisecond)
-				_, _, _ = w.operator.call(w.Cores[k%3].control(), "instances.heartbeat", b.ID, late, time.Second)
+				_, _, _ = w.operator.call(w.Cores()[k%3].control(), "instances.heartbeat", b.ID, late, time.Second)
 			}
 			// Another service has the address now, and the word of the old life comes once more.
 			w.Backend("views", b.Zone, strings.TrimSuffix(b.Address, ":8080"), 4, 50*time.Millisecond, true)
 			for k := range 10 {
 				time.Sleep(300 * time.Millisecond)
-				_, _, _ = w.operator.call(w.Cores[k%3].control(), "instances.heartbeat", b.ID, late, time.Second)
+				_, _, _ = w.operator.call(w.Cores()[k%3].control(), "instances.heartbeat", b.ID, late, time.Second)
 			}
 		})
 	})
@@ -137,42 +137,42 @@
 		play func(t *testing.T, w *World)
 	}{
 		{"the acknowledger loses power", func(t *testing.T, w *World) {
-			acked(t, w.Replace(moved(2), true, w.Cores[0], time.Second), true)
+			acked(t, w.Replace(moved(2), true, w.Cores()[0], time.Second), true)
 			time.Sleep(2 * time.Millisecond)
-			w.Power(w.Cores[0])
+			w.Power(w.Cores()[0])
 			time.Sleep(6 * time.Second)
 			if got := fmt.Sprint(read(w)); got != "[2 2]" {
 				t.Error("read back: ", got)
 			}
-			w.PowerOn(w.Cores[0])
+			w.PowerOn(w.Cores()[0])
 			time.Sleep(5 * time.Second)
 		}},
 		{"... and its disk", func(t *testing.T, w *World) {
-			acked(t, w.Replace(moved(2), true, w.Cores[0], time.Second), true)
-			w.Power(w.Cores[0])
-			w.Cores[0].Disk.Wipe()
+			acked(t, w.Replace(moved(2), true, w.Cores()[0], time.Second), true)
+			w.Power(w.Cores()[0])
+			w.Wipe(w.Cores()[0])
 			time.Sleep(500 * time.Millisecond)
-			w.PowerOn(w.Cores[0])
+			w.PowerOn(w.Cores()[0])
 			time.Sleep(3 * time.Second)
 			// What it has read again must carry the next loss.
 			time.Sleep(w.Ledger.Bounds.CatchUp.Span())
-			w.Power(w.Cores[1])
-			w.Cores[1].Disk.Wipe()
+			w.Power(w.Cores()[1])
+			w.Wipe(w.Cores()[1])
 			time.Sleep(time.Second)
-			w.PowerOn(w.Cores[1])
+			w.PowerOn(w.Cores()[1])
 			time.Sleep(5 * time.Second)
 			if got := fmt.Sprint(read(w)); got != "[2 2 2]" {
 				t.Error("read back: ", got)
 			}
 		}},
 		{"a disk that forgot is asked at once", func(t *testing.T, w *World) {
-			w.Cores[2].Disk.Hang(5 * time.Second) // it takes no part: the version is on the first and the second
-			acked(t, w.Replace(moved(2), true, w.Cores[0], time.Second), true)
-			w.Power(w.Cores[1])
-			w.Cores[1].Disk.Wipe()
-			join := w.Cut(w.Cores[0], w.Cores[1], true) // of those that it reaches none has the version
+			w.Cores()[2].Disk.Hang(5 * time.Second) // it takes no part: the version is on the first and the second
+			acked(t, w.Replace(moved(2), true, w.Cores()[0], time.Second), true)
+			w.Power(w.Cores()[1])
+			w.Wipe(w.Cores()[1])
+			join := w.Cut(w.Cores()[0], w.Cores()[1], true) // of those that it reaches none has the version
 			time.Sleep(100 * time.Millisecond)
-			w.PowerOn(w.Cores[1])
+			w.PowerOn(w.Cores()[1])
 			for n := range 12 {
 				time.Sleep(time.Duration(n) * time.Millisecond)
 				if got := fmt.Sprint(read(w)); strings.Contains(got, "1") {
@@ -186,10 +186,10 @@
 			}
 		}},
 		{"the core is cut in two and both sides are asked", func(t *testing.T, w *World) {
-			a, b := w.Cut(w.Cores[0], w.Cores[1], true), w.Cut(w.Cores[0], w.Cores[2], true)
+			a, b := w.Cut(w.Cores()[0], w.Cores()[1], true), w.Cut(w.Cores()[0], w.Cores()[2], true)
 			time.Sleep(4 * time.Second)
-			for _, m := range w.Cores[:2] {
-				status, _, _ := w.operator.call(m.control(), "config.replace", "", moved(2).JSON(), 4*time.Second)
+			for _, m := range w.Cores()[:2] {
+				status, _, _ := w.ask(0, m.control(), &Order{Config: moved(2)}, false)
 				if want := map[string]int{"core-0": 503, "core-1": 200}[m.Name]; status != want {
 					t.Errorf("%s answered %d, want %d", m.Name, status, want)
 				}
@@ -208,8 +208,8 @@
 		{"two operators at once", func(t *testing.T, w *World) {
 			for v := uint32(2); v < 10; v += 2 {
 				done := make(chan *Order, 2)
-				go func() { done <- w.Replace(moved(v), true, w.Cores[0], 4*time.Second) }()
-				go func() { done <- w.Replace(Charter(v+1), true, w.Cores[1], 4*time.Second) }()
+				go func() { done <- w.Replace(moved(v), true, w.Cores()[0], 4*time.Second) }()
+				go func() { done <- w.Replace(Charter(v+1), true, w.Cores()[1], 4*time.Second) }()
 				acked(t, <-done, true)
 				acked(t, <-done, true)
 			}
@@ -219,9 +219,9 @@
 			}
 		}},
 		{"an older one again after a newer", func(t *testing.T, w *World) {
-			acked(t, w.Replace(moved(3), true, w.Cores[0], time.Second), true)
-			acked(t, w.Replace(Charter(2), true, w.Cores[1], time.Second), true)
-			acked(t, w.Replace(Charter(1), true, w.Cores[2], time.Second), true)
+			acked(t, w.Replace(moved(3), true, w.Cores()[0], time.Second), true)
+			acked(t, w.Replace(Charter(2), true, w.Cores()[1], time.Second), true)
+			acked(t, w.Replace(Charter(1), true, w.Cores()[2], time.Second), true)
 			time.Sleep(3 * time.Second)
 			if got := fmt.Sprint(read(w)); got != "[3 3 3]" {
 				t.Error("read back: ", got)
@@ -229,14 +229,14 @@
 		}},
 		{"a write that f disks took", func(t *testing.T, w *World) {
 			// The first holds it alone: nothing may show it before it is safe, and once it has shown it stays.
-			w.Cores[1].Disk.Full(true)
-			w.Cores[2].Disk.Full(true)
-			acked(t, w.Replace(moved(2), true, w.Cores[0], 4*time.Second), false)
-			w.Kill(w.Cores[0])
-			w.Cores[1].Disk.Full(false)
-			w.Cores[2].Disk.Full(false)
-			acked(t, w.Replace(Charter(3), true, w.Cores[1], 5*time.Second), true)
-			w.Run(w.Cores[0])
+			w.Cores()[1].Disk.Full(true)
+			w.Cores()[2].Disk.Full(true)
+			acked(t, w.Replace(moved(2), true, w.Cores()[0], 4*time.Second), false)
+			w.Kill(w.Cores()[0])
+			w.Cores()[1].Disk.Full(false)
+			w.Cores()[2].Disk.Full(false)
+			acked(t, w.Replace(Charter(3), true, w.Cores()[1], 5*time.Second), true)
+			w.Run(w.Cores()[0])
 			time.Sleep(4 * time.Second)
 			if got := fmt.Sprint(read(w)); got != "[3 3 3]" {
 				t.Error("read back: ", got)
@@ -271,11 +271,11 @@
 func TestEvacuationAcrossACut(t *testing.T) {
 	story(t, 7, func(t *testing.T, w *World) {
 		during(w, func() {
-			acked(t, w.Evacuate("west", true, w.Cores[0]), true)
+			acked(t, w.Evacuate("west", true, w.Cores()[0]), true)
 			time.Sleep(6 * time.Second) // EVAC shows whether it is in force
-			a, b := w.Cut(w.Cores[0], w.Cores[1], true), w.Cut(w.Cores[0], w.Cores[2], true)
+			a, b := w.Cut(w.Cores()[0], w.Cores()[1], true), w.Cut(w.Cores()[0], w.Cores()[2], true)
 			time.Sleep(time.Second)
-			acked(t, w.Evacuate("west", false, w.Cores[1]), true)
+			acked(t, w.Evacuate("west", false, w.Cores()[1]), true)
 			time.Sleep(2 * time.Second)
 			a()
 			b()
@@ -295,7 +295,7 @@
 				t.Errorf("%d requests came to the zone that was taken back", n)
 			}
 			// The same order again after its opposite is a new one.
-			acked(t, w.Evacuate("west", true, w.Cores[2]), true)
+			acked(t, w.Evacuate("west", true, w.Cores()[2]), true)
 			time.Sleep(7 * time.Second)
 		})
 	})
@@ -305,16 +305,16 @@
 	for name, harm := range map[string]func(w *World, m *Machine){
 		"hangs":    func(w *World, m *Machine) { m.Disk.Hang(3 * time.Second) },
 		"is full":  func(w *World, m *Machine) { m.Disk.Full(true) },
-		"is torn":  func(w *World, m *Machine) { w.Power(m); m.Disk.Tear(3, true) },
-		"is empty": func(w *World, m *Machine) { w.Power(m); m.Disk.Wipe() },
+		"is torn":  func(w *World, m *Machine) { w.Power(m); w.Tear(m, 3, true) },
+		"is empty": func(w *World, m *Machine) { w.Power(m); w.Wipe(m) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			story(t, 8, func(t *testing.T, w *World) {
 				during(w, func() {
-					m := w.Cores[1]
+					m := w.Cores()[1]
 					acked(t, w.Replace(moved(2), true, m, 5*time.Second), true)
 					harm(w, m)
-					o := w.Replace(Charter(3), true, w.Cores[0], 5*time.Second)
+					o := w.Replace(Charter(3), true, w.Cores()[0], 5*time.Second)
 					if acked(t, o, true); o.Acked-o.At > 300*time.Millisecond {
 						t.Errorf("the others waited %v for one disk", o.Acked-o.At)
 					}
@@ -335,7 +335,7 @@
 	story(t, 9, func(t *testing.T, w *World) {
 		during(w, func() {
 			m := w.Carriers[0]
-			for _, c := range w.Cores {
+			for _, c := range w.Cores() {
 				w.Cut(m, c, true)
 			}
 			time.Sleep(4 * time.Second)
@@ -517,7 +517,7 @@
 func TestColdReturn(t *testing.T) {
 	story(t, 3, func(t *testing.T, w *World) {
 		during(w, func() {
-			acked(t, w.Evacuate("north", true, w.Cores[1]), true)
+			acked(t, w.Evacuate("north", true, w.Cores()[1]), true)
 			time.Sleep(6 * time.Second)
 			for _, b := range w.Backends() {
 				switch {
@@ -528,7 +528,7 @@
 					w.Backend(b.Service, b.Zone, strings.TrimSuffix(b.Address, ":8080"), 4, b.Work, true)
 				}
 			}
-			acked(t, w.Evacuate("north", false, w.Cores[2]), true)
+			acked(t, w.Evacuate("north", false, w.Cores()[2]), true)
 			time.Sleep(5 * time.Second)
 		})
 	})
@@ -574,7 +574,7 @@
 				thawed <- w.Now()
 			})
 			time.Sleep(time.Second)
-			acked(t, w.Replace(moved(2), true, w.Cores[0], time.Second), true)
+			acked(t, w.Replace(moved(2), true, w.Cores()[0], time.Second), true)
 			from := <-thawed + time.Second
 			time.Sleep(5 * time.Second)
 			served, n := 0, 0
--- a/gauntlet/world.go
+++ b/gauntlet/world.go
@@ -46,6 +46,7 @@
 	Zones    []string
 	Cores    int // spread over the zones in turn
 	Carriers int
+	Spare    int // carriers that start later
 	Faults   int // machineFaults
 	Log      hclog.Logger
 }
@@ -61,6 +62,15 @@
 	stop           func() // of what the process leaves behind in this one
 	started        bool   // once before
 	leaving        bool
+	ending         bool                   // SIGTERM has come to this process
+	later          bool                   // it came after the first start of the whole system: bootstrap is false
+	spare          bool                   // it carries, but not yet
+	retired        bool                   // gone for good, as far as the operator knows
+	successor      *Machine               // that came in its place
+	since          time.Duration          // the start of its first process
+	seeds          []string               // of its next start; nil: the operator's list then
+	clock          atomic.Int64           // how far its time of day is off
+	hung           int                    // troubles of its disk that last
 	up             func(at time.Duration) // ends its trouble
 	in             bool                   // the platform sends clients there
 	missed         int
@@ -72,8 +82,10 @@
 	Ledger   *Ledger
 	Beat     time.Duration
 	Machines map[string]*Machine
-	Cores    []*Machine
 	Carriers []*Machine
+	cores    atomic.Pointer[[]*Machine] // that the operator counts, by their slots
+	listed   []listing                  // ... as its list has them, which lags
+	coreMu   sync.Mutex
 	shape    Shape
 	seed     uint64
 	began    time.Time
@@ -83,6 +95,7 @@
 	loads    atomic.Uint64
 	platform *Host
 	operator *Host
+	pens     [2]*Host // of the two operators
 	done     chan struct{}
 	busy     sync.WaitGroup // clients' requests, and scripts
 }
@@ -106,17 +119,18 @@
 	})
 	for i := range shape.Cores {
 		m := &Machine{Name: fmt.Sprintf("core-%d", i), IP: fmt.Sprintf("10.%d.0.%d", i%len(shape.Zones), 10+i),
-			Zone: shape.Zones[i%len(shape.Zones)], Disk: NewDisk(time.Millisecond)}
-		w.Machines[m.Name] = m
-		w.Cores = append(w.Cores, m)
+			Zone: shape.Zones[i%len(shape.Zones)]}
+		w.addCore(m)
 	}
-	for i := range shape.Carriers {
+	for i := range shape.Carriers + shape.Spare {
 		m := &Machine{Name: fmt.Sprintf("edge-%d", i), IP: fmt.Sprintf("10.%d.0.%d", i%len(shape.Zones), 100+i),
-			Zone: shape.Zones[i%len(shape.Zones)]}
+			Zone: shape.Zones[i%len(shape.Zones)], spare: i >= shape.Carriers}
 		w.Machines[m.Name] = m
 		w.Carriers = append(w.Carriers, m)
 	}
+	w.Ledger.Faults = shape.Faults
 	w.platform, w.operator = w.Net.Host("10.90.0.1"), w.Net.Host("10.91.0.1")
+	w.pens = [2]*Host{w.operator, w.Net.Host("10.91.0.2")}
 	return w
 }
 
@@ -128,15 +142,25 @@
 	return rand.New(rand.NewPCG(w.seed, sum([]byte(actor))+n))
 }
 
-// Start starts all machines that carry or control, and the platform.
+// Start starts all machines that carry or control within 0.3 s, in any order, and the platform.
 func (w *World) Start() {
-	for _, m := range w.Cores {
-		w.Run(m)
+	r := w.Rand("start", 0)
+	for _, m := range slices.Concat(w.Cores(), w.Carriers) {
+		if after := time.Duration(r.Int64N(int64(300 * time.Millisecond))); !m.spare {
+			w.Go(func() { time.Sleep(after); w.first(m) })
+		}
 	}
-	for _, m := range w.Carriers {
+	go w.watch()
+}
+
+// first is Run, but for a machine that was started, and perhaps ended, already.
+func (w *World) first(m *Machine) {
+	w.mu.Lock()
+	was := m.started
+	w.mu.Unlock()
+	if !was {
 		w.Run(m)
 	}
-	go w.watch()
 }
 
 func (w *World) settings(m *Machine) *premise.Settings {
@@ -146,10 +170,11 @@
 	for _, z := range w.shape.Zones {
 		s.Zones[z] = "land"
 	}
-	s.Ports, s.Bootstrap, s.Counted = [2]int{ports, ports + 15}, !m.started, m.Disk != nil
-	for _, c := range w.Cores[:min(3, len(w.Cores))] {
-		s.Seeds = append(s.Seeds, c.control())
+	s.Ports, s.Bootstrap, s.Counted = [2]int{ports, ports + 15}, !m.started && !m.later, m.Disk != nil
+	if s.Seeds = m.seeds; s.Seeds == nil {
+		s.Seeds = w.seeds(m)
 	}
+	m.seeds = nil
 	s.Limits.MaxFDs, s.FaultBudget.Machines, s.FaultBudget.Zones = 4100, w.shape.Faults, 1
 	s.Beat, s.Bounds = premise.Seconds(w.Beat.Seconds()), w.Ledger.Bounds
 	s.Listen = map[string]string{"front": m.front(), "readiness": m.IP + ":8542"}
@@ -173,6 +198,12 @@
 
 // Run starts the machine's process.
 func (w *World) Run(m *Machine) {
+	if w.run(m); m.Disk != nil {
+		w.coreEvent()
+	}
+}
+
+func (w *World) run(m *Machine) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if m.host != nil {
@@ -180,7 +211,7 @@
 	}
 	m.life++
 	h := w.Net.Host(m.IP)
-	m.host, m.leaving = h, false
+	m.host, m.leaving, m.ending, m.spare = h, false, false, false
 	set := w.settings(m)
 	log := w.shape.Log.Named(m.Name)
 	if w.shape.Log.IsInfo() {
@@ -199,7 +230,7 @@
 	if m.Disk != nil {
 		disk, known, fresh := m.Disk.Open(h)
 		s := counsel.New(counsel.Options{Settings: set, Disk: disk, Known: known, Fresh: fresh, Log: log,
-			Clock: clockwork.NewRealClock(), Dial: dial, Listen: must(h.Listen(set.Own())), TimeOfDay: time.Now})
+			Clock: clockwork.NewRealClock(), Dial: dial, Listen: must(h.Listen(set.Own())), TimeOfDay: m.timeOfDay})
 		calls := quiet(&http.Server{Handler: s.Handler(), ReadTimeout: 20 * time.Second})
 		listen := must(h.Listen(m.control()))
 		go func() { _ = calls.Serve(listen) }()
@@ -228,7 +259,9 @@
 		}
 	}
 	if m.started {
-		w.Ledger.Trouble(w.Now(), m.Name, "start", m.Disk != nil)(w.Now())
+		w.Ledger.Trouble(w.Now(), m.Name, "start", false)(w.Now())
+	} else {
+		m.since = w.Now()
 	}
 	if m.up != nil {
 		m.up(w.Now())
@@ -257,6 +290,12 @@
 }
 
 func (w *World) end(m *Machine, what string, silent bool) {
+	if w.stop(m, what, silent); m.Disk != nil {
+		w.coreEvent()
+	}
+}
+
+func (w *World) stop(m *Machine, what string, silent bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	h, leaving := m.host, m.leaving
@@ -265,11 +304,11 @@
 	}
 	if what != "exit" {
 		m.up = w.Ledger.Trouble(w.Now(), m.Name, what, false)
-		if m.Disk != nil { // a core that runs by more than half settles again without it
-			w.Ledger.Trouble(w.Now(), m.Name, what, true)(w.Now())
-		}
 	}
 	m.host = nil
+	if m.Disk != nil {
+		m.Disk.lose(h, w.Rand("unsynced "+m.Name, uint64(m.life)))
+	}
 	if silent {
 		h.Power()
 	} else {
@@ -284,30 +323,37 @@
 func (w *World) Term(m *Machine) {
 	grace := w.Ledger.Bounds.Grace.Span()
 	w.mu.Lock()
-	if m.host == nil || m.leaving {
+	if m.host == nil || m.ending {
 		w.mu.Unlock()
 		return
 	}
-	w.Ledger.Trouble(w.Now(), m.Name, "term", m.Disk != nil)(w.Now() + grace)
-	c, life := m.carrier, m.life
+	w.Ledger.Trouble(w.Now(), m.Name, "term", false)(w.Now() + grace)
+	c, s, life := m.carrier, m.controller, m.life
+	m.ending = true
 	if m.leaving = m.Disk == nil; m.leaving {
 		w.Ledger.do(func() { w.Ledger.Terms = append(w.Ledger.Terms, Term{m.Name, w.Now()}) })
 	}
 	w.mu.Unlock()
-	if c == nil {
-		w.end(m, "exit", false)
-		return
-	}
-	stopped := make(chan struct{})
+	left := make(chan struct{})
 	w.busy.Go(func() {
-		c.Shutdown(grace - 300*time.Millisecond)
-		close(stopped)
+		if c != nil {
+			c.Shutdown(grace - 300*time.Millisecond)
+		} else if l, ok := any(s).(interface{ Leave(within time.Duration) }); ok {
+			l.Leave(grace - 300*time.Millisecond)
+		}
+		close(left)
 	})
+	if c == nil {
+		w.coreEvent()
+	}
 	select {
-	case <-stopped:
+	case <-left:
 	case <-time.After(grace):
 	}
-	if m.life == life {
+	w.mu.Lock()
+	same := m.life == life
+	w.mu.Unlock()
+	if same {
 		w.end(m, "exit", false)
 	}
 }
@@ -318,58 +364,93 @@
 	var ends []func(time.Duration)
 	for _, m := range []*Machine{a, b} {
 		if core || m.Disk == nil {
-			ends = append(ends, w.Ledger.Trouble(w.Now(), m.Name, "cut", core))
+			ends = append(ends, w.Ledger.Trouble(w.Now(), m.Name, "cut", false))
 		}
 	}
 	w.Net.Cut(a.IP, b.IP)
 	if both {
 		w.Net.Cut(b.IP, a.IP)
 	}
+	if core {
+		w.coreEvent()
+	}
 	return func() {
 		w.Net.Join(a.IP, b.IP)
-		w.Net.Join(b.IP, a.IP)
+		if both {
+			w.Net.Join(b.IP, a.IP)
+		}
 		for _, end := range ends {
 			end(w.Now())
 		}
+		if core {
+			w.coreEvent()
+		}
 	}
 }
 
 // Isolate parts one of the core's machines from the others, both ways or so that it is not heard. The others, which
 // are more than half, are settled again before it is joined.
 func (w *World) Isolate(c *Machine, both bool) (join func()) {
-	end := w.Ledger.Trouble(w.Now(), c.Name, "cut", false)
-	moment := func() { w.Ledger.Trouble(w.Now(), c.Name, "cut", true)(w.Now()) }
-	moment()
-	for _, o := range w.Cores {
+	ways := [][2]string{}
+	for _, o := range w.all() {
 		if o != c {
-			if w.Net.Cut(c.IP, o.IP); both {
-				w.Net.Cut(o.IP, c.IP)
+			if ways = append(ways, [2]string{c.IP, o.IP}); both {
+				ways = append(ways, [2]string{o.IP, c.IP})
 			}
 		}
 	}
+	return w.part(ways, c)
+}
+
+// part cuts ways, which is a trouble of some machines; the function joins them.
+func (w *World) part(ways [][2]string, of ...*Machine) (join func()) {
+	var ends []func(time.Duration)
+	for _, m := range of {
+		ends = append(ends, w.Ledger.Trouble(w.Now(), m.Name, "cut", false))
+	}
+	for _, way := range ways {
+		w.Net.Cut(way[0], way[1])
+	}
+	w.coreEvent()
 	return func() {
-		for _, o := range w.Cores {
-			w.Net.Join(c.IP, o.IP)
-			w.Net.Join(o.IP, c.IP)
+		for _, way := range ways {
+			w.Net.Join(way[0], way[1])
+		}
+		w.coreEvent()
+		for _, end := range ends {
+			end(w.Now())
 		}
-		moment()
-		end(w.Now())
 	}
 }
 
 // Freeze keeps a machine from all others, which is as near as one process comes to freezing another.
 func (w *World) Freeze(m *Machine, span time.Duration) {
-	end := w.Ledger.Trouble(w.Now(), m.Name, "freeze", m.Disk != nil)
-	w.Net.Dark(m.IP, true)
+	thaw := w.Frozen(m)
 	time.Sleep(span)
-	w.Net.Dark(m.IP, false)
-	end(w.Now())
+	thaw()
+}
+
+// Frozen is Freeze until the function is called.
+func (w *World) Frozen(m *Machine) (thaw func()) {
+	end := w.Ledger.Trouble(w.Now(), m.Name, "freeze", false)
+	w.Net.Freeze(m.IP, true)
+	if m.Disk != nil {
+		w.coreEvent()
+	}
+	return func() {
+		w.Net.Freeze(m.IP, false)
+		if end(w.Now()); m.Disk != nil {
+			w.coreEvent()
+		}
+	}
 }
 
 // Reset breaks a machine's connections.
 func (w *World) Reset(m *Machine) {
-	w.Ledger.Trouble(w.Now(), m.Name, "reset", m.Disk != nil)(w.Now())
-	w.Net.Reset(m.IP)
+	w.Ledger.Trouble(w.Now(), m.Name, "reset", false)(w.Now())
+	if w.Net.Reset(m.IP); m.Disk != nil {
+		w.coreEvent()
+	}
 }
 
 // running are the machines of a list with a process.
@@ -386,10 +467,7 @@
 
 // controls are the addresses of the controllers as a caller asks them: the first, then the others by chance.
 func (w *World) controls(r *rand.Rand, first string) []string {
-	var all []string
-	for _, m := range w.Cores {
-		all = append(all, m.control())
-	}
+	all := w.list()
 	r.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
 	if i := slices.Index(all, first); i > 0 {
 		all[0], all[i] = all[i], all[0]
@@ -398,6 +476,8 @@
 }
 
 func (w *World) machineAt(address string) string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	for name, m := range w.Machines {
 		if strings.HasPrefix(address, m.IP+":") {
 			return name
@@ -463,6 +543,7 @@
 	var near, in, other []*Machine // the platform uses all of a zone that has none, or too few, when it must
 	for _, m := range w.Carriers {
 		switch {
+		case m.spare:
 		case m.Zone == zone:
 			if near = append(near, m); m.in {
 				in = append(in, m)
@@ -491,11 +572,15 @@
 	for _, b := range w.Backends() {
 		b.Crash()
 	}
-	for _, m := range slices.Concat(w.Cores, w.Carriers) {
+	for _, m := range w.all() {
+		w.Kill(m)
+	}
+	for _, m := range w.Carriers {
 		w.Kill(m)
 	}
 	w.platform.Kill()
-	w.operator.Kill()
+	w.pens[0].Kill()
+	w.pens[1].Kill()
 	w.busy.Wait()
 	time.Sleep(10 * time.Second)
 }
