--- a/gauntlet/aimed.go
+++ b/gauntlet/aimed.go
@@ -11,23 +11,42 @@
 
 // aims are troubles that each meet one guard at the moment at which it is needed; a day plays some of them beside what
 // is drawn freely, which alone meets such a moment once in hundreds of days.
-var aims = []struct {
-	name string
-	play func(d *draw, r *rand.Rand)
-	zone bool // it evacuates
-}{
-	{"written alone", (*draw).alone, false},
-	{"harm at the acknowledgement", (*draw).afterAck, false},
-	{"core in halves", (*draw).halves, false},
-	{"two operators", (*draw).race, false},
-	{"a drain's acknowledger goes", (*draw).drains, false},
-	{"addresses under other services", (*draw).reuse, false},
-	{"term with long work", (*draw).terms, false},
-	{"a storm of broken answers", (*draw).storm, false},
-	{"owners of a cold one cut off", (*draw).owners, false},
-	{"evacuations that overlap", (*draw).overlap, true},
-	{"an old word of a zone", (*draw).oldWord, true},
-	{"an old copy of a disk", (*draw).oldCopy, false},
+var aims = []aim{
+	{"written alone", (*draw).alone, false, 3},
+	{"harm at the acknowledgement", (*draw).afterAck, false, 3},
+	{"core in halves", (*draw).halves, false, 3},
+	{"two operators", (*draw).race, false, 2},
+	{"a drain's acknowledger goes", (*draw).drains, false, 3},
+	{"addresses under other services", (*draw).reuse, false, 1},
+	{"term with long work", (*draw).terms, false, 1},
+	{"a storm of broken answers", (*draw).storm, false, 1},
+	{"owners of a cold one cut off", (*draw).owners, false, 1},
+	{"evacuations that overlap", (*draw).overlap, true, 1},
+	{"an old word of a zone", (*draw).oldWord, true, 3},
+	{"an old copy of a disk", (*draw).oldCopy, false, 3},
+	{"a long cut", (*draw).longCut, true, 2},
+	{"one number, two bodies", (*draw).oneNumber, false, 1},
+	{"replaced, then a second loss", (*draw).replaced, false, 3},
+	{"answers lost", (*draw).lostAnswers, true, 1},
+	{"a long cut of the seeds", (*draw).longCut, true, 3},
+	{"removed after SIGTERM", (*draw).removed, false, 3},
+	{"wiped, then a second loss", (*draw).wipedTwice, false, 3},
+	{"clocks an hour apart", (*draw).clocks, true, 1},
+	{"a voter that is out wakes", (*draw).wakes, false, 3},
+	{"leaves with a half-done value", (*draw).leaver, false, 3},
+	{"many changes, one down", (*draw).many, false, 3},
+	{"power in a change of voters", (*draw).powerInChange, false, 3},
+	{"a bad disk beside a change of voters", (*draw).badDisk, false, 3},
+	{"a new one, another frozen", (*draw).frozen, false, 3},
+	{"seeds cut from each other", (*draw).seedsApart, false, 2},
+}
+
+// aim is one of them.
+type aim struct {
+	name  string
+	play  func(d *draw, r *rand.Rand)
+	zone  bool // it evacuates
+	least int  // machines in the core
 }
 
 // aimed plays n aims one after the other; they take their turns by the day's number, so that few days meet them all.
@@ -39,29 +58,44 @@
 	d.w.Go(func() {
 		defer close(done)
 		for k := first; k < first+n; k++ {
-			a := aims[k%len(aims)]
-			d.log("aimed: %s", a.name)
-			a.play(d, d.w.Rand("aim", uint64(k)))
+			if a := aims[k%len(aims)]; len(d.w.Cores()) >= a.least {
+				d.log("aimed: %s", a.name)
+				a.play(d, d.w.Rand("aim", uint64(k)))
+			}
 		}
 	})
 	return done
 }
 
 // reserve waits until the core may lose something, and takes that for a span.
-func (d *draw) reserve(span time.Duration) {
-	for {
-		d.mu.Lock()
-		now := d.w.Now()
-		if now >= d.coreTo {
-			d.coreTo = now + span + d.w.Ledger.Bounds.CatchUp.Span()
-			d.mu.Unlock()
-			return
-		}
-		d.mu.Unlock()
+func (d *draw) reserve(span time.Duration) { d.reserveAll(span, 1) }
+
+// reserveAll is reserve for so many machines at once, or as many as are to be borne.
+func (d *draw) reserveAll(span time.Duration, n int) {
+	for !d.take(span, n) {
 		time.Sleep(100 * time.Millisecond)
 	}
 }
 
+// take says whether the core may lose so many machines for a span from now on, and takes that.
+func (d *draw) take(span time.Duration, n int) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now, free := d.w.Now(), []int{}
+	for i, to := range d.lost {
+		if now >= to {
+			free = append(free, i)
+		}
+	}
+	if len(free) < min(n, len(d.lost)) {
+		return false
+	}
+	for _, i := range free[:min(n, len(free))] {
+		d.lost[i] = now + span + d.w.Ledger.Bounds.CatchUp.Span() + 200*time.Millisecond
+	}
+	return true
+}
+
 // claim says whether the day's zone may be evacuated from here.
 func (d *draw) claim() bool {
 	d.mu.Lock()
--- a/gauntlet/backend.go
+++ b/gauntlet/backend.go
@@ -393,6 +393,12 @@
 	return ""
 }
 
+func (b *Backend) ready() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.state == "ready"
+}
+
 // Drain says that it leaves, serves on for drainS after the acknowledgement, says that it is gone, and ends.
 func (b *Backend) Drain() { b.leave(0, nil) }
 
--- a/gauntlet/day_test.go
+++ b/gauntlet/day_test.go
@@ -63,7 +63,7 @@
 // Days are drawn from seeds: a few always, GAUNTLET_DAYS of them from GAUNTLET_SEED on where that is set. A failing
 // one is named, and played again by GAUNTLET_SEED=n GAUNTLET_DAYS=1.
 func TestDrawnDays(t *testing.T) {
-	first, days := number("GAUNTLET_SEED", 1), number("GAUNTLET_DAYS", uint64(len(aims)/2))
+	first, days := number("GAUNTLET_SEED", 1), number("GAUNTLET_DAYS", uint64(len(aims)/2+1))
 	var played, asked, served, tries, arrivals, faults, orders, broken atomic.Int64
 	t.Run("days", func(t *testing.T) {
 		for seed := first; seed < first+days; seed++ {
@@ -72,8 +72,8 @@
 				var w *World
 				var log []string
 				synctest.Test(t, func(t *testing.T) {
-					w = Begin(seed, Plain)
-					log = Drawn(w, 20*time.Second, 1800*time.Millisecond)
+					w, log = BeginDrawn(seed, ShapeOf(seed))
+					log = append(log, Drawn(w, 20*time.Second, 1800*time.Millisecond)...)
 					w.Finish()
 				})
 				if sound(t, w); t.Failed() {
--- a/gauntlet/days.go
+++ b/gauntlet/days.go
@@ -77,9 +77,9 @@
 	r       *rand.Rand
 	mu      sync.Mutex
 	version uint32
-	sent    []uint32      // versions
-	coreTo  time.Duration // until then the core has lost what it may lose
-	zoned   bool          // a zone is evacuated
+	sent    []uint32        // versions
+	lost    []time.Duration // for each machine of the core that may be lost, until when one is
+	zoned   bool            // a zone is evacuated
 	spare   int
 	from    []*clients // that probe, one a zone
 	Log     []string
@@ -91,20 +91,44 @@
 	d.Log = append(d.Log, fmt.Sprintf("%7.3f ", d.w.Now().Seconds())+fmt.Sprintf(format, args...))
 }
 
+// ShapeOf is the deployment of a drawn day.
+func ShapeOf(seed uint64) Shape {
+	s := Plain
+	s.Spare = 2
+	s.Cores = []int{3, 3, 5, 3, 3, 7, 3, 3, 2, 3, 5, 3, 3, 1}[seed%14]
+	s.Faults = faultsOf(s.Cores)
+	return s
+}
+
+// BeginDrawn is Begin for a drawn day: by chance with troubles in the first second.
+func BeginDrawn(seed uint64, shape Shape) (w *World, log []string) {
+	w = NewWorld(seed, shape)
+	w.Start()
+	w.Populate(2)
+	if r := w.Rand("dawn", 0); r.IntN(2) == 0 {
+		log = w.dawn(r)
+	}
+	for i, m := range w.Cores() {
+		m.clock.Store(int64(time.Duration(seed>>i%3-1) * time.Duration(seed%3600) * time.Second))
+	}
+	time.Sleep(2 * time.Second)
+	w.Replace(Charter(1), true, nil, 40*time.Second)
+	time.Sleep(7 * time.Second)
+	return w, log
+}
+
 // Drawn plays a day of a span with faults that the seed draws, `mean` apart; it returns what was done.
 func Drawn(w *World, span, mean time.Duration) []string {
-	d := &draw{w: w, r: w.Rand("faults", 0), version: 1}
+	d := &draw{w: w, r: w.Rand("faults", 0), version: 1, lost: make([]time.Duration, w.shape.Faults)}
 	for z, zone := range w.shape.Zones {
 		d.from = append(d.from, w.clients(zone, z))
 	}
-	stop := make(chan struct{})
+	stop, probed := make(chan struct{}), make(chan struct{})
 	aimed := d.aimed(2*int(w.seed), 2)
-	var wait sync.WaitGroup
 	extra := Flow{Name: "extra", Host: "a.example", Prefix: "/extra-", Service: "pages", Safe: true, Rate: 8,
 		Deadline: 2 * time.Second, Timeout: 4 * time.Second, Probe: true}
-	tail := 9 * time.Second
-	wait.Go(func() { w.Load(span+tail, append(slices.Clone(Flows), extra)...) })
-	w.Go(func() { d.probe(stop) })
+	w.Go(func() { w.LoadUntil(stop, append(slices.Clone(Flows), extra)...) })
+	w.Go(func() { d.probe(probed) })
 	kinds := [][2]int{{0, 22}, {12, 22}, {12, 20}, {0, 0}}[d.r.IntN(4)] // troubles near the aimed ones hide breaches
 	end := w.Now() + span
 	for {
@@ -118,10 +142,14 @@
 	}
 	<-aimed
 	if d.r.IntN(2) == 0 {
-		w.Go(func() { d.close() })
+		d.close()
 	}
-	wait.Wait()
+	time.Sleep(9 * time.Second)
 	close(stop)
+	close(probed)
+	if w.Ledger.Closing < 0 {
+		w.Replace(d.next(d.r), true, nil, w.Ledger.Bounds.Ack.Span())
+	}
 	w.ReadBack()
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -142,13 +170,11 @@
 
 // core gives the core's machine that may be lost now, for a span; nil: none may be.
 func (d *draw) core(span time.Duration) *Machine {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.w.Now() < d.coreTo {
+	m := pick(d.r, d.w.Cores())
+	if len(d.lost) == 0 || !d.take(span, 1) {
 		return nil
 	}
-	d.coreTo = d.w.Now() + span + d.w.Ledger.Bounds.CatchUp.Span()
-	return pick(d.r, d.w.Cores())
+	return m
 }
 
 // one draws a fault. All is drawn before it begins, so that what the programs do shifts nothing.
@@ -202,13 +228,13 @@
 			w.Go(func() { time.Sleep(span); heal() })
 		}
 	case 10:
-		if d.core(span) != nil {
+		if d.take(span, len(d.lost)) { // disks are kept
 			d.log("kill all")
 			w.Go(func() { w.killAll(false, span/5) })
 		}
 	case 11:
-		if d.core(span) != nil {
-			zone := pick(r, w.shape.Zones)
+		zone := pick(r, w.shape.Zones)
+		if len(d.lost) > 0 && d.take(span, len(d.lost)) {
 			d.log("%s without power for %v", zone, span)
 			w.Go(func() { d.zone(zone, span) })
 		}
@@ -368,20 +394,37 @@
 // close is the closing fault, just after a configuration was acknowledged.
 func (d *draw) close() {
 	w := d.w
-	d.reserve(2 * time.Second)
-	c, how, span := d.next(d.r), d.r.IntN(3), d.span(0.2, 1)
-	victim := pick(d.r, w.Cores())
-	if o := w.Replace(c, true, victim, 5*time.Second); o.Acked > 0 && o.By != "" {
-		victim = w.Machine(o.By)
+	d.reserveAll(2*time.Second, len(d.lost))
+	c, how, span := d.next(d.r), d.r.IntN(4), d.span(0.2, 1)
+	all := d.shuffled(d.r)
+	if o := w.Replace(c, true, all[0], 5*time.Second); o.Acked > 0 && o.By != "" {
+		if k := slices.Index(all, w.Machine(o.By)); k > 0 {
+			all[0], all[k] = all[k], all[0]
+		}
+	}
+	if len(d.lost) == 0 {
+		how %= 2
 	}
 	w.Ledger.do(func() { w.Ledger.Closing = w.Now() })
-	d.log("the day closes: %s", []string{"all without power", "all killed", victim.Name + " loses its disk"}[how])
+	d.log("the day closes: %s", []string{"all without power", "all killed", all[0].Name + " loses its disk",
+		fmt.Sprint(len(d.lost), " lose their disks, all others power")}[how])
 	switch how {
 	case 0:
 		w.killAll(true, span)
 	case 1:
 		w.killAll(false, span)
+	case 2:
+		d.harm(all[0], 2, span)
 	default:
-		d.harm(victim, 2, span)
+		w.Go(func() {
+			for _, m := range all[:len(d.lost)] {
+				if w.runs(m) {
+					w.Power(m)
+					w.Wipe(m)
+					w.Go(func() { time.Sleep(span); w.PowerOn(m) })
+				}
+			}
+		})
+		w.killAll(true, span)
 	}
 }
