--- a/accord/accord.go
+++ b/accord/accord.go
@@ -170,6 +170,7 @@
 	up      bool
 	leaving bool
 	seenAt  time.Duration    // the last answer to a question of ours
+	upAt    time.Duration    // when its line stood
 	has     map[string]Stamp // the ballots that its disk has accepted, as it said
 	hasAt   time.Duration    // when it said all of it
 }
@@ -394,7 +395,7 @@
 
 func (r *Replica) upped(e Up) {
 	p := r.met(Met(e))
-	p.up, p.leaving = true, false
+	p.up, p.upAt, p.leaving = true, r.now, false
 	m := r.all(0)
 	if m.Leaving = r.leaving; r.epoch.Number > 0 {
 		m.Epoch = r.theEpoch()
@@ -453,7 +454,7 @@
 	}
 	for _, name := range m.Want {
 		if g := r.regs[name]; g != nil && g.safe != (Stamp{}) && name != epochName {
-			r.send(who, &parley.Message{Copies: []parley.Copy{{Number: g.safe, Register: g.force}}})
+			r.send(who, r.copied(g))
 		}
 	}
 	// What is chosen is so in every epoch.
@@ -475,7 +476,7 @@
 		p.seenAt = r.now
 		r.touch.answer(m.Round, p.disk)
 	}
-	if m.All && m.Round > 0 {
+	if m.All && !m.Ask && m.Round > 0 {
 		for _, q := range r.reads {
 			if q.round > 0 && m.Round >= q.round && m.Round <= r.round {
 				q.answers[p.disk] = m.Has[q.name]
--- a/accord/epoch.go
+++ b/accord/epoch.go
@@ -21,6 +21,7 @@
 	gatherTurn = 500 * time.Millisecond // one seed after the other
 	changeGap  = 200 * time.Millisecond // between changes of voters
 	scanAgain  = 300 * time.Millisecond
+	backAfter  = 5 * time.Second // a change that is not done by then is undone
 )
 
 // scan asks, while old and new voters count, what all of them have.
@@ -78,10 +79,10 @@
 	case !r.born:
 	case r.epoch.Number == 0:
 		r.found()
+	case len(r.epoch.Old) > 0 && r.Votes():
+		r.settleJoint() // it asks for itself who is there
 	case !r.Votes() || !r.InTouch(r.now):
 		r.scan, r.wished = nil, ""
-	case len(r.epoch.Old) > 0:
-		r.settleJoint()
 	default:
 		r.changeVoters()
 	}
@@ -117,11 +118,10 @@
 	return sure >= len(r.o.Seeds)/2+1 || all == len(r.o.Seeds)
 }
 
-func (r *Replica) foundable() bool {
-	return r.seed() >= 0 && r.born && r.founds(func(string) bool { return true })
-}
+func (r *Replica) foundable() bool { return r.born && r.founds(func(string) bool { return true }) }
 
-// found proposes the first epoch: all controllers that came. Any majority of the seeds decides it, whichever is gone.
+// found proposes the first epoch: all controllers that came. Any majority of the seeds decides it, whichever is gone; the
+// others propose too, after them, as they may have lines to seeds that are cut from each other.
 func (r *Replica) found() {
 	at := r.joinedAt + gatherFor
 	all := []Voter{{Controller: r.o.Me, ID: r.disk}}
@@ -134,12 +134,39 @@
 	if len(all) < 2*r.o.Faults+1 {
 		at = max(at, gatherMost)
 	}
-	if !r.foundable() || r.now < at+time.Duration(r.seed())*gatherTurn {
+	turn := r.seed()
+	if turn < 0 {
+		turn = len(r.o.Seeds) + int(rank(epochName, r.disk)%4)
+	}
+	if !r.foundable() || r.now < at+time.Duration(turn)*gatherTurn {
 		return
 	}
 	r.decide(Epoch{Number: 1, Voters: sorted(all)})
 }
 
+// deciders are those who decide what follows this epoch: while a change is under way the old voters, whether it ends in the
+// new ones or goes back. Both ends need a majority of them, so there is one.
+func (r *Replica) deciders() Epoch {
+	e := r.epoch
+	if len(e.Old) > 0 {
+		e.Voters, e.Old = e.Old, nil
+	}
+	return e
+}
+
+// ghost says whether a voter is one of two and its disk is known to be gone, as its machine is there with another one. All
+// that was chosen by two lies on both, and a disk that is gone votes for nothing else: the other one decides alone who
+// votes next. Guards against a core of two that a wiped disk ends for good.
+func (r *Replica) ghost(v Voter) bool {
+	p := r.peers[v.Name]
+	for _, set := range [][]Voter{r.epoch.Voters, r.epoch.Old} {
+		if len(set) == 2 && slices.ContainsFunc(set, func(w Voter) bool { return w.ID == v.ID }) {
+			return v.ID != r.disk && p != nil && p.up && p.disk != v.ID
+		}
+	}
+	return false
+}
+
 func sorted(all []Voter) []Voter {
 	slices.SortFunc(all, func(a, b Voter) int { return strings.Compare(a.Name+a.ID, b.Name+b.ID) })
 	return all
@@ -177,7 +204,8 @@
 		r.toAll(func() *parley.Message { return &parley.Message{Ask: true, Round: round} })
 	}
 	r.scan.answers[r.disk] = r.onDisk()
-	if r.epochOn < r.epoch.Number || !r.epoch.Most(func(v Voter) bool { return r.scan.answers[v.ID] != nil }) {
+	if r.epochOn < r.epoch.Number || !r.epoch.Most(func(v Voter) bool { return r.scan.answers[v.ID] != nil || r.ghost(v) }) {
+		r.goBack()
 		return
 	}
 	best := map[string]Stamp{}
@@ -191,16 +219,26 @@
 	ready := true
 	for _, name := range slices.Sorted(maps.Keys(best)) {
 		number := best[name]
-		if !r.epoch.Safe(r.o.Faults, func(v Voter) bool { return r.scan.answers[v.ID][name] == number }) {
+		if !r.epoch.Safe(r.o.Faults, func(v Voter) bool { return r.scan.answers[v.ID][name] == number || r.ghost(v) }) {
 			ready = false
 			r.finish(r.reg(name))
 		}
 	}
-	if ready {
+	if !ready {
+		r.goBack()
+	} else {
 		r.decide(Epoch{Number: r.epoch.Number + 1, Voters: r.epoch.Voters})
 	}
 }
 
+// goBack ends a change that cannot be ended otherwise: the new voters went before they had all. All that was chosen while
+// both counted lies on enough disks of the old ones. Guards against a core that a learner's death holds for ever.
+func (r *Replica) goBack() {
+	if r.now >= r.changed+backAfter+time.Duration(r.place(epochName))*turnGap {
+		r.decide(Epoch{Number: r.epoch.Number + 1, Voters: r.epoch.Old})
+	}
+}
+
 // changeVoters proposes the voters that are wished for, one controller after the other.
 func (r *Replica) changeVoters() {
 	want := r.wish()
