--- a/gauntlet/days.go
+++ b/gauntlet/days.go
@@ -41,17 +41,34 @@
 func Begin(seed uint64, shape Shape) *World {
 	w := NewWorld(seed, shape)
 	w.Start()
+	w.Populate()
+	time.Sleep(4 * time.Second)
+	w.Replace(Charter(1), true, nil, 5*time.Second)
+	time.Sleep(3 * time.Second)
+	return w
+}
+
+// Populate starts the backends.
+func (w *World) Populate() {
+	each := w.shape.Backends
+	if each == 0 {
+		each = 2
+	}
 	for i, f := range Flows {
-		for z, zone := range shape.Zones {
-			for n := range 2 {
+		for z, zone := range w.shape.Zones {
+			for n := range each {
 				w.Backend(f.Service, zone, fmt.Sprintf("10.%d.1.%d", z, 10*(i+1)+n), 4, workOf(f.Service), false)
 			}
 		}
 	}
-	time.Sleep(4 * time.Second)
-	w.Replace(Charter(1), true, nil, 5*time.Second)
-	time.Sleep(3 * time.Second)
-	return w
+}
+
+// faultsOf is how many of so many machines of a core are to be borne here: what a majority leaves, and one of two.
+func faultsOf(n int) int {
+	if n == 2 {
+		return 1
+	}
+	return (n - 1) / 2
 }
 
 func workOf(service string) time.Duration {
@@ -64,9 +81,9 @@
 	r       *rand.Rand
 	mu      sync.Mutex
 	version uint32
-	sent    []uint32      // versions
-	coreTo  time.Duration // until then the core has lost what it may lose
-	zoned   bool          // a zone is evacuated
+	sent    []uint32        // versions
+	lost    []time.Duration // for each machine of the core that may be lost, until when one is
+	zoned   bool            // a zone is evacuated
 	spare   int
 	from    []*clients // that probe, one a zone
 	Log     []string
@@ -78,20 +95,48 @@
 	d.Log = append(d.Log, fmt.Sprintf("%7.3f ", d.w.Now().Seconds())+fmt.Sprintf(format, args...))
 }
 
+// losesDisks says whether a drawn day may lose a disk. Of two machines one with an empty disk finds no majority of the old
+// set: TestReplaced has that story by itself.
+func (w *World) losesDisks() bool { return w.shape.Cores != 2 && w.shape.Faults > 0 }
+
+// ShapeOf is the deployment of a drawn day.
+func ShapeOf(seed uint64) Shape {
+	s := Plain
+	s.Spare = 2
+	s.Cores = []int{3, 3, 5, 3, 3, 7, 3, 3, 2, 3, 5, 3, 3, 1}[seed%14]
+	s.Faults = faultsOf(s.Cores)
+	return s
+}
+
+// BeginDrawn is Begin for a drawn day: by chance with troubles in the first second.
+func BeginDrawn(seed uint64, shape Shape) (w *World, log []string) {
+	w = NewWorld(seed, shape)
+	w.Start()
+	w.Populate()
+	if r := w.Rand("dawn", 0); r.IntN(2) == 0 {
+		log = w.dawn(r)
+	}
+	for i, m := range w.Cores() {
+		m.clock.Store(int64(time.Duration(seed>>i%3-1) * time.Duration(seed%3600) * time.Second))
+	}
+	time.Sleep(2 * time.Second)
+	w.Replace(Charter(1), true, nil, 40*time.Second)
+	time.Sleep(7 * time.Second)
+	return w, log
+}
+
 // Drawn plays a day of a span with faults that the seed draws, `mean` apart; it returns what was done.
 func Drawn(w *World, span, mean time.Duration) []string {
-	d := &draw{w: w, r: w.Rand("faults", 0), version: 1}
+	d := &draw{w: w, r: w.Rand("faults", 0), version: 1, lost: make([]time.Duration, w.shape.Faults)}
 	for z, zone := range w.shape.Zones {
 		d.from = append(d.from, w.clients(zone, z))
 	}
-	stop := make(chan struct{})
+	stop, probed := make(chan struct{}), make(chan struct{})
 	aimed := d.aimed(2*int(w.seed), 2)
-	var wait sync.WaitGroup
 	extra := Flow{Name: "extra", Host: "a.example", Prefix: "/extra-", Service: "pages", Safe: true, Rate: 8,
 		Deadline: 2 * time.Second, Timeout: 4 * time.Second, Probe: true}
-	tail := 9 * time.Second
-	wait.Go(func() { w.Load(span+tail, append(slices.Clone(Flows), extra)...) })
-	w.Go(func() { d.probe(stop) })
+	w.Go(func() { w.LoadUntil(stop, append(slices.Clone(Flows), extra)...) })
+	w.Go(func() { d.probe(probed) })
 	kinds := [][2]int{{0, 22}, {12, 22}, {12, 20}, {0, 0}}[d.r.IntN(4)] // troubles near the aimed ones hide breaches
 	end := w.Now() + span
 	for {
@@ -105,10 +150,14 @@
 	}
 	<-aimed
 	if d.r.IntN(2) == 0 {
-		w.Go(func() { d.close() })
+		d.close()
 	}
-	wait.Wait()
+	time.Sleep(9 * time.Second)
 	close(stop)
+	close(probed)
+	if w.Ledger.Closing < 0 {
+		w.Replace(d.next(d.r), true, nil, w.Ledger.Bounds.Ack.Span())
+	}
 	w.ReadBack()
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -129,13 +178,11 @@
 
 // core gives the core's machine that may be lost now, for a span; nil: none may be.
 func (d *draw) core(span time.Duration) *Machine {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.w.Now() < d.coreTo {
+	m := pick(d.r, d.w.Cores())
+	if len(d.lost) == 0 || !d.take(span, 1) {
 		return nil
 	}
-	d.coreTo = d.w.Now() + span + d.w.Ledger.Bounds.CatchUp.Span()
-	return pick(d.r, d.w.Cores)
+	return m
 }
 
 // one draws a fault. All is drawn before it begins, so that what the programs do shifts nothing.
@@ -164,7 +211,7 @@
 		both := r.IntN(2) == 0
 		d.log("cut %s from the core for %v, both ways %t", m.Name, span, both)
 		var joins []func()
-		for _, c := range w.Cores {
+		for _, c := range w.Cores() {
 			joins = append(joins, w.Cut(m, c, both))
 		}
 		w.Go(func() { time.Sleep(span); each(joins) })
@@ -185,22 +232,17 @@
 		if c := d.core(span); c != nil {
 			full := r.IntN(2) == 0
 			d.log("disk of %s for %v, full %t (else it hangs)", c.Name, span, full)
-			end := w.Ledger.Trouble(w.Now(), c.Name, "disk", false)
-			if full {
-				c.Disk.Full(true)
-			} else {
-				c.Disk.Hang(span)
-			}
-			w.Go(func() { time.Sleep(span); c.Disk.Full(false); end(w.Now()) })
+			heal := w.BadDisk(c, full, span)
+			w.Go(func() { time.Sleep(span); heal() })
 		}
 	case 10:
-		if d.core(span) != nil {
+		if d.take(span, len(d.lost)) { // disks are kept
 			d.log("kill all")
-			w.Go(func() { d.all(false, span/5) })
+			w.Go(func() { w.killAll(false, span/5) })
 		}
 	case 11:
-		if d.core(span) != nil {
-			zone := pick(r, w.shape.Zones)
+		zone := pick(r, w.shape.Zones)
+		if len(d.lost) > 0 && d.take(span, len(d.lost)) {
 			d.log("%s without power for %v", zone, span)
 			w.Go(func() { d.zone(zone, span) })
 		}
@@ -242,7 +284,7 @@
 		if d.claim() {
 			zone := pick(r, w.shape.Zones)
 			d.log("evacuate %s", zone)
-			from, to := pick(r, w.Cores), pick(r, w.Cores)
+			from, to := pick(r, w.Cores()), pick(r, w.Cores())
 			w.Go(func() {
 				w.Evacuate(zone, true, from)
 				time.Sleep(w.Ledger.Bounds.Evacuate.Span() + span)
@@ -267,6 +309,9 @@
 
 func (d *draw) harm(m *Machine, how int, span time.Duration) {
 	w := d.w
+	if how == 2 && !w.losesDisks() {
+		how = 1
+	}
 	switch how {
 	case 0:
 		w.Kill(m)
@@ -281,39 +326,19 @@
 	}
 	switch how {
 	case 2:
-		m.Disk.Wipe()
+		w.Wipe(m)
 	case 3:
-		m.Disk.Tear(3, true)
+		w.Tear(m, 3, true)
 	}
 	time.Sleep(span)
 	w.PowerOn(m)
 }
 
-// all ends every process of the gateway at once, and starts them again.
-func (d *draw) all(power bool, span time.Duration) {
-	w := d.w
-	var all []*Machine
-	for _, m := range slices.Concat(w.Cores, w.Carriers) {
-		if m.running() {
-			all = append(all, m)
-			if power {
-				w.Power(m)
-			} else {
-				w.Kill(m)
-			}
-		}
-	}
-	time.Sleep(span)
-	for _, m := range all {
-		w.PowerOn(m)
-	}
-}
-
 func (d *draw) zone(zone string, span time.Duration) {
 	w := d.w
 	var all []*Machine
-	for _, m := range slices.Concat(w.Cores, w.Carriers) {
-		if m.Zone == zone && m.running() {
+	for _, m := range slices.Concat(w.Cores(), w.Carriers) {
+		if m.Zone == zone && w.runs(m) {
 			w.Power(m)
 			all = append(all, m)
 		}
@@ -371,7 +396,7 @@
 // change sends configurations at the same time, to controllers of their own.
 func (d *draw) change(n int) {
 	for range n {
-		c, at := d.next(d.r), pick(d.r, d.w.Cores)
+		c, at := d.next(d.r), pick(d.r, d.w.Cores())
 		d.log("configuration %08x at %s", c.Version, at.Name)
 		d.w.Go(func() { d.w.Replace(c, true, at, 8*time.Second) })
 	}
@@ -380,20 +405,37 @@
 // close is the closing fault, just after a configuration was acknowledged.
 func (d *draw) close() {
 	w := d.w
-	d.reserve(2 * time.Second)
-	c, how, span := d.next(d.r), d.r.IntN(3), d.span(0.2, 1)
-	victim := pick(d.r, w.Cores)
-	if o := w.Replace(c, true, victim, 5*time.Second); o.Acked > 0 && o.By != "" {
-		victim = w.Machines[o.By]
+	d.reserveAll(2*time.Second, len(d.lost))
+	c, how, span := d.next(d.r), d.r.IntN(4), d.span(0.2, 1)
+	all := d.shuffled(d.r)
+	if o := w.Replace(c, true, all[0], 5*time.Second); o.Acked > 0 && o.By != "" {
+		if k := slices.Index(all, w.Machine(o.By)); k > 0 {
+			all[0], all[k] = all[k], all[0]
+		}
+	}
+	if len(d.lost) == 0 || !w.losesDisks() {
+		how %= 2
 	}
 	w.Ledger.do(func() { w.Ledger.Closing = w.Now() })
-	d.log("the day closes: %s", []string{"all without power", "all killed", victim.Name + " loses its disk"}[how])
+	d.log("the day closes: %s", []string{"all without power", "all killed", all[0].Name + " loses its disk",
+		fmt.Sprint(len(d.lost), " lose their disks, all others power")}[how])
 	switch how {
 	case 0:
-		d.all(true, span)
+		w.killAll(true, span)
 	case 1:
-		d.all(false, span)
+		w.killAll(false, span)
+	case 2:
+		d.harm(all[0], 2, span)
 	default:
-		d.harm(victim, 2, span)
+		w.Go(func() {
+			for _, m := range all[:len(d.lost)] {
+				if w.runs(m) {
+					w.Power(m)
+					w.Wipe(m)
+					w.Go(func() { time.Sleep(span); w.PowerOn(m) })
+				}
+			}
+		})
+		w.killAll(true, span)
 	}
 }
