Attempt: nameless refusals are believed on a first request only; 101; frozen

Cause: on a connection that was used before, a 503 or 421 without an id was taken for this request's refusal, though it may be a late word about the one before: the request could then be sent once more (TWICE) or promised not to have run (REFUSED). A surplus answer to a HEAD was read past by its length, into this one's answer. After a 101, which nobody asks for, a try waited for its whole time. A process that woke after the request's time, its timers late, sent it with a budget of 1 ms. Change: such a refusal is read past as any foreign answer; after a HEAD the end of a surplus is not guessed; 101 is garbled; with no time left nothing is sent.

--- a/attempt/answer.go
+++ b/attempt/answer.go
@@ -32,8 +32,8 @@
 			return nil, t.failed(fault.Broken, err)
 		case err != nil:
 			return nil, t.failed(fault.CutOff, err)
-		case resp.ProtoMajor != 1 || resp.StatusCode < 100:
-			return nil, t.fault(fault.Garbled, errVersion)
+		case resp.ProtoMajor != 1 || resp.StatusCode < 100 || resp.StatusCode == http.StatusSwitchingProtocols:
+			return nil, t.fault(fault.Garbled, errVersion) // nobody has asked for another protocol: no answer would come
 		case resp.StatusCode >= 200:
 			return resp, nil
 		}
@@ -41,11 +41,11 @@
 	return nil, t.fault(fault.Garbled, errInterim)
 }
 
-// skip reads past an answer to another request, whole; false: its end can't be found. The connection is out of step
-// from then on.
+// skip reads past an answer to another request, whole; false: its end can't be found, as that request or this one was
+// a HEAD, or it says no length. The connection is out of step from then on.
 func (t *try) skip(resp *http.Response) bool {
 	t.spoilt = true
-	if t.c.Method == http.MethodHead || openEnded(resp, "") {
+	if t.c.Method == http.MethodHead || t.k.heads || openEnded(resp, "") {
 		return false
 	}
 	_, err := io.Copy(io.Discard, resp.Body)
--- a/attempt/attempt.go
+++ b/attempt/attempt.go
@@ -149,13 +149,18 @@
 	if err != nil {
 		return nil, err
 	}
+	left := c.Deadline.Sub(p.o.Now())
+	if left <= 0 { // dialling took it, or this process was frozen meanwhile
+		p.drop(k)
+		return nil, fault.New(fault.OutOfTime, c.Addr, nil)
+	}
 	k.last = c.AttemptID
 	t := &try{p: p, ctx: ctx, c: c, k: k}
 	if ctx.Done() != nil {
 		t.stop = context.AfterFunc(ctx, func() { k.Conn.Close() })
 	}
 	buf := bufs.Get().(*[]byte)
-	*buf = appendRequest((*buf)[:0], c, c.Deadline.Sub(p.o.Now()))
+	*buf = appendRequest((*buf)[:0], c, left)
 	n, err := k.Conn.Write(*buf)
 	putBuf(buf)
 	if err != nil {
@@ -186,9 +191,9 @@
 		h := resp.Header
 		id, ok2 := h.Get(FieldID), resp.StatusCode/100 == 2
 		refused := resp.StatusCode == http.StatusMisdirectedRequest || len(h[FieldNotRun]) > 0
-		// A refusal without an id is this call's, unless the connection has carried a request without one before:
-		// then it may be the late answer to that, and says nothing about this call.
-		mine := c.AttemptID == "" || id == c.AttemptID || id == "" && refused && !ok2 && !t.k.bare
+		// A refusal without an id is this call's only where the connection has carried no other request: else it may
+		// be a late answer to that, and says nothing about this call, which may well be at work.
+		mine := c.AttemptID == "" || id == c.AttemptID || id == "" && refused && !ok2 && !t.k.used
 		if !mine {
 			if surplus++; surplus > 2 || !t.skip(resp) {
 				return nil, t.fault(fault.Foreign, errForeign)
@@ -355,6 +360,7 @@
 		ok = false // the client went away meanwhile: it is being closed
 	}
 	if ok {
+		t.k.used, t.k.heads = true, t.k.heads || t.c.Method == http.MethodHead
 		t.p.put(t.k, t.keep, t.c.MostOpen)
 	} else {
 		t.p.drop(t.k)
--- a/attempt/conn.go
+++ b/attempt/conn.go
@@ -30,6 +30,8 @@
 	era     int
 	until   time.Time       // when it is to be closed, if idle
 	last    string          // id of the last request on it
+	used    bool            // it has carried a request before the one that is under way
+	heads   bool            // ... one by HEAD, whose surplus answer would have no end that can be found
 	bare    bool            // it has carried a request without an id
 	room    int             // bytes that may still be read for a head; -1: no bound
 	seen    bool            // bytes of the answer being read have come
