--- a/accord/accord.go
+++ b/accord/accord.go
@@ -396,7 +396,10 @@
 func (r *Replica) upped(e Up) {
 	p := r.met(Met(e))
 	p.up, p.upAt, p.leaving = true, r.now, false
+	// It is asked too: what it said when this side did not know it yet was not heard.
+	r.round++
 	m := r.all(0)
+	m.Ask, m.Round = true, r.round
 	if m.Leaving = r.leaving; r.epoch.Number > 0 {
 		m.Epoch = r.theEpoch()
 	}
--- a/accord/wish.go
+++ b/accord/wish.go
@@ -1,6 +1,7 @@
 package accord
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -47,7 +48,7 @@
 	return wish(voters, others, r.o.Faults)
 }
 
-// wish decides on one change of voters at most.
+// wish decides on the next change of voters.
 //
 //   - A machine that came back with another disk votes with that one, once it is whole: the old one is gone for sure.
 //   - One that is whole takes the place of a voter that leaves or is silent; it comes beside the others only once all of
@@ -58,48 +59,46 @@
 //     three and need both that are left; of two that lost one nothing is decided until it is back.
 //   - One that leaves is let go likewise, but down to f+1.
 func wish(voters, others []seat, faults int) []Voter {
-	var now []Voter
-	for _, s := range voters {
-		now = append(now, s.Voter)
-	}
-	change := func(out, in *Voter) []Voter {
-		next := slices.DeleteFunc(slices.Clone(now), func(v Voter) bool { return out != nil && v.ID == out.ID })
-		if in != nil {
-			next = append(next, *in)
-		}
-		return sorted(next)
-	}
-	for _, c := range others {
-		for _, v := range voters {
-			if c.whole && v.wiped && v.Name == c.Name {
-				return change(&v.Voter, &c.Voter)
-			}
-		}
-	}
-	gone, calm, answered := -1, true, time.Duration(math.MaxInt64)
-	for i, v := range voters {
+	var next []Voter
+	var gone []seat // the longest silent first
+	calm, answered := true, time.Duration(math.MaxInt64)
+	for _, v := range voters {
+		next = append(next, v.Voter)
 		calm, answered = calm && !v.leaving && !v.wiped, min(answered, v.seen)
-		if (v.leaving || v.away > awayFor) && !v.wiped && (gone < 0 || v.away > voters[gone].away) {
-			gone = i
+		if (v.leaving || v.away > awayFor) && !v.wiped {
+			gone = append(gone, v)
 		}
 	}
+	slices.SortStableFunc(gone, func(a, b seat) int { return cmp.Compare(b.away, a.away) })
+	drop := func(out Voter) {
+		next = slices.DeleteFunc(next, func(v Voter) bool { return v.ID == out.ID })
+	}
 	for _, c := range others {
-		switch back := slices.ContainsFunc(voters, func(v seat) bool { return v.Name == c.Name }); {
-		case !c.whole || back:
-		case gone >= 0:
-			return change(&voters[gone].Voter, &c.Voter)
-		case calm && answered > c.came+pingEvery && len(voters) < max(votersMost, 2*faults+1):
-			return change(nil, &c.Voter)
+		if !c.whole {
+			continue
+		}
+		before := slices.IndexFunc(voters, func(v seat) bool { return v.Name == c.Name })
+		switch {
+		case before >= 0 && voters[before].wiped:
+			drop(voters[before].Voter)
+		case before >= 0:
+			continue
+		case len(gone) > 0:
+			drop(gone[0].Voter)
+			gone = gone[1:]
+		case !calm || answered <= c.came+pingEvery || len(next) >= max(votersMost, 2*faults+1):
+			continue
 		}
+		next = append(next, c.Voter)
 	}
-	if gone >= 0 && len(voters)%2 == 0 {
+	if len(gone) > 0 && len(next) == len(voters) && len(next)%2 == 0 {
 		least := 2*faults + 1
-		if voters[gone].leaving {
+		if gone[0].leaving {
 			least = faults + 1
 		}
-		if len(voters)-1 >= least {
-			return change(&voters[gone].Voter, nil)
+		if len(next)-1 >= least {
+			drop(gone[0].Voter)
 		}
 	}
-	return now
+	return sorted(next)
 }
