--- a/accord/drawn_test.go
+++ b/accord/drawn_test.go
@@ -5,6 +5,7 @@
 	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -427,28 +428,27 @@
 	epochs int
 }
 
-// playAll plays many seeds, in their order.
-func playAll(from, to uint64, s story, f driverFlaws) []played {
-	out := make([]played, to-from)
+// parallel does n things, on all processors.
+func parallel(n int, do func(k int)) {
 	var all sync.WaitGroup
-	var mu sync.Mutex
-	next := from
+	var next atomic.Int64
 	for range runtime.GOMAXPROCS(0) {
 		all.Go(func() {
-			for {
-				mu.Lock()
-				seed := next
-				next++
-				mu.Unlock()
-				if seed >= to {
-					return
-				}
-				w := play(seed, s, f, quiet)
-				out[seed-from] = played{seed, w.fault, w.done, w.blockage, len(w.epochs)}
+			for k := int(next.Add(1)) - 1; k < n; k = int(next.Add(1)) - 1 {
+				do(k)
 			}
 		})
 	}
 	all.Wait()
+}
+
+// playAll plays many seeds, in their order.
+func playAll(from, to uint64, s story, f driverFlaws) []played {
+	out := make([]played, to-from)
+	parallel(len(out), func(k int) {
+		w := play(from+uint64(k), s, f, quiet)
+		out[k] = played{from + uint64(k), w.fault, w.done, w.blockage, len(w.epochs)}
+	})
 	return out
 }
 
