Accord: a first epoch whose voters lost their disks is not finished

Change: where all seeds are there and none has entered it, another one is proposed, under a number of its own.

--- a/accord/epoch.go
+++ b/accord/epoch.go
@@ -141,7 +141,28 @@
 	if !r.foundable() || r.now < at+time.Duration(turn)*gatherTurn {
 		return
 	}
-	r.decide(Epoch{Number: 1, Voters: sorted(all)})
+	here := func(seed string) bool {
+		return slices.ContainsFunc(all, func(v Voter) bool { return v.Address == seed })
+	}
+	first := Epoch{Number: 1, Voters: sorted(all)}
+	if !slices.ContainsFunc(r.o.Seeds, func(seed string) bool { return !here(seed) }) {
+		r.decideFrom(first, func(half Epoch) bool { return mostGone(half, all) })
+		return
+	}
+	r.decide(first)
+}
+
+// mostGone says whether the machines of most voters are here with other disks. Guards against a first epoch that was half
+// done when its voters lost their disks being finished, and nobody ever voting in it: all seeds are here, and none of
+// them has entered it, so that nothing was acknowledged in it but by disks that are gone, more than are to be borne.
+func mostGone(half Epoch, here []Voter) bool {
+	n := 0
+	for _, v := range half.Voters {
+		if slices.ContainsFunc(here, func(w Voter) bool { return w.Name == v.Name && w.ID != v.ID }) {
+			n++
+		}
+	}
+	return n > len(half.Voters)/2
 }
 
 // deciders are those who decide what follows this epoch: while a change is under way the old voters, whether it ends in the
@@ -173,15 +194,20 @@
 }
 
 // decide proposes the next epoch, unless another one is proposed already: then that one is finished.
-func (r *Replica) decide(e Epoch) {
+func (r *Replica) decide(e Epoch) { r.decideFrom(e, func(Epoch) bool { return false }) }
+
+// decideFrom does so, but for one that is proposed already and of which over says that it never can be in force.
+func (r *Replica) decideFrom(e Epoch, over func(Epoch) bool) {
 	g := r.reg(epochName)
 	if g.prop.Phase != ballot.Idle || len(g.queue) > 0 {
 		return
 	}
-	value, life := encodeEpoch(e), r.o.Life
+	life := r.o.Life
 	g.queue = append(g.queue, &order{began: r.now, apply: func(holds Register, _ Age) (Register, Fate) {
-		if holds.Stamp == (Stamp{}) {
-			holds.Stamp, holds.Value = Stamp{Hi: 1, Lo: life}, value
+		if half, err := decodeEpoch(holds.Value); holds.Stamp == (Stamp{}) || err == nil && over(half) {
+			next := e
+			next.Number = max(e.Number, half.Number+1) // two epochs never have one number
+			holds.Stamp, holds.Value = Stamp{Hi: holds.Stamp.Hi + 1, Lo: life}, encodeEpoch(next)
 		}
 		return holds, Taken
 	}})
--- a/accord/register.go
+++ b/accord/register.go
@@ -415,7 +415,9 @@
 	}
 	if g.acc.Accepted != (Stamp{}) && !g.chosen() && r.now >= g.openAt+finishAfter+time.Duration(r.place(g.name))*turnGap {
 		g.openAt = r.now
-		r.finish(g) // the one that began it may be gone
+		if r.epoch.Number > 0 || g.name != epochName { // a first epoch that is half done is found's
+			r.finish(g) // the one that began it may be gone
+		}
 	}
 	r.propose(g)
 }
