--- a/accord/epoch.go
+++ b/accord/epoch.go
@@ -230,7 +230,8 @@
 		r.toAll(func() *parley.Message { return &parley.Message{Ask: true, Round: round} })
 	}
 	r.scan.answers[r.disk] = r.onDisk()
-	if r.epochOn < r.epoch.Number || !r.epoch.Most(func(v Voter) bool { return r.scan.answers[v.ID] != nil || r.ghost(v) }) {
+	answered := func(v Voter) bool { _, is := r.scan.answers[v.ID]; return is || r.ghost(v) }
+	if r.epochOn < r.epoch.Number || !r.epoch.Most(answered) {
 		r.goBack()
 		return
 	}
--- a/accord/register.go
+++ b/accord/register.go
@@ -413,6 +413,9 @@
 			r.send(who, &parley.Message{Want: []string{g.name}})
 		}
 	}
+	if g.acc.Accepted != (Stamp{}) && !g.chosen() {
+		r.count(g) // at a start, what is said by then may be enough
+	}
 	if g.acc.Accepted != (Stamp{}) && !g.chosen() && r.now >= g.openAt+finishAfter+time.Duration(r.place(g.name))*turnGap {
 		g.openAt = r.now
 		if r.epoch.Number > 0 || g.name != epochName { // a first epoch that is half done is found's
