Transit: refusals go out at once; flowing bodies stay whole; none for the gone

Cause: net/http reads the rest of a client's body before it writes an answer's head. A 404 or 429 waited up to 300 ms for a body that was still to come; an answer to a body over 128 KB that the client sent slowly waited for the client, at worst until the request's deadline, and that reading competed with the sending to the backend. A further try was made for a client whose connection had ended. A 500 over 64 KB was broken off in the middle where no other backend was left. Change: the rest of an unwanted body has 5 ms; after that, and for one that flows, the answer goes out first, says that the connection closes, and the connection ends, so that nothing left of the body is read as a request. No further try once the client has gone. A large 500 that was let go becomes 502.

--- a/transit/front.go
+++ b/transit/front.go
@@ -30,7 +30,9 @@
 	proveLate  = 5 * time.Second
 	unsureFor  = 300 * time.Millisecond // beside a beat, until a backend's word that it is cold has come here
 	budgetMost = 10 * time.Minute
-	unreadFor  = 300 * time.Millisecond // that a refusal waits for a body which nobody wants
+	unreadSoon = 5 * time.Millisecond   // that a refusal waits for a body which nobody wants, so that the connection may stay
+	unreadMost = 256 << 10              // bytes of it that are read for that
+	unreadFor  = 300 * time.Millisecond // that the connection is read on after an answer that came first, so that it arrives
 	writeMore  = 2 * time.Second        // that a client may take longer to read than it said it waits
 )
 
@@ -146,10 +148,29 @@
 	target   string
 	deadline time.Time
 	body     []byte
-	stream   io.Reader
+	whole    bool    // ... is all of the client's
+	stream   *upload // what follows body; nil: nothing that is wanted
 	length   int64
 }
 
+// upload is the part of a body that flows. Its reader may be at work when the answer is there.
+type upload struct {
+	io.Reader
+	done atomic.Bool // it was read to its end
+	left int64       // that its length promises; negative: unknown
+}
+
+func (u *upload) Read(b []byte) (int, error) {
+	n, err := u.Reader.Read(b)
+	if u.left >= 0 {
+		u.left -= int64(n)
+	}
+	if err == io.EOF || u.left == 0 {
+		u.done.Store(true)
+	}
+	return n, err
+}
+
 // carry takes a request from the client to a backend and the answer back: route, level, body, tries, answer.
 func (c *Carrier) carry(w http.ResponseWriter, r *http.Request) {
 	q := request{w: w, r: r, began: c.o.Clock.Now(), charter: c.view.Load()}
@@ -224,7 +245,7 @@
 // hold takes the body, whole up to holdMost.
 func (q *request) hold() fault.Kind {
 	r := q.r
-	if r.ContentLength == 0 || r.Body == nil || r.Body == http.NoBody {
+	if q.whole = r.ContentLength == 0 || r.Body == nil || r.Body == http.NoBody; q.whole {
 		return fault.None
 	}
 	body := http.MaxBytesReader(nil, r.Body, q.charter.Limits.BodyBytes)
@@ -248,12 +269,15 @@
 	var slow net.Error
 	switch {
 	case err == io.EOF:
+		q.whole = true
 		_ = control.SetReadDeadline(time.Time{})
 		return fault.None
 	case err == nil:
-		if q.stream, q.length = body, -1; r.ContentLength >= 0 {
+		if q.length = -1; r.ContentLength >= 0 {
 			q.length = r.ContentLength - int64(len(q.body))
 		}
+		q.stream = &upload{Reader: body, left: q.length}
+		q.stream.done.Store(q.length == 0)
 		return fault.None
 	case errors.As(err, &large):
 		return fault.BodyLarge
@@ -266,8 +290,11 @@
 // try asks backends until one answers or none may be asked.
 func (c *Carrier) try(q *request) {
 	call := attempt.Call{Method: q.r.Method, Target: q.target, Host: q.r.Host, Header: q.r.Header.Clone(),
-		AttemptID: q.r.Header.Get(attempt.FieldID), Body: q.body, Stream: q.stream, StreamLen: q.length,
+		AttemptID: q.r.Header.Get(attempt.FieldID), Body: q.body, StreamLen: q.length,
 		HasBody: q.body != nil || q.r.ContentLength == 0 && q.r.Header.Get("Content-Length") != "", Deadline: q.deadline}
+	if q.stream != nil {
+		call.Stream = q.stream
+	}
 	attempt.StripHop(call.Header)
 	for _, name := range []string{attempt.FieldID, attempt.FieldBudget, attempt.FieldInstance, "Content-Length", "Expect"} {
 		call.Header.Del(name)
@@ -321,6 +348,9 @@
 			offered++
 		}
 		ran = ran || last.Rule().MayHave
+		if q.r.Context().Err() != nil { // the client has gone: a further try would draw on the budget for nobody
+			break
+		}
 		again := false
 		c.settle(func(s *verdict.Settler) {
 			again = q.stream == nil && s.Again(c.now(), q.service, last, q.route.Safe, offered, q.route.MaxTries)
@@ -328,7 +358,9 @@
 		if !again {
 			break
 		}
-		answer.End()
+		if answer.End(); answer != nil && answer.Rest != nil {
+			answer = nil // what flows has been let go
+		}
 	}
 	switch {
 	case answer != nil && (last == fault.None || last == fault.Failed) && !promises(answer.Status):
@@ -415,6 +447,9 @@
 		h.Set("Content-Length", strconv.FormatInt(a.Length, 10))
 	}
 	c.persist(h, q)
+	if q.early(h) {
+		defer q.part()
+	}
 	// A client that does not read must not hold the answer for ever.
 	_ = http.NewResponseController(q.w).SetWriteDeadline(q.deadline.Add(writeMore))
 	q.w.WriteHeader(a.Status)
@@ -442,6 +477,33 @@
 	}
 }
 
+// early readies an answer that is there before the end of the client's body was read; it says whether it is one.
+// net/http would read what is left before it writes the head: a client that takes its time would hold the answer up,
+// and of a body that flows it would take bytes away from the backend. So the answer goes out first, and the connection
+// ends: no byte of the body may be taken for a next request.
+func (q *request) early(h http.Header) bool {
+	control := http.NewResponseController(q.w)
+	switch {
+	case q.whole || q.r.ContentLength == 0 || q.stream != nil && q.stream.done.Load():
+		return false
+	case q.stream == nil && q.r.Header.Get("Expect") == "": // most have it in one packet with the head
+		_ = control.SetReadDeadline(time.Now().Add(unreadSoon))
+		if _, err := io.CopyN(io.Discard, q.r.Body, unreadMost); err == io.EOF {
+			_ = control.SetReadDeadline(time.Time{})
+			return false
+		}
+	}
+	_ = control.EnableFullDuplex()
+	h.Set("Connection", "close")
+	h.Del("Keep-Alive")
+	return true
+}
+
+// part bounds what is still read from a client whose answer was there before the end of its body.
+func (q *request) part() {
+	_ = http.NewResponseController(q.w).SetReadDeadline(time.Now().Add(unreadFor))
+}
+
 // persist says how long the connection stays.
 func (c *Carrier) persist(h http.Header, q *request) {
 	if c.stopping.Load() {
@@ -464,8 +526,8 @@
 		h.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
 	}
 	c.persist(h, q)
-	if q.body == nil && q.r.ContentLength != 0 { // net/http reads what is left of it before it writes the head
-		_ = http.NewResponseController(q.w).SetReadDeadline(time.Now().Add(unreadFor))
+	if q.early(h) {
+		q.part()
 	}
 	h.Set("Content-Type", "text/plain")
 	text := kind.String() + "\n"
--- a/transit/transit_test.go
+++ b/transit/transit_test.go
@@ -42,11 +42,16 @@
 	out     strings.Builder
 	lives   int // backends
 	asked   int // requests
+
+	came  map[string][]string // the backends where a request arrived whole, by its id
+	ran   map[string]int      // how often one was worked at
+	eager map[string]act      // what a backend does before it has read the body, by its id
+	slow  map[string]bool     // addresses where a connection comes up after the dialler has given it up
 }
 
 // enter starts a carrier in the zone "north" and its controllers, the first of which is in that zone too.
 func enter(cores int) *stage {
-	s := &stage{net: gauntlet.NewNet(func(from, to string) time.Duration {
+	s := &stage{came: map[string][]string{}, ran: map[string]int{}, eager: map[string]act{}, slow: map[string]bool{}, net: gauntlet.NewNet(func(from, to string) time.Duration {
 		// Nothing of two controllers is under way for equally long, so that its order is always the same.
 		return 200*time.Microsecond + 10*time.Microsecond*time.Duration(from[len(from)-1]+to[len(to)-1]-2*'0')
 	})}
@@ -71,7 +76,16 @@
 			return host.Dial(ctx, address, 0)
 		},
 		Backends: attempt.Options{Dial: func(ctx context.Context, address string) (net.Conn, error) {
-			return host.Dial(ctx, address, 0)
+			conn, err := host.Dial(ctx, address, 0)
+			s.mu.Lock()
+			slow := s.slow[address]
+			s.mu.Unlock()
+			if err == nil && slow {
+				<-ctx.Done()
+				_ = conn.Close()
+				return nil, ctx.Err()
+			}
+			return conn, err
 		}}})
 	front, err := host.Listen("10.0.0.100:8548")
 	if err != nil {
@@ -343,6 +357,12 @@
 		}
 		slices.Sort(fields)
 		s.note("    %s < %s | %s", id, strings.TrimSpace(line), strings.Join(fields, " | "))
+		s.mu.Lock()
+		eager := s.eager[id]
+		s.mu.Unlock()
+		if eager != nil && eager(c, r) != nil {
+			return
+		}
 		body, end := make([]byte, length), ""
 		if _, err = io.ReadFull(br, body); chunked {
 			body, err = io.ReadAll(unchunked(br))
@@ -353,7 +373,13 @@
 		if length > 0 || chunked {
 			s.note("        %s%s", short(body), end)
 		}
-		if err != nil || do(c, r) != nil {
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		s.came[r.id] = append(s.came[r.id], id)
+		s.mu.Unlock()
+		if do(c, r) != nil {
 			return
 		}
 	}
