Transit: the core's words are weighed by touch, tables by the renewal that they follow

A new life began with whatever the first controller held, cut off or not; tables that a frozen controller had worked out before it woke were taken; steering followed lines alone. Change: transit/core.go settles it in pure functions. A controller says whether it is apart; a carrier without a configuration waits for one in touch, until 3 s after the first word: then the newest that was once in force is taken, at once and not at the next tick. It is steered by one in touch before one apart (turned away from after 2.5 s apart, turned to after 3 s in touch), asks those in touch first. Tables are taken from the one that steers, after a renewal on this line no older than 3 s; else the line ends, so that whole ones come. 3 s and not 2: a renewal goes out once a second, and on a choked link two ways of over half a second would close it again and again. The right to cold backends is worked out by rightUntil, as before; renewals rise by one from the first.

--- a/transit/transit.go
+++ b/transit/transit.go
@@ -24,7 +24,6 @@
 	"elmfold/charter"
 	"elmfold/parley"
 	"elmfold/premise"
-	"elmfold/presence"
 	"elmfold/rapport"
 	"elmfold/verdict"
 )
@@ -62,8 +61,9 @@
 	safe    parley.Stamp            // the newest configuration that it said to be in force
 	asked   int                     // how often it was asked for the one that is wanted
 	members map[string]parley.Member
-	sent    [8]time.Duration // of the renewals, by their number
-	renewed time.Duration    // the sending of the newest that was answered; negative: none
+	sent    sentTimes     // of the renewals
+	renewed time.Duration // the sending of the newest that was answered; negative: none
+	touch   touch
 }
 
 type life struct {
@@ -115,7 +115,7 @@
 func New(o Options) *Carrier {
 	c := &Carrier{o: o, log: o.Log, life: rand.Uint64() | 1, began: o.Clock.Now(), queue: rapport.NewQueue(1024),
 		controllers: map[string]*controller{}, lives: map[string]*life{}, zones: map[string]parley.Register{},
-		takenBack: map[string]time.Duration{}, heardAt: -1}
+		takenBack: map[string]time.Duration{}, heardAt: -1, renewal: 1}
 	set := o.Settings
 	c.me = parley.Controller{Name: set.Name, Zone: set.Zone, Address: set.Own()}
 	c.keep = &rapport.Keeper{Queue: c.queue, Clock: o.Clock, Dial: o.Dial, Again: dialAgain, Silence: silentFor,
@@ -170,10 +170,22 @@
 			p = &controller{}
 			c.controllers[name] = p
 		}
+		was := *p
 		*p = controller{who: m.Hello.Who, line: line, life: m.Hello.Life, upAt: now, renewed: -1,
 			members: map[string]parley.Member{}}
+		if was.life == p.life { // its line alone was lost
+			p.touch = was.touch
+		} else {
+			p.touch.since = now
+		}
 		if c.heardAt < 0 {
 			c.heardAt = now
+			c.o.Clock.AfterFunc(readAtLeast+time.Millisecond, func() { // what then counts is to be had at once
+				c.queue.Post(func() {
+					c.want(c.now())
+					c.judgeReady(c.now())
+				})
+			})
 		}
 		for _, l := range c.lives { // its first words say anew whom it vouches for
 			c.unvouch(now, l, name)
@@ -181,6 +193,9 @@
 		c.log.Info("line up", "to", name)
 		c.renew(p, false)
 	}
+	if m.Hello != nil || m.Held != nil || m.Renewed > 0 { // the words that say it
+		p.touch.hear(now, m.Apart)
+	}
 	p.settled = p.settled || m.Settled
 	for _, k := range m.Know {
 		c.keep.Keep(k.Address)
@@ -195,15 +210,12 @@
 		p.votes, p.held = true, m.Held
 	}
 	for _, r := range m.Offers {
-		c.offered(now, r, m.Safe[r.Name])
+		if r.Name != charterName || counts(now, c.heardAt, c.view.Load() != nil, p.touch.apart) {
+			c.offered(now, r, m.Safe[r.Name])
+		}
 	}
 	if s, ok := m.Safe[charterName]; ok && p.safe.Less(s) {
-		if p.safe = s; c.wanted.Less(s) {
-			c.wanted, c.wantedAt = s, -1
-			for _, p := range c.controllers {
-				p.asked = 0
-			}
-		}
+		p.safe = s
 	}
 	c.want(now)
 	if len(m.Backends) > 0 {
@@ -225,11 +237,17 @@
 	if m.Hello != nil || len(m.Went)+len(m.Came) > 0 {
 		c.setMembers()
 	}
-	if m.Renewed > 0 && m.Tables == nil && m.Renewed+uint64(len(p.sent)) > c.renewal {
-		p.renewed = p.sent[m.Renewed%uint64(len(p.sent))]
+	sent, known := p.sent.of(m.Renewed)
+	if m.Tables == nil && known {
+		p.renewed = max(p.renewed, sent)
 		c.setRight()
 	}
 	if len(m.Tables) > 0 && name == c.steersAt {
+		if !known || now > sent+tablesFor { // worked out before its process was frozen, or its line held up
+			c.log.Warn("tables that are old", "from", name)
+			line.Close() // changes would be lost: on the next line they come whole
+			return
+		}
 		c.setTables(now, m.Tables)
 	}
 	c.judgeReady(now)
@@ -310,9 +328,17 @@
 
 func (c *Carrier) evacuated(zone string) bool { return accord.Evacuated(c.zones[zone].Value) }
 
-// want asks for the newest configuration: of those that said that it is in force the nearest, and another each time
-// that no answer came. Guards against the nearest one being cut off from the core: it has only what is older.
+// want asks for the newest configuration: of those that said that it is in force one in touch, the nearest, and another
+// each time that no answer came. Guards against the nearest one being cut off from the core: it has only what is older.
 func (c *Carrier) want(now time.Duration) {
+	for _, p := range c.controllers {
+		if c.wanted.Less(p.safe) && counts(now, c.heardAt, c.view.Load() != nil, p.touch.apart) {
+			c.wanted, c.wantedAt = p.safe, -1
+			for _, p := range c.controllers {
+				p.asked = 0
+			}
+		}
+	}
 	if !c.have.Less(c.wanted) ||
 		c.wantedAt >= 0 && now < c.wantedAt+wantAgain {
 		return
@@ -322,8 +348,7 @@
 		if p.line == nil || p.safe.Less(c.wanted) {
 			continue
 		}
-		if best == nil || p.asked < best.asked ||
-			p.asked == best.asked && p.who.Zone == c.me.Zone && best.who.Zone != c.me.Zone {
+		if best == nil || p.asked < best.asked || p.asked == best.asked && p.nearer(best, c.me.Zone) {
 			best = p
 		}
 	}
@@ -334,6 +359,14 @@
 	}
 }
 
+// nearer says whether it is rather to be asked than o: in touch, then of the zone.
+func (p *controller) nearer(o *controller, zone string) bool {
+	if p.touch.apart != o.touch.apart {
+		return !p.touch.apart
+	}
+	return p.who.Zone == zone && o.who.Zone != zone
+}
+
 func (c *Carrier) sorted() []*controller {
 	var all []*controller
 	for _, p := range c.controllers {
@@ -443,21 +476,16 @@
 	c.settle(func(s *verdict.Settler) { s.Members(all) })
 }
 
-// setRight: a member is one whose lease most founders renewed; the right ends by this clock before theirs gives it away.
+// setRight: a member is one whose lease most voters renewed; the right ends by this clock before theirs gives it away.
 func (c *Carrier) setRight() {
-	// The newest instant whose renewals a majority has answered.
-	var all []time.Duration
-	for _, p := range c.controllers {
+	renewed := map[string]time.Duration{}
+	for name, p := range c.controllers {
 		if p.renewed >= 0 {
-			all = append(all, p.renewed)
+			renewed[name] = p.renewed
 		}
 	}
-	slices.SortFunc(all, func(a, b time.Duration) int { return int(b - a) })
-	for _, at := range all {
-		if c.epoch.Most(func(v parley.Voter) bool { p := c.controllers[v.Name]; return p != nil && p.renewed >= at }) {
-			c.settle(func(s *verdict.Settler) { s.Right(at + presence.RightFor) })
-			return
-		}
+	if until, ok := rightUntil(c.epoch, renewed); ok {
+		c.settle(func(s *verdict.Settler) { s.Right(until) })
 	}
 }
 
@@ -501,8 +529,8 @@
 }
 
 func (c *Carrier) renew(p *controller, report bool) {
-	m := &parley.Message{Renew: max(c.renewal, 1)}
-	p.sent[m.Renew%uint64(len(p.sent))] = c.now()
+	m := &parley.Message{Renew: c.renewal}
+	p.sent.note(m.Renew, c.now())
 	if report && p.who.Name == c.steersAt {
 		m.Steer = true
 		var r verdict.Report
@@ -519,25 +547,15 @@
 	p.line.Send(m)
 }
 
-// chooseSteerer: the controller of the own zone steers; where its line is down, the next by rendezvous over those
-// that are up, so that all carriers of a zone turn to the same.
+// chooseSteerer turns to the controller that is to steer.
 func (c *Carrier) chooseSteerer() {
-	best, bestRank := "", uint64(0)
+	var all []candidate
 	for _, p := range c.sorted() {
-		if p.line == nil {
-			continue
-		}
-		rank := verdict.Rank(p.who.Name, c.me.Zone)
-		if p.who.Zone == c.me.Zone {
-			rank |= 1 << 63
-		} else {
-			rank &^= 1 << 63
-		}
-		if best == "" || rank > bestRank {
-			best, bestRank = p.who.Name, rank
+		if p.line != nil {
+			all = append(all, candidate{p.who.Name, p.who.Zone, p.touch.steady(c.now(), p.who.Name == c.steersAt)})
 		}
 	}
-	if best != "" && best != c.steersAt {
+	if best := steererOf(c.me.Zone, all); best != "" && best != c.steersAt {
 		c.steersAt = best
 		c.log.Info("steered by", "controller", best)
 	}
--- a/transit/transit_test.go
+++ b/transit/transit_test.go
@@ -62,7 +62,7 @@
 	for i := range cores {
 		ip := fmt.Sprintf("10.0.0.%d", 10+i)
 		set.Seeds = append(set.Seeds, ip+":8544")
-		s.cores = append(s.cores, &core{s: s, all: true, settled: true, answers: true, who: parley.Controller{
+		s.cores = append(s.cores, &core{s: s, all: true, settled: true, answers: true, life: 1, who: parley.Controller{
 			Name: fmt.Sprintf("core-%d", i), Zone: []string{"north", "south"}[i%2], Address: ip + ":7540"}})
 	}
 	for _, k := range s.cores {
@@ -128,6 +128,12 @@
 	held         map[string]parley.Stamp // beside the configuration
 	all, settled bool
 	answers      bool // it gives the configuration when it is asked
+	apart        bool // it says that it has no contact with a majority
+	life         uint64
+	epoch        *parley.Epoch // nil: all that were begun vote
+	renewed      uint64        // the last renewal
+	steers       int           // renewals, one after the other, that wanted its tables
+	hellos       int           // lines
 }
 
 func (k *core) begin() {
@@ -155,12 +161,16 @@
 		}
 		k.mu.Lock()
 		if m.Hello != nil {
+			k.hellos++
 			epoch := &parley.Epoch{Number: 1}
 			for _, other := range k.s.cores {
 				epoch.Voters = append(epoch.Voters, parley.Voter{Controller: other.who, ID: "disk of " + other.who.Name})
 			}
-			first := &parley.Message{Hello: &parley.Hello{Who: k.who, Life: 1}, Epoch: epoch,
-				All: k.all, Settled: k.settled, Held: map[string]parley.Stamp{}, Safe: map[string]parley.Stamp{},
+			if k.epoch != nil {
+				epoch = k.epoch
+			}
+			first := &parley.Message{Hello: &parley.Hello{Who: k.who, Life: k.life}, Epoch: epoch, Apart: k.apart,
+				All: k.all && !k.apart, Settled: k.settled, Held: map[string]parley.Stamp{}, Safe: map[string]parley.Stamp{},
 				Backends: k.backends,
 				Members:  []parley.Member{{Name: "edge-0", Zone: "north"}}}
 			for name, stamp := range k.held {
@@ -173,7 +183,12 @@
 			k.line = line
 		}
 		if m.Renew > 0 {
-			line.Send(&parley.Message{Renewed: m.Renew})
+			line.Send(&parley.Message{Renewed: m.Renew, Apart: k.apart})
+			if k.renewed = m.Renew; m.Steer {
+				k.steers++
+			} else {
+				k.steers = 0
+			}
 		}
 		for _, name := range m.Want {
 			if !k.answers {
@@ -198,6 +213,9 @@
 // tell says something to the carrier, which has acted on it when this returns.
 func (k *core) tell(m *parley.Message) {
 	k.mu.Lock()
+	if m.Tables != nil && m.Renewed == 0 { // as they say it: the renewal that they were worked out after
+		m.Renewed, m.Apart = k.renewed, k.apart
+	}
 	if k.line != nil {
 		k.line.Send(m)
 	}
