Stage: its ballots run on package ballot; one engine for both

Stage had promises, offers and counting of its own beside those of accord's registers.

The tests ask the same. Their look into a ballot's fields goes by the new names, and a state's hash takes those who answered in the order of their names (they are a set now), with what each had accepted.

--- a/stage/ballot.go
+++ b/stage/ballot.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"elmfold/ballot"
 )
 
 func (s *Steward) send(to string, m Message) {
@@ -86,24 +88,16 @@
 	case Ask, Offer:
 		s.vote(who, c, m)
 	case Promise:
-		if c.phase != Ask || m.Ballot != c.ballot || slices.Contains(c.from, who) {
-			return
+		if c.prop.Promised(who, m.Ballot, m.Accepted, m.Value) {
+			s.promised(c)
 		}
-		if c.from = append(c.from, who); c.best.Less(m.Accepted) {
-			c.best, c.value = m.Accepted, m.Value
-		}
-		s.promised(c)
 	case Agreed:
-		if c.phase != Offer || m.Ballot != c.ballot || slices.Contains(c.from, who) {
-			return
-		}
-		c.from = append(c.from, who)
-		if _, agree := s.Quorums(); len(c.from) >= agree {
-			s.end(c, c.value)
+		if _, agree := s.Quorums(); c.prop.Agreed(who, m.Ballot) && len(c.prop.From) >= agree {
+			s.end(c, c.prop.Value)
 		}
 	case Higher:
-		if m.Version == c.Version && c.phase != 0 && c.ballot.Less(m.Ballot) {
-			c.phase = 0 // the next one waits: two that overtake each other at once would do so for ever
+		if c.prop.Phase != ballot.Idle && c.prop.Ballot.Less(m.Ballot) {
+			c.prop.Stop() // the next one waits: two that overtake each other at once would do so for ever
 		}
 	case Decided:
 		s.end(c, m.Value)
@@ -118,18 +112,19 @@
 		return
 	case !s.votes || c.Version <= s.closed || !slices.Contains(s.founders, s.me):
 		return // it may have forgotten what it promised
-	case m.Ballot.Less(c.Promised):
-		s.answer(who, Message{Kind: Higher, Version: c.Version, Ballot: c.Promised})
-		return
 	}
-	c.Promised = m.Ballot
-	answer := Message{Kind: Promise, Version: c.Version, Ballot: m.Ballot, Accepted: c.Accepted, Value: c.Value}
-	if m.Kind == Offer {
-		c.Accepted, c.Value = m.Ballot, m.Value
-		answer = Message{Kind: Agreed, Version: c.Version, Ballot: m.Ballot}
-		if c.lookAt == neverYet {
+	answer := Message{Version: c.Version, Ballot: m.Ballot}
+	switch {
+	case m.Kind == Ask && c.Promise(m.Ballot):
+		answer.Kind, answer.Accepted, answer.Value = Promise, c.Accepted, c.Value
+	case m.Kind == Offer && c.Accept(m.Ballot, m.Value):
+		if answer.Kind = Agreed; c.lookAt == neverYet {
 			c.lookAt = s.now + 2*againAfter // if whoever offered it is gone
 		}
+	default:
+		answer.Kind, answer.Ballot = Higher, c.Promised
+		s.answer(who, answer)
+		return
 	}
 	s.waits = append(s.waits, waiting{s.persist(c), who, answer})
 }
@@ -156,9 +151,9 @@
 		return // nothing would come of it but rounds
 	}
 	c.maxRound++
-	c.ballot, c.phase, c.from, c.best, c.value = Stamp{Hi: c.maxRound, Lo: s.life}, Ask, nil, Stamp{}, Decision{}
+	c.prop.Begin(Stamp{Hi: c.maxRound, Lo: s.life})
 	c.againAt = s.now + againAfter + time.Duration(rank(c.maxRound, s.me)%uint64(againAfter))
-	s.spread(Message{Kind: Ask, Version: c.Version, Ballot: c.ballot})
+	s.spread(Message{Kind: Ask, Version: c.Version, Ballot: c.prop.Ballot})
 }
 
 // turn is the number of founders with a line that come before this controller.
@@ -183,17 +178,19 @@
 
 // promised goes on with what the greatest ballot accepted; its own judgement counts only where there is none.
 func (s *Steward) promised(c *change) {
-	if ask, _ := s.Quorums(); len(c.from) < ask {
+	if ask, _ := s.Quorums(); len(c.prop.From) < ask {
 		return
 	}
-	if c.best == (Stamp{}) {
-		if c.value = s.wish(c); c.value.none() {
-			c.phase, c.lookAt = 0, neverYet
+	value := c.prop.Value
+	if c.prop.Best == (Stamp{}) {
+		if value = s.wish(c); value.none() {
+			c.prop.Stop()
+			c.lookAt = neverYet
 			return
 		}
 	}
-	c.phase, c.from = Offer, nil
-	s.spread(Message{Kind: Offer, Version: c.Version, Ballot: c.ballot, Value: c.value})
+	c.prop.Offer(value)
+	s.spread(Message{Kind: Offer, Version: c.Version, Ballot: c.prop.Ballot, Value: value})
 }
 
 // end takes the decision, once.
@@ -201,7 +198,8 @@
 	if c.Known {
 		return
 	}
-	c.Known, c.Value, c.phase, c.lookAt = true, d, 0, neverYet
+	c.prop.Stop()
+	c.Known, c.Value, c.lookAt = true, d, neverYet
 	seq := s.persist(c) // nobody waits for it: the ballots' records are enough to find it again
 	s.order(End{c.Version, d})
 	for _, to := range slices.Sorted(maps.Keys(s.up)) {
--- a/stage/every_test.go
+++ b/stage/every_test.go
@@ -10,11 +10,13 @@
 	"time"
 
 	"github.com/zeebo/xxh3"
+
+	"elmfold/ballot"
 )
 
 func (c *change) clone() *change {
 	d := *c
-	d.asked, d.says, d.from = maps.Clone(c.asked), maps.Clone(c.says), slices.Clone(c.from)
+	d.asked, d.says, d.prop.From = maps.Clone(c.asked), maps.Clone(c.says), maps.Clone(c.prop.From)
 	return &d
 }
 
@@ -141,14 +143,14 @@
 			b = putVote(b, c.Vote)
 			if !c.Known {
 				b = put(b, uint64(c.step), uint64(c.halt), uint64(c.againAt), uint64(c.wishAt+1), uint64(c.lookAt+1), c.maxRound,
-					uint64(c.phase), uint64(c.since))
+					uint64(c.prop.Phase), uint64(c.since))
 			}
-			if c.phase != 0 {
-				b = put(b, c.ballot.Hi, c.ballot.Lo, c.best.Hi, c.best.Lo, uint64(len(c.from)))
-				for _, f := range c.from {
-					b = append(b, f...)
+			if p := c.prop; p.Phase != ballot.Idle {
+				b = put(b, p.Ballot.Hi, p.Ballot.Lo, p.Best.Hi, p.Best.Lo, uint64(len(p.From)))
+				for _, f := range slices.Sorted(maps.Keys(p.From)) {
+					b = put(append(b, f...), p.From[f].Hi, p.From[f].Lo)
 				}
-				b = putDecision(b, c.value)
+				b = putDecision(b, p.Value)
 			}
 		}
 		b = putVote(put(b, 78), w.disks[i][1])
--- a/stage/stage.go
+++ b/stage/stage.go
@@ -2,7 +2,7 @@
 // decision, taken or halted, that the founders' disks agree on. It does no I/O and reads no clock: Step takes what
 // happened and returns what is to be done. Rules and states: docs/notes/stages.md.
 //
-// The decision is single-decree Paxos for each version (Lamport 1998). A plain register can't decide: of two that
+// The decision is single-decree Paxos for each version (package ballot). A plain register can't decide: of two that
 // write different ends both may be told before one of them is overwritten.
 package stage
 
@@ -11,7 +11,7 @@
 	"slices"
 	"time"
 
-	"elmfold/parley"
+	"elmfold/ballot"
 )
 
 const (
@@ -21,7 +21,7 @@
 )
 
 // Stamp of a ballot: its round, then the life of the controller that holds it.
-type Stamp = parley.Stamp
+type Stamp = ballot.Stamp
 
 // Target is a version with the digest of its body.
 type Target struct{ Version, Digest uint64 }
@@ -57,10 +57,9 @@
 // Vote is what a disk holds of a version: one record. Known: Value is the end. Shut: this disk forgot, and answers no
 // ballot for this version or any below.
 type Vote struct {
-	Version            uint64
-	Promised, Accepted Stamp
-	Value              Decision // of Accepted, or the end
-	Known, Shut        bool
+	Version                   uint64
+	ballot.Acceptor[Decision] // Known: its Value is the end
+	Known, Shut               bool
 }
 
 // Kind of a Message.
@@ -243,12 +242,7 @@
 	without  measure
 	halt     Reason
 
-	// Of the ballot that is held here.
-	ballot   Stamp
-	phase    Kind // Ask, Offer or 0
-	from     []string
-	best     Stamp
-	value    Decision
+	prop     ballot.Proposal[Decision] // the ballot that is held here
 	againAt  time.Duration
 	wishAt   time.Duration // since when it has something to propose
 	maxRound uint64
