Counsel: the operator's view of the core, core.status and counsel status

Whom to look at when a machine is lost could not be asked: epoch, voters, learners and what is not safe yet stood in no answer. Replica.Status reads them; the call core.status gives them as JSON, out of touch too (it then says so), and 'counsel status [ADDRESS]' prints them as a table (exit code 1 and one line where nobody answers; 'transit status' asks the seeds). It asks nobody else. A register that changed since a disk last said what it has is told apart from one that the disk lacks.

--- a/counsel/calls.go
+++ b/counsel/calls.go
@@ -51,6 +51,8 @@
 			answer, err = s.evacuate(r, asked, of, true)
 		case "evacuation.finish":
 			answer, err = s.evacuate(r, asked, of, false)
+		case "core.status":
+			answer, err = s.status()
 		default:
 			err = fault.New(fault.UnknownCall, call, nil)
 		}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -88,6 +88,7 @@
 func Main(name, about string, args []string, out, errs io.Writer, run func(*premise.Settings, Options) error) int {
 	var options Options
 	check, version, start := &checkCommand{out: out}, &versionCommand{name, out}, &runCommand{}
+	status := &statusCommand{out: out}
 	p := flags.NewNamedParser(name, flags.HelpFlag|flags.PassDoubleDash)
 	p.ShortDescription, p.LongDescription = about, about
 	p.SubcommandsOptional = true
@@ -95,6 +96,8 @@
 	_, _ = p.AddCommand("run", "serve (as without a command)",
 		"Serves by the settings file that "+premise.Variable+" names.", start)
 	_, _ = p.AddCommand("check", "check a file", "Checks a settings file or a configuration: one line a fault.", check)
+	_, _ = p.AddCommand("status", "ask a controller how the core stands",
+		"Prints who votes, who is in touch, and what is safe, as one controller sees it.", status)
 	_, _ = p.AddCommand("version", "print the version", "Prints the version.", version)
 	rest, err := p.ParseArgs(args)
 	var flagged *flags.Error
@@ -102,6 +105,9 @@
 	case errors.As(err, &flagged) && flagged.Type == flags.ErrHelp:
 		fmt.Fprintln(out, flagged.Message)
 		return Fine
+	case errors.As(err, new(unreached)):
+		fmt.Fprintf(errs, "%s: %v\n", name, err)
+		return Bad
 	case err != nil:
 		fmt.Fprintf(errs, "%s: %v\n", name, err)
 		return Wrong
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"regexp"
 	"strings"
@@ -21,6 +23,15 @@
 const configuration = `{"generation":"0000000c","sockets":[{"authority":"a.example","ruleset":[{"name":"r-1",` +
 	`"predicate":{"pathPrefix":"/a/"},"effect":{"service":"alpha","timeoutS":5}}]}],"pools":[{"name":"alpha"}]}`
 
+const status = `{"epoch":7,"changing":true,"inTouch":false,"votes":false,"leaving":true,"missing":["charter","its vote"],` +
+	`"me":{"name":"core-3","zone":"north","disk":"0d","inTouch":true,"whole":true},` +
+	`"voters":[{"name":"core-0","zone":"north","disk":"0a","inTouch":false,"silentS":3.25,"lacks":["charter"],"leaving":true},` +
+	`{"name":"core-1","zone":"south","disk":"0b","gone":true,"change":"out"},` +
+	`{"name":"core-1","zone":"south","disk":"0c","inTouch":true,"unheard":["zone/north"],"change":"in"}],` +
+	`"learners":[{"name":"core-4","zone":"south","disk":"0e","inTouch":true}],` +
+	`"registers":[{"name":"charter","hi":12,"lo":"9","chosen":true,"disks":2},` +
+	`{"name":"zone/north","hi":946684800000,"lo":"9","chosen":false,"disks":1}],"evacuated":["north","south"]}`
+
 // wrapped is where a help text is broken, which depends on the terminal's width.
 var wrapped = regexp.MustCompile(`\n {15,}`)
 
@@ -85,6 +96,33 @@
 	try("settings.json", "run", "--verbose")
 	try("settings.json", "-v")
 	try("settings.json", "extra")
+
+	// The core's status, from a controller that answers, from seeds of which one does, and from nobody.
+	answer, code := status, http.StatusOK
+	controller := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method != http.MethodPost || r.URL.String() != "/v1/rpc?call=core.status" {
+			t.Errorf("%s %s", r.Method, r.URL)
+		}
+		w.WriteHeader(code)
+		fmt.Fprint(w, answer)
+	}))
+	defer controller.Close()
+	address := controller.Listener.Addr().String()
+	write("controller.json", settings, `"front":"10.0.0.1:8548"`, `"control":"`+address+`"`)
+	write("seeds.json", settings, `"10.0.0.10:8544"`, `"127.0.0.1:1","`+address+`"`)
+	write("nobody.json", settings, `"10.0.0.10:8544"`, `"127.0.0.1:1","127.0.0.1:2"`)
+	try("", "status", "--help")
+	try("", "status", address)
+	try("controller.json", "status")
+	try("seeds.json", "status")
+	answer = "{"
+	try("", "status", address)
+	answer, code = `{"error":"unknown call: core.status"}`, http.StatusNotFound
+	try("", "status", address)
+	try("", "status", "127.0.0.1:1")
+	try("nobody.json", "status")
+	try("", "status")
+	try("missing.json", "status")
 	t.Chdir(home)
-	autogold.Equal(t, out.String())
+	autogold.Equal(t, strings.ReplaceAll(out.String(), address, "ADDRESS"))
 }
