--- a/accord/register.go
+++ b/accord/register.go
@@ -238,7 +238,7 @@
 
 // propose begins a ballot for all that waits.
 func (r *Replica) propose(g *register) {
-	if g.prop.Phase != ballot.Idle || len(g.queue) == 0 || r.now < g.againAt || !r.reachable() ||
+	if g.prop.Phase != ballot.Idle || len(g.queue) == 0 || r.now < g.againAt || !r.reachable(g) ||
 		r.epoch.Number == 0 && g.name != epochName { // the seeds decide who votes, and nothing else
 		return
 	}
@@ -413,9 +413,14 @@
 			r.send(who, &parley.Message{Want: []string{g.name}})
 		}
 	}
+	if g.acc.Accepted != (Stamp{}) && !g.chosen() {
+		r.count(g) // at a start, what is said by then may be enough
+	}
 	if g.acc.Accepted != (Stamp{}) && !g.chosen() && r.now >= g.openAt+finishAfter+time.Duration(r.place(g.name))*turnGap {
 		g.openAt = r.now
-		r.finish(g) // the one that began it may be gone
+		if r.epoch.Number > 0 || g.name != epochName { // a first epoch that is half done is found's
+			r.finish(g) // the one that began it may be gone
+		}
 	}
 	r.propose(g)
 }
@@ -435,7 +440,7 @@
 }
 
 // reachable says whether lines stand to enough of those that vote: else nothing would come of a ballot but numbers.
-func (r *Replica) reachable() bool {
+func (r *Replica) reachable(g *register) bool {
 	if r.epoch.Number == 0 {
 		return r.foundable()
 	}
@@ -443,6 +448,9 @@
 	for _, p := range r.peers {
 		up[p.disk] = up[p.disk] || p.up
 	}
+	if g.name == epochName {
+		return r.deciders().Most(func(v Voter) bool { return up[v.ID] || r.ghost(v) })
+	}
 	return r.epoch.Most(func(v Voter) bool { return up[v.ID] })
 }
 
@@ -451,6 +459,9 @@
 	if r.epoch.Number == 0 {
 		return r.founds(has)
 	}
+	if g.name == epochName {
+		return r.deciders().Most(func(v Voter) bool { return has(v.ID) || r.ghost(v) })
+	}
 	return r.epoch.Most(func(v Voter) bool { return has(v.ID) })
 }
 
@@ -458,6 +469,9 @@
 	if r.epoch.Number == 0 {
 		return r.founds(has)
 	}
+	if g.name == epochName {
+		return r.deciders().Most(func(v Voter) bool { return has(v.ID) || r.ghost(v) })
+	}
 	return r.epoch.Safe(r.o.Faults, func(v Voter) bool { return has(v.ID) })
 }
 
--- a/accord/wish.go
+++ b/accord/wish.go
@@ -1,20 +1,23 @@
 package accord
 
 import (
+	"cmp"
+	"math"
 	"slices"
 	"time"
 )
 
 const (
-	awayFor    = 3 * time.Second // a voter that is silent for so long gives its place to a new one that is whole
-	flickering = 1200 * time.Millisecond
+	awayFor    = 2 * time.Second // a voter that is silent for so long gives its place to a new one that is whole
 	votersMost = 7
 )
 
 // seat is what is known of a voter, or of a controller that is none yet.
 type seat struct {
 	Voter
-	away    time.Duration // since its last answer
+	seen    time.Duration // its last answer; negative: none in this life
+	away    time.Duration // since then
+	came    time.Duration // of one that is no voter yet: when its line stood
 	leaving bool
 	wiped   bool // its machine is back with another disk: this one is gone for good
 	whole   bool // it has all that is chosen
@@ -24,13 +27,13 @@
 func (r *Replica) wish() []Voter {
 	var voters, others []seat
 	for _, v := range r.epoch.Voters {
-		s := seat{Voter: v, leaving: r.leaving}
+		s := seat{Voter: v, leaving: r.leaving, seen: r.now}
 		if v.ID != r.disk {
-			s.away, s.leaving = max(r.now, flickering), false // it was not seen in this life
+			s.away, s.leaving, s.seen = r.now, false, never // it was not seen in this life
 			if p := r.peers[v.Name]; p != nil {
 				// Silence counts from when this controller itself was in touch again; and a machine that was back with
 				// another disk, and is silent again, is gone like any other.
-				s.away, s.leaving = r.now-max(p.seenAt, r.touch.since), p.leaving
+				s.away, s.leaving, s.seen = r.now-max(p.seenAt, r.touch.since), p.leaving, p.seenAt
 				s.wiped = p.disk != v.ID && (p.up || s.away <= awayFor)
 			}
 		}
@@ -39,64 +42,63 @@
 	for _, name := range r.lines() {
 		p := r.peers[name]
 		if !r.epoch.Voter(p.disk) && p.disk != "" && !p.leaving {
-			others = append(others, seat{Voter: Voter{Controller: p.Controller, ID: p.disk}, whole: r.whole(p) && p.hasAt != never})
+			others = append(others, seat{Voter: Voter{Controller: p.Controller, ID: p.disk}, whole: r.whole(p) && p.hasAt != never, came: p.upAt})
 		}
 	}
 	return wish(voters, others, r.o.Faults)
 }
 
-// wish decides on one change of voters at most.
+// wish decides on the next change of voters.
 //
 //   - A machine that came back with another disk votes with that one, once it is whole: the old one is gone for sure.
-//   - One that is whole takes the place of a voter that leaves or is silent; it comes beside the others only while all of
-//     them answer, so that a change is never waited for by more than the faults that are to be borne.
+//   - One that is whole takes the place of a voter that leaves or is silent; it comes beside the others only once all of
+//     them have answered since it came. Guards against it coming beside one that was lost just before, whose place it
+//     is to take: the dead would count for ever.
 //   - By silence alone the number of voters only goes from even to odd, and never below 2f+1: a cut looks like a loss, and
 //     those that are cut off must find a majority with any others that are half of the machines. Three that lost one stay
 //     three and need both that are left; of two that lost one nothing is decided until it is back.
 //   - One that leaves is let go likewise, but down to f+1.
 func wish(voters, others []seat, faults int) []Voter {
-	var now []Voter
-	for _, s := range voters {
-		now = append(now, s.Voter)
-	}
-	change := func(out, in *Voter) []Voter {
-		next := slices.DeleteFunc(slices.Clone(now), func(v Voter) bool { return out != nil && v.ID == out.ID })
-		if in != nil {
-			next = append(next, *in)
+	var next []Voter
+	var gone []seat // the longest silent first
+	calm, answered := true, time.Duration(math.MaxInt64)
+	for _, v := range voters {
+		next = append(next, v.Voter)
+		calm, answered = calm && !v.leaving && !v.wiped, min(answered, v.seen)
+		if (v.leaving || v.away > awayFor) && !v.wiped {
+			gone = append(gone, v)
 		}
-		return sorted(next)
 	}
-	for _, c := range others {
-		for _, v := range voters {
-			if c.whole && v.wiped && v.Name == c.Name {
-				return change(&v.Voter, &c.Voter)
-			}
-		}
-	}
-	gone, calm := -1, true
-	for i, v := range voters {
-		calm = calm && v.away < flickering && !v.leaving && !v.wiped
-		if (v.leaving || v.away > awayFor) && !v.wiped && (gone < 0 || v.away > voters[gone].away) {
-			gone = i
-		}
+	slices.SortStableFunc(gone, func(a, b seat) int { return cmp.Compare(b.away, a.away) })
+	drop := func(out Voter) {
+		next = slices.DeleteFunc(next, func(v Voter) bool { return v.ID == out.ID })
 	}
 	for _, c := range others {
-		switch back := slices.ContainsFunc(voters, func(v seat) bool { return v.Name == c.Name }); {
-		case !c.whole || back:
-		case gone >= 0:
-			return change(&voters[gone].Voter, &c.Voter)
-		case calm && len(voters) < max(votersMost, 2*faults+1):
-			return change(nil, &c.Voter)
+		if !c.whole {
+			continue
+		}
+		before := slices.IndexFunc(voters, func(v seat) bool { return v.Name == c.Name })
+		switch {
+		case before >= 0 && voters[before].wiped:
+			drop(voters[before].Voter)
+		case before >= 0:
+			continue
+		case len(gone) > 0:
+			drop(gone[0].Voter)
+			gone = gone[1:]
+		case !calm || answered <= c.came+pingEvery || len(next) >= max(votersMost, 2*faults+1):
+			continue
 		}
+		next = append(next, c.Voter)
 	}
-	if gone >= 0 && len(voters)%2 == 0 {
+	if len(gone) > 0 && len(next) == len(voters) && len(next)%2 == 0 {
 		least := 2*faults + 1
-		if voters[gone].leaving {
+		if gone[0].leaving {
 			least = faults + 1
 		}
-		if len(voters)-1 >= least {
-			return change(&voters[gone].Voter, nil)
+		if len(next)-1 >= least {
+			drop(gone[0].Voter)
 		}
 	}
-	return now
+	return sorted(next)
 }
