Lab core: two go and two come at once, a new one beside a frozen one, new ones first

Need: changes of voters that overlap, and the replacement that an operator plans. Change: three plays more; nobody reads beside timed orders.

--- a/cmd/lab/core/core.go
+++ b/cmd/lab/core/core.go
@@ -48,6 +48,7 @@
 	chance  *rand.Rand
 	nextNet func() string
 	began   time.Time
+	quiet   bool // nobody reads beside what is timed
 
 	systems  []*system
 	mu       sync.Mutex
--- a/cmd/lab/core/leaving.go
+++ b/cmd/lab/core/leaving.go
@@ -243,3 +243,54 @@
 	}
 	return s.readBack("after one of two left")
 }
+
+// newFirst: each machine is replaced as an operator plans it: a new one comes, and once it had its time the old one
+// leaves for good. Orders go on meanwhile.
+func newFirst(r *run) error {
+	s, err := r.up(3, 1)
+	if err != nil {
+		return err
+	}
+	c := s.ride()
+	if err := s.zone("evacuation.begin", "a"); err != nil {
+		return err
+	}
+	orders := s.stream()
+	old := s.machines()
+	for i, m := range old {
+		started := time.Now()
+		if _, err := s.add(alive(s.machines(), 3)); err != nil {
+			return err
+		}
+		if err := r.until(started, catchUp*11/10); err != nil {
+			return err
+		}
+		took, err := m.term()
+		if err != nil {
+			return err
+		}
+		r.note("%d left within %.2f s", i+1, took.Seconds())
+		m.gone()
+		if err := r.wait(time.Second); err != nil {
+			return err
+		}
+	}
+	if err := orders.end(r, "three replacements", contact); err != nil {
+		return err
+	}
+	if err := s.readBack("after three replacements"); err != nil {
+		return err
+	}
+	if err := s.evacuatedIs(c, "a", true, "begun before three replacements,"); err != nil {
+		return err
+	}
+	if err := r.wait(catchUp * 11 / 10); err != nil {
+		return err
+	}
+	now := s.serving()
+	now[s.draw(len(now))].gone()
+	if err := s.orders("then a loss", time.Now(), takenWithin); err != nil {
+		return err
+	}
+	return s.readBack("after a loss that came after three replacements")
+}
--- a/cmd/lab/core/losses.go
+++ b/cmd/lab/core/losses.go
@@ -81,7 +81,11 @@
 			return err
 		}
 		started := time.Now()
-		if _, err := s.add(alive(s.machines(), 3)); err != nil {
+		seeds := alive(s.machines(), 3)
+		if silent { // a list that lags: one of three is still there
+			seeds = []string{old.control(), s.machines()[max(i-1, 0)].control(), seeds[len(seeds)-1]}
+		}
+		if _, err := s.add(seeds); err != nil {
 			return err
 		}
 		if err := r.until(started, catchUp*11/10); err != nil {
@@ -345,3 +349,86 @@
 	}
 	return nil
 }
+
+// twoAndTwo: as many as may be lost at once go, as many new ones come at one moment; then it happens again.
+func twoAndTwo(r *run) error {
+	s, err := r.up(5, 2)
+	if err != nil {
+		return err
+	}
+	c := s.ride()
+	if err := s.zone("evacuation.begin", "b"); err != nil {
+		return err
+	}
+	all := s.machines()
+	s.chance.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	for n, lost := range [][]*machine{all[:2], all[2:4]} {
+		each(lost, func(_ int, m *machine) { m.gone() })
+		if err := s.orders(fmt.Sprintf("loss of two, %d", n+1), time.Now(), takenWithin); err != nil {
+			return err
+		}
+		started := time.Now()
+		for range lost {
+			if _, err := s.add(s.seeds); err != nil {
+				return err
+			}
+		}
+		if err := r.until(started, catchUp*11/10); err != nil {
+			return err
+		}
+		if err := s.orders(fmt.Sprintf("two new, %d", n+1), time.Now(), contact); err != nil {
+			return err
+		}
+		s.seeds = alive(s.machines(), 3) // for those that come later
+	}
+	all[4].gone()
+	if err := s.orders("loss of the last of the first five", time.Now(), takenWithin); err != nil {
+		return err
+	}
+	if err := s.readBack("without any of the first five"); err != nil {
+		return err
+	}
+	return s.evacuatedIs(c, "b", true, "begun before all of the first five were lost,")
+}
+
+// frozenMeanwhile: while a new machine takes the place of one that was lost, a third is frozen: nothing can be decided
+// until it wakes, and then all is mended.
+func frozenMeanwhile(r *run) error {
+	s, err := r.up(3, 1)
+	if err != nil {
+		return err
+	}
+	all := s.machines()
+	first := s.draw(3)
+	all[first].gone()
+	if err := s.orders("loss", time.Now(), takenWithin); err != nil {
+		return err
+	}
+	sleeper, other := all[(first+1)%3], all[(first+2)%3]
+	sleeper.freeze()
+	if err := r.wait(500 * time.Millisecond); err != nil {
+		return err
+	}
+	if _, err := s.add(s.seeds); err != nil {
+		return err
+	}
+	if err := r.wait(contact + 2*time.Second); err != nil {
+		return err
+	}
+	sleeper.thaw()
+	woke := time.Now()
+	if err := s.orders("it woke", woke, 2*contact); err != nil {
+		return err
+	}
+	if err := r.until(woke, contact+catchUp*11/10); err != nil {
+		return err
+	}
+	if err := s.readBack("once it had woken"); err != nil {
+		return err
+	}
+	other.gone()
+	if err := s.orders("loss of another", time.Now(), takenWithin); err != nil {
+		return err
+	}
+	return s.readBack("after the loss of another")
+}
--- a/cmd/lab/core/orders.go
+++ b/cmd/lab/core/orders.go
@@ -33,7 +33,7 @@
 		return err
 	}
 	defer file.Close()
-	r := &run{ctx: ctx, program: o.counsel, dir: dir, nextNet: nets(), file: file, began: time.Now(),
+	r := &run{ctx: ctx, program: o.counsel, dir: dir, nextNet: nets(), file: file, began: time.Now(), quiet: true,
 		chance: rand.New(rand.NewPCG(o.Seed, 1))}
 	defer func() {
 		for _, s := range r.systems {
--- a/cmd/lab/core/system.go
+++ b/cmd/lab/core/system.go
@@ -53,7 +53,9 @@
 		s.seeds = append(s.seeds, m.control())
 	}
 	s.ctx, s.stop = context.WithCancel(r.ctx)
-	s.done.Go(func() { s.watch(s.ctx) })
+	if !r.quiet {
+		s.done.Go(func() { s.watch(s.ctx) })
+	}
 	r.systems = append(r.systems, s)
 	return s, nil
 }
