--- a/gauntlet/day_test.go
+++ b/gauntlet/day_test.go
@@ -44,6 +44,7 @@
 func TestCalmDay(t *testing.T) {
 	t.Parallel()
 	var w *World
+	defer func() { sound(t, w) }() // also where the story itself fails
 	synctest.Test(t, func(t *testing.T) {
 		w = Begin(1, Plain)
 		w.Load(10*time.Second, Flows...)
@@ -64,7 +65,6 @@
 			}
 		}
 	})
-	sound(t, w)
 }
 
 // Days are drawn from seeds: a few always, GAUNTLET_DAYS of them from GAUNTLET_SEED on where that is set. A failing
--- a/gauntlet/stories_test.go
+++ b/gauntlet/stories_test.go
@@ -17,13 +17,13 @@
 	t.Helper()
 	t.Parallel()
 	var w *World
+	defer func() { sound(t, w) }() // also where the story itself fails
 	synctest.Test(t, func(t *testing.T) {
 		w = Begin(seed, Plain)
 		f(t, w)
 		w.ReadBack()
 		w.Finish()
 	})
-	sound(t, w)
 }
 
 // during plays load while f runs, and for a while after it.
--- a/gauntlet/worst_test.go
+++ b/gauntlet/worst_test.go
@@ -34,6 +34,7 @@
 	t.Helper()
 	t.Parallel()
 	var w *World
+	defer func() { sound(t, w) }() // also where the story itself fails
 	synctest.Test(t, func(t *testing.T) {
 		w = Begin(seed, shape)
 		stop := make(chan struct{})
@@ -45,7 +46,6 @@
 		close(stop)
 		w.Finish()
 	})
-	sound(t, w)
 }
 
 // end waits until all that is to be borne is over, and wants an order to be taken, and to be read from all.
@@ -288,6 +288,7 @@
 	t.Helper()
 	t.Parallel()
 	var w *World
+	defer func() { sound(t, w) }() // also where the story itself fails
 	synctest.Test(t, func(t *testing.T) {
 		w = NewWorld(seed, shape)
 		w.Populate()
@@ -309,7 +310,6 @@
 		}
 		w.Finish()
 	})
-	sound(t, w)
 }
 
 // Guards against a second loss after a repair or a replacement that finds no majority, and against old voters that think
@@ -620,6 +620,7 @@
 		t.Run(fmt.Sprint("wiped ", wipe), func(t *testing.T) {
 			t.Parallel()
 			var w *World
+			defer func() { sound(t, w) }() // also where the story itself fails
 			synctest.Test(t, func(t *testing.T) {
 				w = Begin(60, Shape{Zones: Zones, Cores: 3, Carriers: 1, Faults: 1, Backends: 1})
 				n := &night{T: t, World: w}
@@ -658,7 +659,6 @@
 				n.end()
 				w.Finish()
 			})
-			sound(t, w)
 		})
 	}
 }
