--- /dev/null
+++ b/accord/model_test.go
@@ -0,0 +1,555 @@
+package accord
+
+import (
+	"bytes"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/zeebo/xxh3"
+
+	"elmfold/ballot"
+	"elmfold/parley"
+)
+
+// The model runs the real Replicas, with a small number of things that may happen, in every order in which they may. Time
+// stands still but for the moves that advance one process's clock. A message that is never delivered is lost.
+
+// scope is what may happen.
+type scope struct {
+	name    string
+	voters  int
+	learner bool
+	orders  []change // given at their controllers at any moment
+	crashes int      // a process ends, and begins again with what was synced
+	wipes   int      // ... with a new disk
+	doubles int      // a message comes twice
+	timers  int      // for each controller: its clock goes on by clockStep
+	joins   bool     // the learner is taken in as a voter, in the place of the last one
+	most    int      // states; 0: all
+	flaws   modelFlaws
+}
+
+type change struct {
+	at              int
+	version, digest uint64
+}
+
+const clockStep = time.Second
+
+type modelFlaws struct {
+	early         bool // a vote is said before it is synced
+	keepsName     bool // a wiped disk still votes as who it was
+	dropsPromises bool // a promise is not on the disk
+	oldEras       bool // the epoch of a word is not looked at
+	tellsHalfDone bool // what a disk has is told as chosen
+	hasAll        bool // a learner says it has all
+	alone         bool // a majority of one
+	noJoint       bool // the new voters count alone at once
+}
+
+type modelNode struct {
+	r       *Replica // never changed once here
+	records map[string][]byte
+	writes  []Persist
+	now     time.Duration
+	timers  int
+	key     xxh3.Uint128
+}
+
+type modelMessage struct {
+	from, to int
+	m        *parley.Message
+	key      xxh3.Uint128
+}
+
+type modelState struct {
+	nodes   []*modelNode
+	bag     []modelMessage // sorted by key
+	given   uint
+	crashes int
+	wipes   int
+	doubles int
+	joined  bool
+	lives   uint64
+	// What was said: the newest value that was acknowledged or told, whatever follows must hold it.
+	held   Register
+	epochs map[uint64][]byte
+}
+
+type model struct {
+	scope
+	visited map[xxh3.Uint128]struct{}
+	steps   int
+	fault   string
+	cut     bool
+	buf     []byte
+}
+
+func controllerOf(i int) parley.Controller {
+	return parley.Controller{Name: fmt.Sprint("c", i), Address: fmt.Sprint("a", i)}
+}
+
+func (m *model) less(a, b xxh3.Uint128) int {
+	switch {
+	case a.Hi != b.Hi && a.Hi < b.Hi, a.Hi == b.Hi && a.Lo < b.Lo:
+		return -1
+	case a == b:
+		return 0
+	}
+	return 1
+}
+
+// begin is a system that was founded, whose controllers are all in touch.
+func (m *model) begin() *modelState {
+	s := &modelState{crashes: m.crashes, wipes: m.wipes, doubles: m.doubles, epochs: map[uint64][]byte{}, lives: 100}
+	first := Epoch{Number: 1}
+	n := m.voters
+	if m.learner {
+		n++
+	}
+	for i := range m.voters {
+		first.Voters = append(first.Voters, Voter{Controller: controllerOf(i), ID: fmt.Sprint("d", i)})
+	}
+	s.epochs[1] = encodeEpoch(first)
+	for i := range n {
+		records := map[string][]byte{recordDisk: pack(diskRecord{fmt.Sprint("d", i), i < m.voters}), recordMark: {1}, recordEpoch: encodeEpoch(first)}
+		s.nodes = append(s.nodes, &modelNode{records: records, now: 10 * ms, timers: m.timers})
+	}
+	for i := range s.nodes {
+		m.start(s, i, uint64(i+1))
+	}
+	for i := range s.nodes {
+		m.lines(s, i)
+	}
+	for len(s.bag) > 0 && m.fault == "" { // all of that arrives
+		w := s.bag[0]
+		s.bag = slices.Delete(s.bag, 0, 1)
+		m.step(s, w.to, Heard{controllerOf(w.from).Name, w.m})
+	}
+	return s
+}
+
+// start begins a process with what its disk has.
+func (m *model) start(s *modelState, i int, life uint64) {
+	n := s.nodes[i]
+	records := maps.Clone(n.records)
+	_, known := records[recordMark]
+	delete(records, recordMark)
+	memory, err := Load(controllerOf(i).Name, records, known, false, fmt.Sprintf("d%d.%d", i, life))
+	if err != nil {
+		m.fault = err.Error()
+		return
+	}
+	if m.flaws.dropsPromises {
+		for name, a := range memory.Acceptors {
+			memory.Acceptors[name] = ballot.Acceptor[Register]{Promised: a.Accepted, Accepted: a.Accepted, Value: a.Value}
+		}
+	}
+	s.nodes[i] = &modelNode{records: n.records, now: n.now, timers: n.timers, r: New(Options{Me: controllerOf(i), Life: life << 20, Faults: (m.voters - 1) / 2,
+		Seeds: []string{"a0"}, Memory: memory})}
+}
+
+// lines come up between one and all others.
+func (m *model) lines(s *modelState, i int) {
+	for j := range s.nodes {
+		if j != i {
+			m.step(s, i, Up{Who: controllerOf(j), Disk: s.nodes[j].r.Disk()})
+			m.step(s, j, Up{Who: controllerOf(i), Disk: s.nodes[i].r.Disk()})
+		}
+	}
+}
+
+// step has one process take events; what it says and writes is on its way then.
+func (m *model) step(s *modelState, i int, events ...Event) { m.run(s, i, func(r *Replica, now time.Duration) []Order { return r.Step(now, events...) }) }
+
+func (m *model) run(s *modelState, i int, do func(*Replica, time.Duration) []Order) {
+	if m.fault != "" {
+		return
+	}
+	n := *s.nodes[i]
+	n.r = n.r.clone()
+	n.writes = slices.Clone(n.writes)
+	s.nodes[i] = &n
+	for queue := do(n.r, n.now); len(queue) > 0; {
+		o := queue[0]
+		queue = queue[1:]
+		switch o := o.(type) {
+		case Persist:
+			n.writes = append(n.writes, o)
+			if m.flaws.early {
+				queue = append(queue, n.r.Step(n.now, Persisted{Seq: o.Seq})...)
+			}
+		case Send:
+			m.send(s, i, &n, o)
+		case InForce:
+			m.tells(s, i, "in force", o.Register)
+		case Done:
+			m.done(s, i, o)
+		case Entered:
+			text := encodeEpoch(o.Epoch)
+			if was := s.epochs[o.Number]; was != nil && !bytes.Equal(was, text) {
+				m.failf("two epochs are number %d", o.Number)
+			}
+			if s.epochs[o.Number] == nil {
+				s.epochs = maps.Clone(s.epochs)
+				s.epochs[o.Number] = text
+			}
+		}
+	}
+	n.r.orders = nil
+	n.key = xxh3.Uint128{}
+	m.check(s)
+}
+
+func (m *model) failf(format string, v ...any) {
+	if m.fault == "" {
+		m.fault = fmt.Sprintf(format, v...)
+	}
+}
+
+func (m *model) send(s *modelState, i int, n *modelNode, o Send) {
+	j := slices.IndexFunc(s.nodes, func(o2 *modelNode) bool { return o2.r.o.Me.Name == o.To })
+	w := o.Message
+	switch {
+	case w.Ping: // touch is not what is looked at here: questions for it are answered at once
+		m.step(s, j, Heard{controllerOf(i).Name, w})
+		return
+	case w.Pong:
+		if s.nodes[j].r.touch.pingAt != endlessly {
+			later := *s.nodes[j]
+			later.r = later.r.clone()
+			later.r.Step(later.now, Heard{controllerOf(i).Name, w})
+			s.nodes[j] = &later
+		}
+		return
+	}
+	m.put(s, i, j, w)
+}
+
+const endlessly = time.Duration(-1)
+
+func (m *model) put(s *modelState, i, j int, w *parley.Message) {
+	x := modelMessage{from: i, to: j, m: w}
+	m.buf = append(m.buf[:0], byte(i), byte(j))
+	m.buf = append(m.buf, parley.Pack(w)...)
+	x.key = xxh3.Hash128(m.buf)
+	at, _ := slices.BinarySearchFunc(s.bag, x, func(a, b modelMessage) int { return m.less(a.key, b.key) })
+	s.bag = slices.Insert(slices.Clone(s.bag), at, x)
+}
+
+// tells: at most one value under a number, and never back.
+func (m *model) tells(s *modelState, i int, how string, v Register) {
+	switch {
+	case v.Stamp == (Stamp{}) || v.Name != charter:
+	case v.Stamp.Hi == s.held.Stamp.Hi && v.Stamp != s.held.Stamp:
+		m.failf("c%d: %s %v, and %v was: two under one number", i, how, v.Stamp, s.held.Stamp)
+	case s.held.Stamp.Less(v.Stamp):
+		s.held = v
+	case how == "taken" && v.Stamp.Less(s.held.Stamp):
+		m.failf("c%d: %s %v after %v", i, how, v.Stamp, s.held.Stamp)
+	}
+}
+
+func (m *model) done(s *modelState, i int, d Done) {
+	if d.Token == 0 || d.Fate != Taken && d.Fate != Refused {
+		return
+	}
+	o := m.orders[d.Token-1]
+	same := d.Stamp == Stamp{Hi: o.version, Lo: o.digest}
+	switch {
+	case d.Fate == Taken && (d.Stamp.Hi < o.version || d.Stamp.Hi == o.version && !same):
+		m.failf("c%d: a number is confirmed with another value: %v for %v", i, d.Stamp, o)
+	case d.Fate == Refused && (d.Stamp.Hi < o.version || same):
+		m.failf("c%d: %v is refused by %v", i, o, d.Stamp)
+	}
+	m.tells(s, i, "taken", d.Register)
+}
+
+// check: no majority of those that vote in the newest epoch lacks what was told.
+func (m *model) check(s *modelState) {
+	if s.held.Stamp == (Stamp{}) || m.fault != "" {
+		return
+	}
+	top := uint64(0)
+	for n := range s.epochs {
+		top = max(top, n)
+	}
+	e, err := decodeEpoch(s.epochs[top])
+	if err != nil {
+		m.failf("%v", err)
+	}
+	lack := map[string]bool{}
+	for _, n := range s.nodes {
+		var a regRecord
+		if text := n.records[recordOf(charter)]; text != nil {
+			if err := cbor.Unmarshal(text, &a); err != nil {
+				m.failf("%v", err)
+			}
+		}
+		lack[n.r.Disk()] = a.Value.Stamp.Less(s.held.Stamp)
+	}
+	if e.Most(func(v Voter) bool { return lack[v.ID] }) {
+		m.failf("%v was told, and a majority of epoch %d has not got it on their disks", s.held.Stamp, top)
+	}
+}
+
+// key tells a state from others.
+func (m *model) key(s *modelState) xxh3.Uint128 {
+	for _, n := range s.nodes {
+		if n.key != (xxh3.Uint128{}) {
+			continue
+		}
+		b := n.r.key(m.buf[:0])
+		for _, name := range slices.Sorted(maps.Keys(n.records)) {
+			b = append(append(append(b, name...), 0), n.records[name]...)
+		}
+		b = append(b, 0xff, byte(n.timers))
+		for _, p := range n.writes {
+			b = append(append(append(b, p.Record...), 0), p.Value...)
+		}
+		n.key = xxh3.Hash128(b)
+		m.buf = b
+	}
+	b := m.buf[:0]
+	for _, n := range s.nodes {
+		k := n.key.Bytes()
+		b = append(b, k[:]...)
+	}
+	for _, x := range s.bag {
+		k := x.key.Bytes()
+		b = append(b, k[:]...)
+	}
+	b = append(b, 0xfe, byte(s.given), byte(s.crashes), byte(s.wipes), byte(s.doubles))
+	if s.joined {
+		b = append(b, 1)
+	}
+	b = fmt.Appendf(b, "%d/%d", s.held.Stamp.Hi, s.held.Stamp.Lo)
+	m.buf = b
+	return xxh3.Hash128(b)
+}
+
+// moves are what may happen next.
+func (m *model) moves(s *modelState) (all []func(*modelState)) {
+	for i, o := range m.orders {
+		if s.given&(1<<i) == 0 {
+			all = append(all, func(s *modelState) {
+				s.given |= 1 << i
+				value := fmt.Appendf(nil, "%d/%d", o.version, o.digest)
+				m.step(s, o.at, Change{uint64(i + 1), charter, Replace(o.version, o.digest, value)})
+			})
+		}
+	}
+	if m.joins && !s.joined {
+		all = append(all, func(s *modelState) {
+			s.joined = true
+			m.run(s, 0, func(r *Replica, now time.Duration) []Order {
+				r.now, r.orders = now, nil
+				next := sorted(append(slices.Clone(r.epoch.Voters[:m.voters-1]), Voter{Controller: controllerOf(m.voters), ID: fmt.Sprint("d", m.voters)}))
+				e := Epoch{Number: r.epoch.Number + 1, Old: r.epoch.Voters, Voters: next}
+				if m.flaws.noJoint {
+					e.Old = nil
+				}
+				if r.epoch.Number == 1 {
+					r.decide(e)
+				}
+				return r.orders
+			})
+		})
+	}
+	for k := range s.bag {
+		x := s.bag[k]
+		if k > 0 && s.bag[k-1].key == x.key {
+			continue
+		}
+		arrive := func(s *modelState) {
+			w := x.m
+			r := s.nodes[x.to].r
+			if m.flaws.oldEras && w.Era > 0 && r.epoch.Voter(w.Disk) {
+				c := *w
+				c.Era, w = r.epoch.Number, &c
+			}
+			m.step(s, x.to, Heard{controllerOf(x.from).Name, w})
+		}
+		all = append(all, func(s *modelState) {
+			s.bag = slices.Delete(slices.Clone(s.bag), k, k+1)
+			arrive(s)
+		})
+		if s.doubles > 0 {
+			all = append(all, func(s *modelState) {
+				s.doubles--
+				arrive(s)
+			})
+		}
+	}
+	for i, n := range s.nodes {
+		if len(n.writes) > 0 {
+			all = append(all, func(s *modelState) { m.sync(s, i) })
+		}
+		if n.timers > 0 {
+			all = append(all, func(s *modelState) {
+				c := *s.nodes[i]
+				c.now += clockStep
+				c.timers--
+				s.nodes[i] = &c
+				m.step(s, i)
+			})
+		}
+		if s.crashes > 0 {
+			all = append(all, func(s *modelState) {
+				s.crashes--
+				m.crash(s, i, false)
+			})
+		}
+		if s.wipes > 0 {
+			all = append(all, func(s *modelState) {
+				s.wipes--
+				m.crash(s, i, true)
+			})
+		}
+	}
+	return all
+}
+
+// sync ends the first write of a disk.
+func (m *model) sync(s *modelState, i int) {
+	c := *s.nodes[i]
+	p := c.writes[0]
+	c.writes = slices.Delete(slices.Clone(c.writes), 0, 1)
+	c.records = maps.Clone(c.records)
+	if p.Value == nil {
+		delete(c.records, p.Record)
+	} else {
+		c.records[p.Record] = p.Value
+	}
+	s.nodes[i] = &c
+	if m.flaws.early {
+		c.key = xxh3.Uint128{}
+		m.check(s)
+		return
+	}
+	m.step(s, i, Persisted{Seq: p.Seq})
+}
+
+// crash ends a process: what was not synced is lost (what was, a move before has synced), and what is on its way to it.
+func (m *model) crash(s *modelState, i int, wipe bool) {
+	c := *s.nodes[i]
+	c.writes = nil
+	c.timers = 0
+	if wipe {
+		old := c.records
+		c.records = map[string][]byte{}
+		if m.flaws.keepsName {
+			for _, name := range []string{recordDisk, recordEpoch, recordMark} {
+				c.records[name] = old[name]
+			}
+		}
+	}
+	s.nodes[i] = &c
+	s.bag = slices.DeleteFunc(slices.Clone(s.bag), func(x modelMessage) bool { return x.to == i })
+	s.lives++
+	m.start(s, i, s.lives)
+	for j := range s.nodes {
+		if j != i {
+			m.step(s, j, Down{controllerOf(i).Name})
+		}
+	}
+	m.lines(s, i)
+}
+
+func (s *modelState) after(move func(*modelState)) *modelState {
+	c := *s
+	c.nodes = slices.Clone(s.nodes)
+	move(&c)
+	return &c
+}
+
+// explore visits all states, by depth first, or the first of them where there are too many.
+func (m *model) explore() {
+	m.visited = map[xxh3.Uint128]struct{}{}
+	s := m.begin()
+	type frame struct {
+		s     *modelState
+		moves []func(*modelState)
+	}
+	m.visited[m.key(s)] = struct{}{}
+	stack := []frame{{s, m.moves(s)}}
+	for len(stack) > 0 && m.fault == "" {
+		top := &stack[len(stack)-1]
+		if len(top.moves) == 0 {
+			stack = stack[:len(stack)-1]
+			continue
+		}
+		move := top.moves[0]
+		top.moves = top.moves[1:]
+		next := top.s.after(move)
+		m.steps++
+		if m.fault != "" {
+			return
+		}
+		k := m.key(next)
+		if _, been := m.visited[k]; been {
+			continue
+		}
+		if m.visited[k] = struct{}{}; m.most > 0 && len(m.visited) >= m.most {
+			m.cut = true
+			return
+		}
+		stack = append(stack, frame{next, m.moves(next)})
+	}
+}
+
+// draw plays chance orders of the same moves.
+func (m *model) draw(seed uint64, plays int) {
+	random := rand.New(rand.NewPCG(seed, 3))
+	begin := m.begin()
+	for range plays {
+		s := begin
+		for range 400 {
+			moves := m.moves(s)
+			if len(moves) == 0 || m.fault != "" {
+				break
+			}
+			s = s.after(moves[random.IntN(len(moves))])
+			m.steps++
+		}
+	}
+}
+
+var (
+	sameNumber = []change{{0, 5, 1}, {1, 5, 2}}
+	oneThenTwo = []change{{0, 5, 1}, {1, 6, 2}}
+	oneOrder   = []change{{0, 5, 1}}
+)
+
+func TestModelEveryInterleaving(t *testing.T) {
+	scopes := []scope{
+		{name: "2 voters, 2 orders under one number", voters: 2, orders: sameNumber},
+		{name: "3 voters, 1 order", voters: 3, orders: oneOrder},
+		{name: "3 voters, 1 order, 1 crash", voters: 3, orders: oneOrder, crashes: 1, most: 60000},
+		{name: "3 voters, 2 orders under one number", voters: 3, orders: sameNumber, most: 60000},
+		{name: "3 voters, 1 learner, 2 orders, 1 crash with or without its disk, 1 change of voters, 1 message doubled, clocks that go on", voters: 3, learner: true, orders: oneThenTwo,
+			crashes: 1, wipes: 1, doubles: 1, timers: 1, joins: true, most: 30000},
+	}
+	var mu sync.Mutex
+	parallel(len(scopes), func(k int) {
+		m := &model{scope: scopes[k]}
+		began := time.Now()
+		m.explore()
+		mu.Lock()
+		defer mu.Unlock()
+		whole := "all of them"
+		if m.cut {
+			whole = "CUT: there are more"
+		}
+		t.Logf("%s: %d states, %d steps, %s (%v)", m.name, len(m.visited), m.steps, whole, time.Since(began).Round(time.Millisecond))
+		if m.fault != "" {
+			t.Errorf("%s: %s", m.name, m.fault)
+		}
+	})
+}
