--- a/accord/world_test.go
+++ b/accord/world_test.go
@@ -440,17 +440,19 @@
 		}
 	}
 	if newest == 0 { // the seeds decide: enough of those that began it are left
-		sure := 0
+		sure, lost := 0, 1
 		for _, m := range w.machines {
-			if slices.Contains(w.seeds, m.who.Address) {
-				var d diskRecord
-				is := m.records[recordDisk] != nil && cbor.Unmarshal(m.records[recordDisk], &d) == nil && d.First && m.records[recordMark] != nil
-				if is && m != w.machines[i] {
-					sure++
-				}
+			var d diskRecord
+			first := m.records[recordDisk] != nil && cbor.Unmarshal(m.records[recordDisk], &d) == nil && d.First && m.records[recordMark] != nil
+			switch {
+			case m == w.machines[i]:
+			case !first:
+				lost++
+			case slices.Contains(w.seeds, m.who.Address):
+				sure++
 			}
 		}
-		if sure < len(w.seeds)/2+1 {
+		if sure < len(w.seeds)/2+1 || lost > w.faults {
 			return false
 		}
 	}
@@ -535,6 +537,11 @@
 		if b.Kind == parley.Offer && b.Name != epochName {
 			w.fact(b.Name, b.Number, *b.Value)
 		}
+		if b.Kind == parley.Offer && b.Name == epochName {
+			if e, err := decodeEpoch(b.Value.Value); err != nil || e.Number <= b.Number.Hi>>eraShift {
+				w.failf("%s offers epoch %d to follow epoch %d", w.machines[i].who.Name, e.Number, b.Number.Hi>>eraShift)
+			}
+		}
 	}
 	if w.flaws.tellsHalfDone && m.Has != nil {
 		m.Chosen = m.Has
