--- a/counsel/calls.go
+++ b/counsel/calls.go
@@ -144,7 +144,9 @@
 			return
 		}
 		s.spread(news)
-		if !s.inTouch() { // it is heard here, and should be heard by others too
+		// It is heard here, and should be heard by others too, who are in touch: a backend keeps to one controller. While all
+		// of them start nobody is, and there is nowhere to send it.
+		if !s.inTouch() && (s.everTouched || s.now() > startFor) {
 			done <- s.apart()
 			return
 		}
--- a/counsel/counsel.go
+++ b/counsel/counsel.go
@@ -34,6 +34,7 @@
 	wokeLate    = time.Second            // a tick that late: this process was frozen, and what it reads may be old
 	gatherEach  = 300 * time.Microsecond // for each carrier, that words of what comes may wait, up to the tick
 	gatherLeast = 10 * time.Millisecond
+	startFor    = 3 * time.Second // in which a controller that was never in touch may still be with others that start
 	distrustFor = 500 * time.Millisecond
 	charterName = "charter" // the register of the configuration
 	zonePrefix  = "zone/"   // ... of the evacuation of a zone
@@ -89,29 +90,30 @@
 	keep  *rapport.Keeper // its Keep belongs to own
 
 	// Owned by own.
-	replica   *accord.Replica
-	table     *presence.Table
-	peers     map[string]*peer // by name
-	callers   rapport.Lines    // lines that other controllers dialled
-	carriers  map[*parley.Line]*carrier
-	waiting   map[uint64]chan<- accord.Done
-	token     uint64
-	words     map[uint64]*word
-	seq       uint64
-	charter   *charter.Charter // in force
-	settled   bool             // what others know of backends was heard, or nobody knows more
-	touched   bool             // there was contact with a majority at the last look
-	tickAt    time.Duration
-	pingAt    time.Duration
-	doubtTill time.Duration
-	steer     *steering
-	diskFails int
-	pending   []parley.Backend // words for carriers that may wait for the tick
-	list      []byte           // All, packed
-	listAt    time.Duration
-	dueAt     time.Duration // of the timer that calls step; 0: none runs
-	leaving   bool
-	left      chan struct{} // closed once all is handed over
+	replica     *accord.Replica
+	table       *presence.Table
+	peers       map[string]*peer // by name
+	callers     rapport.Lines    // lines that other controllers dialled
+	carriers    map[*parley.Line]*carrier
+	waiting     map[uint64]chan<- accord.Done
+	token       uint64
+	words       map[uint64]*word
+	seq         uint64
+	charter     *charter.Charter // in force
+	settled     bool             // what others know of backends was heard, or nobody knows more
+	touched     bool             // there was contact with a majority at the last look
+	everTouched bool             // ... or before
+	tickAt      time.Duration
+	pingAt      time.Duration
+	doubtTill   time.Duration
+	steer       *steering
+	diskFails   int
+	pending     []parley.Backend // words for carriers that may wait for the tick
+	list        []byte           // All, packed
+	listAt      time.Duration
+	dueAt       time.Duration // of the timer that calls step; 0: none runs
+	leaving     bool
+	left        chan struct{} // closed once all is handed over
 }
 
 // New makes a Server; Run starts it.
@@ -258,6 +260,7 @@
 	if touched == s.touched {
 		return
 	}
+	s.everTouched = true
 	if s.touched = touched; !touched {
 		s.log.Warn("no contact with a majority of the voters", "epoch", s.replica.Epoch().Number)
 		return
