--- a/accord/model_test.go
+++ b/accord/model_test.go
@@ -30,6 +30,8 @@
 	wipes   int      // ... with a new disk
 	doubles int      // a message comes twice
 	timers  int      // for each controller: its clock goes on by clockStep
+	instant bool     // disks answer at once: their time is the network's then
+	only    int      // who may crash or be wiped; -1: anybody
 	joins   bool     // the learner is taken in as a voter, in the place of the last one
 	most    int      // states; 0: all
 	flaws   modelFlaws
@@ -79,6 +81,7 @@
 	lives   uint64
 	// What was said: the newest value that was acknowledged or told, whatever follows must hold it.
 	held   Register
+	floors [4]Stamp // ... as each order was given
 	epochs map[uint64][]byte
 }
 
@@ -166,7 +169,9 @@
 }
 
 // step has one process take events; what it says and writes is on its way then.
-func (m *model) step(s *modelState, i int, events ...Event) { m.run(s, i, func(r *Replica, now time.Duration) []Order { return r.Step(now, events...) }) }
+func (m *model) step(s *modelState, i int, events ...Event) {
+	m.run(s, i, func(r *Replica, now time.Duration) []Order { return r.Step(now, events...) })
+}
 
 func (m *model) run(s *modelState, i int, do func(*Replica, time.Duration) []Order) {
 	if m.fault != "" {
@@ -181,8 +186,13 @@
 		queue = queue[1:]
 		switch o := o.(type) {
 		case Persist:
-			n.writes = append(n.writes, o)
-			if m.flaws.early {
+			if m.instant {
+				n.records = maps.Clone(n.records)
+				n.put(o)
+			} else {
+				n.writes = append(n.writes, o)
+			}
+			if m.flaws.early || m.instant {
 				queue = append(queue, n.r.Step(n.now, Persisted{Seq: o.Seq})...)
 			}
 		case Send:
@@ -294,8 +304,6 @@
 		m.failf("c%d: %s %v, and %v was: two under one number", i, how, v.Stamp, s.held.Stamp)
 	case s.held.Stamp.Less(v.Stamp):
 		s.held = v
-	case how == "taken" && v.Stamp.Less(s.held.Stamp):
-		m.failf("c%d: %s %v after %v", i, how, v.Stamp, s.held.Stamp)
 	}
 }
 
@@ -311,6 +319,9 @@
 	case d.Fate == Refused && (d.Stamp.Hi < o.version || same):
 		m.failf("c%d: %v is refused by %v", i, o, d.Stamp)
 	}
+	if floor := s.floors[d.Token-1]; d.Stamp.Less(floor) {
+		m.failf("c%d: %v is answered with %v, though %v was told before", i, o, d.Stamp, floor)
+	}
 	m.tells(s, i, "taken", d.Register)
 }
 
@@ -372,6 +383,9 @@
 	if s.joined {
 		b = append(b, 1)
 	}
+	for _, f := range s.floors {
+		b = append(b, byte(f.Hi), byte(f.Lo))
+	}
 	b = fmt.Appendf(b, "%d/%d", s.held.Stamp.Hi, s.held.Stamp.Lo)
 	m.buf = b
 	return xxh3.Hash128(b)
@@ -383,6 +397,7 @@
 		if s.given&(1<<i) == 0 {
 			all = append(all, func(s *modelState) {
 				s.given |= 1 << i
+				s.floors[i] = s.held.Stamp
 				value := fmt.Appendf(nil, "%d/%d", o.version, o.digest)
 				m.step(s, o.at, Change{uint64(i + 1), charter, Replace(o.version, o.digest, value)})
 			})
@@ -443,13 +458,13 @@
 				m.step(s, i)
 			})
 		}
-		if s.crashes > 0 {
+		if s.crashes > 0 && (m.only < 0 || m.only == i) {
 			all = append(all, func(s *modelState) {
 				s.crashes--
 				m.crash(s, i, false)
 			})
 		}
-		if s.wipes > 0 {
+		if s.wipes > 0 && (m.only < 0 || m.only == i) {
 			all = append(all, func(s *modelState) {
 				s.wipes--
 				m.crash(s, i, true)
@@ -459,17 +474,21 @@
 	return all
 }
 
+func (n *modelNode) put(p Persist) {
+	if p.Value == nil {
+		delete(n.records, p.Record)
+	} else {
+		n.records[p.Record] = p.Value
+	}
+}
+
 // sync ends the first write of a disk.
 func (m *model) sync(s *modelState, i int) {
 	c := *s.nodes[i]
 	p := c.writes[0]
 	c.writes = slices.Delete(slices.Clone(c.writes), 0, 1)
 	c.records = maps.Clone(c.records)
-	if p.Value == nil {
-		delete(c.records, p.Record)
-	} else {
-		c.records[p.Record] = p.Value
-	}
+	c.put(p)
 	s.nodes[i] = &c
 	if m.flaws.early {
 		c.key = xxh3.Uint128{}
