--- a/transit/touch_test.go
+++ b/transit/touch_test.go
@@ -91,12 +91,12 @@
 		s.cores[0].knows(older, true)
 		for _, k := range s.cores[1:] {
 			k.knows(newer, false)
-			s.net.Dark(k.who.Address[:len(k.who.Address)-5], true)
+			s.net.Dark(strings.TrimSuffix(k.who.Address, ":7540"), true)
 		}
 		time.Sleep(1500 * time.Millisecond)
 		at("the near one is apart, the others say nothing")
 		for _, k := range s.cores[1:] {
-			s.net.Dark(k.who.Address[:len(k.who.Address)-5], false)
+			s.net.Dark(strings.TrimSuffix(k.who.Address, ":7540"), false)
 		}
 		s.served(t)
 		at("the others are there")
@@ -152,6 +152,38 @@
 	})
 }
 
+// A carrier that is cut off with one controller goes on, steered by that one, apart as it is; what the others decide
+// meanwhile it hears once they are there again, and then it does not go back to what the one still holds.
+func TestCutOffWithOne(t *testing.T) {
+	begin(t, 3, func(s *stage, at func(string)) {
+		for _, k := range s.cores {
+			k.knows(older, false)
+		}
+		time.Sleep(4 * time.Second)
+		at("all are in touch")
+		far := s.cores[1:]
+		for _, k := range far {
+			s.net.Dark(strings.TrimSuffix(k.who.Address, ":7540"), true)
+		}
+		s.cores[0].isApart(true)
+		time.Sleep(8 * time.Second)
+		for _, k := range far {
+			k.knows(newer, false)
+		}
+		at("cut off with the near one")
+		s.cores[0].mu.Lock()
+		s.note("the near one steers: %v", s.cores[0].steers > 3)
+		s.cores[0].mu.Unlock()
+		for _, k := range far {
+			s.net.Dark(strings.TrimSuffix(k.who.Address, ":7540"), false)
+		}
+		time.Sleep(2 * time.Second)
+		at("it heals")
+		s.cores[0].tell(offer(older.register()))
+		at("the near one says once more that the older one is in force")
+	})
+}
+
 // Who steers: the near one, until it has been apart for a while, then another that is in touch; the near one again once
 // it has been in touch for a while.
 func TestSteeredByWhoIsInTouch(t *testing.T) {
