--- a/counsel/counsel.go
+++ b/counsel/counsel.go
@@ -90,36 +90,37 @@
 	keep  *rapport.Keeper // its Keep belongs to own
 
 	// Owned by own.
-	replica     *accord.Replica
-	table       *presence.Table
-	peers       map[string]*peer // by name
-	callers     rapport.Lines    // lines that other controllers dialled
-	carriers    map[*parley.Line]*carrier
-	waiting     map[uint64]chan<- accord.Done
-	token       uint64
-	words       map[uint64]*word
-	seq         uint64
-	charter     *charter.Charter // in force
-	settled     bool             // what others know of backends was heard, or nobody knows more
-	touched     bool             // there was contact with a majority at the last look
-	everTouched bool             // ... or before
-	tickAt      time.Duration
-	pingAt      time.Duration
-	doubtTill   time.Duration
-	steer       *steering
-	diskFails   int
-	pending     []parley.Backend // words for carriers that may wait for the tick
-	list        []byte           // All, packed
-	listAt      time.Duration
-	dueAt       time.Duration // of the timer that calls step; 0: none runs
-	leaving     bool
-	left        chan struct{} // closed once all is handed over
+	replica      *accord.Replica
+	table        *presence.Table
+	peers        map[string]*peer // by name
+	callers      rapport.Lines    // lines that other controllers dialled
+	carrierLines rapport.Lines    // that carriers did
+	carriers     map[*parley.Line]*carrier
+	waiting      map[uint64]chan<- accord.Done
+	token        uint64
+	words        map[uint64]*word
+	seq          uint64
+	charter      *charter.Charter // in force
+	settled      bool             // what others know of backends was heard, or nobody knows more
+	touched      bool             // there was contact with a majority at the last look
+	everTouched  bool             // ... or before
+	tickAt       time.Duration
+	pingAt       time.Duration
+	doubtTill    time.Duration
+	steer        *steering
+	diskFails    int
+	pending      []parley.Backend // words for carriers that may wait for the tick
+	list         []byte           // All, packed
+	listAt       time.Duration
+	dueAt        time.Duration // of the timer that calls step; 0: none runs
+	leaving      bool
+	left         chan struct{} // closed once all is handed over
 }
 
 // New makes a Server; Run starts it.
 func New(o Options) *Server {
 	s := &Server{o: o, log: o.Log, life: rand.Uint64() | 1, began: o.Clock.Now(), queue: rapport.NewQueue(1024),
-		table: presence.New(o.Settings.Beat.Span()), peers: map[string]*peer{}, callers: rapport.Lines{Latest: true},
+		table: presence.New(o.Settings.Beat.Span()), peers: map[string]*peer{}, callers: rapport.Lines{Latest: true}, carrierLines: rapport.Lines{Latest: true},
 		carriers: map[*parley.Line]*carrier{}, waiting: map[uint64]chan<- accord.Done{}, words: map[uint64]*word{},
 		left: make(chan struct{})}
 	s.me = parley.Controller{Name: o.Settings.Name, Zone: o.Settings.Zone, Address: o.Settings.Own(),
--- a/counsel/lines.go
+++ b/counsel/lines.go
@@ -63,7 +63,13 @@
 		from := *who
 		s.queue.Do(func() {
 			if from.Carrier {
-				s.heardCarrier(from, line, m)
+				// Guards against a word on an old line, read late after a freeze, renewing a lease.
+				if m.Hello != nil {
+					s.carrierLines.Take(m.Hello, line)
+				}
+				if s.carrierLines.Speaks(from.Who.Name, line) {
+					s.heardCarrier(from, line, m)
+				}
 				return
 			}
 			if m.Hello != nil {
@@ -81,7 +87,11 @@
 	}
 	line.Close()
 	s.queue.Do(func() {
-		if who != nil && !who.Carrier {
+		switch {
+		case who == nil:
+		case who.Carrier:
+			s.carrierLines.Lost(who.Who.Name, line)
+		default:
 			s.callers.Lost(who.Who.Name, line)
 		}
 		if c := s.carriers[line]; c != nil {
