--- a/gauntlet/rules_test.go
+++ b/gauntlet/rules_test.go
@@ -145,6 +145,54 @@
 			x := s.try(10.5, true)
 			x.Status, x.Whole, x.End = 0, false, sec(10.9)
 		}},
+		{"CONFIG", func(s sheet) { // the core is unsettled, and most of it goes on: the bound is stretched
+			s.Core = []CoreState{{At: 0, Size: 3, Joined: 3}, {At: sec(4.9), Size: 3, Joined: 2}, {At: sec(14), Size: 3, Joined: 2}}
+			s.Orders = append(s.Orders, moved(2, 5, 5.1, "views"))
+			s.try(15, true)
+		}, func(s sheet) { s.try(15.2, true) }},
+		{"ACKS", func(s sheet) { // in the time in which the core was settled
+			s.Faults, s.Core = 1, []CoreState{{At: 0, Size: 3, Joined: 3}, {At: sec(9), Size: 3, Joined: 2}}
+			s.Losses = []Loss{{Machine: "core-2", From: sec(9), To: -1}}
+			o := moved(2, 5, 0, "views")
+			o.End = sec(16.9)
+			s.Orders = append(s.Orders, o)
+		}, func(s sheet) { s.Orders[1].End = sec(17.1) }},
+		{"ACKS", func(s sheet) { // more is lost than is to be borne, until nothing is
+			s.Faults, s.Core = 1, []CoreState{{At: 0, Size: 5, Joined: 5}, {At: sec(5), Size: 5, Joined: 3}, {At: sec(9), Size: 5, Joined: 5}}
+			s.Losses = []Loss{{Machine: "core-1", From: sec(5), To: sec(9)}, {Machine: "core-2", From: sec(5), To: sec(9)}}
+			o := moved(2, 5, 0, "views")
+			o.End = sec(17.9)
+			s.Orders = append(s.Orders, o)
+		}, func(s sheet) { s.Losses[1].To = sec(8); s.Faults = 2 }},
+		{"ACKS", func(s sheet) {
+			s.Orders = append(s.Orders, &Order{Zone: "north", Begin: true, Valid: true, At: 5, End: 6, Status: 503})
+		},
+			func(s sheet) { s.Orders[1].Status = 409 }},
+		{"DARK", func(s sheet) {
+			s.Core = []CoreState{{At: 0, Size: 1, Joined: 1}}
+			s.Trouble(sec(9), "edge-0", "reset", false)(sec(9))
+			for i := range 40 {
+				s.Requests = append(s.Requests, Request{At: sec(12 + float64(i)/5), End: sec(12.1 + float64(i)/5)})
+			}
+		}, func(s sheet) { s.Troubles = nil }},
+		{"BACK", func(s sheet) {
+			s.Core = []CoreState{{At: 0, Size: 1, Joined: 1}}
+			s.Lives = []Life{{"b1", "north", 0, 0}}
+			s.Orders = append(s.Orders, &Order{Zone: "north", Begin: true, Valid: true, At: sec(3), Acked: sec(3.1)},
+				&Order{Zone: "north", Valid: true, At: sec(12), Acked: sec(12.1)}, &Order{At: sec(40)})
+			for i := range 70 {
+				s.try(23+float64(i)/20, true)
+			}
+			for _, x := range s.Tries[1:] {
+				x.Arrivals[0].Zone = "south"
+			}
+		}, func(s sheet) { s.Tries[0].Arrivals[0].Zone = "south" }},
+		{"LOST", func(s sheet) { // but not where more disks were lost than are to be borne
+			s.Closing, s.Reads, s.Faults = sec(15), []Read{back(20, Charter(1))}, 1
+			s.Orders = append(s.Orders, &Order{Config: Charter(2), Valid: true, At: 2, Acked: 3})
+			s.Losses = []Loss{{Machine: "core-0", Disk: true, From: sec(15), To: sec(16)},
+				{Machine: "core-1", Disk: true, From: sec(19.9), To: sec(20)}}
+		}, func(s sheet) { s.Losses[1].From = sec(20.1) }},
 		{"DENIED", func(s sheet) {
 			for range 5 {
 				x := s.try(5, true)
