--- a/cmd/lab/core/calls.go
+++ b/cmd/lab/core/calls.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -102,6 +103,17 @@
 	return a
 }
 
+// drop is a call whose caller hangs up once it has sent all of it.
+func (s *system) drop(m *machine, call, of string, body []byte) {
+	conn, err := net.DialTimeout("tcp4", m.control(), callFor)
+	if err == nil {
+		_, err = fmt.Fprintf(conn, "POST /v1/rpc?call=%s&of=%s HTTP/1.1\r\nHost: %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s",
+			call, of, m.control(), len(body), body)
+		_ = conn.Close()
+	}
+	s.r.log("%s: %s %s: sent, and hung up: %v", m.name, call, of, err)
+}
+
 // put sends a configuration once.
 func (s *system) put(ctx context.Context, m *machine, version uint32, body []byte, patience time.Duration) answer {
 	s.ledger.send(version, body)
--- a/cmd/lab/core/core.go
+++ b/cmd/lab/core/core.go
@@ -139,6 +139,9 @@
 		r.short("%v", err)
 	}
 	for _, s := range r.systems {
+		if len(r.causes) > 0 {
+			s.evidence()
+		}
 		for _, broken := range s.close() {
 			r.short("%s", broken)
 		}
--- a/cmd/lab/core/freezes.go
+++ b/cmd/lab/core/freezes.go
@@ -62,7 +62,7 @@
 				before++
 			case a.fate() != unknown:
 				r.short("with %d of %d frozen for %.1f s, %s: %v", len(frozen), size, at.Seconds(), c.what, a)
-			case a.status != 503:
+			case a.status != 503 && !(at < contact && a.status == 504): // 504: nothing is known of it
 				r.short("with %d of %d frozen for %.1f s, %s: %v, not 503", len(frozen), size, at.Seconds(), c.what, a)
 			}
 			if at < contact {
--- a/cmd/lab/core/numbers.go
+++ b/cmd/lab/core/numbers.go
@@ -189,20 +189,23 @@
 	}
 	c := s.ride()
 	all := s.machines()
-	patience := callFor
-	if how == hungUp {
-		patience = 3 * time.Millisecond
-	}
 	first, second := all[s.draw(3)], (*machine)(nil)
 	for second == nil || second == first {
 		second = all[s.draw(3)]
 	}
+	send := func(call, of string, body []byte) {
+		if how == hungUp {
+			s.drop(first, call, of, body)
+		} else {
+			s.call(r.ctx, first, call, of, body, callFor)
+		}
+	}
 	version, body := s.next()
 	began := time.Now()
-	s.call(r.ctx, first, "evacuation.begin", "a", nil, patience)
-	s.call(r.ctx, first, "evacuation.begin", "c", nil, patience)
+	send("evacuation.begin", "a", nil)
+	send("evacuation.begin", "c", nil)
 	s.ledger.send(version, body) // its answer is thrown away, so that nothing is known of it
-	s.call(r.ctx, first, "config.replace", "", body, patience)
+	send("config.replace", "", body)
 	if how == firstKilled {
 		first.kill()
 		if err := r.wait(restartAfter); err != nil {
@@ -239,7 +242,7 @@
 	}
 	// The end of an evacuation may be sent again too, and a new one begins after it.
 	began = time.Now()
-	s.call(r.ctx, first, "evacuation.finish", "c", nil, patience)
+	send("evacuation.finish", "c", nil)
 	if err := r.until(began, gap); err != nil {
 		return err
 	}
--- a/cmd/lab/core/system.go
+++ b/cmd/lab/core/system.go
@@ -154,6 +154,17 @@
 	return s.chance.IntN(n)
 }
 
+// evidence adds to the journal how the core saw itself when its story fell short.
+func (s *system) evidence() {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*callFor) // the play's own may be over
+	defer cancel()
+	each(s.serving(), func(_ int, m *machine) {
+		if a := s.call(ctx, m, "core.status", "", nil, callFor); a.fate() == taken {
+			s.r.log("%s: core.status: %s", m.name, a.body)
+		}
+	})
+}
+
 // close ends all processes, and gives what was wrong besides the story's own checks.
 func (s *system) close() []string {
 	s.stop()
