--- a/cmd/lab/core/machine.go
+++ b/cmd/lab/core/machine.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -8,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -148,7 +150,30 @@
 // kill ends its life; the disk stays.
 func (m *machine) kill() { <-m.signal(syscall.SIGKILL) }
 
-func (m *machine) freeze() { m.signal(syscall.SIGSTOP) }
+// freeze returns once all its threads stand: for some milliseconds after the signal one may still answer, and what it
+// says then is not what a frozen process says.
+func (m *machine) freeze() {
+	m.signal(syscall.SIGSTOP)
+	for end := time.Now().Add(time.Second); time.Now().Before(end) && !stands(m.pid()); {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func stands(pid int) bool {
+	all, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", pid))
+	for _, path := range all {
+		text, err := os.ReadFile(path)
+		if err != nil { // the thread has ended
+			continue
+		}
+		// The state comes after the name, which stands in brackets and may hold anything.
+		if _, rest, _ := strings.Cut(string(text[bytes.LastIndexByte(text, ')')+1:]), " "); !strings.HasPrefix(rest, "T") {
+			return false
+		}
+	}
+	return len(all) > 0
+}
+
 func (m *machine) thaw()   { m.signal(syscall.SIGCONT) }
 
 // term ends it in order, by force after the grace, and gives how long that took.
