--- a/cmd/lab/core/machine.go
+++ b/cmd/lab/core/machine.go
@@ -174,7 +174,7 @@
 	return len(all) > 0
 }
 
-func (m *machine) thaw()   { m.signal(syscall.SIGCONT) }
+func (m *machine) thaw() { m.signal(syscall.SIGCONT) }
 
 // term ends it in order, by force after the grace, and gives how long that took.
 func (m *machine) term() (time.Duration, error) {
