--- a/gauntlet/aimed.go
+++ b/gauntlet/aimed.go
@@ -11,23 +11,42 @@
 
 // aims are troubles that each meet one guard at the moment at which it is needed; a day plays some of them beside what
 // is drawn freely, which alone meets such a moment once in hundreds of days.
-var aims = []struct {
-	name string
-	play func(d *draw, r *rand.Rand)
-	zone bool // it evacuates
-}{
-	{"written alone", (*draw).alone, false},
-	{"harm at the acknowledgement", (*draw).afterAck, false},
-	{"core in halves", (*draw).halves, false},
-	{"two operators", (*draw).race, false},
-	{"a drain's acknowledger goes", (*draw).drains, false},
-	{"addresses under other services", (*draw).reuse, false},
-	{"term with long work", (*draw).terms, false},
-	{"a storm of broken answers", (*draw).storm, false},
-	{"owners of a cold one cut off", (*draw).owners, false},
-	{"evacuations that overlap", (*draw).overlap, true},
-	{"an old word of a zone", (*draw).oldWord, true},
-	{"an old copy of a disk", (*draw).oldCopy, false},
+var aims = []aim{
+	{"written alone", (*draw).alone, false, 3},
+	{"harm at the acknowledgement", (*draw).afterAck, false, 3},
+	{"core in halves", (*draw).halves, false, 3},
+	{"two operators", (*draw).race, false, 2},
+	{"a drain's acknowledger goes", (*draw).drains, false, 3},
+	{"addresses under other services", (*draw).reuse, false, 1},
+	{"term with long work", (*draw).terms, false, 1},
+	{"a storm of broken answers", (*draw).storm, false, 1},
+	{"owners of a cold one cut off", (*draw).owners, false, 1},
+	{"evacuations that overlap", (*draw).overlap, true, 1},
+	{"an old word of a zone", (*draw).oldWord, true, 3},
+	{"an old copy of a disk", (*draw).oldCopy, false, 3},
+	{"a long cut", (*draw).longCut, true, 2},
+	{"one number, two bodies", (*draw).oneNumber, false, 1},
+	{"replaced, then a second loss", (*draw).replaced, false, 3},
+	{"answers lost", (*draw).lostAnswers, true, 1},
+	{"a long cut of the seeds", (*draw).longCut, true, 3},
+	{"removed after SIGTERM", (*draw).removed, false, 3},
+	{"wiped, then a second loss", (*draw).wipedTwice, false, 3},
+	{"clocks an hour apart", (*draw).clocks, true, 1},
+	{"a voter that is out wakes", (*draw).wakes, false, 3},
+	{"leaves with a half-done value", (*draw).leaver, false, 3},
+	{"many changes, one down", (*draw).many, false, 3},
+	{"power in a change of voters", (*draw).powerInChange, false, 3},
+	{"a bad disk beside a change of voters", (*draw).badDisk, false, 3},
+	{"a new one, another frozen", (*draw).frozen, false, 3},
+	{"seeds cut from each other", (*draw).seedsApart, false, 2},
+}
+
+// aim is one of them.
+type aim struct {
+	name  string
+	play  func(d *draw, r *rand.Rand)
+	zone  bool // it evacuates
+	least int  // machines in the core
 }
 
 // aimed plays n aims one after the other; they take their turns by the day's number, so that few days meet them all.
@@ -39,29 +58,44 @@
 	d.w.Go(func() {
 		defer close(done)
 		for k := first; k < first+n; k++ {
-			a := aims[k%len(aims)]
-			d.log("aimed: %s", a.name)
-			a.play(d, d.w.Rand("aim", uint64(k)))
+			if a := aims[k%len(aims)]; len(d.w.Cores()) >= a.least {
+				d.log("aimed: %s", a.name)
+				a.play(d, d.w.Rand("aim", uint64(k)))
+			}
 		}
 	})
 	return done
 }
 
 // reserve waits until the core may lose something, and takes that for a span.
-func (d *draw) reserve(span time.Duration) {
-	for {
-		d.mu.Lock()
-		now := d.w.Now()
-		if now >= d.coreTo {
-			d.coreTo = now + span + d.w.Ledger.Bounds.CatchUp.Span()
-			d.mu.Unlock()
-			return
-		}
-		d.mu.Unlock()
+func (d *draw) reserve(span time.Duration) { d.reserveAll(span, 1) }
+
+// reserveAll is reserve for so many machines at once, or as many as are to be borne.
+func (d *draw) reserveAll(span time.Duration, n int) {
+	for !d.take(span, n) {
 		time.Sleep(100 * time.Millisecond)
 	}
 }
 
+// take says whether the core may lose so many machines for a span from now on, and takes that.
+func (d *draw) take(span time.Duration, n int) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now, free := d.w.Now(), []int{}
+	for i, to := range d.lost {
+		if now >= to {
+			free = append(free, i)
+		}
+	}
+	if len(free) < min(n, len(d.lost)) {
+		return false
+	}
+	for _, i := range free[:min(n, len(free))] {
+		d.lost[i] = now + span + d.w.Ledger.Bounds.CatchUp.Span() + 200*time.Millisecond
+	}
+	return true
+}
+
 // claim says whether the day's zone may be evacuated from here.
 func (d *draw) claim() bool {
 	d.mu.Lock()
@@ -112,7 +146,7 @@
 func moment(r *rand.Rand) { time.Sleep(between(r, 0, 4*time.Millisecond)) }
 
 func (d *draw) shuffled(r *rand.Rand) []*Machine {
-	all := slices.Clone(d.w.Cores)
+	all := slices.Clone(d.w.Cores())
 	r.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
 	return all
 }
@@ -120,7 +154,7 @@
 // ask asks all controllers now and then for a span.
 func (d *draw) ask(r *rand.Rand, span time.Duration) {
 	for end := d.w.Now() + span; d.w.Now() < end; {
-		d.w.AskCores(time.Second)
+		d.w.AskCores()
 		time.Sleep(between(r, time.Millisecond, 120*time.Millisecond))
 	}
 }
@@ -137,7 +171,7 @@
 	d.log("%s alone has %08x, acknowledged %t", a.Name, o.Config.Version, o.Acked > 0)
 	moment(r)
 	w.Power(a)
-	a.Disk.Wipe()
+	w.Wipe(a)
 	join()
 	d.ask(r, time.Second)
 	w.PowerOn(a)
@@ -151,16 +185,13 @@
 	d.reserve(7 * time.Second)
 	all := d.shuffled(r)
 	a, b, c := all[0], all[1], all[2]
-	weak, join := r.IntN(4), func() {}
+	weak, join, heal := r.IntN(4), func() {}, func() {}
 	switch weak {
-	case 0:
-		c.Disk.Hang(4 * time.Second)
-	case 1:
-		c.Disk.Full(true)
+	case 0, 1:
+		heal = w.BadDisk(c, weak == 1, 4*time.Second)
 	case 2:
 		join = w.Isolate(c, true)
 	}
-	end := w.Ledger.Trouble(w.Now(), c.Name, "disk", weak < 2)
 	o := w.Replace(d.next(r), true, a, 3*time.Second)
 	if o.By == b.Name {
 		a, b = b, a
@@ -176,9 +207,9 @@
 	w.Power(victim)
 	switch how {
 	case 0, 1:
-		victim.Disk.Wipe()
+		w.Wipe(victim)
 	case 2:
-		victim.Disk.Tear(1+r.IntN(3), true)
+		w.Tear(victim, 1+r.IntN(3), true)
 	}
 	cut := func() {}
 	if apart {
@@ -189,8 +220,7 @@
 	w.PowerOn(victim)
 	d.ask(r, 1800*time.Millisecond)
 	cut()
-	c.Disk.Full(false)
-	end(w.Now())
+	heal()
 	d.ask(r, time.Second)
 }
 
@@ -232,7 +262,7 @@
 			d.show(r, other.Version)
 			time.Sleep(200 * time.Microsecond)
 		}
-		w.AskCores(time.Second)
+		w.AskCores()
 		time.Sleep(270 * time.Millisecond)
 		for range 20 {
 			d.show(r, other.Version)
@@ -263,7 +293,7 @@
 	for_ := between(r, 5*time.Second, 6*time.Second)
 	select {
 	case by := <-at:
-		m := w.Machines[w.machineAt(by)]
+		m := w.Machine(w.machineAt(by))
 		time.Sleep(wait)
 		d.log("%s acknowledged a drain and loses power", m.Name)
 		w.Power(m)
@@ -287,13 +317,13 @@
 			b.Crash()
 			time.Sleep(w.Ledger.Bounds.AddrReuse.Span())
 			if deaf {
-				for _, c := range w.Cores {
+				for _, c := range w.Cores() {
 					w.Net.Cut(b.host.IP, c.IP)
 				}
 			}
 			w.Backend(service, b.Zone, b.host.IP, 4, workOf(service), true)
 			time.Sleep(3 * time.Second)
-			for _, c := range w.Cores {
+			for _, c := range w.Cores() {
 				w.Net.Join(b.host.IP, c.IP)
 			}
 		})
@@ -376,7 +406,7 @@
 		}
 		left = slices.DeleteFunc(left, func(m *Machine) bool { return m == best })
 		d.log("%s, which owns %s, is cut off", best.Name, b.ID)
-		for _, c := range w.Cores {
+		for _, c := range w.Cores() {
 			joins = append(joins, w.Cut(best, c, true))
 		}
 		time.Sleep(4500 * time.Millisecond)
@@ -397,20 +427,26 @@
 	d.w.Evacuate(zone, false, at)
 }
 
+// apart is longer than an order may come again: nearer, nobody can tell two operators' orders from one's that is repeated.
+func (d *draw) apart(r *rand.Rand) {
+	least := d.w.Ledger.Bounds.Ack.Span() + 1500*time.Millisecond
+	time.Sleep(between(r, least, least+2*time.Second))
+}
+
 // overlap: two operators empty a zone, each for a while of its own.
 func (d *draw) overlap(r *rand.Rand) {
 	w := d.w
 	zone := pick(r, w.shape.Zones)
 	d.log("evacuate %s, twice", zone)
-	w.Evacuate(zone, true, pick(r, w.Cores))
-	time.Sleep(between(r, 2800*time.Millisecond, 5*time.Second))
-	w.Evacuate(zone, true, pick(r, w.Cores))
+	w.Evacuate(zone, true, pick(r, w.Cores()))
+	d.apart(r)
+	w.Evacuate(zone, true, pick(r, w.Cores()))
 	time.Sleep(between(r, 3*time.Second, 4*time.Second))
 	d.log("one of two gives %s back", zone)
-	w.Evacuate(zone, false, pick(r, w.Cores))
-	time.Sleep(between(r, 3*time.Second, 5*time.Second))
+	w.Evacuate(zone, false, pick(r, w.Cores()))
+	d.apart(r)
 	d.log("take back %s", zone)
-	d.refill(zone, pick(r, w.Cores))
+	d.refill(zone, pick(r, w.Cores()))
 }
 
 // oldWord: a controller that is cut off from the others has an older word of a zone, and tells it to carriers that
@@ -458,7 +494,7 @@
 	}
 	d.log("%s goes back to an old copy", a.Name)
 	w.Power(a)
-	a.Disk.Tear(1, false)
+	w.Tear(a, 1, false)
 	time.Sleep(between(r, 100*time.Millisecond, time.Second))
 	w.PowerOn(a)
 	d.ask(r, 2*time.Second)
--- a/gauntlet/day_test.go
+++ b/gauntlet/day_test.go
@@ -11,21 +11,37 @@
 	"time"
 )
 
-// sound fails the test for each broken rule.
+// sound fails the test for each broken rule. It is called outside of the bubble.
 func sound(t *testing.T, w *World) {
 	t.Helper()
-	for _, b := range Check(w.Ledger) {
-		t.Error(b)
+	if w == nil || t.Skipped() {
+		return
+	}
+	broken, undecided := w.Ledger.linear()
+	if undecided {
+		t.Logf("the search for an order of %d calls was given up", len(w.Ledger.Calls))
+	}
+	seen := map[string]int{}
+	for _, b := range append(Check(w.Ledger), broken...) {
+		if seen[b.Rule]++; seen[b.Rule] <= 4 {
+			t.Error(b)
+		}
+	}
+	for rule, n := range seen {
+		if n > 4 {
+			t.Errorf("%s is broken %d times", rule, n)
+		}
 	}
 }
 
 func TestCalmDay(t *testing.T) {
+	t.Parallel()
+	var w *World
 	synctest.Test(t, func(t *testing.T) {
-		w := Begin(1, Plain)
+		w = Begin(1, Plain)
 		w.Load(10*time.Second, Flows...)
 		w.ReadBack()
 		w.Finish()
-		sound(t, w)
 		l := w.Ledger
 		if asked, served := l.Served(0, w.Now(), time.Minute); asked < 900 || served != asked || len(l.Tries) != asked {
 			t.Errorf("%d asked in %d tries, %d served", asked, len(l.Tries), served)
@@ -41,25 +57,30 @@
 			}
 		}
 	})
+	sound(t, w)
 }
 
 // Days are drawn from seeds: a few always, GAUNTLET_DAYS of them from GAUNTLET_SEED on where that is set. A failing
 // one is named, and played again by GAUNTLET_SEED=n GAUNTLET_DAYS=1.
 func TestDrawnDays(t *testing.T) {
-	first, days := number("GAUNTLET_SEED", 1), number("GAUNTLET_DAYS", uint64(len(aims)/2))
+	first, days := number("GAUNTLET_SEED", 1), number("GAUNTLET_DAYS", uint64(len(aims)/2+1))
 	var played, asked, served, tries, arrivals, faults, orders, broken atomic.Int64
 	t.Run("days", func(t *testing.T) {
 		for seed := first; seed < first+days; seed++ {
 			t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 				t.Parallel()
+				var w *World
+				var log []string
 				synctest.Test(t, func(t *testing.T) {
-					w := Begin(seed, Plain)
-					log := Drawn(w, 20*time.Second, 1800*time.Millisecond)
+					w, log = BeginDrawn(seed, ShapeOf(seed))
+					log = append(log, Drawn(w, 20*time.Second, 1800*time.Millisecond)...)
 					w.Finish()
-					if sound(t, w); t.Failed() {
-						broken.Add(1)
-						t.Logf("GAUNTLET_SEED=%d GAUNTLET_DAYS=1\n%s", seed, strings.Join(log, "\n"))
-					}
+				})
+				if sound(t, w); t.Failed() {
+					broken.Add(1)
+					t.Logf("GAUNTLET_SEED=%d GAUNTLET_DAYS=1\n%s", seed, strings.Join(log, "\n"))
+				}
+				func() {
 					l := w.Ledger
 					n, ok := l.Served(0, w.Now(), time.Minute)
 					for _, y := range l.Tries {
@@ -71,7 +92,7 @@
 					tries.Add(int64(len(l.Tries)))
 					orders.Add(int64(len(l.Orders)))
 					faults.Add(int64(len(l.Troubles)))
-				})
+				}()
 			})
 		}
 	})
