--- a/counsel/calls.go
+++ b/counsel/calls.go
@@ -50,6 +50,8 @@
 			answer, err = s.evacuate(r, asked, of, true)
 		case "evacuation.finish":
 			answer, err = s.evacuate(r, asked, of, false)
+		case "core.status":
+			answer, err = s.status()
 		default:
 			err = fault.New(fault.UnknownCall, call, nil)
 		}
@@ -142,7 +144,9 @@
 			return
 		}
 		s.spread(news)
-		if !s.inTouch() { // it is heard here, and should be heard by others too
+		// It is heard here, and should be heard by others too, who are in touch: a backend keeps to one controller. While all
+		// of them start nobody is, and there is nowhere to send it.
+		if !s.inTouch() && (s.everTouched || s.now() > startFor) {
 			done <- s.apart()
 			return
 		}
--- a/transit/transit_test.go
+++ b/transit/transit_test.go
@@ -42,11 +42,16 @@
 	out     strings.Builder
 	lives   int // backends
 	asked   int // requests
+
+	came  map[string][]string // the backends where a request arrived whole, by its id
+	ran   map[string]int      // how often one was worked at
+	eager map[string]act      // what a backend does before it has read the body, by its id
+	slow  map[string]bool     // addresses where a connection comes up after the dialler has given it up
 }
 
 // enter starts a carrier in the zone "north" and its controllers, the first of which is in that zone too.
 func enter(cores int) *stage {
-	s := &stage{net: gauntlet.NewNet(func(from, to string) time.Duration {
+	s := &stage{came: map[string][]string{}, ran: map[string]int{}, eager: map[string]act{}, slow: map[string]bool{}, net: gauntlet.NewNet(func(from, to string) time.Duration {
 		// Nothing of two controllers is under way for equally long, so that its order is always the same.
 		return 200*time.Microsecond + 10*time.Microsecond*time.Duration(from[len(from)-1]+to[len(to)-1]-2*'0')
 	})}
@@ -57,7 +62,7 @@
 	for i := range cores {
 		ip := fmt.Sprintf("10.0.0.%d", 10+i)
 		set.Seeds = append(set.Seeds, ip+":8544")
-		s.cores = append(s.cores, &core{s: s, all: true, settled: true, answers: true, who: parley.Controller{
+		s.cores = append(s.cores, &core{s: s, all: true, settled: true, answers: true, life: 1, who: parley.Controller{
 			Name: fmt.Sprintf("core-%d", i), Zone: []string{"north", "south"}[i%2], Address: ip + ":7540"}})
 	}
 	for _, k := range s.cores {
@@ -71,7 +76,16 @@
 			return host.Dial(ctx, address, 0)
 		},
 		Backends: attempt.Options{Dial: func(ctx context.Context, address string) (net.Conn, error) {
-			return host.Dial(ctx, address, 0)
+			conn, err := host.Dial(ctx, address, 0)
+			s.mu.Lock()
+			slow := s.slow[address]
+			s.mu.Unlock()
+			if err == nil && slow {
+				<-ctx.Done()
+				_ = conn.Close()
+				return nil, ctx.Err()
+			}
+			return conn, err
 		}}})
 	front, err := host.Listen("10.0.0.100:8548")
 	if err != nil {
@@ -114,6 +128,12 @@
 	held         map[string]parley.Stamp // beside the configuration
 	all, settled bool
 	answers      bool // it gives the configuration when it is asked
+	apart        bool // it says that it has no contact with a majority
+	life         uint64
+	epoch        *parley.Epoch // nil: all that were begun vote
+	renewed      uint64        // the last renewal
+	steers       int           // renewals, one after the other, that wanted its tables
+	hellos       int           // lines
 }
 
 func (k *core) begin() {
@@ -141,12 +161,16 @@
 		}
 		k.mu.Lock()
 		if m.Hello != nil {
+			k.hellos++
 			epoch := &parley.Epoch{Number: 1}
 			for _, other := range k.s.cores {
 				epoch.Voters = append(epoch.Voters, parley.Voter{Controller: other.who, ID: "disk of " + other.who.Name})
 			}
-			first := &parley.Message{Hello: &parley.Hello{Who: k.who, Life: 1}, Epoch: epoch,
-				All: k.all, Settled: k.settled, Held: map[string]parley.Stamp{}, Safe: map[string]parley.Stamp{},
+			if k.epoch != nil {
+				epoch = k.epoch
+			}
+			first := &parley.Message{Hello: &parley.Hello{Who: k.who, Life: k.life}, Epoch: epoch, Apart: k.apart,
+				All: k.all && !k.apart, Settled: k.settled, Held: map[string]parley.Stamp{}, Safe: map[string]parley.Stamp{},
 				Backends: k.backends,
 				Members:  []parley.Member{{Name: "edge-0", Zone: "north"}}}
 			for name, stamp := range k.held {
@@ -159,7 +183,12 @@
 			k.line = line
 		}
 		if m.Renew > 0 {
-			line.Send(&parley.Message{Renewed: m.Renew})
+			line.Send(&parley.Message{Renewed: m.Renew, Apart: k.apart})
+			if k.renewed = m.Renew; m.Steer {
+				k.steers++
+			} else {
+				k.steers = 0
+			}
 		}
 		for _, name := range m.Want {
 			if !k.answers {
@@ -184,6 +213,9 @@
 // tell says something to the carrier, which has acted on it when this returns.
 func (k *core) tell(m *parley.Message) {
 	k.mu.Lock()
+	if m.Tables != nil && m.Renewed == 0 { // as they say it: the renewal that they were worked out after
+		m.Renewed, m.Apart = k.renewed, k.apart
+	}
 	if k.line != nil {
 		k.line.Send(m)
 	}
@@ -343,6 +375,12 @@
 		}
 		slices.Sort(fields)
 		s.note("    %s < %s | %s", id, strings.TrimSpace(line), strings.Join(fields, " | "))
+		s.mu.Lock()
+		eager := s.eager[id]
+		s.mu.Unlock()
+		if eager != nil && eager(c, r) != nil {
+			return
+		}
 		body, end := make([]byte, length), ""
 		if _, err = io.ReadFull(br, body); chunked {
 			body, err = io.ReadAll(unchunked(br))
@@ -353,7 +391,13 @@
 		if length > 0 || chunked {
 			s.note("        %s%s", short(body), end)
 		}
-		if err != nil || do(c, r) != nil {
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		s.came[r.id] = append(s.came[r.id], id)
+		s.mu.Unlock()
+		if do(c, r) != nil {
 			return
 		}
 	}
