Accord: the register of an epoch that is over is not written as the next one's

Change: a register that was let go is not put and begins no ballot. Two flaws that only code can plant are there for the tests.

--- a/accord/accord.go
+++ b/accord/accord.go
@@ -161,6 +161,13 @@
 	Faults int
 	Seeds  []string // the addresses of controllers, as parley.Controller has them; founding is theirs
 	Memory Memory   // what the disk has
+	flaws  flaws
+}
+
+// flaws are planted by tests, which show that they would be seen; no program sets them.
+type flaws struct {
+	flat  bool // ballots are not ordered by their epochs
+	apart bool // voters change without the joint epoch
 }
 
 type peer struct {
--- a/accord/epoch.go
+++ b/accord/epoch.go
@@ -285,7 +285,11 @@
 		wait = 0
 	}
 	if r.now >= r.wishedAt+wait && r.now >= r.changed+changeGap {
-		r.decide(Epoch{Number: r.epoch.Number + 1, Old: r.epoch.Voters, Voters: want})
+		old := r.epoch.Voters
+		if r.o.flaws.apart {
+			old = nil
+		}
+		r.decide(Epoch{Number: r.epoch.Number + 1, Old: old, Voters: want})
 	}
 }
 
--- a/accord/register.go
+++ b/accord/register.go
@@ -187,7 +187,10 @@
 
 // put has the disk take the acceptor's state, one record at a time: what came meanwhile is one more.
 func (r *Replica) put(g *register) {
-	if g.putting {
+	switch {
+	case r.regs[g.name] != g:
+		return // the register of an epoch that is over must not stand on the disk as that of the next one
+	case g.putting:
 		g.dirty = true
 		return
 	}
@@ -243,7 +246,11 @@
 		return
 	}
 	g.turn = max(g.turn, turnOf(g.acc.Promised)) + 1
-	g.prop.Begin(Stamp{Hi: r.epoch.Number<<eraShift | g.turn, Lo: r.o.Life})
+	hi := r.epoch.Number<<eraShift | g.turn
+	if r.o.flaws.flat {
+		hi = g.turn
+	}
+	g.prop.Begin(Stamp{Hi: hi, Lo: r.o.Life})
 	g.batch, g.queue, g.ages, g.sentAt = g.queue, nil, Age{}, r.now
 	r.spread(r.word(g))
 }
@@ -345,7 +352,9 @@
 			r.order(Done{Token: o.token, Fate: o.fate, Register: v})
 		}
 	}
-	r.propose(g)
+	if r.regs[g.name] == g { // else it was the register of an epoch that is over now
+		r.propose(g)
+	}
 }
 
 // outbid: somebody else has a higher ballot. The orders wait for a while, more and more, so that two that overtake each
