--- a/accord/world_test.go
+++ b/accord/world_test.go
@@ -446,6 +446,8 @@
 			first := m.records[recordDisk] != nil && cbor.Unmarshal(m.records[recordDisk], &d) == nil && d.First && m.records[recordMark] != nil
 			switch {
 			case m == w.machines[i]:
+			case m.frozen || m.r == nil && !m.gone || len(w.blocked) > 0:
+				return false // it may hold a proposal that names this disk
 			case !first:
 				lost++
 			case slices.Contains(w.seeds, m.who.Address):
