--- /dev/null
+++ b/accord/memory_test.go
@@ -0,0 +1,136 @@
+package accord
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+
+	"elmfold/parley"
+)
+
+func oldRegister(hi, lo uint64, value string) []byte {
+	return append(binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint64(nil, hi), lo), value...)
+}
+
+// oldRecords are those of a disk of the version before.
+func oldRecords(t *testing.T, founders int) map[string][]byte {
+	t.Helper()
+	var all []parley.Controller
+	for i := range founders {
+		all = append(all, controllerOf(i))
+	}
+	text, err := json.Marshal(all)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return map[string][]byte{oldFounders: text, oldReg + charter: oldRegister(7, 99, "seven"), oldReg + "zone/a": oldRegister(1_700_000_000_000, 3, "2b")}
+}
+
+func load(t *testing.T, records map[string][]byte, known, first bool) Memory {
+	t.Helper()
+	m, err := Load("c0", records, known, first, "drawn")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return m
+}
+
+func checkOld(t *testing.T, what string, m Memory) {
+	t.Helper()
+	if m.Disk != "first:c0" || m.Blank || m.Epoch.Number != 1 || len(m.Epoch.Voters) != 3 || m.Epoch.Voters[2].ID != "first:c2" {
+		t.Errorf("%s: disk %s, blank %v, epoch %d, voters %v", what, m.Disk, m.Blank, m.Epoch.Number, ids(m.Epoch.Voters))
+	}
+	c, z := m.Acceptors[charter], m.Acceptors["zone/a"]
+	if c.Value.Stamp != (Stamp{Hi: 7, Lo: 99}) || string(c.Value.Value) != "seven" || c.Accepted != c.Value.Stamp || c.Value.Name != charter {
+		t.Errorf("%s: %+v", what, c)
+	}
+	if n, last, _ := open(z.Value.Value); n != 2 || last != begun {
+		t.Errorf("%s: %q", what, z.Value.Value)
+	}
+}
+
+// A disk of the version before is one of its founders, with all that it held; and so it is if power is lost at whatever step
+// of its first start with this version.
+func TestLoadDiskOfTheVersionBefore(t *testing.T) {
+	records := oldRecords(t, 3)
+	m := load(t, records, true, false)
+	checkOld(t, "first start", m)
+	if m.Born {
+		t.Error("it votes before its records are of this version")
+	}
+	r := New(Options{Me: controllerOf(0), Life: 1, Faults: 1, Seeds: []string{"a0"}, Memory: m})
+	var puts []Persist
+	for _, o := range r.Step(0) {
+		if p, is := o.(Persist); is {
+			puts = append(puts, p)
+		}
+	}
+	for n := range len(puts) + 1 {
+		disk := maps.Clone(records)
+		for _, p := range puts[:n] {
+			if disk[p.Record] = p.Value; p.Record == recordMark {
+				delete(disk, p.Record) // it was known before; Load is told so
+			}
+		}
+		again := load(t, disk, true, false)
+		checkOld(t, fmt.Sprintf("power lost after %d of %d records", n, len(puts)), again)
+	}
+}
+
+// What is not known to be whole is somebody new, and keeps nothing of who it was.
+func TestLoadForgottenDisk(t *testing.T) {
+	records := oldRecords(t, 3)
+	records[recordDisk] = pack(diskRecord{"d1", true})
+	records[recordEpoch] = encodeEpoch(Epoch{Number: 4})
+	records[recordOf(charter)] = encode(4, load(t, oldRecords(t, 3), true, false).Acceptors[charter])
+	m := load(t, records, false, false)
+	if m.Disk != "drawn" || !m.Blank || m.Born || m.Epoch.Number != 0 || len(m.Acceptors) > 0 {
+		t.Errorf("%+v", m)
+	}
+	r := New(Options{Me: controllerOf(0), Life: 1, Memory: m})
+	left, last := maps.Clone(records), ""
+	for _, o := range r.Step(0) {
+		if p, is := o.(Persist); is {
+			if last = p.Record; p.Value == nil {
+				delete(left, p.Record)
+			} else {
+				left[p.Record] = p.Value
+			}
+		}
+	}
+	if names := slices.Sorted(maps.Keys(left)); !slices.Equal(names, []string{recordMark, recordDisk}) || last != recordMark {
+		t.Errorf("it keeps %q, and puts %q last", names, last)
+	}
+}
+
+// A record that cannot be read ends the start; it must not be taken for nothing.
+func TestLoadBrokenRecords(t *testing.T) {
+	whole := map[string][]byte{recordDisk: pack(diskRecord{"d0", true}), recordEpoch: encodeEpoch(Epoch{Number: 1}), recordOf(charter): pack(regRecord{})}
+	load(t, whole, true, false)
+	for name := range whole {
+		broken := maps.Clone(whole)
+		broken[name] = broken[name][:len(broken[name])-1]
+		if _, err := Load("c0", broken, true, false, "drawn"); err == nil {
+			t.Errorf("a broken record %s is taken", name)
+		}
+	}
+	old := oldRecords(t, 3)
+	old[oldFounders] = old[oldFounders][1:]
+	if _, err := Load("c0", old, true, false, "drawn"); err == nil {
+		t.Error("broken founders are taken")
+	}
+}
+
+// The register of epochs is begun anew by each epoch: what was voted in the one before says nothing in this one.
+func TestLoadEpochRegisterOfAnOlderEpoch(t *testing.T) {
+	a := load(t, oldRecords(t, 3), true, false).Acceptors[charter]
+	for era, want := range map[uint64]int{3: 0, 4: 1} {
+		m := load(t, map[string][]byte{recordDisk: pack(diskRecord{"d0", true}), recordEpoch: encodeEpoch(Epoch{Number: 4}), recordOf(epochName): encode(era, a)}, true, false)
+		if len(m.Acceptors) != want {
+			t.Errorf("of epoch %d in epoch 4: %d", era, len(m.Acceptors))
+		}
+	}
+}
--- /dev/null
+++ b/accord/wish_test.go
@@ -0,0 +1,79 @@
+package accord
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hexops/autogold"
+)
+
+// Who votes next, for what is known of the voters and of those that wait. A voter's letter is the machine, a digit after it a
+// later disk of that machine; "~" silent for 4 s, "." for 1.5 s, "!" it leaves, "*" its machine is back with another disk. One
+// that waits is in brackets unless it has all that is chosen, and marked "'" if it came after the voters' last answers.
+func TestWish(t *testing.T) {
+	var b strings.Builder
+	const now = 100 * time.Second
+	seats := func(text string, waits bool) (all []seat) {
+		for _, w := range strings.Fields(text) {
+			s := seat{whole: waits && w[0] != '[', seen: now - 100*ms, came: now - 20*time.Second}
+			w = strings.Trim(w, "[]")
+			id := strings.TrimRight(w, "~.!*'")
+			s.Voter = Voter{Controller: controllerOf(0), ID: id}
+			s.Name = id[:1]
+			for _, mark := range w[len(id):] {
+				switch mark {
+				case '~':
+					s.away, s.seen = 4*time.Second, now-4*time.Second
+				case '.':
+					s.away, s.seen = 1500*ms, now-1500*ms
+				case '!':
+					s.leaving = true
+				case '*':
+					s.wiped, s.away, s.seen = true, 10*time.Second, now-10*time.Second
+				case '\'':
+					s.came = now
+				}
+			}
+			all = append(all, s)
+		}
+		return all
+	}
+	say := func(faults int, voters, others string) {
+		var next []string
+		for _, v := range wish(seats(voters, false), seats(others, true), faults) {
+			next = append(next, v.ID)
+		}
+		was := strings.Join(next, " ")
+		plain := strings.Join(func() (ids []string) {
+			for _, s := range seats(voters, false) {
+				ids = append(ids, s.ID)
+			}
+			return ids
+		}(), " ")
+		if was == plain {
+			was = "-"
+		}
+		fmt.Fprintf(&b, "f=%d  %-16s %-10s %s\n", faults, voters, others, was)
+	}
+	for _, c := range []struct {
+		what   string
+		faults int
+		rows   [][2]string
+	}{
+		{"nothing happens", 1, [][2]string{{"a b c", ""}, {"a", ""}, {"a b c d e f g", ""}}},
+		{"a new one", 1, [][2]string{{"a b c", "d"}, {"a b c", "[d]"}, {"a b c.", "d"}, {"a b c", "d'"}, {"a b", "c"}, {"a", "b"}, {"a b c d", "e f"}, {"a b c d e f g", "h"}}},
+		{"a disk that was wiped", 1, [][2]string{{"a* b c", "a1"}, {"a* b c", "[a1]"}, {"a* b c", "d"}, {"a* b c", "a1 d"}, {"a* b~ c", "a1 d"}}},
+		{"silence", 1, [][2]string{{"a b c~", ""}, {"a b c~", "d"}, {"a b c~", "[d]"}, {"a b c d~", ""}, {"a b c d e~", ""}, {"a b c d~ e~", "f"}, {"a b c d~ e~", "f g"}, {"a b~", ""}, {"a b~", "c"}, {"a b c d e f~", ""}}},
+		{"silence, two to be borne", 2, [][2]string{{"a b c d~", ""}, {"a b c d e f~", ""}, {"a b c d e~", "f"}}},
+		{"one that leaves", 1, [][2]string{{"a! b c", ""}, {"a! b c", "d"}, {"a! b c d", ""}, {"a! b! c d", ""}, {"a! b", ""}, {"a! b c~", "d"}}},
+		{"one that leaves, none to be borne", 0, [][2]string{{"a! b", ""}, {"a!", ""}, {"a! b c", ""}, {"a b~", ""}}},
+	} {
+		fmt.Fprintf(&b, "%s\n", c.what)
+		for _, r := range c.rows {
+			say(c.faults, r[0], r[1])
+		}
+	}
+	autogold.Equal(t, b.String())
+}
--- a/accord/world_test.go
+++ b/accord/world_test.go
@@ -42,6 +42,7 @@
 	dropsPromises bool // what was promised is not on the disk
 	takesLate     bool // an order that was given up is given again by the controller itself
 	ackAtOne      bool // an order is acknowledged as soon as one disk has it
+	code          flaws
 }
 
 // line is what one process sends to another: in order, perhaps late, lost with the line, or still to come after it.
@@ -247,7 +248,7 @@
 	m.diskAt, m.startAt, m.backAt, m.entered, m.dueAt = w.now, w.now, w.now, memory.Epoch.Number, endless
 	m.frozen, m.backlog, m.leaving = false, nil, false
 	m.id = memory.Disk
-	m.r = New(Options{Me: m.who, Life: w.rand.Uint64() | 1, Faults: w.faults, Seeds: w.seeds, Memory: memory})
+	m.r = New(Options{Me: m.who, Life: w.rand.Uint64() | 1, Faults: w.faults, Seeds: w.seeds, Memory: memory, flaws: w.flaws.code})
 	w.log("%v %s starts: disk %s blank %v born %v epoch %d, has %v", w.now, m.who.Name, m.id, memory.Blank, memory.Born, memory.Epoch.Number,
 		m.r.Names())
 	w.seen(i, memory.Epoch.Number)
