--- /dev/null
+++ b/accord/votes_test.go
@@ -0,0 +1,263 @@
+package accord
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"elmfold/ballot"
+	"elmfold/parley"
+)
+
+// trio is c0 of three founders, in touch with the others, whose words are made by hand.
+type trio struct {
+	t   *testing.T
+	r   *Replica
+	now time.Duration
+	era uint64
+	out []Order
+}
+
+func voters(ids ...int) (all []Voter) {
+	for _, i := range ids {
+		all = append(all, Voter{Controller: controllerOf(i), ID: fmt.Sprint("d", i)})
+	}
+	return sorted(all)
+}
+
+func newTrio(t *testing.T, e Epoch, f flaws, acceptors map[string]ballot.Acceptor[Register]) *trio {
+	x := &trio{t: t, era: e.Number, now: ms}
+	x.r = New(Options{Me: controllerOf(0), Life: 9, Faults: 1, flaws: f, Memory: Memory{Disk: "d0", Born: true, Epoch: e, Acceptors: acceptors}})
+	x.step()
+	for i := 1; i < 5; i++ {
+		x.step(Up{Who: controllerOf(i), Disk: fmt.Sprint("d", i)})
+	}
+	x.touch()
+	return x
+}
+
+// step takes events; the disk is done at once.
+func (x *trio) step(events ...Event) []Order {
+	x.now += ms
+	x.out = nil
+	for queue := x.r.Step(x.now, events...); len(queue) > 0; {
+		o := queue[0]
+		queue = queue[1:]
+		x.out = append(x.out, o)
+		if p, is := o.(Persist); is {
+			queue = append(queue, x.r.Step(x.now, Persisted{Seq: p.Seq})...)
+		}
+	}
+	return x.out
+}
+
+func (x *trio) says(i int, m *parley.Message) []Order {
+	if m.Era == 0 {
+		m.Era = x.era
+	}
+	if m.Disk == "" {
+		m.Disk = fmt.Sprint("d", i)
+	}
+	return x.step(Heard{controllerOf(i).Name, m})
+}
+
+func (x *trio) touch() {
+	x.now += pingEvery
+	for _, o := range x.step() {
+		if s, is := o.(Send); is && s.Message.Ping {
+			var i int
+			_, _ = fmt.Sscanf(s.To, "c%d", &i)
+			x.says(i, &parley.Message{Pong: true, Round: s.Message.Round})
+		}
+	}
+	if !x.r.InTouch(x.now) {
+		x.t.Fatal("not in touch")
+	}
+}
+
+func one[T any](orders []Order) (found T, n int) {
+	for _, o := range orders {
+		if o, is := o.(T); is {
+			found = o
+			n++
+		}
+	}
+	return found, n
+}
+
+// asked gives an order, and tells the ballot that it begins.
+func (x *trio) asked(version uint64) Stamp {
+	x.step(Change{1, charter, Replace(version, 1, []byte("new"))})
+	return x.r.regs[charter].prop.Ballot
+}
+
+// Which votes make a value chosen: of a disk that votes, in this epoch, for this ballot, once each.
+func TestVotesThatCount(t *testing.T) {
+	one1 := Epoch{Number: 2, Voters: voters(0, 1, 2)}
+	for what, c := range map[string]struct {
+		m    func(b Stamp) *parley.Message
+		who  int
+		done bool
+	}{
+		"a vote":                       {func(b Stamp) *parley.Message { return agreedTo(b) }, 1, true},
+		"of an older epoch":            {func(b Stamp) *parley.Message { m := agreedTo(b); m.Era = 1; return m }, 1, false},
+		"of a newer epoch":             {func(b Stamp) *parley.Message { m := agreedTo(b); m.Era = 3; return m }, 1, false},
+		"of a disk that does not vote": {func(b Stamp) *parley.Message { return agreedTo(b) }, 3, false},
+		"of the disk it had before":    {func(b Stamp) *parley.Message { m := agreedTo(b); m.Disk = "d1.old"; return m }, 1, false},
+		"for another ballot":           {func(b Stamp) *parley.Message { b.Hi--; return agreedTo(b) }, 1, false},
+		"for another life's ballot":    {func(b Stamp) *parley.Message { b.Lo++; return agreedTo(b) }, 1, false},
+		"a promise, again":             {func(b Stamp) *parley.Message { return promiseOf(b) }, 1, false},
+	} {
+		x := newTrio(t, one1, flaws{}, nil)
+		b := x.asked(5)
+		x.says(1, promiseOf(b))
+		if p := x.r.regs[charter].prop; p.Phase != ballot.Offering {
+			t.Fatalf("%s: no offer: %+v", what, p)
+		}
+		d, n := one[Done](x.says(c.who, c.m(b)))
+		if (n > 0) != c.done || c.done && d.Fate != Taken {
+			t.Errorf("%s: done %v: %+v", what, n > 0, d)
+		}
+	}
+}
+
+func agreedTo(b Stamp) *parley.Message {
+	return &parley.Message{Ballots: []parley.Ballot{{Kind: parley.Agreed, Name: charter, Number: b}}}
+}
+
+func promiseOf(b Stamp) *parley.Message {
+	return &parley.Message{Ballots: []parley.Ballot{{Kind: parley.Promise, Name: charter, Number: b}}}
+}
+
+// While voters change, old and new ones are both needed; a learner is none.
+func TestVotesWhileVotersChange(t *testing.T) {
+	joint := Epoch{Number: 2, Old: voters(0, 1, 2), Voters: voters(0, 1, 3)}
+	for what, c := range map[string]struct {
+		promise, agree []int
+		done           bool
+	}{
+		"both majorities by one":       {[]int{1}, []int{1}, true},
+		"of the old ones only":         {[]int{2}, nil, false},
+		"of the new ones only":         {[]int{3}, nil, false},
+		"one of each":                  {[]int{2, 3}, []int{2, 3}, true},
+		"read by both, written to old": {[]int{1}, []int{2}, false},
+		"written to new":               {[]int{1}, []int{3}, false},
+		"a learner":                    {[]int{4}, nil, false},
+	} {
+		x := newTrio(t, joint, flaws{}, nil)
+		b := x.asked(5)
+		for _, i := range c.promise {
+			x.says(i, promiseOf(b))
+		}
+		if got := x.r.regs[charter].prop.Phase == ballot.Offering; got != (c.agree != nil) {
+			t.Errorf("%s: offers %v", what, got)
+		}
+		done := 0
+		for _, i := range c.agree {
+			_, n := one[Done](x.says(i, agreedTo(b)))
+			done += n
+		}
+		if (done > 0) != c.done {
+			t.Errorf("%s: done %d", what, done)
+		}
+	}
+}
+
+// kept is what the disk of a process has as it ends.
+func (x *trio) kept() map[string]ballot.Acceptor[Register] {
+	all := map[string]ballot.Acceptor[Register]{}
+	for name, g := range x.r.regs {
+		all[name] = g.acc
+	}
+	return all
+}
+
+// A promise lasts over a restart: an older ballot's value is not taken after it.
+func TestPromisesLastOverARestart(t *testing.T) {
+	e := Epoch{Number: 1, Voters: voters(0, 1, 2)}
+	play := func(forgets bool) parley.Kind {
+		x := newTrio(t, e, flaws{}, nil)
+		low, high := Stamp{Hi: 1<<eraShift | 1, Lo: 1}, Stamp{Hi: 1<<eraShift | 2, Lo: 2}
+		x.says(2, &parley.Message{Ballots: []parley.Ballot{{Kind: parley.Ask, Name: charter, Number: high}}})
+		disk := map[string]ballot.Acceptor[Register]{}
+		if !forgets {
+			disk = x.kept()
+		}
+		x = newTrio(t, e, flaws{}, disk)
+		v := Register{Name: charter, Stamp: Stamp{Hi: 5, Lo: 1}}
+		for _, o := range x.says(1, &parley.Message{Ballots: []parley.Ballot{{Kind: parley.Offer, Name: charter, Number: low, Value: &v}}}) {
+			if s, is := o.(Send); is && len(s.Message.Ballots) > 0 {
+				return s.Message.Ballots[0].Kind
+			}
+		}
+		return 0
+	}
+	if got := play(false); got != parley.Higher {
+		t.Errorf("an older ballot is answered with %d", got)
+	}
+	if got := play(true); got != parley.Agreed {
+		t.Errorf("a flaw that is planted here is not seen: %d", got)
+	}
+}
+
+// What was half done in an older epoch does not win over what was chosen in a newer one, whose voters never met it.
+func TestBallotsOfNewerEpochsAreAbove(t *testing.T) {
+	play := func(f flaws) Register {
+		old := ballot.Acceptor[Register]{Promised: Stamp{Hi: 7, Lo: 1}, Accepted: Stamp{Hi: 7, Lo: 1}, Value: Register{Name: charter, Stamp: Stamp{Hi: 9, Lo: 1}, Value: []byte("half done")}}
+		if !f.flat {
+			old.Promised.Hi |= 1 << eraShift
+			old.Accepted.Hi |= 1 << eraShift
+		}
+		// c0 and c2 hold nothing and choose version 5 in epoch 3.
+		x := newTrio(t, Epoch{Number: 3, Voters: voters(0, 1, 2)}, f, nil)
+		b := x.asked(5)
+		x.says(2, promiseOf(b))
+		if d, n := one[Done](x.says(2, agreedTo(b))); n != 1 || d.Fate != Taken {
+			t.Fatalf("%+v", d)
+		}
+		// c1 is back with what an older epoch began, and c0 reads from both.
+		x.step(Change{2, charter, func(holds Register, _ Age) (Register, Fate) { return holds, Taken }})
+		b = x.r.regs[charter].prop.Ballot
+		x.says(1, &parley.Message{Ballots: []parley.Ballot{{Kind: parley.Promise, Name: charter, Number: b, Accepted: old.Accepted, Value: &old.Value}}})
+		return *x.r.regs[charter].prop.Value
+	}
+	if v := play(flaws{}); v.Stamp.Hi != 5 {
+		t.Errorf("%q wins", v.Value)
+	}
+	if v := play(flaws{flat: true}); v.Stamp.Hi == 5 {
+		t.Error("a flaw that is planted here is not seen")
+	}
+}
+
+// A learner is not wished for as a voter before it has all, on its disk, as it said in this epoch.
+func TestLearnersAreWholeBeforeTheyVote(t *testing.T) {
+	e := Epoch{Number: 2, Voters: voters(0, 1, 2)}
+	has := ballot.Acceptor[Register]{Promised: Stamp{Hi: 5}, Accepted: Stamp{Hi: 5}, Value: Register{Name: charter, Stamp: Stamp{Hi: 5, Lo: 1}}}
+	for what, c := range map[string]struct {
+		m      *parley.Message
+		wished bool
+	}{
+		"it has all":          {&parley.Message{Has: map[string]Stamp{charter: has.Accepted}, All: true}, true},
+		"it has less":         {&parley.Message{Has: map[string]Stamp{charter: {Hi: 4}}, All: true}, false},
+		"it has nothing":      {&parley.Message{All: true}, false},
+		"said in epoch 1":     {&parley.Message{Has: map[string]Stamp{charter: has.Accepted}, All: true, Era: 1}, false},
+		"of the disk before":  {&parley.Message{Has: map[string]Stamp{charter: has.Accepted}, All: true, Disk: "d3.old"}, false},
+		"it has said nothing": {&parley.Message{}, false},
+	} {
+		x := newTrio(t, e, flaws{}, map[string]ballot.Acceptor[Register]{charter: has})
+		x.says(1, &parley.Message{Has: map[string]Stamp{charter: has.Accepted}, All: true})
+		if _, known := x.r.InForce(charter); !known {
+			t.Fatal("it is not known what is chosen")
+		}
+		x.touch()
+		x.touch()
+		x.says(3, c.m)
+		wished := false
+		for _, v := range x.r.wish() {
+			wished = wished || v.ID == "d3"
+		}
+		if wished != c.wished {
+			t.Errorf("%s: wished for: %v", what, wished)
+		}
+	}
+}
