--- a/cmd/lab/core/freezes.go
+++ b/cmd/lab/core/freezes.go
@@ -71,6 +71,9 @@
 				after = append(after, a.took)
 			}
 		})
+		if at > contact && whole(m) {
+			r.short("with %d of %d frozen for %.1f s, %s hands out what it has as all there is", len(frozen), size, at.Seconds(), m.name)
+		}
 		if err := r.wait(400 * time.Millisecond); err != nil {
 			return err
 		}
--- a/cmd/lab/core/growth.go
+++ b/cmd/lab/core/growth.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"sync"
 	"time"
 )
 
@@ -181,3 +183,110 @@
 	}
 	return s.readBack(fmt.Sprintf("after the loss of %d at once", lost))
 }
+
+// eightAtOnce: eight operators, each with its own numbers, and zones besides; in calm, then with one killed.
+func eightAtOnce(r *run) error {
+	s, err := r.up(3, 1)
+	if err != nil {
+		return err
+	}
+	const operators, eachSends = 8, 60
+	for _, killed := range []bool{false, true} {
+		began := time.Now()
+		if killed {
+			m := s.machines()[s.draw(3)]
+			s.done.Go(func() {
+				if m.kill(); r.wait(restartAfter) == nil {
+					_ = m.again()
+				}
+			})
+		}
+		var mu sync.Mutex
+		var took []time.Duration
+		var failed error
+		each(make([]struct{}, operators), func(i int, _ struct{}) {
+			for n := range eachSends {
+				at := time.Now()
+				var a answer
+				if i == 0 && n%10 < 2 {
+					call := []string{"evacuation.begin", "evacuation.finish"}[n%10]
+					a = s.caller().until(r.ctx, at.Add(ack), func(m *machine) answer { return s.call(r.ctx, m, call, "b", nil, callFor) })
+				} else {
+					version, body := s.next()
+					a = s.caller().until(r.ctx, at.Add(ack), func(m *machine) answer { return s.put(r.ctx, m, version, body, callFor) })
+				}
+				mu.Lock()
+				took = append(took, time.Since(at))
+				if a.fate() != taken && failed == nil {
+					failed = fmt.Errorf("with %d orders under way at once, one is not taken within %v: %v", operators, ack, a)
+				}
+				stop := failed != nil
+				mu.Unlock()
+				if stop {
+					return
+				}
+			}
+		})
+		if failed != nil {
+			return failed
+		}
+		slices.Sort(took)
+		p := func(part float64) int64 { return took[min(len(took)-1, int(part*float64(len(took))))].Milliseconds() }
+		r.note("killed one %v: an order takes %d ms at p50, %d at p99, %d at most; %.0f orders a second", killed, p(0.5), p(0.99), p(1),
+			float64(len(took))/time.Since(began).Seconds())
+		if !killed && p(1) >= ack.Milliseconds() {
+			r.short("in calm an order takes %d ms", p(1))
+		}
+		if err := s.readBack("after eight at once"); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// largeBodies: the whole size's configuration, some hundred KB, on its way to a machine that is new.
+func largeBodies(r *run) error {
+	s, err := r.up(3, 1)
+	if err != nil {
+		return err
+	}
+	const routes = 3800
+	within := ack + routes*3*time.Millisecond
+	send := func() error {
+		version, _ := s.next()
+		body := configurationOf(version, "large", routes)
+		began := time.Now()
+		a := s.caller().until(r.ctx, began.Add(within), func(m *machine) answer { return s.put(r.ctx, m, version, body, 2*callFor) })
+		if a.fate() != taken {
+			return fmt.Errorf("a configuration of %d routes (%d KB) is not taken within %v: %v", routes, len(body)>>10, within, a)
+		}
+		r.note("%d KB taken after %.2f s", len(body)>>10, time.Since(began).Seconds())
+		return nil
+	}
+	for range 3 {
+		if err := send(); err != nil {
+			return err
+		}
+	}
+	all := s.machines()
+	lost := s.draw(3)
+	all[lost].gone()
+	if err := send(); err != nil {
+		return err
+	}
+	started := time.Now()
+	if _, err := s.add(s.seeds); err != nil {
+		return err
+	}
+	if err := r.until(started, catchUp*11/10); err != nil {
+		return err
+	}
+	all[(lost+1)%3].gone()
+	if err := s.readBack("after two losses"); err != nil {
+		return err
+	}
+	if err := send(); err != nil {
+		return err
+	}
+	return s.readBack("in the end")
+}
--- a/cmd/lab/core/losses.go
+++ b/cmd/lab/core/losses.go
@@ -432,3 +432,53 @@
 	}
 	return s.readBack("after the loss of another")
 }
+
+// beforeTheWipe: a disk that was lost, and in whose place an empty one was voted in, turns up again. It is nobody's: what it
+// once promised must not count, and its machine must be whole again in time.
+func beforeTheWipe(r *run) error {
+	s, err := r.up(3, 1)
+	if err != nil {
+		return err
+	}
+	all := s.machines()
+	i := s.draw(3)
+	m := all[i]
+	m.kill()
+	copied := m.disk + ".old"
+	if err := m.copyDisk(copied); err != nil {
+		return err
+	}
+	m.wipe()
+	if err := m.again(); err != nil {
+		return err
+	}
+	if err := r.wait(catchUp * 11 / 10); err != nil {
+		return err
+	}
+	for range 10 {
+		if err := s.orders("next", time.Now(), contact); err != nil {
+			return err
+		}
+	}
+	m.kill()
+	m.wipe()
+	m.disk = copied
+	if err := m.again(); err != nil {
+		return err
+	}
+	began := time.Now()
+	for time.Since(began) < catchUp*11/10 {
+		each(all, func(_ int, m *machine) { s.read(r.ctx, m, callFor) })
+		if err := r.wait(50 * time.Millisecond); err != nil {
+			return err
+		}
+	}
+	if err := s.readBack("with a disk of before the wipe"); err != nil {
+		return err
+	}
+	all[(i+1+s.draw(2))%3].gone()
+	if err := s.orders("then another loss", time.Now(), takenWithin); err != nil {
+		return err
+	}
+	return s.readBack("after another loss")
+}
--- a/cmd/lab/core/stories.go
+++ b/cmd/lab/core/stories.go
@@ -72,6 +72,7 @@
 	add("second-loss", "the new one comes while another is frozen", 26, frozenMeanwhile)
 	add("six-replaced", "killed", 50, func(r *run) error { return sixReplaced(r, false) })
 	add("six-replaced", "silent", 70, func(r *run) error { return sixReplaced(r, true) })
+	add("six-replaced", "three wake while those in their places sleep", 30, theReplacedAlone)
 	add("leaving", "calm", 20, func(r *run) error { return leaving(r, false) })
 	beyond("leaving", "another had slept through the order", 20, func(r *run) error { return leaving(r, true) })
 	add("leaving", "one after the other, back with their disks", 24, func(r *run) error { return rolling(r, catchUp*11/10) })
@@ -81,6 +82,8 @@
 	add("leaving", "alone, back with its disk", 10, func(r *run) error { return leaveAtOnce(r, 1, 0) })
 	beyond("leaving", "one of two, for good", 14, leaveTwo)
 	add("changes", "500", 50, changes)
+	add("changes", "eight at once", 24, eightAtOnce)
+	add("changes", "3800 routes", 16, largeBodies)
 	add("wiped", "each in turn, under its name", 25, wiped)
 	for _, x := range []struct{ size, faults int }{{1, 0}, {2, 0}, {5, 2}, {7, 2}} {
 		add("sizes", fmt.Sprint(x.size), 8, func(r *run) error { return sizes(r, x.size, x.faults, 0) })
@@ -88,8 +91,11 @@
 	add("sizes", "5, two lost at once", 8, func(r *run) error { return sizes(r, 5, 2, 2) })
 	add("sizes", "7, two lost at once", 8, func(r *run) error { return sizes(r, 7, 2, 2) })
 	add("yesterday", "a disk of 40 changes ago", 16, yesterday)
+	add("yesterday", "a disk of before it was wiped", 24, beforeTheWipe)
 	add("closing", "3 killed at once, one disk wiped, three times", 30, func(r *run) error { return closing(r, 3, 1) })
 	add("closing", "5 killed at once, two disks wiped, three times", 30, func(r *run) error { return closing(r, 5, 2) })
+	add("drawn", "3", 48, func(r *run) error { return drawnDay(r, 3, 1) })
+	add("drawn", "5", 48, func(r *run) error { return drawnDay(r, 5, 2) })
 	return all
 }
 
