--- /dev/null
+++ b/accord/copies.go
@@ -0,0 +1,185 @@
+package accord
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"elmfold/parley"
+)
+
+// onDisk are the ballots that this disk has accepted: what it may tell others.
+func (r *Replica) onDisk() map[string]Stamp {
+	all := map[string]Stamp{}
+	for name, g := range r.regs {
+		if name != epochName && g.disk != (Stamp{}) {
+			all[name] = g.disk
+		}
+	}
+	return all
+}
+
+// stored: this disk has a newer ballot.
+func (r *Replica) stored(g *register) {
+	if g.name == epochName {
+		return
+	}
+	if r.count(g); g.learned || !r.Votes() {
+		g.learned = false
+		name, number := g.name, g.disk
+		r.toAll(func() *parley.Message { return &parley.Message{Has: map[string]Stamp{name: number}} })
+	}
+}
+
+// hearHas takes what another disk has accepted. Where enough voters have the same ballot, its value is chosen; what is
+// newer than here is asked for.
+func (r *Replica) hearHas(p *peer, m *parley.Message) {
+	if m.Has == nil && !m.All {
+		return
+	}
+	// Only what is said in this epoch is counted. Guards against what was had in one epoch making up a majority of another:
+	// since then, who said so may have taken what is newer.
+	same := m.Era == r.epoch.Number
+	if m.All && same {
+		p.has, p.hasAt = map[string]Stamp{}, r.now
+	}
+	for _, name := range slices.Sorted(maps.Keys(m.Has)) {
+		g := r.reg(name)
+		if g.acc.Accepted.Less(m.Has[name]) {
+			g.ahead[p.Name] = m.Has[name]
+		}
+		if same {
+			p.has[name] = m.Has[name]
+			r.count(g)
+		}
+	}
+}
+
+// count says whether enough disks have what is accepted here.
+func (r *Replica) count(g *register) {
+	if g.acc.Accepted == (Stamp{}) || g.chosen() || g.name == epochName {
+		return
+	}
+	have := map[string]bool{r.disk: g.disk == g.acc.Accepted}
+	for _, p := range r.peers {
+		have[p.disk] = have[p.disk] || p.has[g.name] == g.acc.Accepted
+	}
+	if r.epoch.Safe(r.o.Faults, func(v Voter) bool { return have[v.ID] }) {
+		number := g.acc.Accepted
+		r.toAll(func() *parley.Message { return &parley.Message{Chosen: map[string]Stamp{g.name: number}} })
+		r.choose(g, number, g.acc.Value, 0)
+	}
+}
+
+// hearChosen takes word of ballots that are chosen, and copies of their values.
+func (r *Replica) hearChosen(p *peer, m *parley.Message) {
+	for _, name := range slices.Sorted(maps.Keys(m.Chosen)) {
+		if name == epochName {
+			if g := r.regs[name]; g != nil && m.Era == r.epoch.Number && g.acc.Accepted == m.Chosen[name] {
+				r.choose(g, g.acc.Accepted, g.acc.Value, 0)
+			}
+			continue
+		}
+		switch g, number := r.reg(name), m.Chosen[name]; {
+		case g.acc.Accepted == number:
+			r.choose(g, number, g.acc.Value, 0)
+		case g.acc.Accepted.Less(number):
+			if g.ahead[p.Name] = number; g.wantAt == 0 || r.now >= g.wantAt+wantAgain {
+				g.wantAt = r.now
+				r.send(p.Name, &parley.Message{Want: []string{name}})
+			}
+		}
+	}
+	for _, c := range m.Copies {
+		if c.Register.Name != epochName {
+			r.choose(r.reg(c.Register.Name), c.Number, c.Register, c.Age)
+		}
+	}
+}
+
+// copied is what is chosen of a register, as it is given to others.
+func (r *Replica) copied(g *register) *parley.Message {
+	c := parley.Copy{Number: g.safe, Register: g.force}
+	if g.acc.Value.Stamp == g.force.Stamp {
+		c.Age = r.age(g)
+	}
+	return &parley.Message{Copies: []parley.Copy{c}}
+}
+
+// choose takes it that a value is chosen under a ballot, and its age if that came with it. A disk that has an older one
+// learns it.
+func (r *Replica) choose(g *register, number Stamp, v Register, age uint64) {
+	if g.name == epochName {
+		if e, err := decodeEpoch(v.Value); err == nil {
+			r.enter(e)
+		}
+		return
+	}
+	if !g.safe.Less(number) {
+		return
+	}
+	g.safe, g.force = number, v
+	stays := g.acc.Value.Stamp == v.Stamp
+	if g.acc.Learn(number, v) {
+		r.aged(g, stays, age)
+		g.learned = true
+		r.put(g)
+	}
+	if g.told.Less(v.Stamp) {
+		g.told = v.Stamp
+		r.order(InForce{v})
+	}
+}
+
+// whole says whether a disk has all that is known here to be chosen.
+func (r *Replica) whole(p *peer) bool {
+	for name, g := range r.regs {
+		if name != epochName && p.has[name].Less(g.safe) {
+			return false
+		}
+	}
+	return true
+}
+
+// handOver gives the others what they lack, before this process ends, and says what still needs its disk: what is not
+// with all voters to whom a line stands, and with as many of the others as keep it safe.
+func (r *Replica) handOver(again bool) (missing []string) {
+	for _, name := range slices.Sorted(maps.Keys(r.regs)) {
+		g := r.regs[name]
+		if name == epochName || g.acc.Accepted == (Stamp{}) {
+			continue
+		}
+		if !g.chosen() {
+			missing = append(missing, name)
+			continue // it is finished as always
+		}
+		have := map[string]bool{}
+		for _, to := range r.lines() {
+			p := r.peers[to]
+			told := p.hasAt >= r.leaveAt && p.hasAt != never
+			if have[p.disk] = told && !p.has[name].Less(g.safe); have[p.disk] || !r.epoch.Voter(p.disk) {
+				continue
+			}
+			if missing = append(missing, name+" at "+to); again && told {
+				r.send(to, r.copied(g))
+			}
+		}
+		for _, set := range [][]Voter{r.epoch.Voters, r.epoch.Old} {
+			n, others := 0, 0
+			for _, v := range set {
+				if v.ID != r.disk {
+					others++
+					if have[v.ID] {
+						n++
+					}
+				}
+			}
+			if n < min(max(r.o.Faults+1, len(set)/2+1), others) {
+				missing = append(missing, name)
+			}
+		}
+	}
+	return missing
+}
+
+const handAgain = 300 * time.Millisecond
--- a/transit/transit.go
+++ b/transit/transit.go
@@ -24,7 +24,7 @@
 	"elmfold/charter"
 	"elmfold/parley"
 	"elmfold/premise"
-	"elmfold/presence"
+	"elmfold/rapport"
 	"elmfold/verdict"
 )
 
@@ -54,15 +54,16 @@
 	line    *parley.Line // nil: down
 	life    uint64
 	upAt    time.Duration
-	lostAt  time.Duration // when the line broke
-	settled bool          // it knows of backends what others know
-	votes   bool
-	held    map[string]parley.Stamp // as it said at the line's first word
+	lostAt  time.Duration           // when the line broke
+	settled bool                    // it knows of backends what others know
+	votes   bool                    // its disk does, and it was in contact with a majority when it said what it holds
+	held    map[string]parley.Stamp // ... then
 	safe    parley.Stamp            // the newest configuration that it said to be in force
 	asked   int                     // how often it was asked for the one that is wanted
 	members map[string]parley.Member
-	sent    [8]time.Duration // of the renewals, by their number
-	renewed time.Duration    // the sending of the newest that was answered; negative: none
+	sent    sentTimes     // of the renewals
+	renewed time.Duration // the sending of the newest that was answered; negative: none
+	touch   touch
 }
 
 type life struct {
@@ -81,9 +82,8 @@
 	me    parley.Controller
 	life  uint64
 	began time.Time
-	queue chan func()
-	stop  chan struct{}
-	once  sync.Once
+	queue *rapport.Queue
+	keep  *rapport.Keeper // its Keep belongs to own
 
 	view     atomic.Pointer[charter.Charter]
 	ready    atomic.Bool
@@ -97,9 +97,8 @@
 	clientsMost int64
 
 	// Owned by own.
-	dialing     map[string]bool
 	controllers map[string]*controller
-	founders    []parley.Controller
+	epoch       parley.Epoch // who votes in the core: the newest that was heard
 	lives       map[string]*life
 	zones       map[string]parley.Register // evacuations
 	takenBack   map[string]time.Duration   // when a zone was taken back
@@ -114,11 +113,16 @@
 
 // New makes a Carrier; Run starts it.
 func New(o Options) *Carrier {
-	c := &Carrier{o: o, log: o.Log, life: rand.Uint64() | 1, began: o.Clock.Now(), queue: make(chan func(), 1024),
-		stop: make(chan struct{}), dialing: map[string]bool{}, controllers: map[string]*controller{},
-		lives: map[string]*life{}, zones: map[string]parley.Register{}, takenBack: map[string]time.Duration{}, heardAt: -1}
+	c := &Carrier{o: o, log: o.Log, life: rand.Uint64() | 1, began: o.Clock.Now(), queue: rapport.NewQueue(1024),
+		controllers: map[string]*controller{}, lives: map[string]*life{}, zones: map[string]parley.Register{},
+		takenBack: map[string]time.Duration{}, heardAt: -1, renewal: 1}
 	set := o.Settings
 	c.me = parley.Controller{Name: set.Name, Zone: set.Zone, Address: set.Own()}
+	c.keep = &rapport.Keeper{Queue: c.queue, Clock: o.Clock, Dial: o.Dial, Again: dialAgain, Silence: silentFor,
+		Hello: func() *parley.Message {
+			return &parley.Message{Hello: &parley.Hello{Who: c.me, Life: c.life, Carrier: true}}
+		},
+		Heard: c.heard, Lost: c.lost}
 	o.Backends.Now = o.Clock.Now
 	if c.clientsMost = int64(set.Limits.MaxFDs) * 6 / 10; c.clientsMost == 0 {
 		c.clientsMost = 2400
@@ -134,75 +138,31 @@
 // Run owns what is told until Stop.
 func (c *Carrier) Run() {
 	for _, seed := range c.o.Settings.Seeds {
-		c.dial(c.o.Settings.Peer(seed))
+		c.keep.Keep(c.o.Settings.Peer(seed))
 	}
 	ticks := c.o.Clock.NewTicker(renewEvery)
 	for {
 		select {
-		case f := <-c.queue:
+		case f := <-c.queue.C():
 			f()
 		case <-ticks.Chan():
 			c.tick()
-		case <-c.stop:
+		case <-c.queue.Stopped():
 			return
 		}
 	}
 }
 
-func (c *Carrier) do(f func()) {
-	select {
-	case c.queue <- f:
-	case <-c.stop:
-	}
-}
-
 func (c *Carrier) now() time.Duration { return c.o.Clock.Now().Sub(c.began) }
 
-func (c *Carrier) dial(address string) {
-	if address == "" || c.dialing[address] {
-		return
-	}
-	c.dialing[address] = true
-	go c.keepLine(address)
-}
-
-// keepLine is a goroutine for each controller: it dials, says hello, reads until the line breaks, and begins again.
-func (c *Carrier) keepLine(address string) {
-	for {
-		if conn, err := c.o.Dial(address); err == nil {
-			line := parley.NewLine(conn)
-			line.Send(&parley.Message{Hello: &parley.Hello{Who: c.me, Life: c.life, Carrier: true}})
-			var name string
-			for {
-				m, err := line.Receive(silentFor)
-				if err != nil {
-					break
-				}
-				if m.Hello != nil {
-					name = m.Hello.Who.Name
-				}
-				c.do(func() { c.heard(name, line, m) })
-			}
-			line.Close()
-			c.do(func() {
-				if p := c.controllers[name]; p != nil && p.line == line {
-					p.line, p.lostAt = nil, c.now()
-					c.log.Info("line lost", "to", name)
-				}
-			})
-		}
-		select {
-		case <-c.o.Clock.After(dialAgain):
-		case <-c.stop:
-			return
-		}
-	}
+func (c *Carrier) lost(name string, _ *parley.Line) {
+	p := c.controllers[name]
+	p.line, p.lostAt = nil, c.now()
+	c.log.Info("line lost", "to", name)
 }
 
+// heard takes a word of the line that speaks for a controller.
 func (c *Carrier) heard(name string, line *parley.Line, m *parley.Message) {
-	if name == "" {
-		return
-	}
 	now := c.now()
 	p := c.controllers[name]
 	if m.Hello != nil {
@@ -210,10 +170,22 @@
 			p = &controller{}
 			c.controllers[name] = p
 		}
-		*p = controller{who: m.Hello.Who, line: line, life: m.Hello.Life, upAt: now, votes: m.All, held: m.Held, renewed: -1,
+		was := *p
+		*p = controller{who: m.Hello.Who, line: line, life: m.Hello.Life, upAt: now, renewed: -1,
 			members: map[string]parley.Member{}}
+		if was.life == p.life { // its line alone was lost
+			p.touch = was.touch
+		} else {
+			p.touch.since = now
+		}
 		if c.heardAt < 0 {
 			c.heardAt = now
+			c.o.Clock.AfterFunc(readAtLeast+time.Millisecond, func() { // what then counts is to be had at once
+				c.queue.Post(func() {
+					c.want(c.now())
+					c.judgeReady(c.now())
+				})
+			})
 		}
 		for _, l := range c.lives { // its first words say anew whom it vouches for
 			c.unvouch(now, l, name)
@@ -221,29 +193,29 @@
 		c.log.Info("line up", "to", name)
 		c.renew(p, false)
 	}
-	if p == nil || p.line != line {
-		return
+	if m.Hello != nil || m.Held != nil || m.Renewed > 0 { // the words that say it
+		p.touch.hear(now, m.Apart)
 	}
 	p.settled = p.settled || m.Settled
 	for _, k := range m.Know {
-		c.dial(k.Address)
+		c.keep.Keep(k.Address)
 	}
-	if len(m.Founders) > 0 && c.founders == nil {
-		c.founders = m.Founders
-		for _, f := range m.Founders {
-			c.dial(f.Address)
+	if m.Epoch != nil && m.Epoch.Number > c.epoch.Number {
+		c.epoch = *m.Epoch
+		for _, v := range c.epoch.All() {
+			c.keep.Keep(v.Address)
 		}
 	}
+	if m.All { // what it holds, told in contact with a majority
+		p.votes, p.held = true, m.Held
+	}
 	for _, r := range m.Offers {
-		c.offered(now, r, m.Safe[r.Name])
+		if r.Name != charterName || counts(now, c.heardAt, c.view.Load() != nil, p.touch.apart) {
+			c.offered(now, r, m.Safe[r.Name])
+		}
 	}
 	if s, ok := m.Safe[charterName]; ok && p.safe.Less(s) {
-		if p.safe = s; c.wanted.Less(s) {
-			c.wanted, c.wantedAt = s, -1
-			for _, p := range c.controllers {
-				p.asked = 0
-			}
-		}
+		p.safe = s
 	}
 	c.want(now)
 	if len(m.Backends) > 0 {
@@ -265,35 +237,32 @@
 	if m.Hello != nil || len(m.Went)+len(m.Came) > 0 {
 		c.setMembers()
 	}
-	if m.Renewed > 0 && m.Renewed+uint64(len(p.sent)) > c.renewal {
-		p.renewed = p.sent[m.Renewed%uint64(len(p.sent))]
+	sent, known := p.sent.of(m.Renewed)
+	if m.Tables == nil && known {
+		p.renewed = max(p.renewed, sent)
 		c.setRight()
 	}
 	if len(m.Tables) > 0 && name == c.steersAt {
+		if !known || now > sent+tablesFor { // worked out before its process was frozen, or its line held up
+			c.log.Warn("tables that are old", "from", name)
+			line.Close() // changes would be lost: on the next line they come whole
+			return
+		}
 		c.setTables(now, m.Tables)
 	}
 	c.judgeReady(now)
 }
 
-// quorum is the number of founders that a new life must have read: as many as meet any that a write made safe.
-func (c *Carrier) quorum() int {
-	n := len(c.founders)
-	if n == 0 {
-		return 0
-	}
-	return n - min(max(c.o.Settings.FaultBudget.Machines+1, n/2+1), n) + 1
-}
-
 // judgeReady calls this carrier ready once it has read enough controllers, and has what they hold in force; it stays
 // so, whether controllers are there or not.
 func (c *Carrier) judgeReady(now time.Duration) {
 	if c.ready.Load() || c.view.Load() == nil {
 		return
 	}
-	read, behind := 0, false
-	for _, f := range c.founders {
-		if p := c.controllers[f.Name]; p != nil && p.line != nil && p.settled && p.votes {
-			read++
+	read, behind := map[string]bool{}, false
+	for _, v := range c.epoch.All() {
+		if p := c.controllers[v.Name]; p != nil && p.line != nil && p.settled && p.votes {
+			read[v.ID] = true
 			for name, held := range p.held { // what it holds may be in force, evacuations too
 				have := c.have
 				if zone, ok := strings.CutPrefix(name, zonePrefix); ok {
@@ -303,9 +272,10 @@
 			}
 		}
 	}
-	if enough := read >= c.quorum() && c.quorum() > 0 && !behind; enough || now > c.heardAt+readAtLeast {
+	enough := c.epoch.Most(func(v parley.Voter) bool { return read[v.ID] }) && !behind
+	if enough || now > c.heardAt+readAtLeast {
 		c.ready.Store(true)
-		c.log.Info("ready", "read", read, "version", c.view.Load().Version, "backends", len(c.lives))
+		c.log.Info("ready", "read", len(read), "version", c.view.Load().Version, "backends", len(c.lives))
 	}
 }
 
@@ -358,9 +328,17 @@
 
 func (c *Carrier) evacuated(zone string) bool { return accord.Evacuated(c.zones[zone].Value) }
 
-// want asks for the newest configuration: of those that said that it is in force the nearest, and another each time
-// that no answer came. Guards against the nearest one being cut off from the core: it has only what is older.
+// want asks for the newest configuration: of those that said that it is in force one in touch, the nearest, and another
+// each time that no answer came. Guards against the nearest one being cut off from the core: it has only what is older.
 func (c *Carrier) want(now time.Duration) {
+	for _, p := range c.controllers {
+		if c.wanted.Less(p.safe) && counts(now, c.heardAt, c.view.Load() != nil, p.touch.apart) {
+			c.wanted, c.wantedAt = p.safe, -1
+			for _, p := range c.controllers {
+				p.asked = 0
+			}
+		}
+	}
 	if !c.have.Less(c.wanted) ||
 		c.wantedAt >= 0 && now < c.wantedAt+wantAgain {
 		return
@@ -370,8 +348,7 @@
 		if p.line == nil || p.safe.Less(c.wanted) {
 			continue
 		}
-		if best == nil || p.asked < best.asked ||
-			p.asked == best.asked && p.who.Zone == c.me.Zone && best.who.Zone != c.me.Zone {
+		if best == nil || p.asked < best.asked || p.asked == best.asked && p.nearer(best, c.me.Zone) {
 			best = p
 		}
 	}
@@ -382,6 +359,14 @@
 	}
 }
 
+// nearer says whether it is rather to be asked than o: in touch, then of the zone.
+func (p *controller) nearer(o *controller, zone string) bool {
+	if p.touch.apart != o.touch.apart {
+		return !p.touch.apart
+	}
+	return p.who.Zone == zone && o.who.Zone != zone
+}
+
 func (c *Carrier) sorted() []*controller {
 	var all []*controller
 	for _, p := range c.controllers {
@@ -491,20 +476,17 @@
 	c.settle(func(s *verdict.Settler) { s.Members(all) })
 }
 
-// setRight: a member is one whose lease most founders renewed; the right ends by this clock before theirs gives it away.
+// setRight: a member is one whose lease most voters renewed; the right ends by this clock before theirs gives it away.
 func (c *Carrier) setRight() {
-	var sent []time.Duration
-	for _, f := range c.founders {
-		if p := c.controllers[f.Name]; p != nil && p.renewed >= 0 {
-			sent = append(sent, p.renewed)
+	renewed := map[string]time.Duration{}
+	for name, p := range c.controllers {
+		if p.renewed >= 0 {
+			renewed[name] = p.renewed
 		}
 	}
-	need := len(c.founders)/2 + 1
-	if len(c.founders) == 0 || len(sent) < need {
-		return
+	if until, ok := rightUntil(c.epoch, renewed); ok {
+		c.settle(func(s *verdict.Settler) { s.Right(until) })
 	}
-	slices.SortFunc(sent, func(a, b time.Duration) int { return int(b - a) })
-	c.settle(func(s *verdict.Settler) { s.Right(sent[need-1] + presence.RightFor) })
 }
 
 func (c *Carrier) setTables(now time.Duration, tables []parley.Table) {
@@ -547,8 +529,8 @@
 }
 
 func (c *Carrier) renew(p *controller, report bool) {
-	m := &parley.Message{Renew: max(c.renewal, 1)}
-	p.sent[m.Renew%uint64(len(p.sent))] = c.now()
+	m := &parley.Message{Renew: c.renewal}
+	p.sent.note(m.Renew, c.now())
 	if report && p.who.Name == c.steersAt {
 		m.Steer = true
 		var r verdict.Report
@@ -565,25 +547,15 @@
 	p.line.Send(m)
 }
 
-// chooseSteerer: the controller of the own zone steers; where its line is down, the next by rendezvous over those
-// that are up, so that all carriers of a zone turn to the same.
+// chooseSteerer turns to the controller that is to steer.
 func (c *Carrier) chooseSteerer() {
-	best, bestRank := "", uint64(0)
+	var all []candidate
 	for _, p := range c.sorted() {
-		if p.line == nil {
-			continue
-		}
-		rank := verdict.Rank(p.who.Name, c.me.Zone)
-		if p.who.Zone == c.me.Zone {
-			rank |= 1 << 63
-		} else {
-			rank &^= 1 << 63
-		}
-		if best == "" || rank > bestRank {
-			best, bestRank = p.who.Name, rank
+		if p.line != nil {
+			all = append(all, candidate{p.who.Name, p.who.Zone, p.touch.steady(c.now(), p.who.Name == c.steersAt)})
 		}
 	}
-	if best != "" && best != c.steersAt {
+	if best := steererOf(c.me.Zone, all); best != "" && best != c.steersAt {
 		c.steersAt = best
 		c.log.Info("steered by", "controller", best)
 	}
