Accord, transit: old disks half rewritten, a wiped one of two, cold zones of a new life

Change: the disk's id is written after what it begins with; a ghost of the old voters counts for registers while they change; lives of zones taken back are put again with the configuration.

--- a/accord/accord.go
+++ b/accord/accord.go
@@ -516,13 +516,19 @@
 // Due is when Step wants to be called again, though nothing happened: at latest on the next tick.
 func (r *Replica) Due() time.Duration {
 	due := r.now + time.Hour
+	at := func(t time.Duration) { // what is past already waits for something else than time
+		if t > r.now {
+			due = min(due, t)
+		}
+	}
 	for _, g := range r.regs {
 		if len(g.queue) > 0 && g.prop.Phase == ballot.Idle {
-			due = min(due, g.againAt)
+			at(g.againAt)
 		}
 	}
 	for _, q := range r.reads {
-		due = min(due, q.began+readWithin, q.askedAt+askAgain)
+		at(q.began + readWithin)
+		at(q.askedAt + askAgain)
 	}
-	return max(due, r.now+time.Millisecond)
+	return due
 }
--- a/accord/epoch.go
+++ b/accord/epoch.go
@@ -165,6 +165,12 @@
 	return n > len(half.Voters)/2
 }
 
+// oldGhost says so of a voter that the change under way takes out. For registers it counts only there: the new voters must
+// have all that the one that is left has.
+func (r *Replica) oldGhost(v Voter) bool {
+	return len(r.epoch.Old) > 0 && !slices.ContainsFunc(r.epoch.Voters, func(w Voter) bool { return w.ID == v.ID }) && r.ghost(v)
+}
+
 // deciders are those who decide what follows this epoch: while a change is under way the old voters, whether it ends in the
 // new ones or goes back. Both ends need a majority of them, so there is one.
 func (r *Replica) deciders() Epoch {
--- a/accord/memory.go
+++ b/accord/memory.go
@@ -117,7 +117,7 @@
 	return v
 }
 
-// bear makes the disk somebody: the rest of who it was is emptied, its id written, then what it begins with, at last the
+// bear makes the disk somebody: the rest of who it was is emptied, then what it begins with written, its id, at last the
 // mark. Before that it does not vote.
 func (r *Replica) bear() {
 	m := &r.o.Memory
@@ -133,14 +133,16 @@
 		}
 		write(name, nil)
 	}
-	write(recordDisk, pack(diskRecord{m.Disk, !m.Blank}))
 	// What a disk of the version before begins with is on it in this version's records before it votes.
 	for _, name := range slices.Sorted(maps.Keys(m.Acceptors)) {
 		write(recordOf(name), encode(r.epoch.Number, r.reg(name).acc))
 	}
 	if m.Epoch.Number > 0 {
-		write(recordEpoch, encodeEpoch(m.Epoch))
+		write(recordEpoch, encodeEpoch(r.epoch))
 	}
+	// Guards against a loss of power before the rest is there, over which an old disk would pass for one from the system's
+	// first start that knows of nothing: it bears its mark already.
+	write(recordDisk, pack(diskRecord{m.Disk, !m.Blank}))
 	write(recordMark, []byte{1})
 }
 
--- a/accord/register.go
+++ b/accord/register.go
@@ -460,7 +460,7 @@
 	if g.name == epochName {
 		return r.deciders().Most(func(v Voter) bool { return up[v.ID] || r.ghost(v) })
 	}
-	return r.epoch.Most(func(v Voter) bool { return up[v.ID] })
+	return r.epoch.Most(func(v Voter) bool { return up[v.ID] || r.oldGhost(v) })
 }
 
 // most says whether those of a ballot that has says are enough to read from; lasts, whether they are to write to.
@@ -471,7 +471,7 @@
 	if g.name == epochName {
 		return r.deciders().Most(func(v Voter) bool { return has(v.ID) || r.ghost(v) })
 	}
-	return r.epoch.Most(func(v Voter) bool { return has(v.ID) })
+	return r.epoch.Most(func(v Voter) bool { return has(v.ID) || r.oldGhost(v) })
 }
 
 func (r *Replica) lasts(g *register, has func(string) bool) bool {
@@ -481,7 +481,7 @@
 	if g.name == epochName {
 		return r.deciders().Most(func(v Voter) bool { return has(v.ID) || r.ghost(v) })
 	}
-	return r.epoch.Safe(r.o.Faults, func(v Voter) bool { return has(v.ID) })
+	return r.epoch.Safe(r.o.Faults, func(v Voter) bool { return has(v.ID) || r.oldGhost(v) })
 }
 
 // reading is a question for what holds, answered by what disks have where those agree.
--- a/accord/zones.go
+++ b/accord/zones.go
@@ -14,7 +14,8 @@
 // empties: a plain state, empty or not, would. An order that comes again, as calls without a clear answer do, must not
 // count twice: a zone would stay empty after its one finish. Orders carry no number, so one of the same kind as the last,
 // within the span in which it may come again, is held to be that one. Two operators that begin within that span count as
-// one: the first finish of theirs ends both. That price is paid knowingly; see docs/control.md.
+// one: the first finish of theirs ends both; two that finish within it count as one too, and the zone stays empty until it is
+// finished once more. That price is paid knowingly; see docs/control.md.
 
 const (
 	begun    = 'b'
--- a/transit/transit.go
+++ b/transit/transit.go
@@ -299,6 +299,12 @@
 				s.Configure(p.Name, p.MaxConns, p.ColdRate, p.Cold)
 			}
 		})
+		// Guards against a new life that knew that a zone was taken back before it knew for how long its backends are cold.
+		for _, l := range c.lives {
+			if _, back := c.takenBack[l.Zone]; back {
+				c.put(now, l)
+			}
+		}
 		c.have = r.Stamp
 		c.view.Store(next)
 		c.log.Info("configuration", "version", next.Version)
