--- a/accord/bounded_test.go
+++ b/accord/bounded_test.go
@@ -113,6 +113,7 @@
 // After ten thousand changes, restarts and new controllers, a disk, a message and a process are as small as after a hundred; and a
 // member that was away for all of it has all within one exchange.
 func TestBoundedOverChanges(t *testing.T) {
+	t.Parallel()
 	c := newCalm(t, 4)
 	version := uint64(0)
 	changes := func(n int) {
