--- a/accord/epoch.go
+++ b/accord/epoch.go
@@ -306,8 +306,11 @@
 		return
 	}
 	again := r.now >= r.handedAt+handAgain
-	if again {
+	if again { // what the others have is asked anew: while orders go on it changes all the time
 		r.handedAt = r.now
+		r.round++
+		round := r.round
+		r.toAll(func() *parley.Message { return &parley.Message{Leaving: true, Ask: true, Round: round} })
 	}
 	missing := r.handOver(again)
 	if r.Votes() && (len(r.epoch.Old) > 0 || !slices.Equal(r.wish(), r.epoch.Voters)) {
--- a/accord/register.go
+++ b/accord/register.go
@@ -86,6 +86,9 @@
 			r.promised(g, p.disk, b)
 		}
 	case parley.Agreed:
+		if p.has[g.name].Less(b.Number) && g.name != epochName {
+			p.has[g.name] = b.Number
+		}
 		if r.counts(p) {
 			r.agreed(g, p.disk, b)
 		}
--- a/counsel/main.go
+++ b/counsel/main.go
@@ -47,7 +47,7 @@
 	log.Info("disk", "fresh", found.Fresh, "torn", found.Torn, "forgot", found.Forgot, "known", found.Known,
 		"records", found.Records)
 	if found.Forgot {
-		log.Warn("the disk has forgotten something; it answers no reads until it has read from others")
+		log.Warn("the disk has forgotten something: it is a new one now, and votes once it has all that the others have")
 	}
 	lines, err := entry.Listen(settings.Own())
 	if err != nil {
