--- a/cmd/lab/core/leaving.go
+++ b/cmd/lab/core/leaving.go
@@ -37,11 +37,15 @@
 	if slept {
 		sleeper.thaw()
 	}
-	left := time.Now()
+	orders := s.stream() // none of them may wait for the one that leaves
 	took, err := leaver.term()
 	if err != nil {
 		return err
 	}
+	if err := orders.end(r, "it leaves", contact); err != nil {
+		return err
+	}
+	left := time.Now()
 	r.note("it ended %.2f s after SIGTERM", took.Seconds())
 	leaver.gone()
 	if err := s.orders("it left", left, takenWithin); err != nil {
--- a/cmd/lab/core/orders.go
+++ b/cmd/lab/core/orders.go
@@ -95,7 +95,6 @@
 	row("a sync", syncs)
 	row("an order, all at one controller", one)
 	row("an order, at each in turn", turns)
-	t.Curves["a sync"], t.Curves["an order, all at one controller"], t.Curves["an order, at each in turn"] = syncs, one, turns
 	t.Expect("orders not taken at their first call", failed, 0)
 	for _, broken := range s.ledger.broken() {
 		t.Missed = append(t.Missed, broken)
