--- a/gauntlet/aimed.go
+++ b/gauntlet/aimed.go
@@ -418,13 +418,24 @@
 
 // refill ends an evacuation; the backends may be cold when the zone is taken back.
 func (d *draw) refill(zone string, at *Machine) {
+	d.cool(zone)
+	time.Sleep(200 * time.Millisecond)
+	d.w.Evacuate(zone, false, at)
+}
+
+// cool makes a zone's backends cold, if it is known to be empty: one that is sent to tells of it with its next beat only.
+func (d *draw) cool(zone string) {
+	empty := false
+	d.w.Ledger.do(func() {
+		for _, o := range d.w.Ledger.Orders {
+			empty = empty || o.Zone == zone && o.Begin && o.Acked > 0 && d.w.Now() > o.Acked+d.w.Ledger.Bounds.Evacuate.Span()
+		}
+	})
 	for _, b := range d.w.Backends() {
-		if b.Zone == zone {
+		if b.Zone == zone && empty {
 			d.w.Cold(b, 4*time.Second)
 		}
 	}
-	time.Sleep(200 * time.Millisecond)
-	d.w.Evacuate(zone, false, at)
 }
 
 // apart is longer than an order may come again: nearer, nobody can tell two operators' orders from one's that is repeated.
--- a/gauntlet/days.go
+++ b/gauntlet/days.go
@@ -290,11 +290,7 @@
 			w.Go(func() {
 				w.Evacuate(zone, true, from)
 				time.Sleep(w.Ledger.Bounds.Evacuate.Span() + span)
-				for _, b := range w.Backends() {
-					if b.Zone == zone {
-						w.Cold(b, 4*time.Second)
-					}
-				}
+				d.cool(zone)
 				time.Sleep(200 * time.Millisecond)
 				d.log("take back %s", zone)
 				w.Evacuate(zone, false, to)
--- a/gauntlet/worst.go
+++ b/gauntlet/worst.go
@@ -457,11 +457,7 @@
 	w.send(&Order{Zone: zone, Valid: true, Pen: r.IntN(2)}, pick(r, w.Cores()), 5*time.Second, r.IntN(5))
 	d.apart(r)
 	d.log("take back %s", zone)
-	for _, b := range w.Backends() {
-		if b.Zone == zone {
-			w.Cold(b, 4*time.Second)
-		}
-	}
+	d.cool(zone)
 	w.send(&Order{Zone: zone, Valid: true}, pick(r, w.Cores()), 5*time.Second, r.IntN(5))
 	time.Sleep(7 * time.Second)
 }
