Accord: a core has as many voters as founded it, others wait as spares

Cause: lab core: machines whose places others took came back, were voted in beside the new ones, and were a majority that went at one moment: dark. Change: the number of those who founded (odd, 2f+1 at least) goes along with epochs, and bounds the voters; who comes beyond it has all copies and takes the next free place.

--- a/accord/epoch.go
+++ b/accord/epoch.go
@@ -144,7 +144,7 @@
 	here := func(seed string) bool {
 		return slices.ContainsFunc(all, func(v Voter) bool { return v.Address == seed })
 	}
-	first := Epoch{Number: 1, Voters: sorted(all)}
+	first := Epoch{Number: 1, Voters: sorted(all), Founded: len(all)}
 	if !slices.ContainsFunc(r.o.Seeds, func(seed string) bool { return !here(seed) }) {
 		r.decideFrom(first, func(half Epoch) bool { return mostGone(half, all) })
 		return
@@ -260,7 +260,7 @@
 	if !ready {
 		r.goBack()
 	} else {
-		r.decide(Epoch{Number: r.epoch.Number + 1, Voters: r.epoch.Voters})
+		r.decide(Epoch{Number: r.epoch.Number + 1, Voters: r.epoch.Voters, Founded: r.epoch.Founded})
 	}
 }
 
@@ -268,7 +268,7 @@
 // both counted lies on enough disks of the old ones. Guards against a core that a learner's death holds for ever.
 func (r *Replica) goBack() {
 	if r.now >= r.changed+backAfter+time.Duration(r.place(epochName))*turnGap {
-		r.decide(Epoch{Number: r.epoch.Number + 1, Voters: r.epoch.Old})
+		r.decide(Epoch{Number: r.epoch.Number + 1, Voters: r.epoch.Old, Founded: r.epoch.Founded})
 	}
 }
 
@@ -295,7 +295,7 @@
 		if r.o.flaws.apart {
 			old = nil
 		}
-		r.decide(Epoch{Number: r.epoch.Number + 1, Old: old, Voters: want})
+		r.decide(Epoch{Number: r.epoch.Number + 1, Old: old, Voters: want, Founded: r.epoch.Founded})
 	}
 }
 
--- a/accord/memory.go
+++ b/accord/memory.go
@@ -90,7 +90,7 @@
 		for _, f := range founders {
 			m.Epoch.Voters = append(m.Epoch.Voters, Voter{Controller: f, ID: oldDisk(f.Name)})
 		}
-		m.Epoch.Number, m.Epoch.Voters = 1, sorted(m.Epoch.Voters)
+		m.Epoch.Number, m.Epoch.Voters, m.Epoch.Founded = 1, sorted(m.Epoch.Voters), len(founders)
 		for name, value := range records {
 			if reg, is := strings.CutPrefix(name, oldReg); is && len(value) >= 16 {
 				s := Stamp{Hi: number(value), Lo: number(value[8:])}
--- a/accord/wish.go
+++ b/accord/wish.go
@@ -8,8 +8,7 @@
 )
 
 const (
-	awayFor    = 2 * time.Second // a voter that is silent for so long gives its place to a new one that is whole
-	votersMost = 7
+	awayFor = 2 * time.Second // a voter that is silent for so long gives its place to a new one that is whole
 )
 
 // seat is what is known of a voter, or of a controller that is none yet.
@@ -45,7 +44,7 @@
 			others = append(others, seat{Voter: Voter{Controller: p.Controller, ID: p.disk}, whole: r.whole(p) && p.hasAt != never, came: p.upAt})
 		}
 	}
-	return wish(voters, others, r.o.Faults)
+	return wish(voters, others, r.o.Faults, r.epoch.Size())
 }
 
 // wish decides on the next change of voters.
@@ -58,7 +57,9 @@
 //     those that are cut off must find a majority with any others that are half of the machines. Three that lost one stay
 //     three and need both that are left; of two that lost one nothing is decided until it is back.
 //   - One that leaves is let go likewise, but down to f+1.
-func wish(voters, others []seat, faults int) []Voter {
+//   - They are never more than most: as many as founded the core, or 2f+1. Guards against machines whose places others took
+//     long ago, and that wake, being a majority that may go at any moment.
+func wish(voters, others []seat, faults, most int) []Voter {
 	var next []Voter
 	var gone []seat // the longest silent first
 	calm, answered := true, time.Duration(math.MaxInt64)
@@ -86,7 +87,7 @@
 		case len(gone) > 0:
 			drop(gone[0].Voter)
 			gone = gone[1:]
-		case !calm || answered <= c.came+pingEvery || len(next) >= max(votersMost, 2*faults+1):
+		case !calm || answered <= c.came+pingEvery || len(next) >= max(most, 2*faults+1):
 			continue
 		}
 		next = append(next, c.Voter)
--- a/parley/epoch.go
+++ b/parley/epoch.go
@@ -15,6 +15,17 @@
 	Number uint64  `cbor:"1,keyasint"` // 0: there is none yet
 	Old    []Voter `cbor:"2,keyasint,omitempty"`
 	Voters []Voter `cbor:"3,keyasint"`
+	// Founded is how many founded the core.
+	Founded int `cbor:"4,keyasint,omitempty"`
+}
+
+// Size is how many voters there should be: as many as founded the core, and one more if that is even, as an even number
+// bears no more losses than the odd one below it.
+func (e Epoch) Size() int {
+	if e.Founded == 0 {
+		return len(e.Voters) | 1
+	}
+	return e.Founded | 1
 }
 
 // All are those whose words may count, each once.
