--- a/accord/drawn_test.go
+++ b/accord/drawn_test.go
@@ -403,9 +403,6 @@
 		}
 	})
 	w.run(s.ends)
-	if dump != nil {
-		dump(d)
-	}
 	if w.fault == "" {
 		d.checkEnd(probes)
 	}
