Gauntlet: a lost disk counts until it could be made good; dawn's faults end

Change: armed faults end at 3 s; disks lost stay counted until nothing is lost; a breach planted for it.

--- a/gauntlet/ledger.go
+++ b/gauntlet/ledger.go
@@ -289,6 +289,7 @@
 	}
 	slices.Sort(moments)
 	over := false
+	var held []string // disks that were lost, and that nobody could make good while more was lost than is to be borne
 	for _, at := range slices.Compact(moments) {
 		var lost, gone []string
 		for _, x := range l.Losses {
@@ -298,7 +299,14 @@
 				}
 			}
 		}
-		n, d := distinct(lost), distinct(gone)
+		n := distinct(lost)
+		if over || n > l.Faults {
+			held = append(held, gone...)
+		}
+		if n == 0 {
+			held = nil
+		}
+		d := distinct(append(gone, held...))
 		if d > l.Faults {
 			disks = min(disks, at)
 		}
--- a/gauntlet/rules_test.go
+++ b/gauntlet/rules_test.go
@@ -193,6 +193,12 @@
 			s.Losses = []Loss{{Machine: "core-0", Disk: true, From: sec(15), To: sec(16)},
 				{Machine: "core-1", Disk: true, From: sec(19.9), To: sec(20)}}
 		}, func(s sheet) { s.Losses[1].From = sec(20.1) }},
+		{"LOST", func(s sheet) { // ... one of them while nobody could make the other good
+			s.Closing, s.Reads, s.Faults = sec(20.5), []Read{back(25, Charter(1))}, 1
+			s.Orders = append(s.Orders, &Order{Config: Charter(2), Valid: true, At: 2, Acked: 3})
+			s.Losses = []Loss{{Machine: "core-0", Disk: true, From: sec(15), To: sec(16)}, {Machine: "core-1", From: sec(15.5), To: sec(18)},
+				{Machine: "core-2", Disk: true, From: sec(20.5), To: sec(21)}}
+		}, func(s sheet) { s.Losses[1].From, s.Losses[1].To = sec(1), sec(2) }},
 		{"DENIED", func(s sheet) {
 			for range 5 {
 				x := s.try(5, true)
--- a/gauntlet/worst.go
+++ b/gauntlet/worst.go
@@ -119,7 +119,11 @@
 		}
 		switch how {
 		case 5, 6:
-			w.AtWrite([]*Machine{m}, write, before, func(m *Machine) { hit(m, how == 6) })
+			w.AtWrite([]*Machine{m}, write, before, func(m *Machine) {
+				if w.Now() < 3*time.Second { // later it would come beside what else is lost
+					hit(m, how == 6)
+				}
+			})
 			continue
 		}
 		w.Go(func() {
