--- a/accord/accord.go
+++ b/accord/accord.go
@@ -60,7 +60,8 @@
 	Untaken
 )
 
-// Age is how long a value has held, by steady clocks; it is not Known where all who have it started after it.
+// Age is how long a value has held, by steady clocks. Where all who have it started after it, that is not Known, and Span is
+// the least that it can be.
 type Age struct {
 	Span  time.Duration
 	Known bool
--- a/accord/register.go
+++ b/accord/register.go
@@ -47,6 +47,7 @@
 	told    Stamp // of the value that was told to be in force
 	force   Register
 	valueAt time.Duration // since when this value holds, as far as that is known here
+	hereAt  time.Duration // since when it is here, in this life: it holds for that long at least
 	openAt  time.Duration // since when it is here and not known to be chosen
 	wantAt  time.Duration
 	ahead   map[string]Stamp // by controller: a newer ballot that it has
@@ -161,6 +162,9 @@
 	if age > 0 {
 		at = r.now - time.Duration(age-1)*time.Millisecond
 	}
+	if !stays {
+		g.hereAt = r.now
+	}
 	switch {
 	case !stays || g.valueAt == neverSeen:
 		g.valueAt = at
@@ -306,6 +310,9 @@
 		holds = *g.prop.Value
 	}
 	next, ages := holds, g.ages
+	if !ages.Known && g.acc.Value.Stamp == holds.Stamp {
+		ages.Span = r.now - g.hereAt
+	}
 	for _, o := range g.batch {
 		was := next.Stamp
 		if next, o.fate = o.apply(next, ages); next.Stamp != was {
--- a/accord/zones.go
+++ b/accord/zones.go
@@ -48,7 +48,7 @@
 	return func(holds Register, age Age) (Register, Fate) {
 		n, last, ids := open(holds.Value)
 		if !age.Known {
-			age.Span = time.Duration(max(int64(at)-int64(holds.Stamp.Hi), 0)) * time.Millisecond
+			age.Span = max(age.Span, time.Duration(int64(at)-int64(holds.Stamp.Hi))*time.Millisecond)
 		}
 		kind := byte(finished)
 		if begins {
