Counsel: a controller that is heard of is dialled at once

Change: a hello on a line from a controller to whom no line stands has it dialled at once, also while a dial hangs.

--- a/counsel/counsel_test.go
+++ b/counsel/counsel_test.go
@@ -55,13 +55,14 @@
 		if err != nil {
 			panic(err)
 		}
+		host := k.host // this life's: a dial may outlast it
 		disk, known, fresh := k.disk.Open(k.host)
 		k.server = counsel.New(counsel.Options{Settings: &set, Disk: disk, Known: known, Fresh: fresh,
 			Log: hclog.NewNullLogger(), Clock: clockwork.NewRealClock(), Listen: lines, TimeOfDay: time.Now,
 			Dial: func(address string) (net.Conn, error) {
 				ctx, cancel := context.WithTimeout(context.Background(), 350*time.Millisecond)
 				defer cancel()
-				return k.host.Dial(ctx, address, 3*time.Second)
+				return host.Dial(ctx, address, 3*time.Second)
 			}})
 		go k.server.Run()
 		c.cores = append(c.cores, k)
--- a/counsel/lines.go
+++ b/counsel/lines.go
@@ -77,6 +77,9 @@
 					return
 				}
 				s.know(from.Who)
+				if p := s.peers[from.Who.Name]; p == nil || p.out == nil {
+					s.keep.Now(from.Who.Address) // it is there: after a loss of all each moment counts
+				}
 				line.Send(&parley.Message{Hello: s.hello(), Know: s.known(), Backends: s.table.All(s.now()), Settled: s.settled})
 				s.step(accord.Met{Who: from.Who, Disk: from.Disk, Blank: from.Blank})
 			}
--- a/rapport/rapport.go
+++ b/rapport/rapport.go
@@ -154,7 +154,7 @@
 	Lost func(name string, line *parley.Line)
 
 	lines   Lines
-	dialing map[string]bool
+	dialing map[string]chan struct{} // by address; what is sent there has it dialled at once
 }
 
 const restFor = 3 * time.Second // before an address is dialled again whose line was refused: another one speaks for it
@@ -162,23 +162,25 @@
 // Keep dials an address from now on, until the queue is stopped; its goroutine ends Silence later at most. It runs on
 // the owner's goroutine, or before there is one. An address that is kept already, or is empty, is let be.
 func (k *Keeper) Keep(address string) {
-	if address == "" || k.dialing[address] {
+	if address == "" || k.dialing[address] != nil {
 		return
 	}
 	if k.dialing == nil {
-		k.dialing = map[string]bool{}
+		k.dialing = map[string]chan struct{}{}
 	}
-	k.dialing[address] = true
+	now := make(chan struct{}, 1)
+	k.dialing[address] = now
 	go func() {
 		for {
 			wait := k.Again
-			if conn, err := k.Dial(address); err == nil {
+			if conn := k.dial(address, now); conn != nil {
 				if wait = k.listen(parley.NewLine(conn)); wait < 0 {
 					return
 				}
 			}
 			select {
 			case <-k.Clock.After(wait):
+			case <-now:
 			case <-k.Queue.Stopped():
 				return
 			}
@@ -186,6 +188,40 @@
 	}()
 }
 
+// Now has an address that is kept dialled at once, also where a dial is under way: for who is heard of and was dark just
+// before. It runs on the owner's goroutine.
+func (k *Keeper) Now(address string) {
+	select {
+	case k.dialing[address] <- struct{}{}:
+	default:
+	}
+}
+
+// dial returns a connection, or nil. Guards against a dial to a machine that was dark, which says nothing until its time is
+// over, holding up the line to one that is there by now.
+func (k *Keeper) dial(address string, now <-chan struct{}) net.Conn {
+	for {
+		got := make(chan net.Conn, 1)
+		go func() {
+			conn, err := k.Dial(address)
+			if err != nil {
+				conn = nil
+			}
+			got <- conn
+		}()
+		select {
+		case conn := <-got:
+			return conn
+		case <-now:
+			go func() {
+				if conn := <-got; conn != nil {
+					_ = conn.Close()
+				}
+			}()
+		}
+	}
+}
+
 // listen hears a line to its end and says when its address is to be dialled again (negative: never).
 func (k *Keeper) listen(line *parley.Line) time.Duration {
 	line.Send(k.Hello())
--- a/rapport/rapport_test.go
+++ b/rapport/rapport_test.go
@@ -3,10 +3,12 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -317,3 +319,42 @@
 		}
 	})
 }
+
+// Guards against a dial to a machine that was dark, which hangs until its time is over, holding up the line to it once it
+// is heard of.
+func TestDialledAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		var mu sync.Mutex
+		var dials []time.Duration
+		var light atomic.Bool
+		k := &rapport.Keeper{Queue: rapport.NewQueue(8), Clock: clockwork.NewRealClock(), Again: time.Second, Silence: time.Second,
+			Dial: func(string) (net.Conn, error) {
+				mu.Lock()
+				dials = append(dials, time.Since(began))
+				mu.Unlock()
+				if !light.Load() {
+					time.Sleep(350 * time.Millisecond)
+					return nil, net.ErrClosed
+				}
+				here, there := net.Pipe()
+				go func() { _, _ = io.Copy(io.Discard, there) }()
+				return here, nil
+			},
+			Hello: func() *parley.Message { return &parley.Message{} },
+			Heard: func(string, *parley.Line, *parley.Message) {}, Lost: func(string, *parley.Line) {}}
+		k.Now("nowhere") // what is not kept is let be
+		k.Keep("there")
+		time.Sleep(100 * time.Millisecond)
+		light.Store(true)
+		k.Now("there")
+		time.Sleep(100 * time.Millisecond)
+		k.Queue.Stop()
+		time.Sleep(5 * time.Second) // what dials or waits sees the end
+		mu.Lock()
+		defer mu.Unlock()
+		if len(dials) != 2 || dials[1] != 100*time.Millisecond {
+			t.Errorf("dialled at %v, want at 0 and 100 ms", dials)
+		}
+	})
+}
