Accord: what its proposer had chosen is known soon though it died at once

Cause: the old test of an acknowledger that dies, brought back on the new world: where its power went before it told anybody, the others waited 0.3 to 0.7 s for a ballot (400 ms are asked). Change: a ballot that is accepted and not known to be chosen is told to all after 0.1 s, who count. TestTheAcknowledgerMayDie is as strict as it was.

--- a/accord/accord.go
+++ b/accord/accord.go
@@ -29,6 +29,7 @@
 	never       = -time.Hour
 	diskAgain   = time.Second            // until a disk that failed is tried again
 	finishAfter = 300 * time.Millisecond // what is accepted and not known to be chosen is finished by whoever has it
+	tellAfter   = 100 * time.Millisecond // ... its ballot is told to all, who may find that enough have it
 	turnGap     = 200 * time.Millisecond // ... one after the other
 	sweepEvery  = 3 * time.Second        // what disks have is compared
 	askAgain    = 200 * time.Millisecond // of those that have not answered
@@ -526,6 +527,9 @@
 		if len(g.queue) > 0 && g.prop.Phase == ballot.Idle {
 			at(g.againAt)
 		}
+		if !g.chosen() && g.acc.Accepted != (Stamp{}) && g.tells != g.disk {
+			at(g.openAt + tellAfter)
+		}
 	}
 	for _, q := range r.reads {
 		at(q.began + readWithin)
--- a/accord/register.go
+++ b/accord/register.go
@@ -49,6 +49,7 @@
 	valueAt time.Duration // since when this value holds, as far as that is known here
 	hereAt  time.Duration // since when it is here, in this life: it holds for that long at least
 	openAt  time.Duration // since when it is here and not known to be chosen
+	tells   Stamp         // the ballot on the disk that all were told of, as nobody said that it is chosen
 	wantAt  time.Duration
 	ahead   map[string]Stamp // by controller: a newer ballot that it has
 	// Of the ballots that begin here.
@@ -434,6 +435,13 @@
 	}
 	if g.acc.Accepted != (Stamp{}) && !g.chosen() {
 		r.count(g) // at a start, what is said by then may be enough
+		// Guards against what its proposer had chosen, and died before it told anybody, waiting for a ballot: enough of those
+		// who accepted it find that out by telling each other.
+		if r.now >= g.openAt+tellAfter && g.tells != g.disk && g.name != epochName && r.Votes() {
+			g.tells = g.disk
+			name, number := g.name, g.disk
+			r.toAll(func() *parley.Message { return &parley.Message{Has: map[string]Stamp{name: number}} })
+		}
 	}
 	if g.acc.Accepted != (Stamp{}) && !g.chosen() && r.now >= g.openAt+finishAfter+time.Duration(r.place(g.name))*turnGap {
 		g.openAt = r.now
