--- a/gauntlet/day_test.go
+++ b/gauntlet/day_test.go
@@ -21,7 +21,7 @@
 // sound fails the test for each broken rule. It is called outside of the bubble.
 func sound(t *testing.T, w *World) {
 	t.Helper()
-	if w == nil || t.Skipped() {
+	if w == nil {
 		return
 	}
 	broken, undecided := w.Ledger.linear()
