proxy, controlplane: figures of the process; clients that leave are noted

The proxy counts clients that leave while their request is forwarded, and where the invariant of disconnect.go does not hold: an idempotent request still forwarded half a second later, an attempt begun after it. No decision is changed.

--- a/internal/controlplane/calls.go
+++ b/internal/controlplane/calls.go
@@ -21,6 +21,7 @@
 func (s *Server) Handler() http.Handler {
 	mux := chi.NewRouter()
 	mux.Post(callsPath, func(w http.ResponseWriter, r *http.Request) {
+		defer s.metrics.followCall(r)()
 		body, err := s.dispatch(r)
 		if err != nil {
 			writeError(w, err)
--- a/internal/controlplane/server.go
+++ b/internal/controlplane/server.go
@@ -15,6 +15,7 @@
 //	calls.go         HTTP calls: dispatch and answers
 //	operatorcalls.go calls of operators
 //	endpointcalls.go calls of endpoints
+//	metrics.go       the figures that the process keeps of itself
 //	steering.go      routing tables for the proxies that are steered here
 package controlplane
 
@@ -91,6 +92,7 @@
 	startedAt        time.Time
 	queue            *session.CommandQueue
 	handedOver       chan struct{} // closed once a shutdown has handed over all
+	metrics          *serverMetrics
 
 	// The fields below belong to the owner.
 
@@ -129,6 +131,7 @@
 		startedAt:       o.Clock.Now(),
 		queue:           session.NewCommandQueue(commandQueueCapacity),
 		handedOver:      make(chan struct{}),
+		metrics:         newMetrics(),
 		registry:        registry.New(o.Settings.HeartbeatInterval.Duration()),
 		peers:           map[string]*peer{},
 		acceptedPeers:   session.Sessions{PreferNewest: true},
--- a/internal/gateway/cli/cli.go
+++ b/internal/gateway/cli/cli.go
@@ -25,6 +25,8 @@
 // Options of the command line.
 type Options struct {
 	Verbose bool `short:"v" long:"verbose" description:"write each log line as it comes, not only when something goes wrong"` //nolint:lll // a struct tag cannot be broken
+	// MetricsPort is where the process shows its figures, at /metrics of the machine's address. 0: nowhere.
+	MetricsPort uint16 `long:"metrics-port" value-name:"PORT" description:"show the process's figures at this port, path /metrics"` //nolint:lll // a struct tag cannot be broken
 }
 
 // RunFunc serves until the program ends.
--- /dev/null
+++ b/internal/gateway/metrics/metrics.go
@@ -0,0 +1,65 @@
+// Package metrics has the figures that a process keeps of itself, and shows them in the text exposition format of
+// Prometheus (version 0.0.4): counters that only rise, and gauges that are read when they are asked for.
+package metrics
+
+import (
+	"bytes"
+	"cmp"
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync/atomic"
+)
+
+// contentType is that of the text exposition format.
+const contentType = "text/plain; version=0.0.4; charset=utf-8"
+
+// Counter is a number of events since the process began. It is safe for concurrent use.
+type Counter struct{ value atomic.Uint64 }
+
+// Add counts one event.
+func (c *Counter) Add() { c.value.Add(1) }
+
+// Value is the number of events so far.
+func (c *Counter) Value() uint64 { return c.value.Load() }
+
+// metric is one figure as it is shown.
+type metric struct {
+	name, help, kind string
+	value            func() string
+}
+
+// Registry holds the figures of a process. All are declared before the first is shown.
+type Registry struct{ metrics []metric }
+
+// NewCounter declares a counter. The name ends in "_total".
+func (r *Registry) NewCounter(name, help string) *Counter {
+	c := &Counter{}
+	r.declare(metric{name: name, help: help, kind: "counter", value: func() string {
+		return strconv.FormatUint(c.Value(), 10)
+	}})
+	return c
+}
+
+// NewGauge declares a gauge, whose value may fall. value is called from any goroutine.
+func (r *Registry) NewGauge(name, help string, value func() int64) {
+	r.declare(metric{name: name, help: help, kind: "gauge", value: func() string {
+		return strconv.FormatInt(value(), 10)
+	}})
+}
+
+func (r *Registry) declare(m metric) {
+	r.metrics = append(r.metrics, m)
+	slices.SortFunc(r.metrics, func(a, b metric) int { return cmp.Compare(a.name, b.name) })
+}
+
+// ServeHTTP shows all figures, sorted by name.
+func (r *Registry) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	var text bytes.Buffer
+	for _, m := range r.metrics {
+		fmt.Fprintf(&text, "# HELP %s %s\n# TYPE %s %s\n%s %s\n", m.name, m.help, m.name, m.kind, m.name, m.value())
+	}
+	w.Header().Set("Content-Type", contentType)
+	_, _ = w.Write(text.Bytes()) // a reader that has gone asks again
+}
--- /dev/null
+++ b/internal/gateway/metrics/metrics_test.go
@@ -0,0 +1,21 @@
+package metrics
+
+import (
+	"net/http/httptest"
+	"testing"
+)
+
+func TestTextExposition(t *testing.T) {
+	var r Registry
+	events := r.NewCounter("b_events_total", "Events.")
+	r.NewGauge("a_open", "What is open.", func() int64 { return 7 })
+	events.Add()
+	events.Add()
+	w := httptest.NewRecorder()
+	r.ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
+	want := "# HELP a_open What is open.\n# TYPE a_open gauge\na_open 7\n" +
+		"# HELP b_events_total Events.\n# TYPE b_events_total counter\nb_events_total 2\n"
+	if w.Body.String() != want {
+		t.Errorf("shown:\n%s", w.Body)
+	}
+}
--- a/internal/proxy/balancer/balancer.go
+++ b/internal/proxy/balancer/balancer.go
@@ -177,6 +177,14 @@
 	s.endpoints = slices.DeleteFunc(s.endpoints, func(o *endpoint) bool { return o == e })
 }
 
+// InFlight is the number of attempts that were picked and have not ended, at endpoints that are known.
+func (b *Balancer) InFlight() (n int) {
+	for _, e := range b.endpoints {
+		n += e.inFlight
+	}
+	return n
+}
+
 // SetProxies sets which proxies hold a lease. The greatest number that was ever heard of divides the shared budgets: a
 // proxy that is cut off counts itself among fewer than there are.
 func (b *Balancer) SetProxies(all []ProxyInfo) {
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"elmfold/internal/gateway/apierror"
@@ -24,6 +25,7 @@
 	attempts        int      // endpoints that it was sent to
 	connectFailures int      // endpoints that could not be reached
 	mayHaveExecuted bool     // any of them may have executed it
+	done            atomic.Bool
 
 	// Of the last attempt.
 
@@ -34,6 +36,7 @@
 // forward tries endpoints until one responds or none may be tried, and answers the client.
 func (p *Proxy) forward(q *clientRequest) {
 	f := &forwarding{clientRequest: q, call: newCall(q)}
+	defer p.watchDisconnect(f)()
 	for p.attempt(f) {
 		f.response.Close()
 		if f.response != nil && f.response.Rest != nil {
@@ -83,6 +86,9 @@
 		}
 		return false
 	}
+	if f.hasDisconnected() {
+		p.metrics.lateAttempts.Add()
+	}
 	selected, kind := p.pick(f)
 	if kind != apierror.None {
 		f.noteNoEndpoint(kind)
@@ -135,7 +141,7 @@
 // allowRetry reports whether another endpoint may be tried. A retry for a client that has gone would draw on the budget
 // for nobody, and a body that was streamed cannot be sent again.
 func (p *Proxy) allowRetry(f *forwarding) (allowed bool) {
-	if f.request.Context().Err() != nil || f.body.stream != nil {
+	if f.hasDisconnected() || f.body.stream != nil {
 		return false
 	}
 	p.withBalancer(func(b *balancer.Balancer) {
--- /dev/null
+++ b/internal/proxy/metrics.go
@@ -0,0 +1,43 @@
+package proxy
+
+import (
+	"elmfold/internal/gateway/metrics"
+	"elmfold/internal/proxy/balancer"
+)
+
+// proxyMetrics are the figures that a proxy keeps of itself. docs/operate/gateway.md lists them.
+type proxyMetrics struct {
+	registry metrics.Registry
+	// clientDisconnects are clients that left while their request was forwarded.
+	clientDisconnects *metrics.Counter
+	// overdueRequests and lateAttempts count violations of what disconnect.go states.
+	overdueRequests *metrics.Counter
+	lateAttempts    *metrics.Counter
+}
+
+func (p *Proxy) newMetrics() *proxyMetrics {
+	m := &proxyMetrics{}
+	r := &m.registry
+	m.clientDisconnects = r.NewCounter("elmfold_client_disconnects_total",
+		"Clients that left while their request was forwarded.")
+	m.overdueRequests = r.NewCounter("elmfold_overdue_requests_total",
+		"Invariant, 0: idempotent requests still forwarded 500 ms after their client was seen to leave.")
+	m.lateAttempts = r.NewCounter("elmfold_late_attempts_total",
+		"Invariant, 0: attempts begun after the client was seen to leave.")
+	r.NewGauge("elmfold_client_connections", "Connections of clients.", p.clients.Load)
+	r.NewGauge("elmfold_attempts_in_flight", "Attempts that hold a place at an endpoint.", p.attemptsInFlight)
+	r.NewGauge("elmfold_upstream_connections", "Connections to endpoints: idle, busy and coming up.", func() int64 {
+		return int64(p.pool.TotalConns())
+	})
+	return m
+}
+
+func (p *Proxy) attemptsInFlight() (n int64) {
+	p.withBalancer(func(b *balancer.Balancer) { n = int64(b.InFlight()) })
+	return n
+}
+
+// Violations is how often an invariant of disconnect.go did not hold. It is 0 unless this package has a fault.
+func (p *Proxy) Violations() uint64 {
+	return p.metrics.overdueRequests.Value() + p.metrics.lateAttempts.Value()
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -34,6 +34,8 @@
 //	clients.go       clients' connections
 //	handler.go       a request from its head to its response
 //	body.go          request bodies
+//	disconnect.go    clients that leave before their response
+//	metrics.go       the figures that the process keeps of itself
 //	forward.go       attempts and retries
 //	respond.go       responses
 //	healthchecks.go  health checks of suspect endpoints
@@ -96,6 +98,7 @@
 	queue       *session.CommandQueue
 	pool        *upstream.Pool
 	server      *http.Server
+	metrics     *proxyMetrics
 
 	config     atomic.Pointer[routeconfig.Config] // committed; nil: none is known yet
 	ready      atomic.Bool
@@ -147,6 +150,7 @@
 	if maxFDs := int64(settings.Limits.MaxFDs); maxFDs*clientShare/10 > 0 {
 		p.maxClients = maxFDs * clientShare / 10
 	}
+	p.metrics = p.newMetrics()
 	p.server = p.newServer()
 	p.dialer = &session.Dialer{
 		Queue:         p.queue,
--- a/internal/proxy/upstream/pool.go
+++ b/internal/proxy/upstream/pool.go
@@ -254,6 +254,16 @@
 	return 0
 }
 
+// TotalConns is the number of connections to all addresses: idle, busy and coming up.
+func (p *Pool) TotalConns() (n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, h := range p.hosts {
+		n += h.connCount
+	}
+	return n
+}
+
 // IdleConns is the number of idle connections to an address.
 func (p *Pool) IdleConns(address string) int {
 	p.mu.Lock()
