--- a/internal/proxy/main.go
+++ b/internal/proxy/main.go
@@ -50,7 +50,7 @@
 	p := New(Options{Settings: settings, Log: log, Clock: clockwork.NewRealClock(), Dial: cli.Dial})
 	go p.Run()
 	go serveReadiness(p, readiness)
-	cli.ServeMetrics(log, settings, options, &p.metrics.registry)
+	cli.ServeMetrics(log, settings, options, p.Metrics())
 	served := make(chan error, 1)
 	go func() { served <- p.Serve(clients) }()
 	stopped := make(chan struct{})
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"net/http"
+
 	"elmfold/internal/gateway/metrics"
 	"elmfold/internal/proxy/balancer"
 )
@@ -37,6 +39,9 @@
 	return n
 }
 
+// Metrics shows the figures.
+func (p *Proxy) Metrics() http.Handler { return &p.metrics.registry }
+
 // Violations is how often an invariant of disconnect.go did not hold. It is 0 unless this package has a fault.
 func (p *Proxy) Violations() uint64 {
 	return p.metrics.overdueRequests.Value() + p.metrics.lateAttempts.Value()
