--- a/internal/simulation/backend.go
+++ b/internal/simulation/backend.go
@@ -247,14 +247,11 @@
 	if b.warmupLeft() > 0 {
 		work *= 2
 	}
-	if act == Slow {
+	if act == Slow || strings.HasSuffix(r.RequestURI, longSuffix) {
 		work += time.Second + time.Duration(sum([]byte(id))%2000)*time.Millisecond
 	}
-	t := time.NewTimer(min(work, budget))
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-b.host.gone:
+	cut := endOf(c).endsWithin(min(work, budget), b.host.gone) // as most backends, it drops what nobody waits for
+	if b.w.Ledger.Finish(id, b.ID, b.w.Now(), cut); cut {
 		b.w.Ledger.Reply(id, Reply{Backend: b.ID})
 		return false
 	}
--- a/internal/simulation/client.go
+++ b/internal/simulation/client.go
@@ -30,8 +30,13 @@
 	Body     int           // bytes
 	Tries    int           // that a client makes at most; 0: 4
 	Probe    bool          // it shows which configuration is in force, and need not be served
+	// Departing is the part of the requests whose client leaves before the answer. They are none of Ledger.Requests.
+	Departing float64
 }
 
+// body is the body of its requests.
+func (f *Flow) body() []byte { return []byte(strings.Repeat("b", f.Body)) }
+
 // Clients are those of one zone.
 type clients struct {
 	w    *World
@@ -113,7 +118,11 @@
 	if f.Body > 0 && r.IntN(20) == 0 {
 		f.Body = 200 << 10 // more than a carrier holds
 	}
-	body := []byte(strings.Repeat("b", f.Body))
+	if f.departing(r) {
+		c.depart(f, path, r)
+		return nil
+	}
+	body := f.body()
 	served := false
 	if !f.Probe {
 		at := w.Now()
@@ -200,15 +209,11 @@
 	return append(out, "\r\n"...)
 }
 
-// try sends one request; nil: no connection came up. Refused: it has not been run for all that the client may know.
-func (c *clients) try(f Flow, m *Machine, target string, body []byte, deadline time.Time, keep bool, r *rand.Rand) (
-	t *Attempt, after time.Duration, refused bool) {
-	k := c.connect(m, keep)
-	if k == nil {
-		return nil, 0, true
-	}
+// send writes one request, which is in the ledger from before its first byte.
+func (c *clients) send(k *link, f Flow, m *Machine, target string, body []byte, deadline time.Time,
+	r *rand.Rand) (*Attempt, error) {
 	w := c.w
-	t = w.Ledger.Add(&Attempt{
+	t := w.Ledger.Add(&Attempt{
 		ID:          w.id(r),
 		Method:      f.Method,
 		Host:        f.Host,
@@ -221,12 +226,24 @@
 		Incarnation: k.incarnation,
 		Timeout:     min(f.Timeout, time.Until(deadline)),
 	})
+	_, err := k.Write(append(f.head(t.ID, target, len(body), time.Until(deadline)), body...))
+	w.Ledger.do(func() { t.Written = w.Now() })
+	return t, err
+}
+
+// try sends one request; nil: no connection came up. Refused: it has not been run for all that the client may know.
+func (c *clients) try(f Flow, m *Machine, target string, body []byte, deadline time.Time, keep bool, r *rand.Rand) (
+	t *Attempt, after time.Duration, refused bool) {
+	k := c.connect(m, keep)
+	if k == nil {
+		return nil, 0, true
+	}
+	w := c.w
 	k.n.mu.Lock()
 	before := k.peer.readBytes
 	k.n.mu.Unlock()
 	_ = k.SetDeadline(deadline)
-	_, err := k.Write(append(f.head(t.ID, target, len(body), time.Until(deadline)), body...))
-	w.Ledger.do(func() { t.Written = w.Now() })
+	t, err := c.send(k, f, m, target, body, deadline, r)
 	var resp *http.Response
 	if err == nil {
 		resp, err = http.ReadResponse(k.in, &http.Request{Method: f.Method})
--- a/internal/simulation/days.go
+++ b/internal/simulation/days.go
@@ -25,6 +25,9 @@
 		Deadline: 5 * time.Second, Timeout: 6 * time.Second},
 }
 
+// departingShare is the part of the requests of a drawn day whose clients leave before their answer.
+const departingShare = 0.05
+
 // NewConfig is a configuration that lets the flows through.
 func NewConfig(version uint32) *Config {
 	c := &Config{Version: version, Services: []string{"pages", "orders", "views", "fresh"}}
@@ -137,7 +140,11 @@
 	aimed := d.aimed(2*int(w.seed), 2)
 	extra := Flow{Name: "extra", Host: "a.example", Prefix: "/extra-", Service: "pages", Safe: true, Rate: 8,
 		Deadline: 2 * time.Second, Timeout: 4 * time.Second, Probe: true}
-	w.Go(func() { w.LoadUntil(stop, append(slices.Clone(Flows), extra)...) })
+	flows := append(slices.Clone(Flows), extra)
+	for i := range Flows {
+		flows[i].Departing = departingShare
+	}
+	w.Go(func() { w.LoadUntil(stop, flows...) })
 	w.Go(func() { d.probe(probed) })
 	kinds := [][2]int{{0, 22}, {12, 22}, {12, 20}, {0, 0}}[d.r.IntN(4)] // troubles near the aimed ones hide breaches
 	end := w.Now() + span
--- a/internal/simulation/ledger.go
+++ b/internal/simulation/ledger.go
@@ -76,8 +76,9 @@
 	Complete bool // the answer came to its end
 	Seal     string
 	AnswerID string
-	Sum      uint64 // of the answer's body
-	GaveUp   bool   // the client would not wait any longer
+	Sum      uint64        // of the answer's body
+	GaveUp   bool          // the client would not wait any longer
+	Left     time.Duration // the client closed its connection before the answer; 0: it did not
 	Timeout  time.Duration
 }
 
@@ -91,6 +92,8 @@
 	Outcome        Outcome
 	Method, Target string
 	Body           uint64
+	End            time.Duration // of the run; 0: it goes on, or there was none
+	Cut            bool          // ... which ended with its connection, before the work was done
 }
 
 // Outcome is what a backend did with it.
--- a/internal/simulation/rules.go
+++ b/internal/simulation/rules.go
@@ -41,6 +41,7 @@
 	l.acks(&out)
 	l.dark(&out)
 	l.back(&out)
+	l.departures(&out)
 	out = l.excuse(out)
 	slices.SortStableFunc(out, func(a, b Broken) int {
 		return cmp.Or(cmp.Compare(a.Rule, b.Rule), cmp.Compare(a.At, b.At))
--- a/internal/simulation/stories_test.go
+++ b/internal/simulation/stories_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -75,6 +76,36 @@
 	return versions
 }
 
+// Guards against GONE: clients that leave in the middle of their work, some behind unread bytes, while proxies get
+// SIGTERM one after the other as in the incident, and one freezes.
+func TestClientsThatLeave(t *testing.T) {
+	story(t, 44, func(t *testing.T, w *World) {
+		flows := slices.Clone(Flows)
+		for i := range flows {
+			flows[i].Departing = 0.3
+		}
+		w.Go(func() {
+			for _, m := range w.Proxies {
+				time.Sleep(2 * time.Second)
+				w.Go(func() { w.Term(m); time.Sleep(time.Second); w.Run(m) })
+			}
+		})
+		w.Go(func() { time.Sleep(3 * time.Second); w.Freeze(w.Proxies[2], time.Second) })
+		w.Load(14*time.Second, flows...)
+		left := 0
+		w.Ledger.do(func() {
+			for _, y := range w.Ledger.Tries {
+				if y.Left > 0 && len(y.Arrivals) > 0 {
+					left++
+				}
+			}
+		})
+		if left < 100 {
+			t.Errorf("only %d clients left while their request was worked on", left)
+		}
+	})
+}
+
 func TestDrainOutlivesItsAcknowledger(t *testing.T) {
 	story(t, 5, func(t *testing.T, w *World) {
 		during(w, func() {
