proxy: a client that leaves ends its request, and shows behind unread bytes

Cause: (1) forward.go gave an attempt context.Background(): that the client had left was known, and nobody acted on it; a decision of before, written down in docs/datapath.md. (2) http.Server looks for the end of a connection by one read in the background, which stops at the first pipelined byte and does not run while a body is unread. Change: the attempt takes the context of the client's connection. An idempotent request ends at once wherever it is; one that may run once only is not begun, and once it was sent whole is left to its endpoint (Call.FinishOnceSent). A deadline is no longer taken for a client that left.

--- a/internal/gateway/apierror/apierror.go
+++ b/internal/gateway/apierror/apierror.go
@@ -32,6 +32,7 @@
 	ConnectFailed      // the connection to the endpoint did not come up
 	RejectedByEndpoint // the endpoint said that it did not execute it
 	Misdirected        // 421: another endpoint has the address
+	ClientDisconnected // the client left before anything was sent
 
 	// Of a request that an endpoint may have executed.
 
@@ -41,6 +42,7 @@
 	TruncatedResponse  // the response ended before its end
 	ResponseTimeout    // the time for the response ran out
 	EndpointFailed     // the endpoint's own 5xx, which is passed on
+	AttemptCancelled   // broken off, because the client left
 
 	// Of a control call, by an operator or an endpoint.
 
@@ -108,6 +110,9 @@
 		Retryable:  true,
 		RetryAfter: 50 * time.Millisecond,
 	},
+	// Both are answered for clients that have closed only their own direction, and may still read.
+	ClientDisconnected: {Name: "client gone", Status: http.StatusServiceUnavailable},
+	AttemptCancelled:   {Name: "client gone at work", Status: http.StatusBadGateway, MayHaveExecuted: true},
 	ConnectionBroken:   {Name: "broken off", Status: http.StatusBadGateway, MayHaveExecuted: true, Retryable: true},
 	InvalidResponse:    {Name: "garbled", Status: http.StatusBadGateway, MayHaveExecuted: true, Retryable: true},
 	MismatchedResponse: {Name: "foreign answer", Status: http.StatusBadGateway, MayHaveExecuted: true, Retryable: true},
--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -25,21 +25,29 @@
 	streamLength int64   // its bytes; negative: unknown
 }
 
+// stallTime is how long the endpoint of a streamed body may take for a part of it until the client's connection is read
+// ahead: only then does it show that the client leaves meanwhile.
+const stallTime = 50 * time.Millisecond
+
 // upload is the streamed part of a body. Its reader may be active when the response is there.
 type upload struct {
 	io.Reader
-	done atomic.Bool // it was read to its end
-	left int64       // bytes that its length promises; negative: unknown
+	stall *time.Timer // fires when nobody has read on for stallTime
+	done  atomic.Bool // it was read to its end
+	left  int64       // bytes that its length promises; negative: unknown
 }
 
 // Read notes the end of the stream.
 func (u *upload) Read(b []byte) (int, error) {
+	u.stall.Stop()
 	n, err := u.Reader.Read(b)
 	if u.left >= 0 {
 		u.left -= int64(n)
 	}
-	if err == io.EOF || u.left == 0 {
-		u.done.Store(true)
+	isEnd := err == io.EOF || u.left == 0
+	u.done.Store(isEnd)
+	if err == nil && !isEnd {
+		u.stall.Reset(stallTime)
 	}
 	return n, err
 }
@@ -104,7 +112,12 @@
 	if length := q.request.ContentLength; length >= 0 {
 		b.streamLength = length - int64(len(b.buffered))
 	}
-	b.stream = &upload{Reader: reader, left: b.streamLength}
+	onStall := func() {
+		if conn := q.conn(); conn != nil {
+			conn.ahead.begin()
+		}
+	}
+	b.stream = &upload{Reader: reader, stall: time.AfterFunc(stallTime, onStall), left: b.streamLength}
 	b.stream.done.Store(b.streamLength == 0)
 }
 
--- a/internal/proxy/clients.go
+++ b/internal/proxy/clients.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -37,10 +38,37 @@
 type clientConn struct {
 	net.Conn
 	proxy  *Proxy
-	phase  atomic.Int32 // a connPhase
+	ahead  readAhead
+	ctx    context.Context    // of all its requests: it ends when the client is seen to leave
+	cancel context.CancelFunc // ends ctx
+	phase  atomic.Int32       // a connPhase
 	closed atomic.Bool
 }
 
+func newClientConn(netConn net.Conn, p *Proxy) *clientConn {
+	c := &clientConn{Conn: netConn, proxy: p}
+	c.ctx, c.cancel = context.WithCancel(context.Background())
+	c.ahead.conn, c.ahead.onLeft, c.ahead.total = netConn, c.cancel, &p.readAheadBytes
+	return c
+}
+
+// backgroundReadBytes is how much http.Server asks for when it looks for the end of a connection during a request.
+const backgroundReadBytes = 1
+
+// Read reads what was read ahead first. With the byte that a read in the background gets, http.Server stops looking for
+// the end of the connection: from there on it is read ahead. An end that any reader meets is the client's leaving; a
+// deadline is none, while http.Server cancels the contexts of its requests after that too.
+func (c *clientConn) Read(b []byte) (int, error) {
+	n, err := c.ahead.read(b)
+	if err != nil && !isTimeout(err) {
+		c.cancel()
+	}
+	if n == backgroundReadBytes && len(b) == backgroundReadBytes {
+		c.ahead.begin()
+	}
+	return n, err
+}
+
 func (c *clientConn) setPhase(phase connPhase) { c.phase.Store(int32(phase)) }
 
 // SetReadDeadline sets the deadline of the phase in place of no deadline.
@@ -48,7 +76,7 @@
 	if t.IsZero() {
 		t = c.phaseDeadline()
 	}
-	return c.Conn.SetReadDeadline(t)
+	return c.ahead.setDeadline(t)
 }
 
 func (c *clientConn) phaseDeadline() time.Time {
@@ -71,6 +99,8 @@
 func (c *clientConn) Close() error {
 	if c.closed.CompareAndSwap(false, true) {
 		c.proxy.clients.Add(-1)
+		c.ahead.release()
+		c.cancel()
 	}
 	return c.Conn.Close()
 }
@@ -93,7 +123,7 @@
 			_ = netConn.Close() // nothing was read from it
 			continue
 		}
-		c := &clientConn{Conn: netConn, proxy: l.proxy}
+		c := newClientConn(netConn, l.proxy)
 		_ = c.SetReadDeadline(time.Time{}) // the server sets none before the first request
 		return c, nil
 	}
@@ -116,9 +146,18 @@
 		DisableGeneralOptionsHandler: true,
 		ErrorLog:                     p.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 		ConnState:                    followPhase,
+		ConnContext:                  withClientConn,
 	}
 }
 
+// connKey is the key of a request's *clientConn in its context.
+type connKey struct{}
+
+// withClientConn lets the requests of a connection find it.
+func withClientConn(ctx context.Context, netConn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, netConn)
+}
+
 func followPhase(netConn net.Conn, state http.ConnState) {
 	c, ok := netConn.(*clientConn)
 	if !ok {
@@ -127,7 +166,7 @@
 	switch state {
 	case http.StateActive:
 		c.setPhase(phaseActive)
-		_ = c.Conn.SetReadDeadline(time.Time{}) // fails only on a closed connection
+		_ = c.ahead.setDeadline(time.Time{}) // fails only on a closed connection
 	case http.StateIdle:
 		c.setPhase(phaseIdle)
 	case http.StateNew, http.StateHijacked, http.StateClosed:
--- a/internal/proxy/datapath_test.go
+++ b/internal/proxy/datapath_test.go
@@ -154,6 +154,7 @@
 		time.Sleep(5*time.Second + 100*time.Millisecond)
 		f(s, func(format string, v ...any) { fmt.Fprintf(&out, format+"\n", v...) })
 		_ = s.end()
+		s.sound(t)
 	})
 	autogold.Equal(t, out.String())
 }
--- a/internal/proxy/disconnect.go
+++ b/internal/proxy/disconnect.go
@@ -7,10 +7,14 @@
 	"elmfold/internal/gateway/logfield"
 )
 
-// Invariant of clients that leave, counted by proxyMetrics where it does not hold:
+// A client that leaves ends its request: the context of its connection is cancelled, and with it the attempt that is under
+// way (upstream.Pool.Do). A request that must not be executed twice is not sent any more; one that was sent whole is left
+// to its endpoint, as nobody could tell how far it had come.
 //
-//   - no attempt begins once a client was seen to leave (lateAttempts);
-//   - an idempotent request is not forwarded any longer than disconnectLimit after that (overdueRequests).
+// Invariant, counted by proxyMetrics where it does not hold:
+//
+//   - no attempt begins after a client was seen to leave (lateAttempts);
+//   - an idempotent request is not forwarded for longer than half a second after that (overdueRequests).
 
 const (
 	// disconnectCheckInterval and disconnectChecks make up the limit of half a second. It is waited for in steps: a
@@ -21,7 +25,8 @@
 
 // watchDisconnect notes when the client of a request leaves, until the returned function is called.
 func (p *Proxy) watchDisconnect(f *forwarding) (stop func()) {
-	stopWatching := context.AfterFunc(f.request.Context(), func() {
+	stopWatching := context.AfterFunc(f.context(), func() {
+		f.disconnectedAt.Store(int64(p.now()))
 		p.metrics.clientDisconnects.Add()
 		if f.route.Idempotent {
 			p.checkDisconnected(f, disconnectChecks)
@@ -46,5 +51,32 @@
 	}
 }
 
+// mayNotBegin reports whether an attempt is not to begin, as the client has left.
+func (p *Proxy) mayNotBegin(f *forwarding) bool {
+	seenAt := f.disconnectedAt.Load()
+	isLate := seenAt > 0 && p.now()-time.Duration(seenAt) > disconnectCheckInterval
+	if f.hasDisconnected() {
+		return true
+	}
+	if isLate { // that the client was seen to leave goes with its context
+		p.metrics.lateAttempts.Add()
+	}
+	return false
+}
+
 // hasDisconnected reports whether the client of a request was seen to leave.
-func (q *clientRequest) hasDisconnected() bool { return q.request.Context().Err() != nil }
+func (q *clientRequest) hasDisconnected() bool { return q.context().Err() != nil }
+
+// context ends when the client is seen to leave.
+func (q *clientRequest) context() context.Context {
+	if conn := q.conn(); conn != nil {
+		return conn.ctx
+	}
+	return q.request.Context()
+}
+
+// conn is the client's connection; nil where the request came by none of this package.
+func (q *clientRequest) conn() *clientConn {
+	conn, _ := q.request.Context().Value(connKey{}).(*clientConn)
+	return conn
+}
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"context"
 	"errors"
 	"math/rand/v2"
 	"net"
@@ -25,7 +24,11 @@
 	attempts        int      // endpoints that it was sent to
 	connectFailures int      // endpoints that could not be reached
 	mayHaveExecuted bool     // any of them may have executed it
-	done            atomic.Bool
+
+	// Of disconnect.go.
+
+	done           atomic.Bool  // it is not forwarded any more
+	disconnectedAt atomic.Int64 // a time since the start, in ns, at which the client was seen to leave; 0: it was not
 
 	// Of the last attempt.
 
@@ -60,6 +63,8 @@
 		HasBody:       q.body.buffered != nil || r.ContentLength == 0 && r.Header.Get("Content-Length") != "",
 		StreamLen:     q.body.streamLength,
 		Deadline:      q.deadline,
+		// Once it is sent, an endpoint may be executing it, and another attempt of the client cannot make up for it.
+		FinishOnceSent: !q.route.Idempotent,
 	}
 	if q.body.stream != nil {
 		call.Stream = q.body.stream
@@ -86,8 +91,9 @@
 		}
 		return false
 	}
-	if f.hasDisconnected() {
-		p.metrics.lateAttempts.Add()
+	if p.mayNotBegin(f) {
+		f.noteNoEndpoint(apierror.ClientDisconnected)
+		return false
 	}
 	selected, kind := p.pick(f)
 	if kind != apierror.None {
@@ -96,8 +102,9 @@
 	}
 	f.call.Address, f.call.EndpointID, f.call.MaxConns = selected.Address, selected.ID, selected.MaxConns
 	begunAt := p.options.Clock.Now()
-	response, err := p.pool.Do(context.Background(), &f.call)
+	response, err := p.pool.Do(f.context(), &f.call)
 	result := resultOf(response, err, p.options.Clock.Now().Sub(begunAt))
+	p.metrics.noteAttempt(result.Kind)
 	p.endAttempt(selected, result)
 	f.response, f.kind = response, result.Kind
 	if f.kind == apierror.None {
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -37,6 +37,10 @@
 // handle takes a request from the client to an endpoint and the response back.
 func (p *Proxy) handle(w http.ResponseWriter, r *http.Request) {
 	q := &clientRequest{writer: w, request: r, arrivedAt: p.options.Clock.Now(), config: p.config.Load()}
+	if q.hasDisconnected() { // behind another request on the connection
+		p.refuse(q, apierror.ClientDisconnected, 0)
+		return
+	}
 	if q.config == nil {
 		p.refuse(q, apierror.NotReady, 0)
 		return
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 
+	"elmfold/internal/gateway/apierror"
 	"elmfold/internal/gateway/metrics"
 	"elmfold/internal/proxy/balancer"
 )
@@ -12,6 +13,8 @@
 	registry metrics.Registry
 	// clientDisconnects are clients that left while their request was forwarded.
 	clientDisconnects *metrics.Counter
+	// attemptsCancelled are attempts that ended, or did not begin, because the client left.
+	attemptsCancelled *metrics.Counter
 	// overdueRequests and lateAttempts count violations of what disconnect.go states.
 	overdueRequests *metrics.Counter
 	lateAttempts    *metrics.Counter
@@ -22,10 +25,12 @@
 	r := &m.registry
 	m.clientDisconnects = r.NewCounter("elmfold_client_disconnects_total",
 		"Clients that left while their request was forwarded.")
+	m.attemptsCancelled = r.NewCounter("elmfold_attempts_cancelled_total",
+		"Attempts that ended because their client left.")
 	m.overdueRequests = r.NewCounter("elmfold_overdue_requests_total",
 		"Invariant, 0: idempotent requests still forwarded 500 ms after their client was seen to leave.")
 	m.lateAttempts = r.NewCounter("elmfold_late_attempts_total",
-		"Invariant, 0: attempts begun after the client was seen to leave.")
+		"Invariant, 0: attempts begun over 100 ms after their client was seen to leave.")
 	r.NewGauge("elmfold_client_connections", "Connections of clients.", p.clients.Load)
 	r.NewGauge("elmfold_attempts_in_flight", "Attempts that hold a place at an endpoint.", p.attemptsInFlight)
 	r.NewGauge("elmfold_upstream_connections", "Connections to endpoints: idle, busy and coming up.", func() int64 {
@@ -34,6 +39,13 @@
 	return m
 }
 
+// noteAttempt counts the end of an attempt.
+func (m *proxyMetrics) noteAttempt(kind apierror.Kind) {
+	if kind == apierror.ClientDisconnected || kind == apierror.AttemptCancelled {
+		m.attemptsCancelled.Add()
+	}
+}
+
 func (p *Proxy) attemptsInFlight() (n int64) {
 	p.withBalancer(func(b *balancer.Balancer) { n = int64(b.InFlight()) })
 	return n
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -34,6 +34,7 @@
 //	clients.go       clients' connections
 //	handler.go       a request from its head to its response
 //	body.go          request bodies
+//	readahead.go     how a client's leaving shows behind bytes that nobody has read
 //	disconnect.go    clients that leave before their response
 //	metrics.go       the figures that the process keeps of itself
 //	forward.go       attempts and retries
@@ -105,6 +106,8 @@
 	stopping   atomic.Bool
 	clients    atomic.Int64 // clients' connections
 	maxClients int64
+	// readAheadBytes are held for all clients' connections.
+	readAheadBytes atomic.Int64
 
 	balancerMu sync.Mutex
 	balancer   *balancer.Balancer
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -570,10 +570,19 @@
 		time.Sleep(5*time.Second + 100*time.Millisecond)
 		f(s)
 		out = s.end()
+		s.sound(t)
 	})
 	autogold.Equal(t, out)
 }
 
+// sound holds the proxy against the invariants that it checks itself.
+func (s *stage) sound(t *testing.T) {
+	t.Helper()
+	if n := s.carrier.Violations(); n != 0 {
+		t.Errorf("the proxy counts %d violations of its invariants", n)
+	}
+}
+
 const chunks = "Transfer-Encoding: chunked"
 
 func chunked(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
--- a/internal/proxy/respond.go
+++ b/internal/proxy/respond.go
@@ -109,7 +109,7 @@
 
 // setKeepAlive says how long the connection stays.
 func (p *Proxy) setKeepAlive(h http.Header, q *clientRequest) {
-	if p.stopping.Load() {
+	if p.stopping.Load() || q.hasDisconnected() {
 		h.Set("Connection", "close")
 		return
 	}
--- a/internal/proxy/touch_test.go
+++ b/internal/proxy/touch_test.go
@@ -32,6 +32,7 @@
 			}
 		})
 		out = s.end()
+		s.sound(t)
 	})
 	autogold.Equal(t, out)
 }
--- a/internal/proxy/upstream/pool.go
+++ b/internal/proxy/upstream/pool.go
@@ -89,7 +89,7 @@
 		return nil, apierror.New(apierror.DeadlineExceeded, c.Address, nil)
 	}
 	if err := ctx.Err(); err != nil {
-		return nil, apierror.New(apierror.ConnectFailed, c.Address, err)
+		return nil, apierror.New(apierror.ClientDisconnected, c.Address, err)
 	}
 	if !fresh {
 		if k := p.reuse(c, now); k != nil {
@@ -136,15 +136,16 @@
 	if end.After(deadline) {
 		end = deadline
 	}
-	ctx, cancel := context.WithDeadline(ctx, end)
-	netConn, err := p.options.Dial(ctx, address)
+	dialCtx, cancel := context.WithDeadline(ctx, end)
+	netConn, err := p.options.Dial(dialCtx, address)
 	cancel()
 	if err != nil {
 		p.noteClosed(address)
-		return nil, p.notSentError(address, deadline, err)
+		return nil, p.notSentError(ctx, address, deadline, err)
 	}
 	k := newConn(netConn, address, generation)
-	_ = k.SetDeadline(deadline) // fails only on a closed connection
+	k.idleUntil = p.options.Now().Add(p.options.IdleTimeout) // unless a response announces another time
+	_ = k.SetDeadline(deadline)                              // fails only on a closed connection
 	return k, nil
 }
 
@@ -171,9 +172,12 @@
 	return err
 }
 
-// notSentError is the error of a request of which no byte was written.
-func (p *Pool) notSentError(address string, deadline time.Time, err error) *apierror.Error {
-	if !p.options.Now().Before(deadline) {
+// notSentError is the error of a request of which no byte was written. A client that left is no failure of the endpoint.
+func (p *Pool) notSentError(ctx context.Context, address string, deadline time.Time, err error) *apierror.Error {
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		return apierror.New(apierror.ClientDisconnected, address, ctx.Err())
+	case !p.options.Now().Before(deadline):
 		return apierror.New(apierror.DeadlineExceeded, address, err)
 	}
 	return apierror.New(apierror.ConnectFailed, address, err)
@@ -202,6 +206,10 @@
 	}
 }
 
+// putUnused gives back a connection on which nothing was written since it was acquired. It may be idle for as long as
+// before.
+func (p *Pool) putUnused(k *conn) { p.putIdle(k, k.idleUntil.Sub(p.options.Now()), 0) }
+
 // addIdle returns the connection that is to be closed, if any. That one is counted off under the same lock: two
 // attempts that end at once must not both find one connection too many.
 func (p *Pool) addIdle(k *conn, idleTimeout time.Duration, maxConns int) (surplus *conn) {
--- a/internal/proxy/upstream/sender.go
+++ b/internal/proxy/upstream/sender.go
@@ -16,13 +16,15 @@
 // has read all. A nil sender had nothing to write.
 type sender struct {
 	done      chan struct{} // closed at the end; the errors are set before
+	onSent    func()        // called once all is written
 	streamErr error         // the stream broke off
 	writeErr  error         // the connection did
 }
 
-// startSender begins to write a stream. length is its bytes; negative: unknown, sent in chunks.
-func startSender(to net.Conn, stream io.Reader, length int64) *sender {
-	s := &sender{done: make(chan struct{})}
+// startSender begins to write a stream. length is its bytes; negative: unknown, sent in chunks. onSent is called once all
+// is written.
+func startSender(to net.Conn, stream io.Reader, length int64, onSent func()) *sender {
+	s := &sender{done: make(chan struct{}), onSent: onSent}
 	go s.run(to, stream, length)
 	return s
 }
@@ -62,6 +64,9 @@
 		s.copyBytes(to, stream, length)
 	}
 	brokeOff := s.streamErr != nil
+	if !brokeOff && s.writeErr == nil {
+		s.onSent()
+	}
 	close(s.done)
 	if brokeOff {
 		_ = to.Close() // whatever it says, nothing more is sent
--- a/internal/simulation/backend.go
+++ b/internal/simulation/backend.go
@@ -189,6 +189,16 @@
 	return max(b.warmupEnd-b.w.Now(), 0)
 }
 
+// ended reports whether its process has ended.
+func (b *Backend) ended() bool {
+	select {
+	case <-b.host.gone:
+		return true
+	default:
+		return false
+	}
+}
+
 // answer serves one request; false: the connection ends.
 func (b *Backend) answer(c net.Conn, r *http.Request, body []byte) bool {
 	id := r.Header.Get("X-Elmfold-Attempt-Id")
@@ -251,7 +261,7 @@
 		work += time.Second + time.Duration(sum([]byte(id))%2000)*time.Millisecond
 	}
 	cut := endOf(c).endsWithin(min(work, budget), b.host.gone) // as most backends, it drops what nobody waits for
-	if b.w.Ledger.Finish(id, b.ID, b.w.Now(), cut); cut {
+	if b.w.Ledger.Finish(id, b.ID, b.w.Now(), cut && !b.ended()); cut {
 		b.w.Ledger.Reply(id, Reply{Backend: b.ID})
 		return false
 	}
--- a/internal/simulation/day_test.go
+++ b/internal/simulation/day_test.go
@@ -34,6 +34,9 @@
 			t.Error(b)
 		}
 	}
+	if n := w.Violations(); n > 0 {
+		t.Errorf("the proxies count %d violations of their invariants", n)
+	}
 	for rule, n := range seen {
 		if n > 4 {
 			t.Errorf("%s is broken %d times", rule, n)
--- a/internal/simulation/departures.go
+++ b/internal/simulation/departures.go
@@ -85,7 +85,8 @@
 					(a.At - t.Left).Seconds())
 			case a.Outcome == Ran && t.Safe && (a.End == 0 || a.End > limit):
 				out.add("GONE", limit, "%s is still worked on at %s, sent by %s", t.ID, a.Backend, t.Proxy)
-			case a.Outcome == Ran && !t.Safe && a.Cut && a.End > t.Left:
+			case a.Outcome == Ran && !t.Safe && a.Cut && a.End > t.Left &&
+				l.untroubled(t.Proxy, t.At-l.Bounds.Contact.Duration(), a.End): // no process ended with it
 				out.add("GONE", a.End, "%s may run once only, and was broken off at %s as its client left", t.ID, a.Backend)
 			}
 		}
@@ -107,7 +108,7 @@
 	}
 }
 
-// endsWithin waits for the end of a connection, and reports whether it came within a span, or before gone is closed.
+// endsWithin waits for the end of a connection, and reports whether it came within a span, or gone was closed.
 func (e *end) endsWithin(span time.Duration, gone <-chan struct{}) bool {
 	until := time.Now().Add(span)
 	for {
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -100,6 +100,7 @@
 	operator          *Host
 	pens              [2]*Host // of the two operators
 	done              chan struct{}
+	proxies           []*proxy.Proxy // of all lives, for their invariants
 	busy              sync.WaitGroup // clients' requests, and scripts
 }
 
@@ -272,6 +273,7 @@
 		go func() { _ = c.Serve(front) }()
 		go c.Run()
 		m.proxy = c
+		w.proxies = append(w.proxies, c)
 		m.stop = func() {
 			_ = ready.Close()
 			c.Shutdown(0)
@@ -596,6 +598,16 @@
 	return slices.Concat(in[k:], in[:k])
 }
 
+// Violations is how often an invariant that the proxies check themselves did not hold.
+func (w *World) Violations() (n uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, p := range w.proxies {
+		n += p.Violations()
+	}
+	return n
+}
+
 // Finish ends the day: clients and scripts first, then all machines, so that no goroutine outlives it.
 func (w *World) Finish() {
 	close(w.done)
