controlplane: a call waits for nobody once its caller has left

Change: operators' and endpoints' calls end with the context of their request. What the owner was given goes on; an order is not taken back because nobody hears of it.

--- a/internal/controlplane/calls.go
+++ b/internal/controlplane/calls.go
@@ -41,7 +41,7 @@
 	case "instances.heartbeat":
 		return s.heartbeat(r, subject)
 	case "instances.deregister":
-		return s.deregister(subject)
+		return s.deregister(r, subject)
 	case "config.replace":
 		return s.replaceConfig(r, receivedAt)
 	case "config.read":
@@ -51,7 +51,7 @@
 	case "evacuation.finish":
 		return s.evacuate(r, receivedAt, subject, false)
 	case "core.status":
-		return s.status()
+		return s.status(r)
 	default:
 		return nil, apierror.New(apierror.UnknownMethod, call, nil)
 	}
@@ -96,16 +96,24 @@
 	return body, nil
 }
 
-// await waits for the owner's answer, unless the process ends.
-func (s *Server) await(done <-chan error) error {
+// await waits for the owner's answer, unless the caller leaves or the process ends. What the owner was given goes on: an
+// order is not taken back because nobody waits for its answer.
+func (s *Server) await(r *http.Request, done <-chan error) error {
 	select {
 	case err := <-done:
 		return err
+	case <-r.Context().Done():
+		return callerLeftError()
 	case <-s.queue.Stopped():
 		return apierror.New(apierror.ShuttingDown, "", nil)
 	}
 }
 
+// callerLeftError is the answer to a caller that has closed its connection, or its own direction of it.
+func callerLeftError() error {
+	return apierror.New(apierror.OutcomeUnknown, "", errors.New("the caller has left"))
+}
+
 // noQuorumError is the answer of a node that is cut off: the caller finds another one sooner than it would by waiting.
 func noQuorumError() error {
 	return apierror.New(apierror.Unavailable, "", errors.New("there is no contact with a majority of the voters"))
--- a/internal/controlplane/endpointcalls.go
+++ b/internal/controlplane/endpointcalls.go
@@ -72,7 +72,7 @@
 		target <- s.heartbeatTarget(endpoint.Zone)
 		done <- nil
 	})
-	if err := s.await(done); err != nil {
+	if err := s.await(r, done); err != nil {
 		return nil, err
 	}
 	select {
@@ -139,7 +139,7 @@
 }
 
 // deregister handles the end of an endpoint. It is acknowledged once enough nodes know it.
-func (s *Server) deregister(id string) ([]byte, error) {
+func (s *Server) deregister(r *http.Request, id string) ([]byte, error) {
 	if id == "" {
 		return nil, noInstanceError()
 	}
@@ -151,5 +151,5 @@
 		}
 		s.spreadDurably(changes, done)
 	})
-	return emptyAnswer(), s.await(done)
+	return emptyAnswer(), s.await(r, done)
 }
--- a/internal/controlplane/main.go
+++ b/internal/controlplane/main.go
@@ -70,7 +70,7 @@
 	})
 	callServer := newCallServer(s.Handler())
 	go serveCalls(log, callServer, calls)
-	cli.ServeMetrics(log, settings, options, &s.metrics.registry)
+	cli.ServeMetrics(log, settings, options, s.Metrics())
 	cli.HandleSignals(log, s.Reload, func() { // a second signal finds this under way, and waits with it
 		s.Shutdown(settings.Bounds.Grace.Duration() - shutdownReserve)
 		ctx, cancel := context.WithTimeout(context.Background(), callShutdownTimeout)
--- a/internal/controlplane/metrics.go
+++ b/internal/controlplane/metrics.go
@@ -23,6 +23,9 @@
 	return m
 }
 
+// Metrics shows the figures.
+func (s *Server) Metrics() http.Handler { return &s.metrics.registry }
+
 // followCall counts a call until the returned function is called.
 func (m *serverMetrics) followCall(r *http.Request) (stop func()) {
 	m.callsInProgress.Add(1)
--- a/internal/controlplane/operatorcalls.go
+++ b/internal/controlplane/operatorcalls.go
@@ -93,6 +93,8 @@
 		return d.Register, outcomeError(d.Outcome)
 	case err := <-refused:
 		return consensus.Register{}, err
+	case <-r.Context().Done():
+		return consensus.Register{}, callerLeftError()
 	case <-s.queue.Stopped():
 	case <-s.options.Clock.After(proposalTimeout):
 	}
@@ -130,7 +132,7 @@
 }
 
 // status tells how the control plane stands as this node sees it, also without quorum contact: then it says so.
-func (s *Server) status() ([]byte, error) {
+func (s *Server) status(r *http.Request) ([]byte, error) {
 	answer := make(chan cli.Status, 1)
 	done := make(chan error, 1)
 	s.queue.Do(func() {
@@ -140,7 +142,7 @@
 		}
 		done <- nil
 	})
-	if err := s.await(done); err != nil {
+	if err := s.await(r, done); err != nil {
 		return nil, err
 	}
 	return json.Marshal(<-answer)
