--- a/cmd/elmfold-bench/main.go
+++ b/cmd/elmfold-bench/main.go
@@ -21,6 +21,7 @@
 	"elmfold/internal/bench/membership"
 	"elmfold/internal/bench/plugin"
 	"elmfold/internal/bench/pubsub"
+	"elmfold/internal/bench/soak"
 	"elmfold/internal/bench/tenancy"
 	"elmfold/internal/bench/warmstart"
 )
@@ -45,6 +46,7 @@
 			gateway.Commands(),
 			balancing.Commands(),
 			controlplane.Commands(),
+			soak.Commands(),
 		)...)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
--- a/internal/bench/gateway/beside.go
+++ b/internal/bench/gateway/beside.go
@@ -123,8 +123,15 @@
 	// Two backends a zone, and the carrier's zone first: direct calls go to those that it uses.
 	var backends []*gateway.Backend
 	for i := range besideBackends {
-		b, err := gateway.StartBackend(fmt.Sprintf("i-%08x", i+1), gateway.ServiceName(0), besideZones[i%len(besideZones)],
-			fmt.Sprintf("%s.2.%d:8080", d.Net, i+1), besideSlots, 0, heartbeatSeconds, d.Controls())
+		b, err := gateway.StartBackend(gateway.BackendOptions{
+			ID:       fmt.Sprintf("i-%08x", i+1),
+			Service:  gateway.ServiceName(0),
+			Zone:     besideZones[i%len(besideZones)],
+			Listen:   fmt.Sprintf("%s.2.%d:8080", d.Net, i+1),
+			Slots:    besideSlots,
+			Beat:     heartbeatSeconds,
+			Controls: d.Controls(),
+		})
 		if err != nil {
 			return err
 		}
@@ -335,16 +342,16 @@
 	defer d.Stop()
 	const services, each = 2, 3
 	for i := range services * each {
-		b, err := gateway.StartBackend(
-			fmt.Sprintf("i-%08x", i+1),
-			gateway.ServiceName(i%services),
-			besideZones[i/services%len(besideZones)],
-			net.JoinHostPort(fmt.Sprintf("%s.2.%d", d.Net, i+1), "8080"),
-			8,
-			20*time.Millisecond,
-			heartbeatSeconds,
-			d.Controls(),
-		)
+		b, err := gateway.StartBackend(gateway.BackendOptions{
+			ID:       fmt.Sprintf("i-%08x", i+1),
+			Service:  gateway.ServiceName(i % services),
+			Zone:     besideZones[i/services%len(besideZones)],
+			Listen:   net.JoinHostPort(fmt.Sprintf("%s.2.%d", d.Net, i+1), "8080"),
+			Slots:    8,
+			Work:     20 * time.Millisecond,
+			Beat:     heartbeatSeconds,
+			Controls: d.Controls(),
+		})
 		if err != nil {
 			return err
 		}
--- /dev/null
+++ b/internal/bench/soak/judge.go
@@ -0,0 +1,142 @@
+package soak
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"sort"
+	"time"
+)
+
+const (
+	// departureLimit is how long after its client has left work may go on. It is a quarter of longWork, and twice the
+	// operators' half second, so that a busy machine gives the same verdict.
+	departureLimit = time.Second
+	longWork       = 4 * time.Second
+	// onceWork is that of a request which may run once only and goes on without its client.
+	onceWork = 1500 * time.Millisecond
+	// goroutineSlack is how many more goroutines a carrier at rest may have than before the first request: connections
+	// to endpoints and their checks.
+	goroutineSlack = 40
+)
+
+// Figures of a carrier that count violations.
+var violationFigures = []string{"elmfold_overdue_requests_total", "elmfold_late_attempts_total"}
+
+// judge holds all that was seen against the invariants.
+func (l *ledger) judge() (o outcome) {
+	var unknown int
+	l.do(func() {
+		o.troubles, o.overlapping, o.violations, unknown = len(l.troubles), l.overlapping, slices.Clone(l.others), l.unknown
+	})
+	if unknown > 0 {
+		o.violations = append(o.violations, "UNASKED: runs of ids that no client sent")
+	}
+	l.do(func() {
+		for _, q := range l.requests {
+			o.requests++
+			if !q.leftAt.IsZero() {
+				o.left++
+			}
+			for _, r := range q.runs {
+				o.runs++
+				if r.cut {
+					o.cut++
+				}
+			}
+			o.violations = append(o.violations, l.judgeAnswer(q)...)
+			o.violations = append(o.violations, l.judgeDeparture(q)...)
+		}
+	})
+	sort.Strings(o.violations)
+	return o
+}
+
+// judgeAnswer holds at any time, whatever was wrong.
+func (l *ledger) judgeAnswer(q *request) (violations []string) {
+	if !q.safe && len(q.runs) > 1 {
+		violations = append(violations, "TWICE: "+q.id+" may run once only and ran more often")
+	}
+	switch q.status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		if !q.safe && len(q.runs) > 0 {
+			violations = append(violations, "REFUSED: "+q.id+" was refused and ran")
+		}
+	case http.StatusOK:
+		if !q.isOwn {
+			violations = append(violations, "MIXED: "+q.id+" has a success that is not its own")
+		}
+	}
+	return violations
+}
+
+// judgeDeparture holds where nothing was wrong with the carrier and the way to the backend.
+func (l *ledger) judgeDeparture(q *request) (violations []string) {
+	if q.leftAt.IsZero() {
+		return nil
+	}
+	limit := q.leftAt.Add(departureLimit)
+	for _, r := range q.runs {
+		until := limit
+		if r.endedAt.After(until) {
+			until = r.endedAt
+		}
+		if l.isTroubled(q.carrier, q.sentAt, until) || l.isTroubled(r.backend, q.sentAt, until) {
+			continue
+		}
+		switch {
+		case r.begunAt.After(limit):
+			violations = append(violations, "GONE: "+q.id+" reached "+r.backend+" by "+q.carrier+" after its client had left")
+		case q.safe && (r.endedAt.IsZero() || r.endedAt.After(limit)):
+			violations = append(violations, "GONE: "+q.id+" was worked on at "+r.backend+" by "+q.carrier+" for nobody")
+		case !q.safe && r.cut && r.endedAt.After(q.leftAt):
+			violations = append(violations, "CUT: "+q.id+" may run once only and was broken off by "+q.carrier)
+		}
+	}
+	return violations
+}
+
+// isTroubled reports whether something was wrong with a subject in a time; the lock is held.
+func (l *ledger) isTroubled(subject string, from, to time.Time) bool {
+	return slices.ContainsFunc(l.troubles, func(s span) bool {
+		return s.subject == subject && s.from.Before(to) && s.to.After(from)
+	})
+}
+
+// sample looks at the violations that carriers count themselves, which are lost with their processes.
+func (w *world) sample(ctx context.Context) {
+	for _, p := range w.deployment.Carriers {
+		within, cancel := context.WithTimeout(ctx, sampleEvery)
+		figures, err := p.Metrics(within)
+		cancel()
+		if err != nil {
+			continue // it is down, or suspended
+		}
+		for _, name := range violationFigures {
+			if n, there := figures[name]; n != 0 || !there {
+				w.ledger.violated("%s says %s %d", p.Name, name, n)
+			}
+		}
+	}
+}
+
+// checkAtRest looks at what is left in carriers when nobody asks for anything any more.
+func (w *world) checkAtRest(ctx context.Context, before map[string]map[string]int64) {
+	w.sample(ctx)
+	after, err := w.figures(ctx)
+	if err != nil {
+		w.ledger.violated("a carrier shows no figures at the end: %v", err)
+		return
+	}
+	for name, figures := range after {
+		for _, zero := range []string{"elmfold_attempts_in_flight", "elmfold_client_connections", "elmfold_read_ahead_bytes"} {
+			if n := figures[zero]; n != 0 {
+				w.ledger.violated("LEAK: %s has %s %d at rest", name, zero, n)
+			}
+		}
+		was, is := before[name]["elmfold_goroutines"], figures["elmfold_goroutines"]
+		if is > was+goroutineSlack {
+			w.ledger.violated("LEAK: %s has %d goroutines at rest, %d at first", name, is, was)
+		}
+	}
+}
--- /dev/null
+++ b/internal/bench/soak/soak.go
@@ -0,0 +1,254 @@
+// Package soak plays the gateway's real programs on loopback for a while, under random troubles that overlap, with clients
+// of whom many leave before their answer, and holds what clients and backends saw against invariants.
+//
+//	soak.go      the command and one run
+//	troubles.go  what is done to processes, connections and backends
+//	clients.go   requests, and how clients leave
+//	relay.go     the way to a backend, which can be held up or reset
+//	ledger.go    what was seen
+//	judge.go     the invariants
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"elmfold/internal/bench/report"
+	"elmfold/internal/fakes/gateway"
+)
+
+const (
+	controllers = 3
+	carriers    = 3
+	services    = 2 // of idempotent requests; of requests that may run once only
+	backends    = 3 // of each service
+	slots       = 32
+	heartbeat   = 0.5 // seconds
+	metricsPort = 9464
+
+	startTimeout  = 20 * time.Second
+	sampleEvery   = 500 * time.Millisecond
+	settleTime    = 3 * time.Second // from the last trouble to the last look
+	finalRequests = 40
+	maxRuns       = 200
+)
+
+var zones = []string{"a", "b", "c"}
+
+type options struct {
+	report.Where
+	programs, logs string
+	seeds          int
+	span           time.Duration
+}
+
+// Commands of this package.
+func Commands() []*cobra.Command {
+	var o options
+	c := &cobra.Command{
+		Use: "soak",
+		Short: "the real programs on loopback under troubles that overlap, with clients that leave: kills, pauses, cuts, " +
+			"lost answers",
+		Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error { return runAll(c.Context(), c.OutOrStdout(), o) },
+	}
+	o.Flags(c)
+	c.Flags().StringVar(&o.programs, "programs", "target", "folder of elmfold-controlplane and elmfold-proxy")
+	c.Flags().StringVar(&o.logs, "logs", "", "folder in which the logs of seeds that break an invariant stay")
+	c.Flags().IntVar(&o.seeds, "seeds", 1, "how many seeds are played, from --seed on, one after the other")
+	c.Flags().DurationVar(&o.span, "for", 15*time.Second, "how long troubles last, with each seed")
+	return []*cobra.Command{c}
+}
+
+func runAll(ctx context.Context, out io.Writer, o options) error {
+	if o.seeds < 1 || o.seeds > maxRuns {
+		return fmt.Errorf("--seeds %d: 1 to %d", o.seeds, maxRuns)
+	}
+	if o.span <= 0 {
+		return fmt.Errorf("--for %v: must be over 0", o.span)
+	}
+	broken := 0
+	for seed := o.Seed; seed < o.Seed+uint64(o.seeds); seed++ {
+		outcome, err := play(ctx, seed, o)
+		if err != nil {
+			return fmt.Errorf("seed %d: %w", seed, err)
+		}
+		fmt.Fprintf(out, "seed %d: %s\n", seed, outcome)
+		if len(outcome.violations) > 0 {
+			broken++
+		}
+	}
+	fmt.Fprintf(out, "soak: %d seeds, %d broken\n", o.seeds, broken)
+	if broken > 0 {
+		return report.ErrMissed
+	}
+	return nil
+}
+
+// outcome is what came of one seed.
+type outcome struct {
+	requests, left, runs, cut, troubles, overlapping int
+	violations                                       []string
+}
+
+func (o outcome) String() string {
+	text := fmt.Sprintf("%d requests, %d clients left, %d runs, %d cut; %d troubles, %d begun beside another; %d violations",
+		o.requests, o.left, o.runs, o.cut, o.troubles, o.overlapping, len(o.violations))
+	const shown = 12
+	for i, v := range o.violations {
+		if i == shown {
+			return text + fmt.Sprintf("\n  and %d more", len(o.violations)-shown)
+		}
+		text += "\n  " + v
+	}
+	return text
+}
+
+// world is one run.
+type world struct {
+	seed       uint64
+	deployment *gateway.Deployment
+	relays     []*relay
+	stopFakes  []func()
+	ledger     *ledger
+	fates      *fates
+	operator   *gateway.Operator
+	version    uint32
+	work       sync.WaitGroup
+}
+
+func play(ctx context.Context, seed uint64, o options) (result outcome, err error) {
+	dir, err := os.MkdirTemp("", "soak")
+	if err != nil {
+		return result, err
+	}
+	defer func() {
+		if o.logs == "" || len(result.violations) == 0 {
+			_ = os.RemoveAll(dir)
+			return
+		}
+		kept := fmt.Sprintf("%s/seed%d", strings.TrimSuffix(o.logs, "/"), seed)
+		if os.MkdirAll(o.logs, 0o755) == nil && os.Rename(dir, kept) == nil {
+			result.violations = append(result.violations, "logs: "+kept)
+		}
+	}()
+	w, err := start(ctx, seed, dir, o.programs)
+	if err != nil {
+		return result, err
+	}
+	defer w.stop()
+	idle, err := w.figures(ctx)
+	if err != nil {
+		return result, err
+	}
+	w.disturb(ctx, o.span)
+	select {
+	case <-time.After(settleTime):
+	case <-ctx.Done():
+		return result, ctx.Err()
+	}
+	w.finalRequests(ctx)
+	w.checkAtRest(ctx, idle)
+	return w.ledger.judge(), nil
+}
+
+// start brings up the programs, the backends behind their relays, and the first configuration.
+func start(ctx context.Context, seed uint64, dir, programs string) (w *world, err error) {
+	w = &world{seed: seed, ledger: newLedger(), fates: &fates{}, version: 1}
+	w.deployment, err = gateway.Start(gateway.Plan{Programs: programs, Dir: dir, Controllers: controllers, Carrier: carriers,
+		Zones: zones, Faults: 1, Beat: heartbeat, MetricsPort: metricsPort})
+	if err != nil {
+		return nil, err
+	}
+	defer func() {
+		if err != nil {
+			w.stop()
+		}
+	}()
+	for i := range services * backends {
+		if err := w.startBackend(i); err != nil {
+			return nil, err
+		}
+	}
+	starting, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	w.operator = &gateway.Operator{Controls: w.deployment.Controls()}
+	if err := w.operator.Replace(starting, w.configuration()); err != nil {
+		return nil, err
+	}
+	if err := w.deployment.Ready(starting); err != nil {
+		return nil, err
+	}
+	return w, w.untilServed(starting)
+}
+
+// configuration has one route of idempotent requests and one of those that may run once only.
+func (w *world) configuration() []byte {
+	return gateway.Configuration(w.version, gateway.Shape{Services: services, Routes: services, Safe: true, UnsafeFrom: 1}, 0)
+}
+
+func (w *world) startBackend(i int) error {
+	id, address := fmt.Sprintf("i-%08x", i+1), fmt.Sprintf("%s.2.%d:8080", w.deployment.Net, i+1)
+	r, err := startRelay(id, fmt.Sprintf("%s.3.%d:8080", w.deployment.Net, i+1), address)
+	if err != nil {
+		return err
+	}
+	w.relays = append(w.relays, r)
+	b, err := gateway.StartBackend(gateway.BackendOptions{ID: id, Service: gateway.ServiceName(i % services),
+		Zone: zones[i/services%len(zones)], Listen: address, Advertise: r.address(), Slots: slots, Beat: heartbeat,
+		Controls: w.deployment.Controls(), Observer: w.ledger, Fate: w.fates.draw})
+	if err != nil {
+		return err
+	}
+	w.stopFakes = append(w.stopFakes, b.Stop)
+	return nil
+}
+
+// untilServed waits until each carrier has an answer on both routes.
+func (w *world) untilServed(ctx context.Context) error {
+	r := rand.New(rand.NewPCG(w.seed, 0))
+	for _, p := range w.deployment.Carriers {
+		for _, safe := range []bool{true, false} {
+			for w.stay(p, w.ledger.newRequest(r, p.Name, safe), 0) != 200 {
+				select {
+				case <-ctx.Done():
+					return fmt.Errorf("%s serves nothing: %w", p.Name, ctx.Err())
+				case <-time.After(100 * time.Millisecond):
+				}
+			}
+		}
+	}
+	return nil
+}
+
+func (w *world) stop() {
+	w.work.Wait()
+	w.deployment.Stop()
+	for _, stop := range w.stopFakes {
+		stop()
+	}
+	for _, r := range w.relays {
+		r.close()
+	}
+}
+
+// figures of all carriers, by their names.
+func (w *world) figures(ctx context.Context) (map[string]map[string]int64, error) {
+	all := map[string]map[string]int64{}
+	for _, p := range w.deployment.Carriers {
+		figures, err := p.Metrics(ctx)
+		if err != nil {
+			return nil, err
+		}
+		all[p.Name] = figures
+	}
+	return all, nil
+}
--- /dev/null
+++ b/internal/bench/soak/troubles.go
@@ -0,0 +1,198 @@
+package soak
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"path"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"elmfold/internal/fakes/gateway"
+)
+
+const (
+	troubleInterval = 350 * time.Millisecond // mean, from one trouble to the next
+	maxTroubles     = 3                      // at once
+	// Spans of troubles, and how long what they harmed is held to nothing afterwards.
+	minTrouble, maxTrouble = 100 * time.Millisecond, 1500 * time.Millisecond
+	afterTrouble           = time.Second
+	graceTime              = 6 * time.Second
+	lostAnswerShare        = 0.3
+	callTimeout            = 5 * time.Second
+)
+
+// fates draws what becomes of requests at the backends.
+type fates struct {
+	mu     sync.Mutex
+	losing int // troubles that lose answers
+}
+
+func (f *fates) lose(by int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.losing += by
+}
+
+// draw works for as long as the path says.
+func (f *fates) draw(r *http.Request) gateway.Fate {
+	ms, _ := strconv.Atoi(path.Base(r.URL.Path))
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	isLost := f.losing > 0 && rand.Float64() < lostAnswerShare
+	return gateway.Fate{Work: time.Duration(ms) * time.Millisecond, LoseAnswer: isLost}
+}
+
+// trouble is one kind: it lasts until it returns.
+type trouble struct {
+	name string
+	do   func(r *rand.Rand, span time.Duration)
+}
+
+// disturb plays load with troubles for a span.
+func (w *world) disturb(ctx context.Context, span time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, span)
+	defer cancel()
+	var beside sync.WaitGroup
+	beside.Go(func() { w.load(ctx) })
+	beside.Go(func() {
+		for ctx.Err() == nil {
+			w.sample(ctx)
+			select {
+			case <-ctx.Done():
+			case <-time.After(sampleEvery):
+			}
+		}
+	})
+	w.trouble(ctx)
+	beside.Wait()
+	w.work.Wait()
+}
+
+// trouble draws troubles until the context ends, and returns when the last has ended.
+func (w *world) trouble(ctx context.Context) {
+	r := rand.New(rand.NewPCG(w.seed, 3))
+	kinds := w.troubles()
+	places := make(chan struct{}, maxTroubles)
+	var all sync.WaitGroup
+	defer all.Wait()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(time.Duration(r.ExpFloat64() * float64(troubleInterval))):
+		}
+		kind, own := kinds[r.IntN(len(kinds))], rand.New(rand.NewPCG(r.Uint64(), r.Uint64()))
+		span := minTrouble + time.Duration(r.Int64N(int64(maxTrouble-minTrouble)))
+		select {
+		case places <- struct{}{}:
+			all.Go(func() {
+				kind.do(own, span)
+				<-places
+			})
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// turns lets one trouble at a time befall the members of a group.
+type turns struct{ free chan *gateway.Process }
+
+func newTurns(all []*gateway.Process, atOnce int) *turns {
+	t := &turns{free: make(chan *gateway.Process, len(all))}
+	for _, p := range all[len(all)-atOnce:] {
+		t.free <- p
+	}
+	return t
+}
+
+// with does something to a process that nothing befalls, if there is one.
+func (t *turns) with(do func(p *gateway.Process)) {
+	select {
+	case p := <-t.free:
+		do(p)
+		t.free <- p
+	default:
+	}
+}
+
+func (w *world) troubles() []trouble {
+	// The first carrier is left alone but for what befalls backends and controllers, so that some of all clients that
+	// leave are always held against the invariants.
+	carriers, controllers := newTurns(w.deployment.Carriers, len(w.deployment.Carriers)-1), newTurns(w.deployment.Controllers, 1)
+	kill := func(p *gateway.Process, span time.Duration) {
+		defer w.ledger.beginTrouble(p.Name, afterTrouble)()
+		p.Kill()
+		time.Sleep(span)
+		w.again(p)
+	}
+	pause := func(p *gateway.Process, span time.Duration) {
+		defer w.ledger.beginTrouble(p.Name, afterTrouble)()
+		_ = p.Signal(syscall.SIGSTOP)
+		time.Sleep(span)
+		_ = p.Signal(syscall.SIGCONT)
+	}
+	terminate := func(p *gateway.Process, span time.Duration) {
+		defer w.ledger.beginTrouble(p.Name, afterTrouble)()
+		_ = p.Signal(syscall.SIGTERM)
+		p.Wait(graceTime)
+		time.Sleep(span / 4)
+		w.again(p)
+	}
+	on := func(t *turns, do func(p *gateway.Process, span time.Duration)) func(*rand.Rand, time.Duration) {
+		return func(_ *rand.Rand, span time.Duration) { t.with(func(p *gateway.Process) { do(p, span) }) }
+	}
+	return []trouble{
+		{"a carrier is killed", on(carriers, kill)},
+		{"a carrier is suspended", on(carriers, pause)},
+		{"a carrier is terminated", on(carriers, terminate)},
+		{"a controller is killed", on(controllers, kill)},
+		{"a controller is suspended", on(controllers, pause)},
+		{"the way to a backend is cut", w.cut},
+		{"connections to a backend are reset", w.reset},
+		{"answers are lost", w.loseAnswers},
+		{"the configuration changes", w.replaceConfiguration},
+	}
+}
+
+func (w *world) again(p *gateway.Process) {
+	if err := p.Again(); err != nil {
+		w.ledger.violated("%s does not start again: %v", p.Name, err)
+	}
+}
+
+func (w *world) cut(r *rand.Rand, span time.Duration) {
+	way := w.relays[r.IntN(len(w.relays))]
+	defer w.ledger.beginTrouble(way.backend, afterTrouble)()
+	way.hold(1)
+	defer way.hold(-1)
+	time.Sleep(span)
+}
+
+func (w *world) reset(r *rand.Rand, _ time.Duration) {
+	way := w.relays[r.IntN(len(w.relays))]
+	defer w.ledger.beginTrouble(way.backend, afterTrouble)()
+	way.reset()
+}
+
+func (w *world) loseAnswers(_ *rand.Rand, span time.Duration) {
+	defer w.ledger.beginTrouble("answers", 0)()
+	w.fates.lose(1)
+	defer w.fates.lose(-1)
+	time.Sleep(span)
+}
+
+// replaceConfiguration is planned work: it harms nothing. One operator at a time gives orders.
+func (w *world) replaceConfiguration(*rand.Rand, time.Duration) {
+	w.ledger.mu.Lock()
+	w.version++
+	text := w.configuration()
+	w.ledger.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	operator := &gateway.Operator{Controls: w.deployment.Controls()}
+	_ = operator.Replace(ctx, text) // while two controllers are away it may fail, and no invariant hangs on it
+}
--- a/internal/controlplane/metrics.go
+++ b/internal/controlplane/metrics.go
@@ -17,6 +17,7 @@
 
 func newMetrics() *serverMetrics {
 	m := &serverMetrics{}
+	m.registry.DeclareProcess()
 	m.callDisconnects = m.registry.NewCounter("elmfold_call_disconnects_total",
 		"Calls whose caller left before the answer.")
 	m.registry.NewGauge("elmfold_calls_in_progress", "Calls that are not answered yet.", m.callsInProgress.Load)
--- a/internal/fakes/gateway/deployment.go
+++ b/internal/fakes/gateway/deployment.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"os/exec"
@@ -39,6 +40,7 @@
 	Faults               int     // machines that may be lost at once
 	Beat                 float64 // s
 	Verbose              bool    // the programs write each log line
+	MetricsPort          int     // of each program, at its address; 0: none
 	Environment          []string
 }
 
@@ -51,6 +53,7 @@
 	environment    []string
 	program        string
 	verbose        bool
+	metricsPort    int
 	cmd            *exec.Cmd
 	ended          chan struct{}
 }
@@ -151,6 +154,7 @@
 		d.Plan.Programs,
 		"elmfold-"+p.role,
 	), d.Plan.Verbose, d.Plan.Environment
+	p.metricsPort = d.Plan.MetricsPort
 	return os.WriteFile(p.settings, append(text, '\n'), 0o644)
 }
 
@@ -164,6 +168,9 @@
 	if p.verbose {
 		p.cmd.Args = append(p.cmd.Args, "-v")
 	}
+	if p.metricsPort > 0 {
+		p.cmd.Args = append(p.cmd.Args, "--metrics-port", strconv.Itoa(p.metricsPort))
+	}
 	p.cmd.Stdout, p.cmd.Stderr = log, log
 	p.cmd.Env = append(append(os.Environ(), bootconfig.EnvVar+"="+p.settings), p.environment...)
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // a lab that is killed leaves none behind
@@ -182,6 +189,43 @@
 	<-p.ended
 }
 
+// Signal sends one: SIGSTOP and SIGCONT suspend it and let it go on, SIGTERM ends it in order.
+func (p *Process) Signal(signal syscall.Signal) error { return p.cmd.Process.Signal(signal) }
+
+// Wait waits for the end of the process, and kills it after a time.
+func (p *Process) Wait(most time.Duration) {
+	select {
+	case <-p.ended:
+	case <-time.After(most):
+		p.Kill()
+	}
+}
+
+// Metrics reads the process's figures, by their names.
+func (p *Process) Metrics(ctx context.Context) (map[string]int64, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+at(p.IP, p.metricsPort)+"/metrics", nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return nil, err
+	}
+	figures := map[string]int64{}
+	for line := range strings.Lines(string(text)) {
+		name, value, found := strings.Cut(strings.TrimSpace(line), " ")
+		if v, err := strconv.ParseInt(value, 10, 64); err == nil && found && !strings.HasPrefix(name, "#") {
+			figures[name] = v
+		}
+	}
+	return figures, nil
+}
+
 // Again starts a process that was killed.
 func (p *Process) Again() error { return p.start() }
 
@@ -272,11 +316,11 @@
 	user, _ := strconv.ParseInt(f[11], 10, 64)
 	system, _ := strconv.ParseInt(f[12], 10, 64)
 	u.Processor = time.Duration(user+system) * 10 * time.Millisecond
-	io, err := fields(dir+"io", "")
+	counts, err := fields(dir+"io", "")
 	if err != nil {
 		return u, err
 	}
-	u.Read, u.Wrote, u.Calls = io["rchar"], io["wchar"], io["syscr"]+io["syscw"]
+	u.Read, u.Wrote, u.Calls = counts["rchar"], counts["wchar"], counts["syscr"]+counts["syscw"]
 	status, err := fields(dir+"status", "kB")
 	u.Resident, u.Peak = status["VmRSS"]<<10, status["VmHWM"]<<10
 	return u, err
--- a/internal/gateway/metrics/metrics.go
+++ b/internal/gateway/metrics/metrics.go
@@ -7,6 +7,7 @@
 	"cmp"
 	"fmt"
 	"net/http"
+	"runtime"
 	"slices"
 	"strconv"
 	"sync/atomic"
@@ -49,6 +50,11 @@
 	}})
 }
 
+// DeclareProcess declares the figures that every process has.
+func (r *Registry) DeclareProcess() {
+	r.NewGauge("elmfold_goroutines", "Goroutines that exist.", func() int64 { return int64(runtime.NumGoroutine()) })
+}
+
 func (r *Registry) declare(m metric) {
 	r.metrics = append(r.metrics, m)
 	slices.SortFunc(r.metrics, func(a, b metric) int { return cmp.Compare(a.name, b.name) })
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -23,6 +23,7 @@
 func (p *Proxy) newMetrics() *proxyMetrics {
 	m := &proxyMetrics{}
 	r := &m.registry
+	r.DeclareProcess()
 	m.clientDisconnects = r.NewCounter("elmfold_client_disconnects_total",
 		"Clients that left while their request was forwarded.")
 	m.attemptsCancelled = r.NewCounter("elmfold_attempts_cancelled_total",
@@ -33,6 +34,8 @@
 		"Invariant, 0: attempts begun over 100 ms after their client was seen to leave.")
 	r.NewGauge("elmfold_client_connections", "Connections of clients.", p.clients.Load)
 	r.NewGauge("elmfold_attempts_in_flight", "Attempts that hold a place at an endpoint.", p.attemptsInFlight)
+	r.NewGauge("elmfold_read_ahead_bytes", "Bytes of clients that are held before anybody wants them.",
+		p.readAheadBytes.Load)
 	r.NewGauge("elmfold_upstream_connections", "Connections to endpoints: idle, busy and coming up.", func() int64 {
 		return int64(p.pool.TotalConns())
 	})
--- a/internal/simulation/aimed.go
+++ b/internal/simulation/aimed.go
@@ -224,12 +224,18 @@
 	d.ask(r, time.Second)
 }
 
-// halves: one is cut off, for longer or less long than it takes to notice, and both sides are written to and asked.
+// halves: one is cut off, or half of them from the other half, for longer or less long than it takes to notice, and both
+// sides are written to and asked. All others reach both sides.
 func (d *draw) halves(r *rand.Rand) {
 	w := d.w
 	d.reserve(6 * time.Second)
 	all := d.shuffled(r)
-	join := w.Isolate(all[0], r.IntN(2) == 0)
+	var join func()
+	if r.IntN(2) == 0 {
+		join = w.Halve(all[:len(all)/2])
+	} else {
+		join = w.Isolate(all[0], r.IntN(2) == 0)
+	}
 	time.Sleep(between(r, 0, 4*time.Second))
 	for _, m := range all[:2] {
 		c := d.next(r)
--- a/internal/simulation/rules_test.go
+++ b/internal/simulation/rules_test.go
@@ -148,6 +148,20 @@
 			x := s.try(10.5, true)
 			x.Status, x.Complete, x.End = 0, false, sec(10.9)
 		}},
+		{"LOST", func(s sheet) { // as the grace ends, a backend may still be at work
+			s.Terms = []Term{{"edge-0", sec(10)}}
+			x := s.try(12.9, true)
+			x.Status, x.Complete, x.End = 0, false, sec(15.1)
+		}, func(s sheet) {
+			x := s.try(12.9, true)
+			x.Status, x.Complete, x.End = 0, false, sec(14.9)
+		}},
+		{"LOST", func(s sheet) { // ... but not on what was sent long after the SIGTERM
+			s.Terms = []Term{{"edge-0", sec(10)}}
+		}, func(s sheet) {
+			x := s.try(13.1, true)
+			x.Status, x.Complete, x.End = 0, false, sec(15.1)
+		}},
 		{"CONFIG", func(s sheet) { // the core is unsettled, and most of it goes on: the bound is stretched
 			s.Core = []CoreState{
 				{At: 0, Size: 3, Joined: 3},
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -423,6 +423,19 @@
 	return w.part(ways, c)
 }
 
+// Halve parts some of the core's machines from its others, both ways; the function joins them.
+func (w *World) Halve(some []*Machine) (join func()) {
+	ways := [][2]string{}
+	for _, c := range some {
+		for _, o := range w.all() {
+			if !slices.Contains(some, o) {
+				ways = append(ways, [2]string{c.IP, o.IP}, [2]string{o.IP, c.IP})
+			}
+		}
+	}
+	return w.part(ways, some...)
+}
+
 // part cuts ways, which is a trouble of some machines; the function joins them.
 func (w *World) part(ways [][2]string, of ...*Machine) (join func()) {
 	var ends []func(time.Duration)
