proxy: looks at the client's socket first; no endpoint is blamed for its clients

(2) a body that its client broke off was recorded as the endpoint's failure: three of them ejected it. Change: package socket (one peek, and the kernel's state behind unread bytes) serves clients' and endpoints' connections; each attempt and each part of a streamed body looks. A body that broke off is AttemptCancelled.

--- a/internal/controlplane/calls.go
+++ b/internal/controlplane/calls.go
@@ -96,8 +96,8 @@
 	return body, nil
 }
 
-// await waits for the owner's answer, unless the caller leaves or the process ends. What the owner was given goes on: an
-// order is not taken back because nobody waits for its answer.
+// await waits for the owner's answer, unless the caller leaves or the process ends. What the owner was given goes on:
+// an order is not taken back because nobody waits for its answer.
 func (s *Server) await(r *http.Request, done <-chan error) error {
 	select {
 	case err := <-done:
--- a/internal/gateway/apierror/apierror.go
+++ b/internal/gateway/apierror/apierror.go
@@ -42,7 +42,7 @@
 	TruncatedResponse  // the response ended before its end
 	ResponseTimeout    // the time for the response ran out
 	EndpointFailed     // the endpoint's own 5xx, which is passed on
-	AttemptCancelled   // broken off, because the client left
+	AttemptCancelled   // broken off, because the client left or its body ended early
 
 	// Of a control call, by an operator or an endpoint.
 
@@ -112,7 +112,7 @@
 	},
 	// Both are answered for clients that have closed only their own direction, and may still read.
 	ClientDisconnected: {Name: "client gone", Status: http.StatusServiceUnavailable},
-	AttemptCancelled:   {Name: "client gone at work", Status: http.StatusBadGateway, MayHaveExecuted: true},
+	AttemptCancelled:   {Name: "broken off by the client", Status: http.StatusBadGateway, MayHaveExecuted: true},
 	ConnectionBroken:   {Name: "broken off", Status: http.StatusBadGateway, MayHaveExecuted: true, Retryable: true},
 	InvalidResponse:    {Name: "garbled", Status: http.StatusBadGateway, MayHaveExecuted: true, Retryable: true},
 	MismatchedResponse: {Name: "foreign answer", Status: http.StatusBadGateway, MayHaveExecuted: true, Retryable: true},
--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"elmfold/internal/gateway/apierror"
+	"elmfold/internal/proxy/socket"
 )
 
 const (
@@ -29,18 +30,28 @@
 // ahead: only then does it show that the client leaves meanwhile.
 const stallTime = 50 * time.Millisecond
 
+// errClientLeft ends a body whose client has left: what is still there of it is not passed on.
+var errClientLeft = errors.New("the client has left")
+
 // upload is the streamed part of a body. Its reader may be active when the response is there.
 type upload struct {
 	io.Reader
-	stall *time.Timer // fires when nobody has read on for stallTime
-	done  atomic.Bool // it was read to its end
-	left  int64       // bytes that its length promises; negative: unknown
+	conn  *clientConn   // nil: the request came by none of this package
+	probe *socket.Probe // of conn
+	stall *time.Timer   // fires when nobody has read on for stallTime
+	done  atomic.Bool   // it was read to its end
+	left  int64         // bytes that its length promises; negative: unknown
 }
 
-// Read notes the end of the stream.
+// Read notes the end of the stream. The client's leaving shows here before the last of what it sent is passed on: with
+// that, the endpoint would begin to work.
 func (u *upload) Read(b []byte) (int, error) {
 	u.stall.Stop()
 	n, err := u.Reader.Read(b)
+	if u.probe.HasPeerClosed() {
+		u.conn.cancel()
+		return 0, errClientLeft
+	}
 	if u.left >= 0 {
 		u.left -= int64(n)
 	}
@@ -112,13 +123,15 @@
 	if length := q.request.ContentLength; length >= 0 {
 		b.streamLength = length - int64(len(b.buffered))
 	}
-	onStall := func() {
-		if conn := q.conn(); conn != nil {
-			conn.ahead.begin()
-		}
+	u := &upload{Reader: reader, conn: q.conn(), left: b.streamLength}
+	if u.conn == nil {
+		u.stall = time.AfterFunc(stallTime, func() {})
+	} else {
+		u.probe = socket.NewProbe(u.conn.Conn)
+		u.stall = time.AfterFunc(stallTime, u.conn.ahead.begin)
 	}
-	b.stream = &upload{Reader: reader, stall: time.AfterFunc(stallTime, onStall), left: b.streamLength}
-	b.stream.done.Store(b.streamLength == 0)
+	b.stream = u
+	u.done.Store(b.streamLength == 0)
 }
 
 // isRead reports whether the client's body was read to its end.
--- a/internal/proxy/clients.go
+++ b/internal/proxy/clients.go
@@ -11,6 +11,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"elmfold/internal/gateway/routeconfig"
+	"elmfold/internal/proxy/socket"
 )
 
 const (
@@ -39,6 +40,7 @@
 	net.Conn
 	proxy  *Proxy
 	ahead  readAhead
+	probe  *socket.Probe      // of the goroutine that handles a request
 	ctx    context.Context    // of all its requests: it ends when the client is seen to leave
 	cancel context.CancelFunc // ends ctx
 	phase  atomic.Int32       // a connPhase
@@ -46,7 +48,7 @@
 }
 
 func newClientConn(netConn net.Conn, p *Proxy) *clientConn {
-	c := &clientConn{Conn: netConn, proxy: p}
+	c := &clientConn{Conn: netConn, proxy: p, probe: socket.NewProbe(netConn)}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.ahead.conn, c.ahead.onLeft, c.ahead.total = netConn, c.cancel, &p.readAheadBytes
 	return c
--- a/internal/proxy/disconnect.go
+++ b/internal/proxy/disconnect.go
@@ -7,9 +7,9 @@
 	"elmfold/internal/gateway/logfield"
 )
 
-// A client that leaves ends its request: the context of its connection is cancelled, and with it the attempt that is under
-// way (upstream.Pool.Do). A request that must not be executed twice is not sent any more; one that was sent whole is left
-// to its endpoint, as nobody could tell how far it had come.
+// A client that leaves ends its request: the context of its connection is cancelled, and with it the attempt that is
+// under way (upstream.Pool.Do). A request that must not be executed twice is not sent any more; one that was sent
+// whole is left to its endpoint, as nobody could tell how far it had come.
 //
 // Invariant, counted by proxyMetrics where it does not hold:
 //
@@ -51,8 +51,13 @@
 	}
 }
 
-// mayNotBegin reports whether an attempt is not to begin, as the client has left.
+// mayNotBegin reports whether an attempt is not to begin, as the client has left. It looks at the socket: of a client
+// that left while this process was suspended or had no processor, the request and the end are there at once, and the
+// request is read first.
 func (p *Proxy) mayNotBegin(f *forwarding) bool {
+	if conn := f.conn(); conn != nil && conn.probe.HasPeerClosed() {
+		conn.cancel()
+	}
 	seenAt := f.disconnectedAt.Load()
 	isLate := seenAt > 0 && p.now()-time.Duration(seenAt) > disconnectCheckInterval
 	if f.hasDisconnected() {
--- a/internal/proxy/readahead.go
+++ b/internal/proxy/readahead.go
@@ -5,16 +5,15 @@
 	"net"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"elmfold/internal/proxy/socket"
 )
 
-// http.Server sees that a client leaves by a read in the background, which begins when the body of the request has been
-// read, and ends with the first byte that comes: of a request that the client sends before the answer (pipelining). While
-// a body flows, only its reader sees the end. What follows closes both gaps: bytes are read ahead for as long as nobody
-// else reads, so that the end of the connection shows behind them.
+// http.Server sees that a client leaves by a read in the background, which begins when the body of the request has
+// been read, and ends with the first byte that comes: of a request that the client sends before the answer
+// (pipelining). While a body flows, only its reader sees the end. What follows closes both gaps: bytes are read ahead
+// for as long as nobody else reads, so that the end of the connection shows behind them.
 
 const (
 	// maxReadAhead is how many bytes of a connection are held before anybody wants them, and maxTotalReadAhead of all
@@ -178,16 +177,9 @@
 	return errors.As(err, &netErr) && netErr.Timeout()
 }
 
-// pollPeer asks the kernel whether the client has closed its side, until stopping is closed.
+// pollPeer looks whether the client has closed its side, until stopping is closed.
 func (r *readAhead) pollPeer(stopping <-chan struct{}) {
-	conn, ok := r.conn.(syscall.Conn)
-	if !ok {
-		return
-	}
-	rawConn, err := conn.SyscallConn()
-	if err != nil {
-		return // it is closed, which whoever closed it knows
-	}
+	probe := socket.NewProbe(r.conn)
 	ticker := time.NewTicker(peerStateInterval)
 	defer ticker.Stop()
 	for {
@@ -195,26 +187,10 @@
 		case <-stopping:
 			return
 		case <-ticker.C:
-			if hasPeerClosed(rawConn) {
+			if probe.HasPeerClosed() {
 				r.onLeft()
 				return
 			}
 		}
 	}
 }
-
-// States of a TCP connection in TCP_INFO (linux/tcp_states.h) in which the other side sends no more.
-const (
-	tcpClose     = 7
-	tcpCloseWait = 8
-)
-
-// hasPeerClosed reports whether a connection's other side has closed or reset it, whatever waits to be read. Where the
-// kernel does not tell, it has not.
-func hasPeerClosed(rawConn syscall.RawConn) (closed bool) {
-	err := rawConn.Control(func(fd uintptr) {
-		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-		closed = err == nil && (info.State == tcpClose || info.State == tcpCloseWait)
-	})
-	return closed || err != nil // Control fails on a closed connection only
-}
--- a/internal/proxy/readahead_test.go
+++ b/internal/proxy/readahead_test.go
@@ -65,7 +65,8 @@
 	}
 }
 
-// What was read ahead comes once, in order, then what follows, then the end. Guards against bytes that two readers share.
+// What was read ahead comes once, in order, then what follows, then the end. Guards against bytes that two readers
+// share.
 func TestReadsAheadInOrder(t *testing.T) {
 	client, server := loopback(t)
 	r, left := newReadAhead(server)
--- a/internal/proxy/upstream/conn.go
+++ b/internal/proxy/upstream/conn.go
@@ -2,11 +2,10 @@
 
 import (
 	"bufio"
-	"errors"
-	"io"
 	"net"
-	"syscall"
 	"time"
+
+	"elmfold/internal/proxy/socket"
 )
 
 const (
@@ -18,6 +17,7 @@
 type conn struct {
 	net.Conn
 	reader     *bufio.Reader // over the conn itself
+	probe      *socket.Probe
 	address    string
 	generation int       // of its host when it was dialled
 	idleUntil  time.Time // when it is to be closed, if idle
@@ -34,23 +34,17 @@
 	headBudget    int   // bytes that may still be read for a head, or unlimitedHead
 	receivedBytes bool  // bytes of it have come
 	readErr       error // what ended reading
-
-	// Of checkQuiet.
-
-	rawConn    syscall.RawConn       // nil: the connection cannot be looked at
-	peekFunc   func(fd uintptr) bool // peek, bound once: a method value costs an allocation
-	peekResult error
-	peekBuffer [1]byte
 }
 
 func newConn(netConn net.Conn, address string, generation int) *conn {
-	k := &conn{Conn: netConn, address: address, generation: generation, headBudget: unlimitedHead}
-	k.reader = bufio.NewReaderSize(k, readBufferBytes)
-	if sc, ok := netConn.(syscall.Conn); ok {
-		if rawConn, err := sc.SyscallConn(); err == nil {
-			k.rawConn, k.peekFunc = rawConn, k.peek
-		}
+	k := &conn{
+		Conn:       netConn,
+		probe:      socket.NewProbe(netConn),
+		address:    address,
+		generation: generation,
+		headBudget: unlimitedHead,
 	}
+	k.reader = bufio.NewReaderSize(k, readBufferBytes)
 	return k
 }
 
@@ -74,36 +68,6 @@
 	return n, err
 }
 
-// peek runs on the descriptor, without waiting.
-func (k *conn) peek(fd uintptr) bool {
-	n, _, err := syscall.Recvfrom(int(fd), k.peekBuffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	switch {
-	case isNothingToRead(err):
-		k.peekResult = nil
-	case err != nil:
-		k.peekResult = err
-	case n == 0:
-		k.peekResult = io.EOF
-	default:
-		k.peekResult = errSurplus
-	}
-	return true
-}
-
-// isNothingToRead reports whether the connection is quiet, or there is no way to see.
-func isNothingToRead(err error) bool {
-	return errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EINTR) || errors.Is(err, syscall.ENOSYS) ||
-		errors.Is(err, syscall.EPERM)
-}
-
 // checkQuiet returns nil if the connection is up and nothing waits on it. Nothing has been written yet when it is
 // checked, so giving up one that is not quiet is no retry.
-func (k *conn) checkQuiet() error {
-	if k.rawConn == nil {
-		return nil
-	}
-	if err := k.rawConn.Read(k.peekFunc); err != nil {
-		return err
-	}
-	return k.peekResult
-}
+func (k *conn) checkQuiet() error { return k.probe.Peek() }
--- a/internal/proxy/upstream/pool.go
+++ b/internal/proxy/upstream/pool.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"elmfold/internal/gateway/apierror"
+	"elmfold/internal/proxy/socket"
 )
 
 const (
@@ -103,7 +104,7 @@
 	// An endpoint resets connections beyond its maxConns at once. Seen here, the request is known not to be executed.
 	if err := k.checkQuiet(); err != nil {
 		p.closeConn(k)
-		if errors.Is(err, errSurplus) {
+		if errors.Is(err, socket.ErrPending) {
 			return nil, apierror.New(apierror.ConnectFailed, c.Address, err)
 		}
 		return nil, apierror.New(apierror.EndpointsSaturated, c.Address, err)
@@ -172,7 +173,8 @@
 	return err
 }
 
-// notSentError is the error of a request of which no byte was written. A client that left is no failure of the endpoint.
+// notSentError is the error of a request of which no byte was written. A client that left is no failure of the
+// endpoint.
 func (p *Pool) notSentError(ctx context.Context, address string, deadline time.Time, err error) *apierror.Error {
 	switch {
 	case errors.Is(ctx.Err(), context.Canceled):
--- a/internal/proxy/upstream/sender.go
+++ b/internal/proxy/upstream/sender.go
@@ -21,8 +21,8 @@
 	writeErr  error         // the connection did
 }
 
-// startSender begins to write a stream. length is its bytes; negative: unknown, sent in chunks. onSent is called once all
-// is written.
+// startSender begins to write a stream. length is its bytes; negative: unknown, sent in chunks. onSent is called once
+// all is written.
 func startSender(to net.Conn, stream io.Reader, length int64, onSent func()) *sender {
 	s := &sender{done: make(chan struct{}), onSent: onSent}
 	go s.run(to, stream, length)
--- a/internal/simulation/aimed.go
+++ b/internal/simulation/aimed.go
@@ -224,8 +224,8 @@
 	d.ask(r, time.Second)
 }
 
-// halves: one is cut off, or half of them from the other half, for longer or less long than it takes to notice, and both
-// sides are written to and asked. All others reach both sides.
+// halves: one is cut off, or half of them from the other half, for longer or less long than it takes to notice, and
+// both sides are written to and asked. All others reach both sides.
 func (d *draw) halves(r *rand.Rand) {
 	w := d.w
 	d.reserve(6 * time.Second)
