--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -4,7 +4,6 @@
 //	soak.go      the command and one run
 //	troubles.go  what is done to processes, connections and backends
 //	clients.go   requests, and how clients leave
-//	relay.go     the way to a backend, which can be held up or reset
 //	ledger.go    what was seen
 //	judge.go     the invariants
 package soak
@@ -23,6 +22,7 @@
 
 	"elmfold/internal/bench/report"
 	"elmfold/internal/fakes/gateway"
+	"elmfold/internal/fakes/link"
 )
 
 const (
@@ -120,7 +120,7 @@
 type world struct {
 	seed       uint64
 	deployment *gateway.Deployment
-	relays     []*relay
+	ways       []way // to the backends
 	stopFakes  []func()
 	ledger     *ledger
 	fates      *fates
@@ -129,6 +129,12 @@
 	work       sync.WaitGroup
 }
 
+// way is the network between carriers and a backend.
+type way struct {
+	backend string // id
+	*link.Link
+}
+
 func play(ctx context.Context, seed uint64, o options) (result outcome, err error) {
 	dir, err := os.MkdirTemp("", "soak")
 	if err != nil {
@@ -164,7 +170,7 @@
 	return w.ledger.judge(), nil
 }
 
-// start brings up the programs, the backends behind their relays, and the first configuration.
+// start brings up the programs, the backends behind their links, and the first configuration.
 func start(ctx context.Context, seed uint64, dir, programs string) (w *world, err error) {
 	w = &world{seed: seed, ledger: newLedger(), fates: &fates{}, version: 1}
 	w.deployment, err = gateway.Start(gateway.Plan{
@@ -211,13 +217,13 @@
 
 func (w *world) startBackend(i int) error {
 	id, address := fmt.Sprintf("i-%08x", i+1), fmt.Sprintf("%s.2.%d:8080", w.deployment.Net, i+1)
-	r, err := startRelay(id, fmt.Sprintf("%s.3.%d:8080", w.deployment.Net, i+1), address)
+	l, err := link.New(address, nil)
 	if err != nil {
 		return err
 	}
-	w.relays = append(w.relays, r)
+	w.ways = append(w.ways, way{id, l})
 	b, err := gateway.StartBackend(gateway.BackendOptions{ID: id, Service: gateway.ServiceName(i % services),
-		Zone: zones[i/services%len(zones)], Listen: address, Advertise: r.address(), Slots: slots, Beat: heartbeat,
+		Zone: zones[i/services%len(zones)], Listen: address, Advertise: l.Addr(), Slots: slots, Beat: heartbeat,
 		Controls: w.deployment.Controls(), Observer: w.ledger, Fate: w.fates.draw})
 	if err != nil {
 		return err
@@ -249,8 +255,8 @@
 	for _, stop := range w.stopFakes {
 		stop()
 	}
-	for _, r := range w.relays {
-		r.close()
+	for _, l := range w.ways {
+		l.Close()
 	}
 }
 
--- a/internal/bench/soak/troubles.go
+++ b/internal/bench/soak/troubles.go
@@ -166,17 +166,16 @@
 }
 
 func (w *world) cut(r *rand.Rand, span time.Duration) {
-	way := w.relays[r.IntN(len(w.relays))]
-	defer w.ledger.beginTrouble(way.backend, afterTrouble)()
-	way.hold(1)
-	defer way.hold(-1)
+	to := w.ways[r.IntN(len(w.ways))]
+	defer w.ledger.beginTrouble(to.backend, afterTrouble)()
+	defer to.Hold()()
 	time.Sleep(span)
 }
 
 func (w *world) reset(r *rand.Rand, _ time.Duration) {
-	way := w.relays[r.IntN(len(w.relays))]
-	defer w.ledger.beginTrouble(way.backend, afterTrouble)()
-	way.reset()
+	to := w.ways[r.IntN(len(w.ways))]
+	defer w.ledger.beginTrouble(to.backend, afterTrouble)()
+	to.CutAll()
 }
 
 func (w *world) loseAnswers(_ *rand.Rand, span time.Duration) {
--- a/internal/fakes/link/link.go
+++ b/internal/fakes/link/link.go
@@ -59,6 +59,8 @@
 	passed   int64 // bytes to clients
 	refused  bool
 	closed   bool
+	held     int        // how many hold it
+	released *sync.Cond // held has fallen to 0, or the link is closed
 }
 
 // New makes a Link to a server's address; script may be nil for a calm one.
@@ -71,6 +73,7 @@
 		script = func(int) Script { return Calm }
 	}
 	l := &Link{listener: ln, server: server, script: script, conns: map[net.Conn]bool{}}
+	l.released = sync.NewCond(&l.mu)
 	go l.serve()
 	return l, nil
 }
@@ -122,10 +125,33 @@
 	l.refused = on
 }
 
+// Hold keeps back all that passes, ends of connections and new connections too, as a cut of the network does, until the
+// returned function is called. Holds may overlap.
+func (l *Link) Hold() (release func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.held++
+	return func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.held--
+		l.released.Broadcast()
+	}
+}
+
+func (l *Link) waitReleased() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for l.held > 0 && !l.closed {
+		l.released.Wait()
+	}
+}
+
 // Close ends it.
 func (l *Link) Close() {
 	l.mu.Lock()
 	l.closed = true
+	l.released.Broadcast()
 	l.mu.Unlock()
 	_ = l.listener.Close()
 	l.CutAll()
@@ -144,6 +170,7 @@
 		if err != nil {
 			return
 		}
+		l.waitReleased()
 		l.mu.Lock()
 		script, server, refused := l.script(l.accepted), l.server, l.refused || l.closed
 		l.accepted++
@@ -182,6 +209,7 @@
 	silent := false
 	for {
 		n, err := from.Read(buf)
+		l.waitReleased()
 		part := buf[:n]
 		cut := false
 		if left := fate.After - passed; fate.After >= 0 && !silent && int64(n) > left {
--- a/internal/proxy/readahead_test.go
+++ b/internal/proxy/readahead_test.go
@@ -9,27 +9,18 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"elmfold/internal/fakes/loopback"
 )
 
-// loopback is a TCP connection: real sockets, as only the kernel knows what lies behind unread bytes.
-func loopback(t *testing.T) (client, server *net.TCPConn) {
+// sockets are the ends of a connection: real ones, as only the kernel knows what lies behind unread bytes.
+func sockets(t *testing.T) (client, server *net.TCPConn) {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = l.Close() }()
-	dialled, err := net.Dial("tcp4", l.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	accepted, err := l.Accept()
+	client, server, err := loopback.Pair()
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _, _ = dialled.Close(), accepted.Close() })
-	client, _ = dialled.(*net.TCPConn)
-	server, _ = accepted.(*net.TCPConn)
+	t.Cleanup(func() { _, _ = client.Close(), server.Close() })
 	return client, server
 }
 
@@ -51,7 +42,7 @@
 // Guards against a client that leaves behind more than is read ahead, by a close and by a reset.
 func TestLeavesBehindMoreThanIsReadAhead(t *testing.T) {
 	for _, linger := range []int{-1, 0} {
-		client, server := loopback(t)
+		client, server := sockets(t)
 		r, left := newReadAhead(server)
 		if _, err := client.Write(bytes.Repeat([]byte("x"), 2*readAheadChunk)); err != nil {
 			t.Fatal(err)
@@ -68,7 +59,7 @@
 // What was read ahead comes once, in order, then what follows, then the end. Guards against bytes that two readers
 // share.
 func TestReadsAheadInOrder(t *testing.T) {
-	client, server := loopback(t)
+	client, server := sockets(t)
 	r, left := newReadAhead(server)
 	want := make([]byte, 5*maxReadAhead)
 	for i := range want {
@@ -106,7 +97,7 @@
 
 // A deadline is a reader's own: it ends no reading ahead for good, and is no end of the connection.
 func TestDeadlineIsNoEnd(t *testing.T) {
-	client, server := loopback(t)
+	client, server := sockets(t)
 	r, left := newReadAhead(server)
 	r.begin()
 	_ = r.setDeadline(aLongTimeAgo)
--- a/internal/proxy/socket/probe_test.go
+++ b/internal/proxy/socket/probe_test.go
@@ -6,26 +6,17 @@
 	"net"
 	"testing"
 	"time"
+
+	"elmfold/internal/fakes/loopback"
 )
 
 func pair(t *testing.T) (here, there *net.TCPConn) {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = l.Close() }()
-	dialled, err := net.Dial("tcp4", l.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	accepted, err := l.Accept()
+	there, here, err := loopback.Pair()
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _, _ = dialled.Close(), accepted.Close() })
-	here, _ = accepted.(*net.TCPConn)
-	there, _ = dialled.(*net.TCPConn)
+	t.Cleanup(func() { _, _ = here.Close(), there.Close() })
 	return here, there
 }
 
