upstream: sent and flowing are two states; the connection is found once a request

Cause: read once more against the timeline: a response that flows before the last of the request is written would have been protected from its client's leaving when that was written. The context was searched for the connection several times a request. Change: two flags; the connection stands in the request. Measured: TestFinishOnceSent, four rows; the proxy's tests beside the race detector.

--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -123,7 +123,7 @@
 	if length := q.request.ContentLength; length >= 0 {
 		b.streamLength = length - int64(len(b.buffered))
 	}
-	u := &upload{Reader: reader, conn: q.conn(), left: b.streamLength}
+	u := &upload{Reader: reader, conn: q.conn, left: b.streamLength}
 	if u.conn == nil {
 		u.stall = time.AfterFunc(stallTime, func() {})
 	} else {
--- a/internal/proxy/disconnect.go
+++ b/internal/proxy/disconnect.go
@@ -55,8 +55,8 @@
 // that left while this process was suspended or had no processor, the request and the end are there at once, and the
 // request is read first.
 func (p *Proxy) mayNotBegin(f *forwarding) bool {
-	if conn := f.conn(); conn != nil && conn.probe.HasPeerClosed() {
-		conn.cancel()
+	if f.conn != nil && f.conn.probe.HasPeerClosed() {
+		f.conn.cancel()
 	}
 	seenAt := f.disconnectedAt.Load()
 	isLate := seenAt > 0 && p.now()-time.Duration(seenAt) > disconnectCheckInterval
@@ -74,14 +74,8 @@
 
 // context ends when the client is seen to leave.
 func (q *clientRequest) context() context.Context {
-	if conn := q.conn(); conn != nil {
-		return conn.ctx
+	if q.conn != nil {
+		return q.conn.ctx
 	}
 	return q.request.Context()
 }
-
-// conn is the client's connection; nil where the request came by none of this package.
-func (q *clientRequest) conn() *clientConn {
-	conn, _ := q.request.Context().Value(connKey{}).(*clientConn)
-	return conn
-}
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -25,6 +25,7 @@
 type clientRequest struct {
 	writer    http.ResponseWriter
 	request   *http.Request
+	conn      *clientConn // nil: the request came by a connection of another package
 	arrivedAt time.Time
 	config    *routeconfig.Config // that it is handled by; nil: none is known
 	route     *routeconfig.Route
@@ -36,7 +37,8 @@
 
 // handle takes a request from the client to an endpoint and the response back.
 func (p *Proxy) handle(w http.ResponseWriter, r *http.Request) {
-	q := &clientRequest{writer: w, request: r, arrivedAt: p.options.Clock.Now(), config: p.config.Load()}
+	conn, _ := r.Context().Value(connKey{}).(*clientConn)
+	q := &clientRequest{writer: w, request: r, conn: conn, arrivedAt: p.options.Clock.Now(), config: p.config.Load()}
 	if q.hasDisconnected() { // behind another request on the connection
 		p.refuse(q, apierror.ClientDisconnected, 0)
 		return
--- a/internal/proxy/upstream/attempt.go
+++ b/internal/proxy/upstream/attempt.go
@@ -97,7 +97,8 @@
 	stopWatch   func() bool // of the watch over ctx; nil: there is none
 	call        *Call
 	conn        *conn
-	finishing   atomic.Bool   // Call.FinishOnceSent holds now
+	sent        atomic.Bool   // the whole request was written
+	flowing     atomic.Bool   // the response flows
 	cancelled   atomic.Bool   // the connection was closed because ctx was cancelled
 	sender      *sender       // nil: Do has written everything itself
 	idleTimeout time.Duration // how long the connection may be idle afterwards
@@ -182,7 +183,7 @@
 
 // cancel ends the attempt because its client has left, unless it is to finish.
 func (a *attempt) cancel() {
-	if a.finishing.Load() {
+	if a.call.FinishOnceSent && a.sent.Load() && !a.flowing.Load() {
 		return
 	}
 	a.cancelled.Store(true)
@@ -190,12 +191,12 @@
 }
 
 // noteSent notes that the whole request was written.
-func (a *attempt) noteSent() { a.finishing.Store(a.call.FinishOnceSent) }
+func (a *attempt) noteSent() { a.sent.Store(true) }
 
 // noteFlowing notes that the response flows from here on: without its client, nobody takes it.
 func (a *attempt) noteFlowing() {
-	a.finishing.Store(false)
-	if errors.Is(a.ctx.Err(), context.Canceled) { // the watch has found it finishing
+	a.flowing.Store(true)
+	if errors.Is(a.ctx.Err(), context.Canceled) { // cancel may have left it to finish
 		a.cancel()
 	}
 }
--- a/internal/proxy/upstream/attempt_test.go
+++ b/internal/proxy/upstream/attempt_test.go
@@ -614,3 +614,71 @@
 		}
 	})
 }
+
+// A call that is to finish once it was sent ends with its client before that, and again when its response flows: then also
+// where the last of the request is written after that.
+func TestFinishOnceSent(t *testing.T) {
+	const flows = ok + "Content-Length: 90000\n\n"
+	for _, c := range []struct {
+		name         string
+		stream       bool // a part of the request is written late
+		say          string
+		want         apierror.Kind
+		breaksInFlow bool
+	}{
+		{name: "sent", say: right},
+		{name: "not sent", stream: true, want: apierror.AttemptCancelled},
+		{name: "it flows", say: flows + strings.Repeat("x", 80000), breaksInFlow: true},
+		{name: "it flows before all is sent", stream: true, say: flows + strings.Repeat("x", 80000), breaksInFlow: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := backend(Options{}, func(s *side) {
+					if c.stream {
+						go func() { _, _ = io.Copy(io.Discard, s.br) }()
+						time.Sleep(time.Second / 2)
+					} else if s.request() == "" {
+						return
+					}
+					if c.name == "sent" {
+						time.Sleep(2 * time.Second)
+					}
+					s.say(c.say)
+					time.Sleep(10 * time.Second)
+				})
+				call := get("me")
+				call.FinishOnceSent, call.Deadline = true, time.Now().Add(20*time.Second)
+				if c.stream {
+					call.Method, call.Stream, call.StreamLen = "POST", slow{time.Second * 3 / 4}, 1
+					if c.want != apierror.None {
+						call.Stream = slow{time.Minute}
+					}
+				}
+				ctx, cancel := context.WithCancel(t.Context())
+				time.AfterFunc(time.Second, cancel)
+				from := time.Now()
+				a, err := p.Do(ctx, call)
+				if kind(err) != c.want {
+					t.Fatalf("%v after %v", err, time.Since(from))
+				}
+				if c.breaksInFlow {
+					_, err := io.Copy(io.Discard, a.Rest)
+					if kind(err) != apierror.AttemptCancelled || time.Since(from) != time.Second {
+						t.Errorf("the response flows until %v after %v", err, time.Since(from))
+					}
+				}
+				a.Close()
+				p.CloseIdle("b:1")
+				time.Sleep(2 * time.Minute)
+			})
+		})
+	}
+}
+
+// slow gives one byte after a time.
+type slow struct{ after time.Duration }
+
+func (s slow) Read(b []byte) (int, error) {
+	time.Sleep(s.after)
+	return copy(b, "x"), nil
+}
