proxy: the parts of a traffic split are held to by a sequence in place of chance

Change: each route's requests go to its services by Kronecker's sequence, begun anywhere at each proxy; routes with one service as before.

--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -51,6 +50,7 @@
 		p.refuse(q, kind, 0)
 		return
 	}
+	q.service = p.splits.service(q.config, q.route)
 	if kind, retryAfter := p.admit(q); kind != apierror.None {
 		p.refuse(q, kind, retryAfter)
 		return
@@ -85,7 +85,6 @@
 	if q.route == nil {
 		return apierror.NoRoute
 	}
-	q.service = q.route.PickService(rand.Float64())
 	q.deadline = q.arrivedAt.Add(q.timeout())
 	return apierror.None
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -33,6 +33,7 @@
 //	readiness.go     when the proxy is ready, and its shutdown
 //	clients.go       clients' connections
 //	handler.go       a request from its head to its response
+//	trafficsplit.go  which service of a route takes a request
 //	body.go          request bodies
 //	readahead.go     how a client's leaving shows behind bytes that nobody has read
 //	disconnect.go    clients that leave before their response
@@ -102,6 +103,7 @@
 	metrics     *proxyMetrics
 
 	config     atomic.Pointer[routeconfig.Config] // committed; nil: none is known yet
+	splits     trafficSplits
 	ready      atomic.Bool
 	stopping   atomic.Bool
 	clients    atomic.Int64 // clients' connections
--- a/internal/proxy/upstream/attempt_test.go
+++ b/internal/proxy/upstream/attempt_test.go
@@ -615,8 +615,8 @@
 	})
 }
 
-// A call that is to finish once it was sent ends with its client before that, and again when its response flows: then also
-// where the last of the request is written after that.
+// A call that is to finish once it was sent ends with its client before that, and again when its response flows: then
+// also where the last of the request is written after that.
 func TestFinishOnceSent(t *testing.T) {
 	const flows = ok + "Content-Length: 90000\n\n"
 	for _, c := range []struct {
--- a/internal/simulation/backendanswer.go
+++ b/internal/simulation/backendanswer.go
@@ -164,13 +164,13 @@
 	case Short:
 		_, _ = c.Write(answerBytes(status, seal, x.fields, page)[:200+len(page)*9/10])
 		return false
-	case Twice:
-		return proper() && proper()
-	case Afterword:
+	case Twice, Afterword:
 		if !proper() {
 			return false
 		}
-		time.Sleep(afterwordPause)
+		if x.act == Afterword {
+			time.Sleep(afterwordPause)
+		}
 	case Proper, Lost, Slow: // answered as they should be by now
 	}
 	return proper()
