--- a/internal/bench/gateway/beside.go
+++ b/internal/bench/gateway/beside.go
@@ -124,13 +124,13 @@
 	var backends []*gateway.Backend
 	for i := range besideBackends {
 		b, err := gateway.StartBackend(gateway.BackendOptions{
-			ID:       fmt.Sprintf("i-%08x", i+1),
-			Service:  gateway.ServiceName(0),
-			Zone:     besideZones[i%len(besideZones)],
-			Listen:   fmt.Sprintf("%s.2.%d:8080", d.Net, i+1),
-			Slots:    besideSlots,
-			Beat:     heartbeatSeconds,
-			Controls: d.Controls(),
+			ID:        fmt.Sprintf("i-%08x", i+1),
+			Service:   gateway.ServiceName(0),
+			Zone:      besideZones[i%len(besideZones)],
+			Listen:    fmt.Sprintf("%s.2.%d:8080", d.Net, i+1),
+			Slots:     besideSlots,
+			Heartbeat: heartbeatSeconds,
+			Controls:  d.Controls(),
 		})
 		if err != nil {
 			return err
@@ -343,14 +343,14 @@
 	const services, each = 2, 3
 	for i := range services * each {
 		b, err := gateway.StartBackend(gateway.BackendOptions{
-			ID:       fmt.Sprintf("i-%08x", i+1),
-			Service:  gateway.ServiceName(i % services),
-			Zone:     besideZones[i/services%len(besideZones)],
-			Listen:   net.JoinHostPort(fmt.Sprintf("%s.2.%d", d.Net, i+1), "8080"),
-			Slots:    8,
-			Work:     20 * time.Millisecond,
-			Beat:     heartbeatSeconds,
-			Controls: d.Controls(),
+			ID:        fmt.Sprintf("i-%08x", i+1),
+			Service:   gateway.ServiceName(i % services),
+			Zone:      besideZones[i/services%len(besideZones)],
+			Listen:    net.JoinHostPort(fmt.Sprintf("%s.2.%d", d.Net, i+1), "8080"),
+			Slots:     8,
+			Work:      20 * time.Millisecond,
+			Heartbeat: heartbeatSeconds,
+			Controls:  d.Controls(),
 		})
 		if err != nil {
 			return err
--- a/internal/bench/soak/clients.go
+++ b/internal/bench/soak/clients.go
@@ -33,7 +33,7 @@
 	behindRequest // a second request waits behind the first
 	behindHalf    // half of one does
 	withinUpload  // in the middle of its body
-	afterUpload   // after a body that is more than a carrier holds
+	afterUpload   // after a body that is more than a proxy holds
 	departures
 )
 
@@ -109,7 +109,7 @@
 	stay := time.Duration(r.Int64N(int64(maxStay)))
 	all := []*request{w.ledger.newRequest(r, p.Name, safe)}
 	first := all[0]
-	write := func(text string) { _, _ = io.WriteString(conn, text) } // a carrier that has ended first is no matter here
+	write := func(text string) { _, _ = io.WriteString(conn, text) } // a proxy that has ended first is no matter here
 	switch how {
 	case withinUpload:
 		write(first.head(work, largeBody) + strings.Repeat("x", largeBody/2))
@@ -134,12 +134,12 @@
 	_ = conn.Close()
 	w.ledger.do(func() {
 		for _, q := range all {
-			q.leftAt = time.Now()
+			q.departedAt = time.Now()
 		}
 	})
 }
 
-// finalRequests must all be served: the troubles are over.
+// finalRequests must all be served: the faults are over.
 func (w *world) finalRequests(ctx context.Context) {
 	r := rand.New(rand.NewPCG(w.seed, 2))
 	for i := range finalRequests {
@@ -149,8 +149,8 @@
 		p := w.deployment.Carriers[i%len(w.deployment.Carriers)]
 		q := w.ledger.newRequest(r, p.Name, i%2 == 0)
 		if status := w.stay(p, q, time.Millisecond); status != http.StatusOK {
-			w.ledger.violated("RECOVER: %s by %s gets %d after all troubles", q.id, p.Name, status)
+			w.ledger.violated("RECOVER: %s by %s gets %d after all faults", q.id, p.Name, status)
 		}
 	}
-	time.Sleep(10 * segmentPause) // carriers see the last connections end
+	time.Sleep(10 * segmentPause) // proxies see the last connections end
 }
--- a/internal/bench/soak/troubles.go
+++ b/internal/bench/soak/faults.go
@@ -14,44 +14,44 @@
 )
 
 const (
-	troubleInterval = 350 * time.Millisecond // mean, from one trouble to the next
-	maxTroubles     = 3                      // at once
-	// Spans of troubles, and how long what they harmed is held to nothing afterwards.
-	minTrouble, maxTrouble = 100 * time.Millisecond, 1500 * time.Millisecond
-	afterTrouble           = time.Second
-	graceTime              = 6 * time.Second
-	lostAnswerShare        = 0.3
-	callTimeout            = 5 * time.Second
+	faultInterval = 350 * time.Millisecond // mean, from one fault to the next
+	maxFaults     = 3                      // at once
+	// Spans of faults, and how long what they harmed is held to nothing afterwards.
+	minFault, maxFault = 100 * time.Millisecond, 1500 * time.Millisecond
+	recoverySlack      = time.Second
+	graceTime          = 6 * time.Second
+	lostAnswerShare    = 0.3
+	callTimeout        = 5 * time.Second
 )
 
-// fates draws what becomes of requests at the backends.
-type fates struct {
+// handlings draws what becomes of requests at the backends.
+type handlings struct {
 	mu     sync.Mutex
-	losing int // troubles that lose answers
+	losing int // faults that lose answers
 }
 
-func (f *fates) lose(by int) {
+func (f *handlings) lose(by int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.losing += by
 }
 
 // draw works for as long as the path says.
-func (f *fates) draw(r *http.Request) gateway.Fate {
+func (f *handlings) draw(r *http.Request) gateway.Handling {
 	ms, _ := strconv.Atoi(path.Base(r.URL.Path))
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	isLost := f.losing > 0 && rand.Float64() < lostAnswerShare
-	return gateway.Fate{Work: time.Duration(ms) * time.Millisecond, LoseAnswer: isLost}
+	return gateway.Handling{Work: time.Duration(ms) * time.Millisecond, LoseAnswer: isLost}
 }
 
-// trouble is one kind: it lasts until it returns.
-type trouble struct {
+// fault is one kind: it lasts until it returns.
+type fault struct {
 	name string
 	do   func(r *rand.Rand, span time.Duration)
 }
 
-// disturb plays load with troubles for a span.
+// disturb plays load with faults for a span.
 func (w *world) disturb(ctx context.Context, span time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, span)
 	defer cancel()
@@ -66,26 +66,26 @@
 			}
 		}
 	})
-	w.trouble(ctx)
+	w.drawFaults(ctx)
 	beside.Wait()
 	w.work.Wait()
 }
 
-// trouble draws troubles until the context ends, and returns when the last has ended.
-func (w *world) trouble(ctx context.Context) {
+// drawFaults draws faults until the context ends, and returns when the last has ended.
+func (w *world) drawFaults(ctx context.Context) {
 	r := rand.New(rand.NewPCG(w.seed, 3))
-	kinds := w.troubles()
-	places := make(chan struct{}, maxTroubles)
+	kinds := w.faults()
+	places := make(chan struct{}, maxFaults)
 	var all sync.WaitGroup
 	defer all.Wait()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(time.Duration(r.ExpFloat64() * float64(troubleInterval))):
+		case <-time.After(time.Duration(r.ExpFloat64() * float64(faultInterval))):
 		}
 		kind, own := kinds[r.IntN(len(kinds))], rand.New(rand.NewPCG(r.Uint64(), r.Uint64()))
-		span := minTrouble + time.Duration(r.Int64N(int64(maxTrouble-minTrouble)))
+		span := minFault + time.Duration(r.Int64N(int64(maxFault-minFault)))
 		select {
 		case places <- struct{}{}:
 			all.Go(func() {
@@ -98,7 +98,7 @@
 	}
 }
 
-// turns lets one trouble at a time befall the members of a group.
+// turns lets one fault at a time befall the members of a group.
 type turns struct{ free chan *gateway.Process }
 
 func newTurns(all []*gateway.Process, atOnce int) *turns {
@@ -119,25 +119,25 @@
 	}
 }
 
-func (w *world) troubles() []trouble {
-	// The first carrier is left alone but for what befalls backends and controllers, so that some of all clients that
+func (w *world) faults() []fault {
+	// The first proxy is left alone but for what befalls backends and controllers, so that some of all clients that
 	// leave are always held against the invariants.
-	carriers := newTurns(w.deployment.Carriers, len(w.deployment.Carriers)-1)
+	proxies := newTurns(w.deployment.Carriers, len(w.deployment.Carriers)-1)
 	controllers := newTurns(w.deployment.Controllers, 1)
 	kill := func(p *gateway.Process, span time.Duration) {
-		defer w.ledger.beginTrouble(p.Name, afterTrouble)()
+		defer w.ledger.beginFault(p.Name, recoverySlack)()
 		p.Kill()
 		time.Sleep(span)
 		w.again(p)
 	}
 	pause := func(p *gateway.Process, span time.Duration) {
-		defer w.ledger.beginSuspension(p.Name, afterTrouble)()
+		defer w.ledger.beginSuspension(p.Name, recoverySlack)()
 		_ = p.Signal(syscall.SIGSTOP)
 		time.Sleep(2 * span) // long enough for clients to come and leave meanwhile
 		_ = p.Signal(syscall.SIGCONT)
 	}
 	terminate := func(p *gateway.Process, span time.Duration) {
-		defer w.ledger.beginTrouble(p.Name, afterTrouble)()
+		defer w.ledger.beginFault(p.Name, recoverySlack)()
 		_ = p.Signal(syscall.SIGTERM)
 		p.Wait(graceTime)
 		time.Sleep(span / 4)
@@ -146,10 +146,10 @@
 	on := func(t *turns, do func(p *gateway.Process, span time.Duration)) func(*rand.Rand, time.Duration) {
 		return func(_ *rand.Rand, span time.Duration) { t.with(func(p *gateway.Process) { do(p, span) }) }
 	}
-	return []trouble{
-		{"a carrier is killed", on(carriers, kill)},
-		{"a carrier is suspended", on(carriers, pause)},
-		{"a carrier is terminated", on(carriers, terminate)},
+	return []fault{
+		{"a proxy is killed", on(proxies, kill)},
+		{"a proxy is suspended", on(proxies, pause)},
+		{"a proxy is terminated", on(proxies, terminate)},
 		{"a controller is killed", on(controllers, kill)},
 		{"a controller is suspended", on(controllers, pause)},
 		{"the way to a backend is cut", w.cut},
@@ -167,21 +167,21 @@
 
 func (w *world) cut(r *rand.Rand, span time.Duration) {
 	to := w.ways[r.IntN(len(w.ways))]
-	defer w.ledger.beginTrouble(to.backend, afterTrouble)()
+	defer w.ledger.beginFault(to.backend, recoverySlack)()
 	defer to.Hold()()
 	time.Sleep(span)
 }
 
 func (w *world) reset(r *rand.Rand, _ time.Duration) {
 	to := w.ways[r.IntN(len(w.ways))]
-	defer w.ledger.beginTrouble(to.backend, afterTrouble)()
+	defer w.ledger.beginFault(to.backend, recoverySlack)()
 	to.CutAll()
 }
 
 func (w *world) loseAnswers(_ *rand.Rand, span time.Duration) {
-	defer w.ledger.beginTrouble("answers", 0)()
-	w.fates.lose(1)
-	defer w.fates.lose(-1)
+	defer w.ledger.beginFault("answers", 0)()
+	w.handlings.lose(1)
+	defer w.handlings.lose(-1)
 	time.Sleep(span)
 }
 
--- a/internal/bench/soak/judge.go
+++ b/internal/bench/soak/invariants.go
@@ -15,22 +15,22 @@
 	longWork       = 4 * time.Second
 	// onceWork is that of a request which may run once only and goes on without its client.
 	onceWork = 1500 * time.Millisecond
-	// goroutineSlack is how many more goroutines a carrier at rest may have than before the first request: connections
+	// goroutineSlack is how many more goroutines a proxy at rest may have than before the first request: connections
 	// to endpoints and their checks.
 	goroutineSlack = 40
 )
 
-// Figures of a carrier that count violations.
+// Figures of a proxy that count violations.
 var violationFigures = []string{"elmfold_overdue_requests_total", "elmfold_late_attempts_total"}
 
-// Figures of a carrier that are 0 when nobody asks for anything.
+// Figures of a proxy that are 0 when nobody asks for anything.
 var figuresAtRest = []string{"elmfold_attempts_in_flight", "elmfold_client_connections", "elmfold_read_ahead_bytes"}
 
-// judge holds all that was seen against the invariants.
-func (l *ledger) judge() (o outcome) {
+// check holds all that was seen against the invariants.
+func (l *ledger) check() (o outcome) {
 	var unknown int
 	l.do(func() {
-		o.troubles, o.overlapping, o.violations, unknown = len(l.troubles), l.overlapping, slices.Clone(l.others), l.unknown
+		o.faults, o.overlapping, o.violations, unknown = len(l.faults), l.overlapping, slices.Clone(l.others), l.unknown
 	})
 	if unknown > 0 {
 		o.violations = append(o.violations, "UNASKED: runs of ids that no client sent")
@@ -38,25 +38,25 @@
 	l.do(func() {
 		for _, q := range l.requests {
 			o.requests++
-			if !q.leftAt.IsZero() {
-				o.left++
+			if !q.departedAt.IsZero() {
+				o.departed++
 			}
 			for _, r := range q.runs {
 				o.runs++
-				if r.cut {
-					o.cut++
+				if r.severed {
+					o.severed++
 				}
 			}
-			o.violations = append(o.violations, l.judgeAnswer(q)...)
-			o.violations = append(o.violations, l.judgeDeparture(q)...)
+			o.violations = append(o.violations, l.checkAnswer(q)...)
+			o.violations = append(o.violations, l.checkDeparture(q)...)
 		}
 	})
 	sort.Strings(o.violations)
 	return o
 }
 
-// judgeAnswer holds at any time, whatever was wrong.
-func (l *ledger) judgeAnswer(q *request) (violations []string) {
+// checkAnswer holds at any time, whatever was wrong.
+func (l *ledger) checkAnswer(q *request) (violations []string) {
 	if !q.safe && len(q.runs) > 1 {
 		violations = append(violations, "TWICE: "+q.id+" may run once only and ran more often")
 	}
@@ -74,26 +74,26 @@
 	return violations
 }
 
-// judgeDeparture holds where nothing was wrong with the carrier and the way to the backend.
-func (l *ledger) judgeDeparture(q *request) (violations []string) {
-	if q.leftAt.IsZero() {
+// checkDeparture holds where nothing was wrong with the proxy and the way to the backend.
+func (l *ledger) checkDeparture(q *request) (violations []string) {
+	if q.departedAt.IsZero() {
 		return nil
 	}
-	limit := q.leftAt.Add(departureLimit)
+	limit := q.departedAt.Add(departureLimit)
 	for _, r := range q.runs {
 		until := limit
 		if r.endedAt.After(until) {
 			until = r.endedAt
 		}
-		worst := max(l.worst(q.carrier, q.sentAt, until), l.worst(r.backend, q.sentAt, until))
+		worst := max(l.worst(q.proxy, q.sentAt, until), l.worst(r.backend, q.sentAt, until))
 		switch {
-		case worst <= suspended && r.begunAt.After(limit): // also where the carrier stood still meanwhile
-			violations = append(violations, "GONE: "+q.id+" reached "+r.backend+" by "+q.carrier+" after its client had left")
-		case worst > untroubled:
+		case worst <= suspended && r.begunAt.After(limit): // also where the proxy stood still meanwhile
+			violations = append(violations, "GONE: "+q.id+" reached "+r.backend+" by "+q.proxy+" after its client had left")
+		case worst > unharmed:
 		case q.safe && (r.endedAt.IsZero() || r.endedAt.After(limit)):
-			violations = append(violations, "GONE: "+q.id+" was worked on at "+r.backend+" by "+q.carrier+" for nobody")
-		case !q.safe && r.cut && r.endedAt.After(q.leftAt):
-			violations = append(violations, "CUT: "+q.id+" may run once only and was broken off by "+q.carrier)
+			violations = append(violations, "GONE: "+q.id+" was worked on at "+r.backend+" by "+q.proxy+" for nobody")
+		case !q.safe && r.severed && r.endedAt.After(q.departedAt):
+			violations = append(violations, "CUT: "+q.id+" may run once only and was broken off by "+q.proxy)
 		}
 	}
 	return violations
@@ -103,26 +103,26 @@
 type harm int
 
 const (
-	untroubled harm = iota
+	unharmed harm = iota
 	suspended
-	troubled
+	faulty
 )
 
 // worst is the worst that befell a subject in a time; the lock is held.
 func (l *ledger) worst(subject string, from, to time.Time) (worst harm) {
-	for _, s := range l.troubles {
+	for _, s := range l.faults {
 		switch {
 		case s.subject != subject || !s.from.Before(to) || !s.to.After(from):
 		case s.isSuspension:
 			worst = max(worst, suspended)
 		default:
-			worst = troubled
+			worst = faulty
 		}
 	}
 	return worst
 }
 
-// sample looks at the violations that carriers count themselves, which are lost with their processes.
+// sample looks at the violations that proxies count themselves, which are lost with their processes.
 func (w *world) sample(ctx context.Context) {
 	for _, p := range w.deployment.Carriers {
 		within, cancel := context.WithTimeout(ctx, sampleEvery)
@@ -139,12 +139,12 @@
 	}
 }
 
-// checkAtRest looks at what is left in carriers when nobody asks for anything any more.
+// checkAtRest looks at what is left in proxies when nobody asks for anything any more.
 func (w *world) checkAtRest(ctx context.Context, before map[string]map[string]int64) {
 	w.sample(ctx)
 	after, err := w.figures(ctx)
 	if err != nil {
-		w.ledger.violated("a carrier shows no figures at the end: %v", err)
+		w.ledger.violated("a proxy shows no figures at the end: %v", err)
 		return
 	}
 	for name, figures := range after {
--- a/internal/bench/soak/ledger.go
+++ b/internal/bench/soak/ledger.go
@@ -11,17 +11,17 @@
 type run struct {
 	backend          string
 	begunAt, endedAt time.Time // endedAt zero: it goes on
-	cut              bool      // it ended with its connection
+	severed          bool      // it ended with its connection
 }
 
 // request is one of a client.
 type request struct {
-	id, carrier    string
-	safe           bool
-	sentAt, leftAt time.Time // leftAt zero: the client stayed
-	status         int       // of the answer; 0: none came
-	isOwn          bool      // the answer is whole, and of this request
-	runs           []run
+	id, proxy          string
+	safe               bool
+	sentAt, departedAt time.Time // departedAt zero: the client stayed
+	status             int       // of the answer; 0: none came
+	isOwn              bool      // the answer is whole, and of this request
+	runs               []run
 }
 
 // span is a time in which something was wrong with a process, or with the way to a backend.
@@ -35,8 +35,8 @@
 type ledger struct {
 	mu          sync.Mutex
 	requests    map[string]*request
-	troubles    []span
-	now         int // troubles that last
+	faults      []span
+	now         int // faults that last
 	overlapping int
 	others      []string // violations that were seen as they were
 	unknown     int      // runs of ids that no client sent
@@ -50,37 +50,37 @@
 	f()
 }
 
-func (l *ledger) newRequest(r *rand.Rand, carrier string, safe bool) *request {
-	q := &request{id: fmt.Sprintf("%016x", r.Uint64()), carrier: carrier, safe: safe, sentAt: time.Now()}
+func (l *ledger) newRequest(r *rand.Rand, proxy string, safe bool) *request {
+	q := &request{id: fmt.Sprintf("%016x", r.Uint64()), proxy: proxy, safe: safe, sentAt: time.Now()}
 	l.do(func() { l.requests[q.id] = q })
 	return q
 }
 
-// beginTrouble notes the beginning of a trouble; the function ends it. What it harmed is held to nothing for a while
+// beginFault notes the beginning of a fault; the function ends it. What it harmed is held to nothing for a while
 // after that.
-func (l *ledger) beginTrouble(subject string, after time.Duration) (end func()) {
-	return l.begin(span{subject: subject, from: time.Now()}, after)
+func (l *ledger) beginFault(subject string, slack time.Duration) (end func()) {
+	return l.begin(span{subject: subject, from: time.Now()}, slack)
 }
 
-func (l *ledger) beginSuspension(subject string, after time.Duration) (end func()) {
-	return l.begin(span{subject: subject, from: time.Now(), isSuspension: true}, after)
+func (l *ledger) beginSuspension(subject string, slack time.Duration) (end func()) {
+	return l.begin(span{subject: subject, from: time.Now(), isSuspension: true}, slack)
 }
 
-func (l *ledger) begin(s span, after time.Duration) (end func()) {
+func (l *ledger) begin(s span, slack time.Duration) (end func()) {
 	s.to = s.from.Add(time.Hour)
 	l.do(func() {
 		if l.now > 0 {
 			l.overlapping++
 		}
 		l.now++
-		l.troubles = append(l.troubles, s)
+		l.faults = append(l.faults, s)
 	})
 	return func() {
 		l.do(func() {
 			l.now--
-			for i := range l.troubles {
-				if l.troubles[i].subject == s.subject && l.troubles[i].from.Equal(s.from) {
-					l.troubles[i].to = time.Now().Add(after)
+			for i := range l.faults {
+				if l.faults[i].subject == s.subject && l.faults[i].from.Equal(s.from) {
+					l.faults[i].to = time.Now().Add(slack)
 				}
 			}
 		})
@@ -93,9 +93,9 @@
 }
 
 // RunBegun implements gateway.Observer.
-func (l *ledger) RunBegun(backend, attempt string) {
+func (l *ledger) RunBegun(backend, attemptID string) {
 	l.do(func() {
-		if q := l.requests[attempt]; q != nil {
+		if q := l.requests[attemptID]; q != nil {
 			q.runs = append(q.runs, run{backend: backend, begunAt: time.Now()})
 		} else {
 			l.unknown++
@@ -104,15 +104,15 @@
 }
 
 // RunEnded implements gateway.Observer.
-func (l *ledger) RunEnded(backend, attempt string, cut bool) {
+func (l *ledger) RunEnded(backend, attemptID string, severed bool) {
 	l.do(func() {
-		q := l.requests[attempt]
+		q := l.requests[attemptID]
 		if q == nil {
 			return
 		}
 		for i := range q.runs {
 			if r := &q.runs[i]; r.backend == backend && r.endedAt.IsZero() {
-				r.endedAt, r.cut = time.Now(), cut
+				r.endedAt, r.severed = time.Now(), severed
 				return
 			}
 		}
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -1,11 +1,11 @@
-// Package soak plays the gateway's real programs on loopback for a while, under random troubles that overlap, with
+// Package soak plays the gateway's real programs on loopback for a while, under random faults that overlap, with
 // clients of whom many leave before their answer, and holds what clients and backends saw against invariants.
 //
 //	soak.go      the command and one run
-//	troubles.go  what is done to processes, connections and backends
+//	faults.go      what is done to processes, connections and backends
 //	clients.go   requests, and how clients leave
 //	ledger.go    what was seen
-//	judge.go     the invariants
+//	invariants.gothe invariants
 package soak
 
 import (
@@ -27,7 +27,7 @@
 
 const (
 	controllers = 3
-	carriers    = 3
+	proxies     = 3
 	services    = 2 // of idempotent requests; of requests that may run once only
 	backends    = 3 // of each service
 	slots       = 32
@@ -36,7 +36,7 @@
 
 	startTimeout  = 20 * time.Second
 	sampleEvery   = 500 * time.Millisecond
-	settleTime    = 3 * time.Second // from the last trouble to the last look
+	recoveryTime  = 3 * time.Second // from the last fault to the last look
 	finalRequests = 40
 	maxRuns       = 200
 )
@@ -58,7 +58,7 @@
 	var o options
 	c := &cobra.Command{
 		Use: "soak",
-		Short: "the real programs on loopback under troubles that overlap, with clients that leave: kills, pauses, cuts, " +
+		Short: "the real programs on loopback under faults that overlap, with clients that leave: kills, pauses, cuts, " +
 			"lost answers",
 		Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error { return runAll(c.Context(), c.OutOrStdout(), o) },
@@ -67,7 +67,7 @@
 	c.Flags().StringVar(&o.programs, "programs", "target", "folder of elmfold-controlplane and elmfold-proxy")
 	c.Flags().StringVar(&o.logs, "logs", "", "folder in which the logs of seeds that break an invariant stay")
 	c.Flags().IntVar(&o.seeds, "seeds", 1, "how many seeds are played, from --seed on, one after the other")
-	c.Flags().DurationVar(&o.span, "for", 15*time.Second, "how long troubles last, with each seed")
+	c.Flags().DurationVar(&o.span, "for", 15*time.Second, "how long faults last, with each seed")
 	return []*cobra.Command{c}
 }
 
@@ -98,14 +98,14 @@
 
 // outcome is what came of one seed.
 type outcome struct {
-	requests, left, runs, cut, troubles, overlapping int
-	violations                                       []string
+	requests, departed, runs, severed, faults, overlapping int
+	violations                                             []string
 }
 
 func (o outcome) String() string {
 	text := fmt.Sprintf(
-		"%d requests, %d clients left, %d runs, %d cut; %d troubles, %d begun beside another; %d violations",
-		o.requests, o.left, o.runs, o.cut, o.troubles, o.overlapping, len(o.violations))
+		"%d requests, %d clients left, %d runs, %d cut; %d faults, %d begun beside another; %d violations",
+		o.requests, o.departed, o.runs, o.severed, o.faults, o.overlapping, len(o.violations))
 	const shown = 12
 	for i, v := range o.violations {
 		if i == shown {
@@ -123,13 +123,13 @@
 	ways       []way // to the backends
 	stopFakes  []func()
 	ledger     *ledger
-	fates      *fates
+	handlings  *handlings
 	operator   *gateway.Operator
 	version    uint32
 	work       sync.WaitGroup
 }
 
-// way is the network between carriers and a backend.
+// way is the network between proxies and a backend.
 type way struct {
 	backend string // id
 	*link.Link
@@ -161,23 +161,23 @@
 	}
 	w.disturb(ctx, o.span)
 	select {
-	case <-time.After(settleTime):
+	case <-time.After(recoveryTime):
 	case <-ctx.Done():
 		return result, ctx.Err()
 	}
 	w.finalRequests(ctx)
 	w.checkAtRest(ctx, idle)
-	return w.ledger.judge(), nil
+	return w.ledger.check(), nil
 }
 
 // start brings up the programs, the backends behind their links, and the first configuration.
 func start(ctx context.Context, seed uint64, dir, programs string) (w *world, err error) {
-	w = &world{seed: seed, ledger: newLedger(), fates: &fates{}, version: 1}
+	w = &world{seed: seed, ledger: newLedger(), handlings: &handlings{}, version: 1}
 	w.deployment, err = gateway.Start(gateway.Plan{
 		Programs:    programs,
 		Dir:         dir,
 		Controllers: controllers,
-		Carrier:     carriers,
+		Carrier:     proxies,
 		Zones:       zones,
 		Faults:      1,
 		Beat:        heartbeat,
@@ -223,8 +223,8 @@
 	}
 	w.ways = append(w.ways, way{id, l})
 	b, err := gateway.StartBackend(gateway.BackendOptions{ID: id, Service: gateway.ServiceName(i % services),
-		Zone: zones[i/services%len(zones)], Listen: address, Advertise: l.Addr(), Slots: slots, Beat: heartbeat,
-		Controls: w.deployment.Controls(), Observer: w.ledger, Fate: w.fates.draw})
+		Zone: zones[i/services%len(zones)], Listen: address, Advertise: l.Addr(), Slots: slots, Heartbeat: heartbeat,
+		Controls: w.deployment.Controls(), Observer: w.ledger, Handle: w.handlings.draw})
 	if err != nil {
 		return err
 	}
@@ -232,7 +232,7 @@
 	return nil
 }
 
-// untilServed waits until each carrier has an answer on both routes.
+// untilServed waits until each proxy has an answer on both routes.
 func (w *world) untilServed(ctx context.Context) error {
 	r := rand.New(rand.NewPCG(w.seed, 0))
 	for _, p := range w.deployment.Carriers {
@@ -260,7 +260,7 @@
 	}
 }
 
-// figures of all carriers, by their names.
+// figures of all proxies, by their names.
 func (w *world) figures(ctx context.Context) (map[string]map[string]int64, error) {
 	all := map[string]map[string]int64{}
 	for _, p := range w.deployment.Carriers {
--- a/internal/fakes/gateway/backend.go
+++ b/internal/fakes/gateway/backend.go
@@ -20,15 +20,15 @@
 	Advertise         string        // "ip:port" that its beats tell; "": Listen
 	Slots             int           // requests at once
 	Work              time.Duration // of a request
-	Beat              float64       // seconds between beats
+	Heartbeat         float64       // seconds between heartbeats
 	Controls          []string      // addresses for its beats
 	Observer          Observer      // is told of each run; nil: nobody
-	// Fate draws what becomes of a request; nil: it is worked at for Work and answered.
-	Fate func(r *http.Request) Fate
+	// Handle draws what becomes of a request; nil: it is worked at for Work and answered.
+	Handle func(r *http.Request) Handling
 }
 
-// Fate is what becomes of a request at a Backend.
-type Fate struct {
+// Handling is what becomes of a request at a Backend.
+type Handling struct {
 	Work       time.Duration
 	LoseAnswer bool // it is executed, and the connection ends without an answer
 }
@@ -36,9 +36,9 @@
 // Observer is told of each run of a request, from any goroutine.
 type Observer interface {
 	// RunBegun tells that a backend begins to work at an attempt.
-	RunBegun(backend, attempt string)
-	// RunEnded tells that it ended; cut: with its connection, before its time.
-	RunEnded(backend, attempt string, cut bool)
+	RunBegun(backend, attemptID string)
+	// RunEnded tells that it ended; severed: with its connection, before its time.
+	RunEnded(backend, attemptID string, severed bool)
 }
 
 // Backend is a server that runs requests: it checks the id, seals its answers, tells its load, and beats. It drops a
@@ -68,7 +68,7 @@
 	go func() { _ = b.server.Serve(l) }()
 	b.heartbeats = startHeartbeats(
 		Incarnation{ID: o.ID, Service: o.Service, Zone: o.Zone, Address: o.Advertise, Capacity: o.Slots},
-		o.Beat,
+		o.Heartbeat,
 		0,
 		o.Controls,
 		nil,
@@ -146,27 +146,27 @@
 
 // work works at a request, and reports whether it is to be answered.
 func (b *Backend) work(r *http.Request, attempt string) (answer bool) {
-	fate := Fate{Work: b.options.Work}
-	if b.options.Fate != nil {
-		fate = b.options.Fate(r)
+	handling := Handling{Work: b.options.Work}
+	if b.options.Handle != nil {
+		handling = b.options.Handle(r)
 	}
 	if b.options.Observer != nil {
 		b.options.Observer.RunBegun(b.ID, attempt)
 	}
-	cut := false
-	if fate.Work > 0 {
-		timer := time.NewTimer(fate.Work)
+	severed := false
+	if handling.Work > 0 {
+		timer := time.NewTimer(handling.Work)
 		defer timer.Stop()
 		select {
 		case <-timer.C:
 		case <-r.Context().Done():
-			cut = true
+			severed = true
 		}
 	}
 	if b.options.Observer != nil {
-		b.options.Observer.RunEnded(b.ID, attempt, cut)
+		b.options.Observer.RunEnded(b.ID, attempt, severed)
 	}
-	return !cut && !fate.LoseAnswer
+	return !severed && !handling.LoseAnswer
 }
 
 // Incarnation is what a backend says of itself.
--- a/internal/fakes/gateway/deployment.go
+++ b/internal/fakes/gateway/deployment.go
@@ -193,10 +193,10 @@
 func (p *Process) Signal(signal syscall.Signal) error { return p.cmd.Process.Signal(signal) }
 
 // Wait waits for the end of the process, and kills it after a time.
-func (p *Process) Wait(most time.Duration) {
+func (p *Process) Wait(timeout time.Duration) {
 	select {
 	case <-p.ended:
-	case <-time.After(most):
+	case <-time.After(timeout):
 		p.Kill()
 	}
 }
--- a/internal/fakes/link/link.go
+++ b/internal/fakes/link/link.go
@@ -52,15 +52,15 @@
 	listener net.Listener
 	server   string
 
-	mu       sync.Mutex
-	script   func(n int) Script
-	accepted int
-	conns    map[net.Conn]bool
-	passed   int64 // bytes to clients
-	refused  bool
-	closed   bool
-	held     int        // how many hold it
-	released *sync.Cond // held has fallen to 0, or the link is closed
+	mu        sync.Mutex
+	script    func(n int) Script
+	accepted  int
+	conns     map[net.Conn]bool
+	passed    int64 // bytes to clients
+	refused   bool
+	closed    bool
+	holdCount int        // how many hold it
+	released  *sync.Cond // holdCount has fallen to 0, or the link is closed
 }
 
 // New makes a Link to a server's address; script may be nil for a calm one.
@@ -130,11 +130,11 @@
 func (l *Link) Hold() (release func()) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.held++
+	l.holdCount++
 	return func() {
 		l.mu.Lock()
 		defer l.mu.Unlock()
-		l.held--
+		l.holdCount--
 		l.released.Broadcast()
 	}
 }
@@ -142,7 +142,7 @@
 func (l *Link) waitReleased() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for l.held > 0 && !l.closed {
+	for l.holdCount > 0 && !l.closed {
 		l.released.Wait()
 	}
 }
--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -30,8 +30,8 @@
 // ahead: only then does it show that the client leaves meanwhile.
 const stallTime = 50 * time.Millisecond
 
-// errClientLeft ends a body whose client has left: what is still there of it is not passed on.
-var errClientLeft = errors.New("the client has left")
+// errClientDisconnected ends a body whose client has left: what is still there of it is not passed on.
+var errClientDisconnected = errors.New("the client has left")
 
 // upload is the streamed part of a body. Its reader may be active when the response is there.
 type upload struct {
@@ -50,7 +50,7 @@
 	n, err := u.Reader.Read(b)
 	if u.probe.HasPeerClosed() {
 		u.conn.cancel()
-		return 0, errClientLeft
+		return 0, errClientDisconnected
 	}
 	if u.left >= 0 {
 		u.left -= int64(n)
--- a/internal/proxy/clients.go
+++ b/internal/proxy/clients.go
@@ -50,7 +50,7 @@
 func newClientConn(netConn net.Conn, p *Proxy) *clientConn {
 	c := &clientConn{Conn: netConn, proxy: p, probe: socket.NewProbe(netConn)}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
-	c.ahead.conn, c.ahead.onLeft, c.ahead.total = netConn, c.cancel, &p.readAheadBytes
+	c.ahead.conn, c.ahead.onDisconnect, c.ahead.total = netConn, c.cancel, &p.readAheadBytes
 	return c
 }
 
--- a/internal/proxy/disconnect.go
+++ b/internal/proxy/disconnect.go
@@ -39,11 +39,11 @@
 }
 
 // checkDisconnected counts a request as overdue that is not done after so many checks.
-func (p *Proxy) checkDisconnected(f *forwarding, checksLeft int) {
+func (p *Proxy) checkDisconnected(f *forwarding, remaining int) {
 	switch {
 	case f.done.Load():
-	case checksLeft > 0:
-		p.options.Clock.AfterFunc(disconnectCheckInterval, func() { p.checkDisconnected(f, checksLeft-1) })
+	case remaining > 0:
+		p.options.Clock.AfterFunc(disconnectCheckInterval, func() { p.checkDisconnected(f, remaining-1) })
 	default:
 		p.metrics.overdueRequests.Add()
 		p.log.Error("request outlives its client", logfield.Service, f.service, logfield.Duration,
--- a/internal/proxy/readahead.go
+++ b/internal/proxy/readahead.go
@@ -31,9 +31,9 @@
 // readAhead reads a connection while nobody else does. At any moment one goroutine reads the connection: the caller of
 // read, or the one that begin started.
 type readAhead struct {
-	conn   net.Conn
-	onLeft func()        // called when the client was seen to leave; more than once at times
-	total  *atomic.Int64 // bytes that are held, of all connections
+	conn         net.Conn
+	onDisconnect func()        // called when the client was seen to leave; more than once at times
+	total        *atomic.Int64 // bytes that are held, of all connections
 
 	mu       sync.Mutex
 	deadline time.Time     // for reads; zero: none
@@ -139,7 +139,7 @@
 		isFull := r.hold(chunk[:n], hasLeft, err)
 		switch {
 		case hasLeft:
-			r.onLeft()
+			r.onDisconnect()
 			return
 		case err != nil:
 			return
@@ -188,7 +188,7 @@
 			return
 		case <-ticker.C:
 			if probe.HasPeerClosed() {
-				r.onLeft()
+				r.onDisconnect()
 				return
 			}
 		}
--- a/internal/proxy/readahead_test.go
+++ b/internal/proxy/readahead_test.go
@@ -36,7 +36,7 @@
 
 func newReadAhead(conn net.Conn) (r *readAhead, left chan struct{}) {
 	left = make(chan struct{}, 8)
-	return &readAhead{conn: conn, onLeft: func() { left <- struct{}{} }, total: &atomic.Int64{}}, left
+	return &readAhead{conn: conn, onDisconnect: func() { left <- struct{}{} }, total: &atomic.Int64{}}, left
 }
 
 // Guards against a client that leaves behind more than is read ahead, by a close and by a reset.
--- a/internal/simulation/backendanswer.go
+++ b/internal/simulation/backendanswer.go
@@ -49,8 +49,8 @@
 		b.Meanwhile(r)
 	}
 	work := x.work()
-	cut := endOf(c).endsWithin(min(work, x.budget), b.host.gone) // as most backends, it drops what nobody waits for
-	if b.w.Ledger.Finish(id, b.ID, b.w.Now(), cut && !b.ended()); cut {
+	severed := endOf(c).endsWithin(min(work, x.budget), b.host.gone) // as most backends, it drops what nobody waits for
+	if b.w.Ledger.Finish(id, b.ID, b.w.Now(), severed && !b.ended()); severed {
 		b.w.Ledger.Reply(id, Reply{Backend: b.ID})
 		return false
 	}
--- a/internal/simulation/departures.go
+++ b/internal/simulation/departures.go
@@ -23,7 +23,7 @@
 
 const (
 	nothingUnread unread = iota
-	wholeRequest
+	fullRequest
 	halfRequest
 	unreadKinds
 )
@@ -57,7 +57,7 @@
 	}
 	send(path)
 	switch behind {
-	case wholeRequest:
+	case fullRequest:
 		time.Sleep(minStay / 2) // in a segment of its own
 		send(path)
 	case halfRequest:
@@ -68,7 +68,7 @@
 	_ = k.Close()
 	w.Ledger.do(func() {
 		for _, t := range all {
-			t.Left, t.End, t.GaveUp = w.Now(), w.Now(), true
+			t.DepartedAt, t.End, t.GaveUp = w.Now(), w.Now(), true
 		}
 	})
 }
@@ -76,18 +76,18 @@
 // departures: GONE. It is stricter than the operators' rule, which lets a quarter pass.
 func (l *Ledger) departures(out *breaches) {
 	for _, t := range l.Tries {
-		limit := t.Left + departureLimit
-		if t.Left == 0 || !l.calm(t.Proxy, t.At-l.Bounds.Contact.Duration(), limit) {
+		limit := t.DepartedAt + departureLimit
+		if t.DepartedAt == 0 || !l.calm(t.Proxy, t.At-l.Bounds.Contact.Duration(), limit) {
 			continue
 		}
 		for _, a := range t.Arrivals {
 			switch {
 			case a.At > limit:
 				out.add("GONE", a.At, "%s reached %s by %s %.3f s after its client had left", t.ID, a.Backend, t.Proxy,
-					(a.At - t.Left).Seconds())
+					(a.At - t.DepartedAt).Seconds())
 			case a.Outcome == Ran && t.Safe && (a.End == 0 || a.End > limit):
 				out.add("GONE", limit, "%s is still worked on at %s, sent by %s", t.ID, a.Backend, t.Proxy)
-			case a.Outcome == Ran && !t.Safe && a.Cut && a.End > t.Left &&
+			case a.Outcome == Ran && !t.Safe && a.Severed && a.End > t.DepartedAt &&
 				l.untroubled(t.Proxy, t.At-l.Bounds.Contact.Duration(), a.End): // no process ended with it
 				out.add("GONE", a.End, "%s may run once only, and was broken off at %s as its client left", t.ID, a.Backend)
 			}
@@ -95,8 +95,8 @@
 	}
 }
 
-// Finish notes the end of a run. Cut: its connection ended first.
-func (l *Ledger) Finish(id, backend string, at time.Duration, cut bool) {
+// Finish notes the end of a run. severed: its connection ended first.
+func (l *Ledger) Finish(id, backend string, at time.Duration, severed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	t := l.byID[id]
@@ -105,7 +105,7 @@
 	}
 	for i := range t.Arrivals {
 		if a := &t.Arrivals[i]; a.Backend == backend && a.Outcome == Ran && a.End == 0 {
-			a.End, a.Cut = at, cut
+			a.End, a.Severed = at, severed
 		}
 	}
 }
--- a/internal/simulation/ledger.go
+++ b/internal/simulation/ledger.go
@@ -71,15 +71,15 @@
 	Arrivals                 []Arrival
 	Replies                  []Reply
 
-	End      time.Duration
-	Status   int  // of the answer; 0: none came
-	Complete bool // the answer came to its end
-	Seal     string
-	AnswerID string
-	Sum      uint64        // of the answer's body
-	GaveUp   bool          // the client would not wait any longer
-	Left     time.Duration // the client closed its connection before the answer; 0: it did not
-	Timeout  time.Duration
+	End        time.Duration
+	Status     int  // of the answer; 0: none came
+	Complete   bool // the answer came to its end
+	Seal       string
+	AnswerID   string
+	Sum        uint64        // of the answer's body
+	GaveUp     bool          // the client would not wait any longer
+	DepartedAt time.Duration // the client closed its connection before the answer; 0: it did not
+	Timeout    time.Duration
 }
 
 // Arrival is a request at a backend.
@@ -93,7 +93,7 @@
 	Method, Target string
 	Body           uint64
 	End            time.Duration // of the run; 0: it goes on, or there was none
-	Cut            bool          // ... which ended with its connection, before the work was done
+	Severed        bool          // ... which ended with its connection, before the work was done
 }
 
 // Outcome is what a backend did with it.
--- a/internal/simulation/rules_test.go
+++ b/internal/simulation/rules_test.go
@@ -231,25 +231,25 @@
 		}, func(s sheet) { s.Losses[1].From, s.Losses[1].To = sec(1), sec(2) }},
 		{"GONE", func(s sheet) { // worked on for nobody
 			x := s.try(5, true)
-			x.Left, x.Arrivals[0].End, x.Arrivals[0].Cut = sec(5.1), sec(5.2), true
+			x.DepartedAt, x.Arrivals[0].End, x.Arrivals[0].Severed = sec(5.1), sec(5.2), true
 			x = s.try(6, false) // once only: it may go on
-			x.Left, x.Arrivals[0].End = sec(6.1), sec(9)
+			x.DepartedAt, x.Arrivals[0].End = sec(6.1), sec(9)
 		}, func(s sheet) {
 			x := s.try(7, true)
-			x.Left, x.Arrivals[0].End = sec(7.1), sec(7.7)
+			x.DepartedAt, x.Arrivals[0].End = sec(7.1), sec(7.7)
 		}},
 		{"GONE", func(s sheet) { // sent after its client has left
 			s.BeginFault(sec(4), "edge-1", "freeze", false)(sec(9))
 			x := s.try(5, true)
-			x.Left, x.Proxy, x.Arrivals[0].At, x.Arrivals[0].End = sec(5.1), "edge-1", sec(8), sec(8.1)
+			x.DepartedAt, x.Proxy, x.Arrivals[0].At, x.Arrivals[0].End = sec(5.1), "edge-1", sec(8), sec(8.1)
 		}, func(s sheet) {
 			x := s.try(7, false)
-			x.Left, x.Arrivals[0].At, x.Arrivals[0].End = sec(7.1), sec(7.7), sec(7.8)
+			x.DepartedAt, x.Arrivals[0].At, x.Arrivals[0].End = sec(7.1), sec(7.7), sec(7.8)
 		}},
 		{"GONE", func(s sheet) { s.try(5, false).Arrivals[0].End = sec(5.2) },
 			func(s sheet) { // once only, and broken off
 				x := s.try(7, false)
-				x.Left, x.Arrivals[0].End, x.Arrivals[0].Cut = sec(7.1), sec(7.11), true
+				x.DepartedAt, x.Arrivals[0].End, x.Arrivals[0].Severed = sec(7.1), sec(7.11), true
 			}},
 		{"DENIED", func(s sheet) {
 			for range 5 {
--- a/internal/simulation/stories_test.go
+++ b/internal/simulation/stories_test.go
@@ -95,7 +95,7 @@
 		left := 0
 		w.Ledger.do(func() {
 			for _, y := range w.Ledger.Tries {
-				if y.Left > 0 && len(y.Arrivals) > 0 {
+				if y.DepartedAt > 0 && len(y.Arrivals) > 0 {
 					left++
 				}
 			}
