proxy: a read that ends by its deadline costs no reflection

Cause: http.Server ends its read in the background by a deadline with each request, and isTimeout looked at the error by errors.As: 0.18 of 3.35 s of the proxy's processor time under load (profile), and the stack of that goroutine grew. Change: a type assertion.

--- a/internal/proxy/readahead.go
+++ b/internal/proxy/readahead.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -172,9 +171,11 @@
 	r.buffered, r.released = nil, true
 }
 
+// isTimeout reports whether an error of a connection's Read is a deadline that passed. Each request meets one, as
+// http.Server ends its read in the background so: errors.As took a twentieth of the processor time of all of it.
 func isTimeout(err error) bool {
-	var netErr net.Error
-	return errors.As(err, &netErr) && netErr.Timeout()
+	netErr, ok := err.(net.Error) //nolint:errorlint // as Read returns it
+	return ok && netErr.Timeout()
 }
 
 // pollPeer looks whether the client has closed its side, until stopping is closed.
