proxy, controlplane: a client that leaves is counted once, whoever is told first

Change: the end of the watch counts what it was not told. The test waits until all goroutines of the bubble rest.

--- a/internal/controlplane/metrics.go
+++ b/internal/controlplane/metrics.go
@@ -32,7 +32,9 @@
 	m.callsInProgress.Add(1)
 	stopWatching := context.AfterFunc(r.Context(), m.callDisconnects.Add)
 	return func() {
-		stopWatching()
+		if stopWatching() && r.Context().Err() != nil { // the call was told first, and ended before the watch ran
+			m.callDisconnects.Add()
+		}
 		m.callsInProgress.Add(-1)
 	}
 }
--- a/internal/controlplane/metrics_test.go
+++ b/internal/controlplane/metrics_test.go
@@ -34,6 +34,7 @@
 				if took := time.Since(began); took > 101*time.Millisecond || !hasLeft {
 					t.Errorf("it ended after %v: %d %s", took, w.Code, w.Body)
 				}
+				synctest.Wait() // what counts the caller's leaving has run
 				figures := httptest.NewRecorder()
 				c.cores[0].server.Metrics().ServeHTTP(figures, httptest.NewRequest("GET", "/metrics", nil))
 				for _, want := range []string{"\nelmfold_calls_in_progress 0\n", "\nelmfold_call_disconnects_total 1\n"} {
--- a/internal/proxy/disconnect.go
+++ b/internal/proxy/disconnect.go
@@ -34,7 +34,9 @@
 	})
 	return func() {
 		f.done.Store(true)
-		stopWatching()
+		if stopWatching() && f.hasDisconnected() { // the attempt was told first, and ended the request before the watch ran
+			p.metrics.clientDisconnects.Add()
+		}
 	}
 }
 
