consensus: machines decide the founding where most seeds may be lost

Cause: a majority of the seeds was asked for; with three seeds and machineFaults 2 or 3 they may be lost. Change: where the seeds do not survive the losses, f+1 of 2f+1 disks of the first start decide (all but f of those heard of where there are more), a seed among them; disks note seeds and address of the first start; each system has an id, and two that were founded apart are never merged: both say so, the one without most seeds answers 503. Status and log tell what a founding waits for.

--- a/internal/compat/messages_test.go
+++ b/internal/compat/messages_test.go
@@ -219,3 +219,27 @@
 		t.Error("the frames of these tests have another form")
 	}
 }
+
+// Fields that came after d330930, which ignores them, keep the keys and the form that they were first sent with.
+func TestLaterFieldsKeepTheirBytes(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		set  func(*rpc.Message)
+		want string
+	}{
+		{"founding id of a message", func(m *rpc.Message) { m.FoundingID = 7 }, "a1182607"},
+		{"founding id of an epoch", func(m *rpc.Message) { m.Epoch = &rpc.Epoch{Number: 1, FoundingID: 7} },
+			"a1181da3010103f60507"},
+		{"origin of a disk", func(m *rpc.Message) {
+			m.Hello = &rpc.Hello{Origin: rpc.Origin{Address: "a", Seeds: []string{"b"}}}
+		}, "a103a301a201600360020006a201616102816162"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			m := &rpc.Message{}
+			c.set(m)
+			if got := hex.EncodeToString(rpc.Encode(m)); got != c.want {
+				t.Errorf("it is sent as %s, not %s", got, c.want)
+			}
+		})
+	}
+}
--- a/internal/controlplane/connections.go
+++ b/internal/controlplane/connections.go
@@ -55,6 +55,7 @@
 		Node:             hello.Node,
 		StoreID:          hello.StoreID,
 		MayHaveLostState: hello.MayHaveLostState,
+		Origin:           hello.Origin,
 	}
 }
 
--- a/internal/controlplane/consensus/durablestate.go
+++ b/internal/controlplane/consensus/durablestate.go
@@ -31,8 +31,9 @@
 // DurableState is what a disk holds.
 type DurableState struct {
 	StoreID          string
-	MayHaveLostState bool // it is not from the system's first start: there may be an epoch that it does not know
-	Identified       bool // StoreID is on the disk
+	MayHaveLostState bool       // it is not from the system's first start: there may be an epoch that it does not know
+	Identified       bool       // StoreID is on the disk
+	Origin           rpc.Origin // of a disk from the system's first start
 	Epoch            Epoch
 	Acceptors        map[string]paxos.Acceptor[Register] // by register
 
@@ -40,8 +41,9 @@
 }
 
 type diskRecord struct {
-	ID         string `cbor:"1,keyasint"`
-	FirstStart bool   `cbor:"2,keyasint,omitempty"` // written at the system's first start
+	ID         string     `cbor:"1,keyasint"`
+	FirstStart bool       `cbor:"2,keyasint,omitempty"` // written at the system's first start
+	Origin     rpc.Origin `cbor:"3,keyasint,omitzero"`  // noted then
 }
 
 type registerRecord struct {
@@ -90,6 +92,7 @@
 		return &RecordError{recordDisk, err}
 	}
 	s.StoreID, s.MayHaveLostState, s.Identified = d.ID, !d.FirstStart, true
+	s.Origin = d.Origin
 	if text := records[recordEpoch]; len(text) > 0 {
 		var err error
 		if s.Epoch, err = decodeEpoch(text); err != nil {
@@ -187,7 +190,7 @@
 	}
 	// The id comes after the rest. An older disk is complete already: if the power were lost in between, it would pass for
 	// one from the system's first start that knows of nothing.
-	write(recordDisk, marshal(diskRecord{state.StoreID, !state.MayHaveLostState}))
+	write(recordDisk, marshal(diskRecord{state.StoreID, !state.MayHaveLostState, r.origin}))
 	write(recordComplete, []byte{1})
 }
 
--- a/internal/controlplane/consensus/epochs.go
+++ b/internal/controlplane/consensus/epochs.go
@@ -20,7 +20,11 @@
 	if e.Number <= r.epoch.Number {
 		return
 	}
+	isFirst := r.epoch.FoundingID == 0
 	r.epoch, r.epochChangedAt = e, r.now
+	if isFirst {
+		r.reportForeignPeers()
+	}
 	r.desired, r.jointScan = "", nil
 	r.writeEpoch()
 	delete(r.registers, epochRegister)
--- a/internal/controlplane/consensus/events.go
+++ b/internal/controlplane/consensus/events.go
@@ -48,6 +48,7 @@
 	Node             rpc.Node
 	StoreID          string // of its disk
 	MayHaveLostState bool   // its disk may have forgotten that there is an epoch
+	Origin           rpc.Origin
 }
 
 // PeerConnected is a PeerIdentified, and says that the connection to the peer over which messages go out is up.
@@ -74,7 +75,8 @@
 func (MessageReceived) isEvent()  {}
 func (Shutdown) isEvent()         {}
 
-// Action is what Step asks its caller to do: Persist, Send, ValueCommitted, EpochEntered, RequestDone or HandedOver.
+// Action is what Step asks its caller to do: Persist, Send, ValueCommitted, EpochEntered, RequestDone, HandedOver or
+// ForeignPeerFound.
 // Actions are carried out in their order.
 type Action interface{ isAction() }
 
@@ -105,6 +107,13 @@
 	Register
 }
 
+// ForeignPeerFound says that a peer belongs to a system that was founded independently of this one. What it says does
+// not count; the two are never merged.
+type ForeignPeerFound struct {
+	Name       string
+	FoundingID uint64 // of the other system
+}
+
 // HandedOver answers a Shutdown: nothing needs this process any more.
 type HandedOver struct{}
 
@@ -115,6 +124,8 @@
 func (RequestDone) isAction()    {}
 func (HandedOver) isAction()     {}
 
+func (ForeignPeerFound) isAction() {}
+
 // Outcome is what became of a request.
 type Outcome uint8
 
--- a/internal/controlplane/consensus/joint.go
+++ b/internal/controlplane/consensus/joint.go
@@ -45,6 +45,7 @@
 		OldVoters:    r.epoch.Voters,
 		Voters:       voters,
 		FoundingSize: r.epoch.FoundingSize,
+		FoundingID:   r.epoch.FoundingID,
 	}
 	if r.options.bugs.noJointEpoch {
 		joint.OldVoters = nil
@@ -134,5 +135,8 @@
 
 // successor is the epoch that ends a joint one.
 func (r *Replica) successor(voters []Voter) Epoch {
-	return Epoch{Number: r.epoch.Number + 1, Voters: voters, FoundingSize: r.epoch.FoundingSize}
+	next := r.epoch
+	next.Number++
+	next.Voters, next.OldVoters = voters, nil
+	return next
 }
--- a/internal/controlplane/consensus/quorumcontact.go
+++ b/internal/controlplane/consensus/quorumcontact.go
@@ -60,7 +60,8 @@
 }
 
 // HasQuorum reports whether a majority of the voters has answered a ping of this incarnation that was sent just now.
-// Without it nothing is decided, nothing is read, and nothing is told as current.
+// Without it nothing is decided, nothing is read, and nothing is told as current. Beside another system it takes most
+// of the seeds too.
 func (r *Replica) HasQuorum(now time.Duration) bool {
-	return r.epoch.Number > 0 && now <= r.contact.confirmedAt+QuorumContactTimeout
+	return r.epoch.Number > 0 && now <= r.contact.confirmedAt+QuorumContactTimeout && !r.isOutvoted()
 }
--- a/internal/controlplane/consensus/replica.go
+++ b/internal/controlplane/consensus/replica.go
@@ -12,9 +12,9 @@
 // committed value to the next one (ChangeFunc).
 //
 // Voters are disks, told apart by ids that are drawn when a disk is first written. Who votes is itself a register,
-// decided anew for each Epoch by the voters of the epoch before. The first epoch is decided by the seeds. A change
-// of voters goes through a joint epoch, in which a quorum needs both the old and the new voters (joint consensus,
-// Ongaro 2014, 4.3).
+// decided anew for each Epoch by the voters of the epoch before. The first epoch is decided by the disks of the
+// system's first start (foundingrule.go). A change of voters goes through a joint epoch, in which a quorum needs both
+// the old and the new voters (joint consensus, Ongaro 2014, 4.3).
 //
 // # Invariants
 //
@@ -40,6 +40,8 @@
 //	replication.go    which disks have accepted what, what is chosen, what is missing where
 //	epochs.go         entering epochs, quorums, proposals for the next one
 //	founding.go       the first epoch
+//	foundingrule.go   which disks decide it
+//	foreign.go        nodes of another system
 //	joint.go          changes of voters
 //	membership.go     who should vote
 //	shutdown.go       handing over before the process ends
@@ -65,7 +67,7 @@
 	Self        rpc.Node
 	Incarnation uint64       // of this process, drawn at its start: no two proposers share ballot numbers or query ids
 	MaxFaults   int          // machines that may be lost at once
-	Seeds       []string     // the peer addresses of the nodes that decide the first epoch
+	Seeds       []string     // the peer addresses of the seeds, as the settings name them now
 	State       DurableState // what the disk holds
 	bugs        injectedBugs
 }
@@ -81,6 +83,8 @@
 	rpc.Node
 	storeID          string
 	mayHaveLostState bool
+	origin           rpc.Origin
+	foundingID       uint64 // of the system that it belongs to, as it said last; 0: it did not say
 	connected        bool
 	shuttingDown     bool
 	lastContact      time.Duration           // its last pong
@@ -92,11 +96,12 @@
 // Replica is one node's part. It belongs to one goroutine. Times are durations since the process began.
 type Replica struct {
 	options          Options
-	storeID          string // of the own disk
-	mayHaveLostState bool   // as in PeerIdentified
-	identified       bool   // storeID is on the disk
-	epoch            Epoch  // the newest that is known to be decided
-	storedEpoch      uint64 // the number of the epoch on the disk
+	storeID          string     // of the own disk
+	mayHaveLostState bool       // as in PeerIdentified
+	identified       bool       // storeID is on the disk
+	origin           rpc.Origin // of the own disk
+	epoch            Epoch      // the newest that is known to be decided
+	storedEpoch      uint64     // the number of the epoch on the disk
 	registers        map[string]*register
 	peers            map[string]*peer // by name
 	reads            []*pendingRead
@@ -136,6 +141,7 @@
 		storeID:          o.State.StoreID,
 		mayHaveLostState: o.State.MayHaveLostState,
 		identified:       o.State.Identified,
+		origin:           o.State.Origin,
 		epoch:            o.State.Epoch,
 		registers:        map[string]*register{},
 		peers:            map[string]*peer{},
@@ -147,6 +153,8 @@
 	}
 	if r.identified {
 		r.storedEpoch = r.epoch.Number
+	} else if !r.mayHaveLostState {
+		r.origin = rpc.Origin{Address: o.Self.Address, Seeds: o.Seeds}
 	}
 	for name, acceptor := range o.State.Acceptors {
 		g := r.registerFor(name)
@@ -166,6 +174,9 @@
 // MayHaveLostState is what Hello says of the own disk.
 func (r *Replica) MayHaveLostState() bool { return r.mayHaveLostState && r.epoch.Number == 0 }
 
+// Origin is what the own disk noted at the system's first start.
+func (r *Replica) Origin() rpc.Origin { return r.origin }
+
 // IsVoter reports whether the own disk votes.
 func (r *Replica) IsVoter() bool { return r.identified && r.epoch.IsVoter(r.storeID) }
 
@@ -275,7 +286,7 @@
 
 func (r *Replica) sendMessage(to string, m *rpc.Message) {
 	if p := r.peers[to]; p != nil && p.connected {
-		m.EpochNumber, m.StoreID = r.epoch.Number, r.storeID
+		m.EpochNumber, m.StoreID, m.FoundingID = r.epoch.Number, r.storeID, r.epoch.FoundingID
 		r.emit(Send{to, m})
 	}
 }
@@ -307,6 +318,8 @@
 
 func (r *Replica) sortedRegisters() []string { return slices.Sorted(maps.Keys(r.registers)) }
 
+func (r *Replica) sortedPeers() []string { return slices.Sorted(maps.Keys(r.peers)) }
+
 func (r *Replica) onPeerIdentified(e PeerIdentified) *peer {
 	p := r.peers[e.Node.Name]
 	if p == nil || p.storeID != e.StoreID {
@@ -314,7 +327,7 @@
 		r.peers[e.Node.Name] = p
 		r.lastPeerAt = r.now
 	}
-	p.Node, p.storeID, p.mayHaveLostState = e.Node, e.StoreID, e.MayHaveLostState
+	p.Node, p.storeID, p.mayHaveLostState, p.origin = e.Node, e.StoreID, e.MayHaveLostState, e.Origin
 	return p
 }
 
@@ -344,6 +357,9 @@
 	if p == nil {
 		return // its Hello makes it known
 	}
+	if r.isForeignMessage(p, m) {
+		return
+	}
 	if m.ShuttingDown {
 		p.shuttingDown = true
 	}
@@ -420,7 +436,7 @@
 // countsVotesOf reports whether a peer's votes count, in this epoch or at its founding.
 func (r *Replica) countsVotesOf(p *peer) bool {
 	if r.epoch.Number == 0 {
-		return slices.Contains(r.options.Seeds, p.Address)
+		return !r.foundingRule().seedsDecide() || slices.Contains(r.foundingSeeds(), p.foundingAddress())
 	}
 	return r.epoch.IsVoter(p.storeID)
 }
--- a/internal/controlplane/replica.go
+++ b/internal/controlplane/replica.go
@@ -1,6 +1,7 @@
 package controlplane
 
 import (
+	"fmt"
 	"strings"
 
 	"elmfold/internal/controlplane/consensus"
@@ -37,6 +38,9 @@
 			delete(s.requests, a.RequestID)
 			done <- a
 		}
+	case consensus.ForeignPeerFound:
+		s.log.Error("peer belongs to another system: stop one of the two and empty its disks", logfield.Peer, a.Name,
+			logfield.FoundingID, fmt.Sprintf("%016x", a.FoundingID))
 	case consensus.HandedOver:
 		close(s.handedOver)
 	}
--- a/internal/controlplane/server.go
+++ b/internal/controlplane/server.go
@@ -50,6 +50,8 @@
 	// sockets may be outdated: for distrustDuration it takes no proposals.
 	suspensionThreshold = time.Second
 	distrustDuration    = 500 * time.Millisecond
+	// foundingLogInterval is the pause between two log lines while nothing is founded.
+	foundingLogInterval = 5 * time.Second
 	// startupDuration is how long a node that never had quorum contact may still be among others that start.
 	startupDuration = 3 * time.Second
 )
@@ -113,6 +115,7 @@
 	hadQuorum        bool                // at any time
 	hasQuorum        bool                // when it was last looked at
 	lastTick         time.Duration
+	lastFoundingLog  time.Duration
 	lastKeepAlive    time.Duration
 	distrustEnd      time.Duration
 	batchedEndpoints []rpc.Endpoint // reports for proxies that may wait for the tick
@@ -190,6 +193,7 @@
 		Incarnation:      s.incarnation,
 		StoreID:          s.storeID,
 		MayHaveLostState: s.mayHaveLostState,
+		Origin:           s.replica.Origin(),
 	}
 }
 
@@ -242,6 +246,7 @@
 	now := s.now()
 	s.noticeSuspension(now)
 	s.step()
+	s.noticeFounding(now)
 	if now >= s.lastKeepAlive+keepAliveInterval {
 		s.lastKeepAlive = now
 		s.broadcastToPeers(&rpc.Message{Lease: rpc.Lease{RenewLease: 1}})
@@ -262,6 +267,17 @@
 	s.lastTick = now
 }
 
+// noticeFounding says now and again what a founding waits for.
+func (s *Server) noticeFounding(now time.Duration) {
+	if now < s.lastFoundingLog+foundingLogInterval {
+		return
+	}
+	s.lastFoundingLog = now
+	if f := s.replica.Status(now).Founding; f != nil {
+		s.log.Warn("no epoch yet", logfield.Disks, f.Disks, logfield.Needed, f.Needed)
+	}
+}
+
 // expire ends endpoints and leases that were not renewed. Lease changes are told once a second, and as changes: while a
 // fleet starts, each proxy told at once to each would be its square.
 func (s *Server) expire(now time.Duration) {
--- a/internal/gateway/cli/statustable.go
+++ b/internal/gateway/cli/statustable.go
@@ -41,12 +41,15 @@
 	fmt.Fprintf(w, "%s: %s; %s\n", s.Self.Name, contact, votes)
 	switch {
 	case s.Epoch == 0:
-		fmt.Fprintln(w, "no epoch yet: the seeds have not decided who votes")
+		printFounding(w, s.Founding)
 	case s.Changing:
 		fmt.Fprintf(w, "epoch %d: its voters change\n", s.Epoch)
 	default:
 		fmt.Fprintf(w, "epoch %d\n", s.Epoch)
 	}
+	if len(s.ForeignPeers) > 0 {
+		fmt.Fprintf(w, "ANOTHER SYSTEM is there: %s; stop one of the two and empty its disks\n", list(s.ForeignPeers))
+	}
 	if s.ShuttingDown {
 		fmt.Fprintf(w, "leaving; not handed over yet: %s\n", list(s.NotHandedOver))
 	}
@@ -55,6 +58,22 @@
 	}
 }
 
+// printFounding says what the first epoch waits for.
+func printFounding(w io.Writer, f *consensus.FoundingStatus) {
+	switch {
+	case f == nil: // the node's version does not tell
+		fmt.Fprintln(w, "no epoch yet: nothing has decided who votes")
+	case f.CanFound:
+		fmt.Fprintln(w, "no epoch yet: enough disks are in touch to decide who votes")
+	case f.SeedsOnly:
+		fmt.Fprintf(w, "no epoch yet: %d of the seeds' disks are in touch, %d are needed to decide who votes\n",
+			f.Disks, f.Needed)
+	default:
+		fmt.Fprintf(w, "no epoch yet: %d disks of the first start are in touch, %d are needed to decide who votes\n",
+			f.Disks, f.Needed)
+	}
+}
+
 func printMembers(w io.Writer, s Status) {
 	fmt.Fprint(w, "\n\tname\tzone\tdisk\ttouch\tholds\n")
 	for _, m := range s.Voters {
--- a/internal/gateway/logfield/logfield.go
+++ b/internal/gateway/logfield/logfield.go
@@ -6,12 +6,15 @@
 const (
 	Changing   = "changing"    // a change of voters is under way
 	Complete   = "complete"    // nothing that was on the disk is known to be lost
+	Disks      = "disks"       // of the first start that are in touch
 	Duration   = "duration"    // how long something lasted
 	Endpoints  = "endpoints"   // how many endpoints are known
 	Epoch      = "epoch"       // number of the epoch
 	Error      = "err"         // an error
+	FoundingID = "founding_id" // of a system, drawn when it was founded
 	Fresh      = "fresh"       // the disk was empty
 	LostData   = "lost_data"   // the disk has lost what had been synced
+	Needed     = "needed"      // how many of them decide the first epoch
 	Node       = "node"        // name of a control-plane node
 	Open       = "open"        // what is not handed over yet
 	Peer       = "peer"        // name of the node at the other side of a connection
--- a/internal/gateway/rpc/epoch.go
+++ b/internal/gateway/rpc/epoch.go
@@ -10,6 +10,15 @@
 	StoreID string `cbor:"2,keyasint"`
 }
 
+// Origin is what a disk noted at the system's first start, when all nodes were told the same seeds.
+type Origin struct {
+	Address string   `cbor:"1,keyasint"` // the peer address of its node
+	Seeds   []string `cbor:"2,keyasint"` // the peer addresses of the seeds
+}
+
+// IsZero reports whether nothing was noted: the disk is not from the first start, or from a version that noted nothing.
+func (o Origin) IsZero() bool { return o.Address == "" && len(o.Seeds) == 0 }
+
 // Epoch is who votes in the control plane. Each epoch is decided by the voters of the one before. While OldVoters
 // is not empty the epoch is a joint one: a change from OldVoters to Voters is under way, and each quorum needs
 // both.
@@ -18,6 +27,9 @@
 	OldVoters    []Voter `cbor:"2,keyasint,omitempty"`
 	Voters       []Voter `cbor:"3,keyasint"`
 	FoundingSize int     `cbor:"4,keyasint,omitempty"` // voters of the first epoch
+	// FoundingID tells systems apart that were founded independently. It is drawn with the first epoch, and all later ones
+	// have it. 0: the system was founded by a version that had none.
+	FoundingID uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 // IsJoint reports whether a change of voters is under way.
--- a/internal/gateway/rpc/message.go
+++ b/internal/gateway/rpc/message.go
@@ -34,6 +34,7 @@
 	IsProxy          bool   `cbor:"3,keyasint,omitempty"`
 	StoreID          string `cbor:"4,keyasint,omitempty"` // of a control-plane node's disk
 	MayHaveLostState bool   `cbor:"5,keyasint,omitempty"` // that disk may have forgotten that there is an epoch
+	Origin           Origin `cbor:"6,keyasint,omitzero"`  // of that disk
 }
 
 // Acknowledgement asks for, or gives, the receipt of a message.
@@ -56,6 +57,7 @@
 type Consensus struct {
 	EpochNumber uint64 `cbor:"27,keyasint,omitempty"` // of the epoch in which all of this is said
 	StoreID     string `cbor:"28,keyasint,omitempty"` // of the sender's disk
+	FoundingID  uint64 `cbor:"38,keyasint,omitempty"` // of that epoch
 	// the newest that the sender knows to be decided; to proxies too
 	Epoch         *Epoch                  `cbor:"29,keyasint,omitempty"`
 	Paxos         []PaxosMessage          `cbor:"30,keyasint,omitempty"`
