consensus: proposers of one register take turns

Cause: ballots that begin at several nodes at once preempt each other again and again. Change: a proposer waits while it knows of another's ballot and says so; whoever ends a ballot names the one that has waited the longest.

--- a/internal/compat/messages_test.go
+++ b/internal/compat/messages_test.go
@@ -233,6 +233,8 @@
 		{"origin of a disk", func(m *rpc.Message) {
 			m.Hello = &rpc.Hello{Origin: rpc.Origin{Address: "a", Seeds: []string{"b"}}}
 		}, "a103a301a201600360020006a201616102816162"},
+		{"registers that are waited for", func(m *rpc.Message) { m.WaitingFor = []string{"a"} }, "a11827816161"},
+		{"next proposers", func(m *rpc.Message) { m.NextProposers = map[string]string{"a": "b"} }, "a11828a161616162"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			m := &rpc.Message{}
--- a/internal/controlplane/consensus/acceptor.go
+++ b/internal/controlplane/consensus/acceptor.go
@@ -44,6 +44,7 @@
 		r.sendAnswer(to, answer)
 		return
 	}
+	r.noteOpenBallot(g, to, m.Ballot)
 	g.answers = append(g.answers, pendingAnswer{to, answer})
 	r.write(g)
 }
--- a/internal/controlplane/consensus/proposer.go
+++ b/internal/controlplane/consensus/proposer.go
@@ -50,6 +50,10 @@
 	if g.ballotUnderWay() || len(g.queue) == 0 || r.now < g.retryAt || !r.canReachQuorum(g) {
 		return
 	}
+	if r.now < r.turnTime(g) {
+		r.announceWaiting(g)
+		return
+	}
 	if r.epoch.Number == 0 && g.name != epochRegister {
 		return // before the first epoch the seeds decide who votes, and nothing else
 	}
@@ -58,6 +62,7 @@
 	if r.options.bugs.unorderedEpochs {
 		ballot.Round = g.round
 	}
+	g.turns.announced = openTurn{}
 	g.proposal.Begin(ballot)
 	g.batch, g.queue = g.queue, nil
 	g.age, g.sentAt = Age{}, r.now
@@ -182,8 +187,14 @@
 
 // onDecided: the value is chosen under the ballot.
 func (r *Replica) onDecided(g *register, ballot BallotNumber, value Register) {
-	r.broadcast(rpc.Consensus{ChosenBallots: map[string]BallotNumber{g.name: ballot}})
+	closed := rpc.Consensus{ChosenBallots: map[string]BallotNumber{g.name: ballot}}
+	next := r.nextProposer(g)
+	if next != "" {
+		closed.NextProposers = map[string]string{g.name: next}
+	}
+	r.broadcast(closed)
 	r.learnChosen(g, ballot, value, 0)
+	r.noteClosedBallot(g, r.options.Self.Name, ballot, next)
 	r.closeBallot(g, value)
 }
 
@@ -209,6 +220,7 @@
 		return
 	}
 	g.proposal.Stop()
+	r.noteOpenBallot(g, unknownProposer, by)
 	g.preemptions++
 	steps := time.Duration(min(g.preemptions, maxBackoffSteps))
 	jitter := hash64(g.round, r.options.Incarnation) % uint64(backoffJitter*steps)
--- a/internal/controlplane/consensus/register.go
+++ b/internal/controlplane/consensus/register.go
@@ -61,6 +61,7 @@
 	retryAt          time.Duration // no ballot begins before
 	preemptions      int           // in a row
 	proposedChosenAt time.Duration // since when the proposed value is committed; unknownTime: unknown
+	turns            turns
 }
 
 // hasAccepted reports whether this disk has accepted any value.
@@ -72,9 +73,9 @@
 func (g *register) ballotUnderWay() bool { return g.proposal.Phase != paxos.Idle }
 
 // considerDeadlines names the times at which a tick of the register is urgent.
-func (g *register) considerDeadlines(consider func(time.Duration)) {
+func (r *Replica) considerDeadlines(g *register, consider func(time.Duration)) {
 	if len(g.queue) > 0 && !g.ballotUnderWay() {
-		consider(g.retryAt)
+		consider(max(g.retryAt, r.turnTime(g)))
 	}
 	if !g.isChosen() && g.hasAccepted() && g.reportedBallot != g.storedBallot {
 		consider(g.unconfirmedAt + announceDelay)
--- a/internal/controlplane/consensus/replica.go
+++ b/internal/controlplane/consensus/replica.go
@@ -36,6 +36,7 @@
 //	register.go       the state of one register
 //	acceptor.go       the votes of this disk
 //	proposer.go       requests and the ballots that this node begins
+//	turns.go          when they begin, beside those of other nodes
 //	reads.go          reads without a ballot
 //	replication.go    which disks have accepted what, what is chosen, what is missing where
 //	epochs.go         entering epochs, quorums, proposals for the next one
@@ -76,6 +77,8 @@
 type injectedBugs struct {
 	unorderedEpochs bool // ballots are not ordered by their epochs
 	noJointEpoch    bool // voters change without a joint epoch
+	noTurns         bool // proposers do not wait for each other
+	endlessTurns    bool // they never hear that another's ballot is over
 }
 
 // peer is another control-plane node.
@@ -270,7 +273,7 @@
 		}
 	}
 	for _, g := range r.registers {
-		g.considerDeadlines(consider)
+		r.considerDeadlines(g, consider)
 	}
 	for _, q := range r.reads {
 		consider(q.startedAt + readBallotDelay)
@@ -380,6 +383,7 @@
 	for i := range m.Paxos {
 		r.onPaxos(p, &m.Paxos[i])
 	}
+	r.onWaiting(p.Name, m.WaitingFor)
 	if m.Pong {
 		p.lastContact = r.now
 		r.contact.onPong(m.QueryID, p.storeID)
--- a/internal/controlplane/consensus/replication.go
+++ b/internal/controlplane/consensus/replication.go
@@ -112,6 +112,7 @@
 			continue
 		}
 		g := r.registerFor(name)
+		r.noteClosedBallot(g, p.Name, ballot, c.NextProposers[name])
 		switch {
 		case g.acceptor.Accepted == ballot:
 			r.learnChosen(g, ballot, g.acceptor.Value, 0)
@@ -182,6 +183,7 @@
 		return
 	}
 	g.chosenBallot, g.committed = ballot, value
+	r.noteClosedBallot(g, unknownProposer, ballot, "")
 	same := g.acceptor.Value.Version == value.Version
 	if g.acceptor.Learn(ballot, value) {
 		r.noteAge(g, same, age)
--- a/internal/gateway/rpc/message.go
+++ b/internal/gateway/rpc/message.go
@@ -73,6 +73,10 @@
 	Ping         bool   `cbor:"34,keyasint,omitempty"`
 	Pong         bool   `cbor:"35,keyasint,omitempty"`
 	ShuttingDown bool   `cbor:"36,keyasint,omitempty"` // the sender hands over its state and ends
+	// WaitingFor are registers for which the sender has proposals that wait for another node's. It is a hint.
+	WaitingFor []string `cbor:"39,keyasint,omitempty"`
+	// NextProposers are, by register, the names of the nodes whose proposals should come next. They are hints.
+	NextProposers map[string]string `cbor:"40,keyasint,omitempty"`
 }
 
 // EndpointUpdate tells of endpoints that changed.
