--- a/internal/bench/controlplane/core.go
+++ b/internal/bench/controlplane/core.go
@@ -164,6 +164,8 @@
 	parallel            int
 	orders, size        int
 	logs                string
+	compare             string
+	rounds, busy        int
 }
 
 // Commands of the lab.
@@ -183,6 +185,9 @@
 				return fmt.Errorf("--program: %w", err)
 			}
 			o.program = program
+			if o.compare != "" {
+				return compareAtOnce(c.Context(), o)
+			}
 			if o.orders > 0 {
 				return timeOrders(c.Context(), o)
 			}
@@ -196,7 +201,11 @@
 	c.Flags().IntVar(&o.parallel, "parallel", 4, "plays at once")
 	c.Flags().StringVar(&o.logs, "logs", "", "folder in which the journals and logs of plays that fall short stay")
 	c.Flags().IntVar(&o.orders, "orders", 0, "only time so many orders")
-	c.Flags().IntVar(&o.size, "size", 3, "controllers for --orders")
+	c.Flags().IntVar(&o.size, "size", 3, "controllers for --orders and --compare")
+	c.Flags().StringVar(&o.compare, "compare", "",
+		"the program of a build before: orders of eight operators at once are timed with both, in turns")
+	c.Flags().IntVar(&o.rounds, "rounds", 10, "for --compare: blocks of each build")
+	c.Flags().IntVar(&o.busy, "busy", 0, "for --compare: threads of this process that are busy all the time")
 	return []*cobra.Command{c}
 }
 
--- a/internal/bench/controlplane/growth.go
+++ b/internal/bench/controlplane/growth.go
@@ -198,6 +198,47 @@
 	return s.readBack(fmt.Sprintf("after the loss of %d at once", lost))
 }
 
+// ordersAtOnce has so many operators send so many orders each, one after the other, the first of them evacuations too.
+// It gives how long each order took, the shortest first.
+func (s *system) ordersAtOnce(operators, eachSends int) ([]time.Duration, error) {
+	var mu sync.Mutex
+	var took []time.Duration
+	var failed error
+	each(make([]struct{}, operators), func(i int, _ struct{}) {
+		for n := range eachSends {
+			at := time.Now()
+			a := s.orderAtOnce(i, n, at)
+			mu.Lock()
+			took = append(took, time.Since(at))
+			if a.orderOutcome() != committed && failed == nil {
+				failed = fmt.Errorf("with %d orders under way at once, one is not taken within %v: %v", operators, ack, a)
+			}
+			stop := failed != nil
+			mu.Unlock()
+			if stop {
+				return
+			}
+		}
+	})
+	slices.Sort(took)
+	return took, failed
+}
+
+// orderAtOnce is the n-th order of an operator.
+func (s *system) orderAtOnce(operator, n int, at time.Time) answer {
+	const evacuationsOfTen = 2
+	if operator == 0 && n%10 < evacuationsOfTen {
+		call := []string{"evacuation.begin", "evacuation.finish"}[n%10]
+		return s.caller().until(s.r.ctx, at.Add(ack), func(m *machine) answer {
+			return s.call(s.r.ctx, m, call, "b", nil, callTimeout)
+		})
+	}
+	version, body := s.next()
+	return s.caller().until(s.r.ctx, at.Add(ack), func(m *machine) answer {
+		return s.put(s.r.ctx, m, version, body, callTimeout)
+	})
+}
+
 // eightAtOnce: eight operators, each with its own numbers, and zones besides; in calm, then with one killed.
 func eightAtOnce(r *run) error {
 	s, err := r.up(3, 1)
@@ -215,44 +256,10 @@
 				}
 			})
 		}
-		var mu sync.Mutex
-		var took []time.Duration
-		var failed error
-		each(make([]struct{}, operators), func(i int, _ struct{}) {
-			for n := range eachSends {
-				at := time.Now()
-				var a answer
-				if i == 0 && n%10 < 2 {
-					call := []string{"evacuation.begin", "evacuation.finish"}[n%10]
-					a = s.caller().until(
-						r.ctx,
-						at.Add(ack),
-						func(m *machine) answer { return s.call(r.ctx, m, call, "b", nil, callTimeout) },
-					)
-				} else {
-					version, body := s.next()
-					a = s.caller().until(
-						r.ctx,
-						at.Add(ack),
-						func(m *machine) answer { return s.put(r.ctx, m, version, body, callTimeout) },
-					)
-				}
-				mu.Lock()
-				took = append(took, time.Since(at))
-				if a.orderOutcome() != committed && failed == nil {
-					failed = fmt.Errorf("with %d orders under way at once, one is not taken within %v: %v", operators, ack, a)
-				}
-				stop := failed != nil
-				mu.Unlock()
-				if stop {
-					return
-				}
-			}
-		})
-		if failed != nil {
-			return failed
+		took, err := s.ordersAtOnce(operators, eachSends)
+		if err != nil {
+			return err
 		}
-		slices.Sort(took)
 		p := func(part float64) int64 { return took[min(len(took)-1, int(part*float64(len(took))))].Milliseconds() }
 		r.note(
 			"killed one %v: an order takes %d ms at p50, %d at p99, %d at most; %.0f orders a second",
--- a/internal/bench/gateway/beside.go
+++ b/internal/bench/gateway/beside.go
@@ -25,6 +25,7 @@
 	besideMany     = 20_000 // requests as fast as besideHands go
 	besideHands    = 8
 	besideIdle     = 6 * time.Second
+	besideWarmup   = 200 // requests
 )
 
 var besideZones = []string{"a", "b", "c"}
@@ -32,14 +33,21 @@
 func besideCommand() *cobra.Command {
 	var w report.Where
 	var programs string
+	var other comparison
 	c := &cobra.Command{
 		Use: "gateway",
 		Short: "requests through a real carrier beside direct ones to the same backends: added time, requests a core, " +
 			"memory, bytes for control",
 		Args: cobra.NoArgs,
-		RunE: func(*cobra.Command, []string) error { return playBeside(w, programs) },
+		RunE: func(*cobra.Command, []string) error {
+			if other.programs != "" {
+				return compare(w, programs, other)
+			}
+			return playBeside(w, programs)
+		},
 	}
 	w.Flags(c)
+	other.flags(c)
 	c.Flags().StringVar(&programs, "programs", "target", "folder of elmfold-controlplane and elmfold-proxy")
 	return c
 }
@@ -105,61 +113,128 @@
 	return float64(took) / float64(time.Millisecond)
 }
 
-func playBeside(w report.Where, programs string) error {
+// rig is one deployment with its backends and a caller of its proxy.
+type rig struct {
+	seed       uint64
+	dir        string
+	deployment *gateway.Deployment
+	backends   []*gateway.Backend
+	own        []*gateway.Backend // of the proxy's zone
+	proxy      *gateway.Process
+	through    *caller
+	requests   int // that were numbered
+}
+
+// startRig starts the programs of a folder and waits until the proxy has an answer of a backend.
+func startRig(seed uint64, programs string, network int) (*rig, error) {
 	dir, err := os.MkdirTemp("", "gateway")
 	if err != nil {
-		return err
+		return nil, err
 	}
-	defer func() { _ = os.RemoveAll(dir) }()
-	d, err := gateway.Start(
-		gateway.Plan{Programs: programs, Dir: dir, Controllers: 3, Carrier: 1, Zones: besideZones, Faults: 1},
-	)
+	g := &rig{seed: seed, dir: dir}
+	if err := g.start(programs, network); err != nil {
+		g.stop()
+		return nil, err
+	}
+	return g, nil
+}
+
+func (g *rig) start(programs string, network int) (err error) {
+	g.deployment, err = gateway.Start(gateway.Plan{
+		Programs: programs, Dir: g.dir, Controllers: 3, Carrier: 1, Zones: besideZones, Faults: 1, Network: network,
+	})
 	if err != nil {
 		return err
 	}
-	defer d.Stop()
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
-	// Two backends a zone, and the carrier's zone first: direct calls go to those that it uses.
-	var backends []*gateway.Backend
+	if err := g.startBackends(); err != nil {
+		return err
+	}
+	operator := &gateway.Operator{Controls: g.deployment.Controls()}
+	if err := operator.Replace(
+		ctx,
+		gateway.Configuration(1, gateway.Shape{Services: 1, Routes: 1, Safe: true}, 0),
+	); err != nil {
+		return err
+	}
+	if err := g.deployment.Ready(ctx); err != nil {
+		return err
+	}
+	g.proxy = g.deployment.Carriers[0]
+	host, prefix := gateway.RouteOf(0)
+	g.through = newCaller(host, prefix)
+	return serving(ctx, g.proxy, host, prefix)
+}
+
+// startBackends starts two backends a zone, the proxy's zone first: direct calls go to those that it uses.
+func (g *rig) startBackends() error {
 	for i := range besideBackends {
 		b, err := gateway.StartBackend(gateway.BackendOptions{
 			ID:        fmt.Sprintf("i-%08x", i+1),
 			Service:   gateway.ServiceName(0),
 			Zone:      besideZones[i%len(besideZones)],
-			Listen:    fmt.Sprintf("%s.2.%d:8080", d.Net, i+1),
+			Listen:    fmt.Sprintf("%s.2.%d:8080", g.deployment.Net, i+1),
 			Slots:     besideSlots,
 			Heartbeat: heartbeatSeconds,
-			Controls:  d.Controls(),
+			Controls:  g.deployment.Controls(),
 		})
 		if err != nil {
 			return err
 		}
-		defer b.Stop()
-		backends = append(backends, b)
+		g.backends = append(g.backends, b)
 	}
-	operator := &gateway.Operator{Controls: d.Controls()}
-	if err := operator.Replace(
-		ctx,
-		gateway.Configuration(1, gateway.Shape{Services: 1, Routes: 1, Safe: true}, 0),
-	); err != nil {
-		return err
+	g.own = []*gateway.Backend{g.backends[0], g.backends[len(besideZones)]}
+	return nil
+}
+
+func (g *rig) stop() {
+	for _, b := range g.backends {
+		b.Stop()
 	}
-	if err := d.Ready(ctx); err != nil {
-		return err
+	if g.deployment != nil {
+		g.deployment.Stop()
 	}
-	carrier := d.Carriers[0]
-	own := []*gateway.Backend{backends[0], backends[len(besideZones)]} // of its zone, the first
-	host, prefix := gateway.RouteOf(0)
-	through, direct := newCaller(host, prefix), newCaller(host, prefix)
-	n := 0
-	id := func() string { n++; return fmt.Sprintf("%08x%08x", w.Seed, n) }
-	if err := serving(ctx, carrier, host, prefix); err != nil {
+	_ = os.RemoveAll(g.dir)
+}
+
+// id numbers a request.
+func (g *rig) id() string {
+	g.requests++
+	return fmt.Sprintf("%08x%08x", g.seed, g.requests)
+}
+
+// flood sends so many requests as fast as they go, and gives how long they took.
+func (g *rig) flood(c *caller, many int, address func(hand int) string) time.Duration {
+	ids := make(chan string, many)
+	for range many {
+		ids <- g.id()
+	}
+	close(ids)
+	began := time.Now()
+	var hands sync.WaitGroup
+	for h := range besideHands {
+		hands.Go(func() {
+			for s := range ids {
+				c.call(address(h), s)
+			}
+		})
+	}
+	hands.Wait()
+	return time.Since(began)
+}
+
+func playBeside(w report.Where, programs string) error {
+	g, err := startRig(w.Seed, programs, 0)
+	if err != nil {
 		return err
 	}
-	for range 200 { // connections come up
+	defer g.stop()
+	d, carrier, backends, own, through, id := g.deployment, g.proxy, g.backends, g.own, g.through, g.id
+	direct := newCaller(gateway.RouteOf(0))
+	for range besideWarmup { // connections come up
 		through.call(carrier.Front(), id())
-		direct.call(own[n%len(own)].Address, id())
+		direct.call(own[g.requests%len(own)].Address, id())
 	}
 	time.Sleep(2 * time.Second)
 
@@ -190,30 +265,12 @@
 	atRate := len(one)
 
 	// As many as go: processor time a request.
-	flood := func(c *caller, address func(i int) string) time.Duration {
-		ids := make(chan string, besideMany)
-		for range besideMany {
-			ids <- id()
-		}
-		close(ids)
-		began := time.Now()
-		var hands sync.WaitGroup
-		for h := range besideHands {
-			hands.Go(func() {
-				for s := range ids {
-					c.call(address(h), s)
-				}
-			})
-		}
-		hands.Wait()
-		return time.Since(began)
-	}
-	tookThrough := flood(through, func(int) string { return carrier.Front() })
+	tookThrough := g.flood(through, besideMany, func(int) string { return carrier.Front() })
 	after, err := carrier.Usage()
 	if err != nil {
 		return err
 	}
-	tookDirect := flood(direct, func(h int) string { return own[h%len(own)].Address })
+	tookDirect := g.flood(direct, besideMany, func(h int) string { return own[h%len(own)].Address })
 	last := len(d.Controllers)
 	cost := (after.Processor - loaded[last].Processor).Seconds() / besideMany
 	runs, twice := 0, 0
--- a/internal/fakes/gateway/deployment.go
+++ b/internal/fakes/gateway/deployment.go
@@ -42,8 +42,15 @@
 	Verbose              bool    // the programs write each log line
 	MetricsPort          int     // of each program, at its address; 0: none
 	Environment          []string
+	Network              int // 0, or 1 for a second deployment of the same process at a time
 }
 
+// networksApart is how far apart the networks of two deployments of one process are, of maxNetworks.
+const (
+	networksApart = 120
+	maxNetworks   = 240
+)
+
 // Process is one of the programs on its machine.
 type Process struct {
 	Name, Zone, IP string
@@ -96,7 +103,7 @@
 	if plan.Beat == 0 {
 		plan.Beat = 1.5
 	}
-	d := &Deployment{Plan: plan, Net: fmt.Sprintf("127.%d", 10+os.Getpid()%240)}
+	d := &Deployment{Plan: plan, Net: fmt.Sprintf("127.%d", 10+(os.Getpid()+plan.Network*networksApart)%maxNetworks)}
 	for i := range plan.Controllers {
 		// Spread over the zones: with fewer controllers than zones, not the first zones only.
 		zone := plan.Zones[i*max(len(plan.Zones)/plan.Controllers, 1)%len(plan.Zones)]
