--- a/internal/controlplane/consensus/evacuations.go
+++ b/internal/controlplane/consensus/evacuations.go
@@ -71,6 +71,12 @@
 // IsEvacuated reports whether the value of a zone's register says that nothing is to be sent there.
 func IsEvacuated(value []byte) bool { return parseEvacuations(value).open > 0 }
 
+// HasEvacuationOrder reports whether an order counts in the value of a zone's register. One that was committed and does
+// not was taken for a repetition of the last one of its kind, or lies further back than ids are kept.
+func HasEvacuationOrder(value []byte, id uint64) bool {
+	return slices.Contains(parseEvacuations(value).ids, id)
+}
+
 // Evacuate is the meaning of an order to begin or to finish an evacuation.
 //
 // id tells the order from others: if it was committed already, by a ballot that somebody else finished, it is not done
--- a/internal/controlplane/operatorcalls.go
+++ b/internal/controlplane/operatorcalls.go
@@ -13,6 +13,7 @@
 	"elmfold/internal/controlplane/consensus"
 	"elmfold/internal/gateway/apierror"
 	"elmfold/internal/gateway/cli"
+	"elmfold/internal/gateway/logfield"
 	"elmfold/internal/gateway/routeconfig"
 )
 
@@ -66,10 +67,15 @@
 	}
 	timeOfDay := uint64(s.options.TimeOfDay().UnixMilli())
 	repeatWindow := s.options.Settings.Bounds.Ack.Duration() + repeatSlack
-	change := consensus.Evacuate(begin, rand.Uint64(), repeatWindow, timeOfDay)
-	_, err := s.request(r, receivedAt, func(id uint64) consensus.Event {
+	orderID := rand.Uint64()
+	change := consensus.Evacuate(begin, orderID, repeatWindow, timeOfDay)
+	committed, err := s.request(r, receivedAt, func(id uint64) consensus.Event {
 		return consensus.Propose{RequestID: id, Register: zoneRegisterPrefix + zone, Change: change}
 	})
+	if err == nil && !consensus.HasEvacuationOrder(committed.Value, orderID) {
+		// Nothing in a call says who gives the order, so that another operator's cannot be told from a repetition.
+		s.log.Warn("evacuation order taken for a repetition of the last one", logfield.Zone, zone, logfield.Begin, begin)
+	}
 	return emptyAnswer(), err
 }
 
--- a/internal/controlplane/server_test.go
+++ b/internal/controlplane/server_test.go
@@ -36,6 +36,26 @@
 	cores []*core
 	mu    sync.Mutex
 	out   strings.Builder
+	logs  logLines
+}
+
+// logLines are the warnings and errors of all controllers.
+type logLines struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (l *logLines) Write(line []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(line)
+}
+
+// count is how many lines say something.
+func (l *logLines) count(what string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Count(l.text.String(), what)
 }
 
 // convene starts n controllers that bear so many faults, the zones in turn.
@@ -58,7 +78,7 @@
 		host := k.host // this life's: a dial may outlast it
 		disk, known, fresh := k.disk.Open(k.host)
 		k.server = controlplane.New(controlplane.Options{Settings: &set, Disk: disk, DiskComplete: known, DiskFresh: fresh,
-			Log: hclog.NewNullLogger(), Clock: clockwork.NewRealClock(), Listener: lines, TimeOfDay: time.Now,
+			Log: hclog.New(&hclog.LoggerOptions{Output: &c.logs, Level: hclog.Warn}), Clock: clockwork.NewRealClock(), Listener: lines, TimeOfDay: time.Now,
 			Dial: func(address string) (net.Conn, error) {
 				ctx, cancel := context.WithTimeout(context.Background(), 350*time.Millisecond)
 				defer cancel()
--- a/internal/gateway/logfield/logfield.go
+++ b/internal/gateway/logfield/logfield.go
@@ -4,6 +4,7 @@
 
 // Names of fields.
 const (
+	Begin      = "begin"       // an evacuation is begun, not finished
 	Changing   = "changing"    // a change of voters is under way
 	Complete   = "complete"    // nothing that was on the disk is known to be lost
 	Disks      = "disks"       // of the first start that are in touch
@@ -25,5 +26,6 @@
 	SyncedFrom = "synced_from" // how many voters were read from
 	Torn       = "torn"        // the end of the file on the disk was cut off
 	Version    = "version"     // of a configuration, or of a register's value
+	Zone       = "zone"        // name of a zone
 	Voters     = "voters"      // names of the voters
 )
