controller: calls to discovery and Consul end with who wants them

Cause: fasthttp's calls have a time but no context; one that was under way when another address was to be asked went on for 0.9 s, at Consul for 2 s. Change: the connections of a client are tracked and closed once its context ends, which also ends Registry.Run at once.

--- a/internal/controller/discovery/consul/consul.go
+++ b/internal/controller/discovery/consul/consul.go
@@ -38,8 +38,9 @@
 
 	mu       sync.Mutex
 	client   *fasthttp.HostClient
-	at       int  // endpoint of client
-	answered bool // it has answered
+	ctx      context.Context // of the orders that client is for: once it ends so do its calls
+	at       int             // endpoint of client
+	answered bool            // it has answered
 	token    string
 }
 
@@ -63,21 +64,20 @@
 	s.client = nil
 }
 
-// Close drops them; calls under way end within their time.
+// Close drops them; calls under way end with their contexts.
 func (s *Source) Close() { s.Leave() }
 
-func (s *Source) dial(endpoint int) (*fasthttp.HostClient, error) {
+func (s *Source) dial(ctx context.Context, endpoint int) (*fasthttp.HostClient, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.client != nil && s.at == endpoint {
+	if s.client != nil && s.at == endpoint && s.ctx.Err() == nil {
 		return s.client, nil
 	}
 	s.leave()
 	addr := s.endpoints[endpoint]
-	dialer := net.Dialer{Timeout: dialTimeout} // fasthttp's own keeps a goroutine for good
 	c := &fasthttp.HostClient{Addr: addr, MaxConns: 4, MaxResponseBodySize: mostAnswer, MaxIdemponentCallAttempts: 1,
 		NoDefaultUserAgentHeader: true,
-		Dial:                     func(addr string) (net.Conn, error) { return dialer.Dial("tcp", addr) }}
+		Dial:                     discovery.NewConnections(ctx, dialTimeout).Dial}
 	if f := s.access.TLS; f != nil {
 		host, _, _ := net.SplitHostPort(addr)
 		conf, err := f.Load(host)
@@ -86,7 +86,7 @@
 		}
 		c.IsTLS, c.TLSConfig = true, conf
 	}
-	s.client, s.at, s.answered = c, endpoint, false
+	s.client, s.ctx, s.at, s.answered = c, ctx, endpoint, false
 	return c, nil
 }
 
@@ -239,8 +239,9 @@
 }
 
 // get makes a call with a token; one that has expired is renewed, once.
-func (s *Source) get(endpoint int, path string, within time.Duration, into any) (index int64, err error) {
-	c, err := s.dial(endpoint)
+func (s *Source) get(ctx context.Context, endpoint int, path string, within time.Duration,
+	into any) (index int64, err error) {
+	c, err := s.dial(ctx, endpoint)
 	if err != nil {
 		return 0, err
 	}
@@ -258,7 +259,7 @@
 	}
 }
 
-// Do carries out an order; see follow.Source. A call cannot be broken off: when ctx ends its answer is nobody's.
+// Do carries out an order; see watch.Source. When ctx ends, the calls of all orders of that context end.
 func (s *Source) Do(ctx context.Context, o reconcile.Order, say func(reconcile.Event)) {
 	answer := make(chan reconcile.Event, 1)
 	wait := func(f func() reconcile.Event) (e reconcile.Event, ok bool) {
@@ -272,12 +273,12 @@
 	}
 	switch o := o.(type) {
 	case reconcile.Read:
-		if e, ok := wait(func() reconcile.Event { return s.read(o) }); ok {
+		if e, ok := wait(func() reconcile.Event { return s.read(ctx, o) }); ok {
 			say(e)
 		}
 	case reconcile.Watch:
 		for block := !o.AtOnce; ; block = true {
-			e, ok := wait(func() reconcile.Event { return s.watch(o, block) })
+			e, ok := wait(func() reconcile.Event { return s.watch(ctx, o, block) })
 			if !ok {
 				return
 			}
@@ -291,13 +292,13 @@
 
 // The prefix is asked for without its slash and with a separator, which folds all that is below into one
 // entry; the index is that of all.
-func (s *Source) watch(o reconcile.Watch, block bool) reconcile.Event {
+func (s *Source) watch(ctx context.Context, o reconcile.Watch, block bool) reconcile.Event {
 	path := fmt.Sprintf("/v1/kv/%s?keys&separator=%%2F", escape(s.prefix))
 	if block { // an index of 0 would not, and below 1 none is valid
 		path += fmt.Sprintf("&index=%d&wait=%dms", max(o.After, 1), wait.Milliseconds())
 	}
 	var keys []string
-	index, err := s.get(o.Endpoint, path, wait+grace, &keys)
+	index, err := s.get(ctx, o.Endpoint, path, wait+grace, &keys)
 	if err != nil {
 		return reconcile.Broken{Try: o.Try, Why: why(err), Err: err}
 	}
@@ -306,13 +307,13 @@
 
 // read reads the whole list of the same prefix, so that both have the same index, and leaves out what merely
 // begins alike.
-func (s *Source) read(o reconcile.Read) reconcile.Event {
+func (s *Source) read(ctx context.Context, o reconcile.Read) reconcile.Event {
 	var pairs []struct {
 		Key         string
 		Value       []byte
 		ModifyIndex int64
 	}
-	index, err := s.get(o.Endpoint, "/v1/kv/"+escape(s.prefix)+"?recurse&consistent", s.answer, &pairs)
+	index, err := s.get(ctx, o.Endpoint, "/v1/kv/"+escape(s.prefix)+"?recurse&consistent", s.answer, &pairs)
 	if err != nil {
 		return reconcile.Broken{Try: o.Try, Why: why(err), Err: err}
 	}
--- a/internal/controller/discovery/registry.go
+++ b/internal/controller/discovery/registry.go
@@ -3,9 +3,9 @@
 package discovery
 
 import (
+	"context"
 	"errors"
 	"fmt"
-	"net"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -26,6 +26,7 @@
 // Registry asks one discovery.
 type Registry struct {
 	client    *fasthttp.HostClient
+	breakOff  context.CancelFunc // ends the calls of client
 	revision  int64
 	knownList bool // a revision that a watch can go on from
 	tell      func(any)
@@ -48,16 +49,19 @@
 
 // New makes a Registry; tell is given each reconcile.List and each reconcile.Failed.
 func New(addr string, tell func(any), log *logrus.Entry) *Registry {
-	return &Registry{client: clientFor(addr), tell: tell, orders: make(chan order, 16), moves: make(chan string, 1),
-		stop: make(chan struct{}), log: log, wait: wait, grace: grace}
+	r := &Registry{tell: tell, orders: make(chan order, 16), moves: make(chan string, 1), stop: make(chan struct{}),
+		log: log, wait: wait, grace: grace}
+	r.client, r.breakOff = clientFor(addr)
+	return r
 }
 
-func clientFor(addr string) *fasthttp.HostClient {
-	dialer := net.Dialer{Timeout: dialTimeout} // fasthttp's own keeps a goroutine for good, one for each move
+// clientFor makes a client, and the function that ends its calls.
+func clientFor(addr string) (*fasthttp.HostClient, context.CancelFunc) {
+	ctx, breakOff := context.WithCancel(context.Background())
 	return &fasthttp.HostClient{
 		Addr: addr, MaxConns: 2, MaxResponseBodySize: mostBytes, MaxIdemponentCallAttempts: 1,
-		Dial: func(addr string) (net.Conn, error) { return dialer.Dial("tcp", addr) },
-	}
+		Dial: NewConnections(ctx, dialTimeout).Dial,
+	}, breakOff
 }
 
 // From says which revision is known already.
@@ -96,8 +100,9 @@
 // asked for; until that comes the list held stays as it is.
 func (r *Registry) move(addr string) {
 	r.log.WithFields(logrus.Fields{"from": r.client.Addr, "to": addr}).Info("discovery has moved")
-	r.client.CloseIdleConnections()
-	r.client, r.knownList, r.down = clientFor(addr), false, false
+	r.breakOff()
+	r.client, r.breakOff = clientFor(addr)
+	r.knownList, r.down = false, false
 }
 
 // send never makes the caller wait: orders beyond what may be waiting say nothing new.
@@ -108,11 +113,12 @@
 	}
 }
 
-// Stop ends Run, at the latest when the call in hand has ended.
+// Stop ends Run, and the call in hand.
 func (r *Registry) Stop() { close(r.stop) }
 
 // Run asks until Stop.
 func (r *Registry) Run(following bool) {
+	defer func() { r.breakOff() }()
 	for {
 		select {
 		case o := <-r.orders:
@@ -158,7 +164,7 @@
 		within += r.wait
 	}
 	l, err := r.call(query, within)
-	if errors.Is(err, errMoved) {
+	if errors.Is(err, errMoved) || errors.Is(err, errStopped) {
 		return true
 	}
 	if err == nil && !l.Whole && (!r.knownList || l.Revision < r.revision) {
@@ -186,10 +192,13 @@
 	return true
 }
 
-var errMoved = errors.New("another address is to be asked")
+var (
+	errMoved   = errors.New("another address is to be asked")
+	errStopped = errors.New("the registry was stopped")
+)
 
-// call waits for an answer, or until another address is to be asked: what the old one still has to say is
-// nobody's then.
+// call waits for an answer, or until another address is to be asked, or none: what the old one still has to say is
+// nobody's then, and the call ends.
 func (r *Registry) call(query string, within time.Duration) (reconcile.List, error) {
 	done := make(chan error, 1)
 	client := r.client
@@ -205,6 +214,8 @@
 	case addr := <-r.moves:
 		r.move(addr)
 		return reconcile.List{}, errMoved
+	case <-r.stop:
+		return reconcile.List{}, errStopped
 	}
 }
 
