--- a/internal/controller/discovery/consul/consul_test.go
+++ b/internal/controller/discovery/consul/consul_test.go
@@ -14,8 +14,8 @@
 // patience is how long what happens at once may take on a busy machine. The calls here may last for many times as long.
 const patience = 10 * time.Second
 
-// Guards against calls that go on for as long as they may after the orders they were for have ended, and against a later
-// order whose call is broken off with them.
+// Guards against calls that go on for as long as they may after the orders they were for have ended, and against a
+// later order whose call is broken off with them.
 func TestCallsEndWithTheirContext(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/controller/membership/member.go
+++ b/internal/controller/membership/member.go
@@ -43,10 +43,13 @@
 }
 
 const (
-	probeEvery    = 500 * time.Millisecond
-	probeTimeout  = 250 * time.Millisecond
-	seekEvery     = 2 * time.Second // others that are not there are looked for
-	forgetTimeout = time.Hour       // ... until then
+	probeEvery   = 500 * time.Millisecond
+	probeTimeout = 250 * time.Millisecond
+	// seekEvery is the pause between two looks for others that are not there, and joinTimeout how long one that does not
+	// answer is waited for; meanwhile others are tried.
+	seekEvery     = time.Second
+	joinTimeout   = time.Second
+	forgetTimeout = time.Hour // ... until then
 	seekAtOnce    = 3
 	mostBody      = 60 << 10 // of a datagram
 )
@@ -70,6 +73,7 @@
 	mu       sync.Mutex
 	peers    map[string]Peer
 	away     map[string]gone // that were there
+	joining  map[string]bool // addresses that are being tried
 	handlers map[uint8]func(from string, body []byte)
 	changed  []func([]Peer)
 }
@@ -87,11 +91,12 @@
 		log:      log,
 		peers:    map[string]Peer{},
 		away:     map[string]gone{},
+		joining:  map[string]bool{},
 		handlers: map[uint8]func(string, []byte){},
 		done:     make(chan struct{}),
 	}
 	c := memberlist.DefaultLANConfig()
-	c.Name, c.ProbeInterval, c.ProbeTimeout, c.TCPTimeout = p.Name, probeEvery, probeTimeout, 2*time.Second
+	c.Name, c.ProbeInterval, c.ProbeTimeout, c.TCPTimeout = p.Name, probeEvery, probeTimeout, joinTimeout
 	c.Logger = stdlog.New(io.Discard, "", 0)
 	c.Delegate, c.Events, c.Conflict = hands{f}, hands{f}, hands{f}
 	c.DeadNodeReclaimTime = time.Second // one that comes again under its name may do so at another address
@@ -188,12 +193,14 @@
 // seek joins those that are not there, at moments of its own: who starts, and halves that were cut off from each other.
 func (f *Fleet) seek(ctx context.Context) {
 	defer close(f.done)
+	var joins sync.WaitGroup
+	defer joins.Wait()
 	h := fnv.New32a()
 	h.Write([]byte(f.plan.Name))
 	pause := time.Duration(h.Sum32()%1000) * seekEvery / 4000
 	for turn := 0; ; turn++ {
-		if todo := f.missing(turn); len(todo) > 0 {
-			_, _ = f.list.Join(todo)
+		for _, address := range f.missing(turn) {
+			joins.Go(func() { f.join(address) })
 		}
 		select {
 		case <-ctx.Done():
@@ -203,6 +210,22 @@
 	}
 }
 
+// join tries an address, unless that is under way. Tried one after the other, those that do not answer would hold up
+// the one that does.
+func (f *Fleet) join(address string) {
+	f.mu.Lock()
+	isTried := f.joining[address]
+	f.joining[address] = true
+	f.mu.Unlock()
+	if isTried {
+		return
+	}
+	_, _ = f.list.Join([]string{address}) // one that fails is tried again
+	f.mu.Lock()
+	delete(f.joining, address)
+	f.mu.Unlock()
+}
+
 // missing are some addresses at which somebody should be: of the plan, and of those that went.
 func (f *Fleet) missing(turn int) (todo []string) {
 	there := map[string]bool{}
--- a/internal/controlplane/consensus/turns.go
+++ b/internal/controlplane/consensus/turns.go
@@ -71,8 +71,8 @@
 	delete(g.turns.waiters, from)
 }
 
-// noteClosedBallot: a ballot is chosen, so that it and all below it are over. A proposer that says so of an older ballot
-// than its own has found its requests done by that one. next is whose turn it is, if that was said.
+// noteClosedBallot: a ballot is chosen, so that it and all below it are over. A proposer that says so of an older
+// ballot than its own has found its requests done by that one. next is whose turn it is, if that was said.
 func (r *Replica) noteClosedBallot(g *register, from string, ballot BallotNumber, next string) {
 	isOfOpener := from != unknownProposer && from == g.turns.openFrom
 	isLate := ballot.Less(g.turns.openBallot) || ballot.Less(g.chosenBallot)
--- a/internal/controlplane/consensus/turns_test.go
+++ b/internal/controlplane/consensus/turns_test.go
@@ -1,7 +1,6 @@
 package consensus
 
 import (
-	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -70,7 +69,7 @@
 	for name, bugs := range map[string]injectedBugs{"none": {noTurns: true}, "never over": {endlessTurns: true}} {
 		for _, p := range playAll(3000, 3000+uint64(map[bool]int{true: 6, false: 40}[raced]), wild, driverFlaws{code: bugs}) {
 			if p.fault != "" {
-				t.Error(fmt.Sprintf("turns %s, seed %d: %s", name, p.seed, p.fault))
+				t.Errorf("turns %s, seed %d: %s", name, p.seed, p.fault)
 			}
 		}
 	}
--- a/internal/controlplane/consensus/voterchange_test.go
+++ b/internal/controlplane/consensus/voterchange_test.go
@@ -189,7 +189,8 @@
 			default:
 				continue
 			}
-			all = append(all, r.Step(now, MessageReceived{From: controllerOf(1).Name, Message: &rpc.Message{Consensus: answer}})...)
+			message := &rpc.Message{Consensus: answer}
+			all = append(all, r.Step(now, MessageReceived{From: controllerOf(1).Name, Message: message})...)
 		}
 		for i := 0; i < len(all); i++ {
 			if p, is := all[i].(Persist); is {
--- a/internal/controlplane/server_test.go
+++ b/internal/controlplane/server_test.go
@@ -78,7 +78,8 @@
 		host := k.host // this life's: a dial may outlast it
 		disk, known, fresh := k.disk.Open(k.host)
 		k.server = controlplane.New(controlplane.Options{Settings: &set, Disk: disk, DiskComplete: known, DiskFresh: fresh,
-			Log: hclog.New(&hclog.LoggerOptions{Output: &c.logs, Level: hclog.Warn}), Clock: clockwork.NewRealClock(), Listener: lines, TimeOfDay: time.Now,
+			Log:   hclog.New(&hclog.LoggerOptions{Output: &c.logs, Level: hclog.Warn}),
+			Clock: clockwork.NewRealClock(), Listener: lines, TimeOfDay: time.Now,
 			Dial: func(address string) (net.Conn, error) {
 				ctx, cancel := context.WithTimeout(context.Background(), 350*time.Millisecond)
 				defer cancel()
--- a/internal/proxy/upstream/request.go
+++ b/internal/proxy/upstream/request.go
@@ -84,8 +84,8 @@
 	return appendBody(b, c)
 }
 
-// isOwnField names the fields that are written here, a second one of which would change what the request is, and Expect,
-// which the client's own connection has answered.
+// isOwnField names the fields that are written here, a second one of which would change what the request is, and
+// Expect, which the client's own connection has answered.
 func isOwnField(name string) bool {
 	switch name {
 	case "Host", "Content-Length", "Transfer-Encoding", "Connection", "Expect",
