simulation: time handed on, backends of one try, and timeouts are rules

Change: BUDGET on the time budget that endpoints are handed and on the number of endpoints in one try, CONFIG on requests unanswered half a second after their route's timeout, each with planted breaches beside the nearest that is none; a body whose client has left tells its request too.

--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -49,7 +49,7 @@
 	u.stall.Stop()
 	n, err := u.Reader.Read(b)
 	if u.probe.HasPeerClosed() {
-		u.conn.cancel()
+		u.conn.onDisconnect()
 		return 0, errClientDisconnected
 	}
 	if u.left >= 0 {
--- a/internal/simulation/backendanswer.go
+++ b/internal/simulation/backendanswer.go
@@ -84,6 +84,7 @@
 	}
 	if ms, err := strconv.Atoi(r.Header.Get("X-Elmfold-Time-Budget-Ms")); err == nil {
 		x.budget = time.Duration(ms) * time.Millisecond
+		x.arrival.Budget = x.budget
 	}
 	b.mu.Lock()
 	script := b.Script
--- a/internal/simulation/client.go
+++ b/internal/simulation/client.go
@@ -225,6 +225,7 @@
 		Proxy:       m.Name,
 		Incarnation: k.incarnation,
 		Timeout:     min(f.Timeout, time.Until(deadline)),
+		Budget:      time.Until(deadline),
 	})
 	_, err := k.Write(append(f.head(t.ID, target, len(body), time.Until(deadline)), body...))
 	w.Ledger.do(func() { t.Written = w.Now() })
--- a/internal/simulation/ledger.go
+++ b/internal/simulation/ledger.go
@@ -79,7 +79,8 @@
 	Sum        uint64        // of the answer's body
 	GaveUp     bool          // the client would not wait any longer
 	DepartedAt time.Duration // the client closed its connection before the answer; 0: it did not
-	Timeout    time.Duration
+	Timeout    time.Duration // the route's, or Budget if that is shorter
+	Budget     time.Duration // that the client gave
 }
 
 // Arrival is a request at a backend.
@@ -94,6 +95,7 @@
 	Body           uint64
 	End            time.Duration // of the run; 0: it goes on, or there was none
 	Severed        bool          // ... which ended with its connection, before the work was done
+	Budget         time.Duration // that was handed on; 0: none
 }
 
 // Outcome is what a backend did with it.
--- a/internal/simulation/rules_test.go
+++ b/internal/simulation/rules_test.go
@@ -251,6 +251,50 @@
 				x := s.try(7, false)
 				x.DepartedAt, x.Arrivals[0].End, x.Arrivals[0].Severed = sec(7.1), sec(7.11), true
 			}},
+		{"BUDGET", func(s sheet) { // time handed on
+			x := s.try(5, true)
+			x.Budget, x.Arrivals[0].Budget = sec(4), sec(4)
+			s.ran(x, 6, "b2")
+			x.Arrivals[1].Budget = sec(3.4)
+		}, func(s sheet) { s.Tries[0].Arrivals[1].Budget = sec(3.6) }},
+		{"BUDGET", func(s sheet) {
+			x := s.try(5, true)
+			x.Budget, x.Arrivals[0].Budget = sec(4), sec(4.4)
+		}, func(s sheet) { s.Tries[0].Arrivals[0].Budget = sec(4.6) }},
+		{"BUDGET", func(s sheet) {
+			x := s.try(5, true)
+			x.Budget, x.Arrivals[0].Budget = sec(4), sec(4)
+		}, func(s sheet) { s.Tries[0].Arrivals[0].Budget = 0 }},
+		{"BUDGET", func(s sheet) { // backends in one try
+			for range 4 {
+				x := s.try(5, true)
+				s.ran(x, 5.1, "b2")
+				s.ran(x, 5.2, "b3")
+				s.ran(x, 5.2, "b1")
+				x.Arrivals[2].Outcome = Shed
+			}
+		}, func(s sheet) {
+			for _, x := range s.Tries {
+				x.Arrivals[2].Outcome = Ran
+			}
+		}},
+		{"BUDGET", func(s sheet) { // ... those that ended do not count
+			s.Incarnations = []Incarnation{{Backend: "b3", Zone: "north", From: sec(0), To: sec(6)}}
+			for range 4 {
+				x := s.try(5, true)
+				s.ran(x, 5.1, "b2")
+				s.ran(x, 5.2, "b3")
+			}
+		}, func(s sheet) { s.Incarnations[0].To = 0 }},
+		{"CONFIG", func(s sheet) { // answered at the route's timeout
+			for i := range 28 {
+				x := s.try(5+float64(i), true)
+				x.Budget, x.Arrivals[0].Budget, x.End = sec(9), sec(4), x.At+sec(4.1)
+				if i < 7 {
+					x.End = x.At + sec(4.6)
+				}
+			}
+		}, func(s sheet) { s.Tries[7].End += sec(0.6) }},
 		{"DENIED", func(s sheet) {
 			for range 5 {
 				x := s.try(5, true)
