--- a/internal/bench/balancing/carry.go
+++ b/internal/bench/balancing/carry.go
@@ -26,18 +26,18 @@
 	var use float64
 	carriers, zones := 10, 3
 	c := &cobra.Command{Use: "balancing",
-		Short: "what the carriers' settler earns on each day, beside plain ways and one central picture with the true state",
+		Short: "what the proxies' balancer earns on each day, beside plain ways and one central picture with the true state",
 		Args:  cobra.NoArgs, RunE: func(*cobra.Command, []string) error { return play(w, use, carriers, zones) }}
 	w.Flags(c)
 	c.Flags().Float64Var(&use, "use", 1, "times each day's load")
-	c.Flags().IntVar(&carriers, "carriers", carriers, "of them, at least one a zone")
+	c.Flags().IntVar(&carriers, "proxies", carriers, "of them, at least one a zone")
 	c.Flags().IntVar(&zones, "zones", zones, "of them")
 	return []*cobra.Command{c}
 }
 
 func play(w report.Where, use float64, carriers, zones int) error {
 	if use <= 0 || zones < 1 || carriers < zones {
-		return errors.New("--use must be above 0, and each of --zones must have one of --carriers")
+		return errors.New("--use must be above 0, and each of --zones must have one of --proxies")
 	}
 	days, ways := proxies.Days(), proxies.Ways
 	sums := make([][]proxies.Sum, len(days))
@@ -57,7 +57,7 @@
 	}
 	all.Wait()
 	size := fmt.Sprintf(
-		"%d carriers in %d zones, three services; days of 24 s; the same arrivals and works for each way; "+
+		"%d proxies in %d zones, three services; days of 24 s; the same arrivals and works for each way; "+
 			"parts of the worth owed",
 		carriers,
 		zones,
@@ -94,7 +94,7 @@
 		}
 		distance += (bound.Earnings() - sums[d][0].All.Earnings()) / float64(len(days))
 	}
-	r.Figure = fmt.Sprintf("the settler's worth is %.4f under the central picture's, mean over %d days", distance,
+	r.Figure = fmt.Sprintf("the balancer's worth is %.4f under the central picture's, mean over %d days", distance,
 		len(days))
 	if w.Out != "" {
 		if err := draw(w, days, sums); err != nil {
--- a/internal/bench/controlplane/carrier.go
+++ b/internal/bench/controlplane/carrier.go
@@ -167,7 +167,7 @@
 				return looked == want && c.evacuated(zone) == want, nil
 			}
 			if time.Now().After(end) {
-				return false, fmt.Errorf("for %v no controller tells a new carrier all that there is", commitTimeout)
+				return false, fmt.Errorf("for %v no control-plane node tells a new proxy all that there is", commitTimeout)
 			}
 			if err := s.r.wait(100 * time.Millisecond); err != nil {
 				return false, err
--- a/internal/bench/controlplane/compare.go
+++ b/internal/bench/controlplane/compare.go
@@ -59,8 +59,8 @@
 		return err
 	}
 	r := c.Report("core-compare", o.Seed, fmt.Sprintf(
-		"two cores of %d real controllers on loopback; a block is %d orders of each of %d operators at once; %d busy "+
-			"threads beside; other work may run on the machine",
+		"two cores of %d real control-plane nodes on loopback; a block is %d orders of each of %d operators at once; "+
+			"%d busy threads beside; other work may run on the machine",
 		o.size, compareOrders, compareOperators, o.busy))
 	for _, s := range systems {
 		r.Missed = append(r.Missed, s.ledger.broken()...)
--- a/internal/bench/controlplane/core.go
+++ b/internal/bench/controlplane/core.go
@@ -173,7 +173,7 @@
 	var o options
 	c := &cobra.Command{
 		Use: "controlplane",
-		Short: "the worst days of real controllers, from outside: same numbers, lost answers, founding, freezes, " +
+		Short: "the worst days of real control-plane nodes, from outside: same numbers, lost answers, founding, freezes, " +
 			"losses and replacements",
 		Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
@@ -201,7 +201,7 @@
 	c.Flags().IntVar(&o.parallel, "parallel", 4, "plays at once")
 	c.Flags().StringVar(&o.logs, "logs", "", "folder in which the journals and logs of plays that fall short stay")
 	c.Flags().IntVar(&o.orders, "orders", 0, "only time so many orders")
-	c.Flags().IntVar(&o.size, "size", 3, "controllers for --orders and --compare")
+	c.Flags().IntVar(&o.size, "size", 3, "control-plane nodes for --orders and --compare")
 	c.Flags().StringVar(&o.compare, "compare", "",
 		"the program of a build before: orders of eight operators at once are timed with both, in turns")
 	c.Flags().IntVar(&o.rounds, "rounds", 10, "for --compare: blocks of each build")
@@ -321,7 +321,7 @@
 		o.name,
 		o.Seed,
 		fmt.Sprintf(
-			"real controllers on loopback, %d plays at once, %.0f s in all; seconds: until an order is taken after each "+
+			"real control-plane nodes on loopback, %d plays at once, %.0f s in all; seconds: until an order is taken after each "+
 				"trouble; other work ran on the machine",
 			o.parallel,
 			took.Seconds(),
--- a/internal/bench/controlplane/orders.go
+++ b/internal/bench/controlplane/orders.go
@@ -89,7 +89,7 @@
 		"core-orders",
 		o.Seed,
 		fmt.Sprintf(
-			"%d orders of 20 routes (%d bytes) over %d controllers on loopback, one after the other, each on a new "+
+			"%d orders of 20 routes (%d bytes) over %d control-plane nodes on loopback, one after the other, each on a new "+
 				"connection; a sync of as many bytes after each; other work ran on the machine",
 			2*o.orders,
 			len(configuration(1, "x")),
@@ -106,13 +106,13 @@
 			fmt.Sprintf("%.2f", p(all, 0.5)/p(syncs, 0.5)), fmt.Sprintf("%.2f", p(all, 0.99)/p(syncs, 0.99)))
 	}
 	row("a sync", syncs)
-	row("an order, all at one controller", one)
+	row("an order, all at one control-plane node", one)
 	row("an order, at each in turn", turns)
 	t.Expect("orders not taken at their first call", failed, 0)
 	t.Missed = append(t.Missed, s.ledger.broken()...)
 	t.Name = fmt.Sprintf("core-orders-%d", o.size)
 	t.Figure = fmt.Sprintf(
-		"core: %d controllers: an order takes %.2f ms at p50, %.2f at p99 at one, %.2f and %.2f at each in turn; a "+
+		"core: %d control-plane nodes: an order takes %.2f ms at p50, %.2f at p99 at one, %.2f and %.2f at each in turn; a "+
 			"sync %.2f and %.2f",
 		o.size,
 		p(one, 0.5),
--- a/internal/bench/gateway/beside.go
+++ b/internal/bench/gateway/beside.go
@@ -36,7 +36,7 @@
 	var other comparison
 	c := &cobra.Command{
 		Use: "gateway",
-		Short: "requests through a real carrier beside direct ones to the same backends: added time, requests a core, " +
+		Short: "requests through a real proxy beside direct ones to the same backends: added time, requests a core, " +
 			"memory, bytes for control",
 		Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
@@ -283,7 +283,7 @@
 		"gateway",
 		w.Seed,
 		fmt.Sprintf(
-			"3 controllers, 1 carrier, %d backends of no work on loopback; %d pairs at %d/s, then %d requests by %d "+
+			"3 control-plane nodes, 1 proxy, %d backends of no work on loopback; %d pairs at %d/s, then %d requests by %d "+
 				"hands; other work ran on the machine",
 			besideBackends,
 			atRate,
@@ -291,7 +291,7 @@
 			besideMany,
 			besideHands,
 		),
-		"through the carrier",
+		"through the proxy",
 		"direct",
 		"ratio",
 	)
@@ -303,7 +303,7 @@
 	row("ms, p99", p(one, 0.99), p(other, 0.99))
 	r.Row("ms added, p50 and p99 of a pair", fmt.Sprintf("%.3f", p(added, 0.5)), fmt.Sprintf("%.3f", p(added, 0.99)))
 	row("requests/s, as many as go (wall time)", besideMany/tookThrough.Seconds(), besideMany/tookDirect.Seconds())
-	r.Row("requests a second of a core (the carrier's processor time)", fmt.Sprintf("%.0f", 1/cost))
+	r.Row("requests a second of a core (the proxy's processor time)", fmt.Sprintf("%.0f", 1/cost))
 	r.Row("microseconds of a core a request, flooded", fmt.Sprintf("%.0f", cost*1e6))
 	r.Row(
 		fmt.Sprintf("... at %d/s", besideRate),
@@ -317,18 +317,18 @@
 		r.Row(name, fmt.Sprintf("%.0f", x.Read), fmt.Sprintf("%.0f", x.Wrote), fmt.Sprintf("%.2f%% of a core", x.Cores*100))
 	}
 	r.Row("for control (/proc/PID/io: payload of reads and writes):", "B/s in", "B/s out")
-	control("carrier, idle", last, idle, before)
+	control("proxy, idle", last, idle, before)
 	busiest := 0
 	for i := range d.Controllers {
 		if idle[i].Read-before[i].Read > idle[busiest].Read-before[busiest].Read {
 			busiest = i
 		}
 	}
-	control("busiest controller, idle", busiest, idle, before)
-	control(fmt.Sprintf("... its carrier at %d/s", besideRate), busiest, loaded, idle)
-	control(fmt.Sprintf("the carrier's own controller at %d/s", besideRate), 0, loaded, idle)
+	control("busiest control-plane node, idle", busiest, idle, before)
+	control(fmt.Sprintf("... its proxy at %d/s", besideRate), busiest, loaded, idle)
+	control(fmt.Sprintf("the proxy's own control-plane node at %d/s", besideRate), 0, loaded, idle)
 	r.Axes = [2]string{"ms of a request", "part of all requests"}
-	r.Curves["through the carrier"], r.Curves["direct"] = one, other
+	r.Curves["through the proxy"], r.Curves["direct"] = one, other
 	r.Expect("through: answered 200 with seal, attempt and path", through.right, through.sent)
 	r.Expect("direct: the same", direct.right, direct.sent)
 	r.Expect("runs at backends, but for the one that showed that they are known", runs-1, through.sent+direct.sent)
@@ -371,7 +371,7 @@
 	var span time.Duration
 	c := &cobra.Command{
 		Use:   "try",
-		Short: "three controllers, two carriers and stand-in backends on loopback, for a while",
+		Short: "three control-plane nodes, two proxies and stand-in backends on loopback, for a while",
 		Args:  cobra.NoArgs,
 		RunE:  func(c *cobra.Command, _ []string) error { return try(c.Context(), c.OutOrStdout(), programs, span) },
 	}
@@ -435,7 +435,8 @@
 	}
 	fmt.Fprintf(
 		out,
-		"3 controllers, 2 carriers, %d backends of %d services are up after %.1f s; settings, disks and logs are in %s\n\n",
+		"3 control-plane nodes, 2 proxies, %d backends of %d services are up after %.1f s; settings, disks and logs "+
+			"are in %s\n\n",
 		services*each,
 		services,
 		time.Since(began).Seconds(),
--- a/internal/bench/gateway/compare.go
+++ b/internal/bench/gateway/compare.go
@@ -91,8 +91,8 @@
 	}
 	both.stop()
 	r := c.Report("gateway-compare", w.Seed, fmt.Sprintf(
-		"two deployments of 3 controllers and 1 proxy, %d backends of no work each, on loopback; a block is %d requests "+
-			"as fast as %d hands go, then %d at %d/s; other work may run on the machine",
+		"two deployments of 3 control-plane nodes and 1 proxy, %d backends of no work each, on loopback; a block is %d "+
+			"requests as fast as %d hands go, then %d at %d/s; other work may run on the machine",
 		besideBackends, compareFlood, besideHands, comparePaced, besideRate))
 	for build := range both.programs {
 		r.Expect(fmt.Sprintf("%s: answered 200 with seal, attempt and path", paired.Build(build)), both.right[build],
--- a/internal/bench/gateway/scale.go
+++ b/internal/bench/gateway/scale.go
@@ -25,7 +25,7 @@
 
 func (s size) String() string {
 	return fmt.Sprintf(
-		"%d controllers, %d carriers, %d backends, %d services, %d routes",
+		"%d control-plane nodes, %d proxies, %d backends, %d services, %d routes",
 		s.controllers,
 		s.proxies,
 		s.backends,
@@ -66,7 +66,7 @@
 	var requests, joins int
 	c := &cobra.Command{
 		Use:   "scale",
-		Short: "real controllers beside hollow carriers and backends, without traffic: what control costs, by size",
+		Short: "real control-plane nodes beside hollow proxies and backends, without traffic: what control costs, by size",
 		Args:  cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
 			all := sizes()
@@ -90,14 +90,14 @@
 	}
 	w.Flags(c)
 	c.Flags().StringVar(&programs, "programs", "target", "folder of elmfold-controlplane and elmfold-proxy")
-	c.Flags().StringVar(&one, "one", "", "CONTROLLERS,CARRIERS,BACKENDS,SERVICES,ROUTES: only this size")
+	c.Flags().StringVar(&one, "one", "", "NODES,PROXIES,BACKENDS,SERVICES,ROUTES: only this size")
 	c.Flags().IntVar(
 		&requests,
 		"requests",
 		requestsAll/fullSize.proxies,
-		"a second that each hollow carrier's reports tell of",
+		"a second that each hollow proxy's reports tell of",
 	)
-	c.Flags().IntVar(&joins, "joins", 0, "carriers a second that join after the backends; 0: all at once with them")
+	c.Flags().IntVar(&joins, "joins", 0, "proxies a second that join after the backends; 0: all at once with them")
 	c.Flags().StringVar(&name, "name", "scale", "of the files in --out")
 	c.Flags().StringVar(&profile, "logs", "", "folder in which settings and logs of the processes stay")
 	return c
@@ -322,9 +322,9 @@
 		name,
 		w.Seed,
 		fmt.Sprintf(
-			"controllers and %d carriers as processes, hollow carriers and backends in another (columns of a carrier: "+
+			"control-plane nodes and %d proxies as processes, hollow proxies and backends in another (columns of a proxy: "+
 				"bytes of a hollow one, core and MB of the real ones, without traffic); %d zones, beats each %.1f s, reports "+
-				"of %d requests/s a carrier, %v of steady state; the busiest controller; other work ran on the machine",
+				"of %d requests/s a proxy, %v of steady state; the busiest control-plane node; other work ran on the machine",
 			realProxies,
 			scaleZones,
 			heartbeatSeconds,
@@ -337,10 +337,10 @@
 		"KB/s in",
 		"KB/s out",
 		"calls/s",
-		"carrier KB/s in",
+		"proxy KB/s in",
 		"out",
-		"carrier core %",
-		"carrier MB",
+		"proxy core %",
+		"proxy MB",
 		"beats KB/s",
 		"tables/s",
 		"start s",
@@ -418,7 +418,7 @@
 	last := out[len(out)-1]
 	if len(all) > 1 {
 		r.Row("slopes: core % a thousand; KB each; B/s each in and out")
-		slope(r, out, "carriers", func(s size) int { return s.proxies })
+		slope(r, out, "proxies", func(s size) int { return s.proxies })
 		slope(r, out, "backends", func(s size) int { return s.backends })
 		slope(r, out, "services", func(s size) int { return s.services })
 		slope(r, out, "routes", func(s size) int { return s.routes })
@@ -437,14 +437,14 @@
 			heard++
 		}
 	}
-	r.Expect(fmt.Sprintf("changes and drains that all carriers heard of within %v", notifyTimeout), heard, wanted)
+	r.Expect(fmt.Sprintf("changes and drains that all proxies heard of within %v", notifyTimeout), heard, wanted)
 	if w.Out != "" {
 		if err := drawScale(w, name, out); err != nil {
 			return err
 		}
 	}
 	r.Figure = fmt.Sprintf(
-		"seed %d: %v: the busiest controller takes %.1f%% of a core, %.0f MB (%.0f at the most), %.0f KB/s in and %.0f "+
+		"seed %d: %v: the busiest control-plane node takes %.1f%% of a core, %.0f MB (%.0f at the most), %.0f KB/s in and %.0f "+
 			"out; a change is in force after %.2f s, a drain known after %.2f s",
 		w.Seed,
 		last.size,
@@ -466,7 +466,7 @@
 		x := &all[i]
 		alone := small
 		switch name {
-		case "carriers":
+		case "proxies":
 			alone.proxies = x.proxies
 		case "backends":
 			alone.backends = x.backends
@@ -508,7 +508,7 @@
 		"%s, seed %d",
 		name,
 		w.Seed,
-	), "part of the whole size", "% of a core, busiest controller"
+	), "part of the whole size", "% of a core, busiest control-plane node"
 	p.Legend.Top, p.Legend.Left = true, true
 	p.Add(plotter.NewGrid())
 	curves := []struct {
@@ -516,7 +516,7 @@
 		of   func(size) int
 		top  int
 	}{
-		{"carriers alone", func(s size) int { return s.proxies }, fullSize.proxies},
+		{"proxies alone", func(s size) int { return s.proxies }, fullSize.proxies},
 		{"backends alone", func(s size) int { return s.backends }, fullSize.backends},
 		{"services alone", func(s size) int { return s.services }, fullSize.services},
 		{"routes alone", func(s size) int { return s.routes }, fullSize.routes},
--- a/internal/controlplane/main.go
+++ b/internal/controlplane/main.go
@@ -21,7 +21,7 @@
 
 const (
 	programName = "elmfold-controlplane"
-	about       = "The gateway's controller: it keeps the operator's word, knows backends and carriers, and steers."
+	about       = "The gateway's control-plane node: it keeps the operator's word, knows backends and proxies, and steers."
 
 	shutdownReserve     = time.Second            // of the grace period, for what comes after the handover
 	callShutdownTimeout = 300 * time.Millisecond // for answers that are on their way
--- a/internal/gateway/cli/cli.go
+++ b/internal/gateway/cli/cli.go
@@ -85,8 +85,9 @@
 		"Serves by the settings file that "+bootconfig.EnvVar+" names.", start))
 	must(parser.AddCommand("check", "check a file",
 		"Checks a settings file or a configuration: one line a fault.", &checkCommand{out: p.Out}))
-	must(parser.AddCommand("status", "ask a controller how the core stands",
-		"Prints who votes, who is in touch, and what is safe, as one controller sees it.", &statusCommand{out: p.Out}))
+	must(parser.AddCommand("status", "ask a control-plane node how the core stands",
+		"Prints who votes, who is in touch, and what is safe, as one control-plane node sees it.",
+		&statusCommand{out: p.Out}))
 	must(parser.AddCommand("version", "print the version",
 		"Prints the version.", &versionCommand{name: p.Name, out: p.Out}))
 	return parser
--- a/internal/gateway/cli/status.go
+++ b/internal/gateway/cli/status.go
@@ -30,12 +30,12 @@
 type unreachableError struct{ failures []string }
 
 func (e unreachableError) Error() string {
-	return "no controller is reached: " + strings.Join(e.failures, "; ")
+	return "no control-plane node is reached: " + strings.Join(e.failures, "; ")
 }
 
 type statusCommand struct {
 	Args struct {
-		Address string `positional-arg-name:"ADDRESS" description:"a controller's control address; left out: the own settings' or, of a carrier, a seed's"` //nolint:lll // a struct tag cannot be broken
+		Address string `positional-arg-name:"ADDRESS" description:"a control-plane node's control address; left out: the own settings' or, of a proxy, a seed's"` //nolint:lll // a struct tag cannot be broken
 	} `positional-args:"yes"`
 	out io.Writer
 }
--- a/internal/proxy/main.go
+++ b/internal/proxy/main.go
@@ -18,7 +18,7 @@
 
 const (
 	programName = "elmfold-proxy"
-	about       = "The gateway's carrier: it takes clients' requests to backends and the answers back."
+	about       = "The gateway's proxy: it takes clients' requests to backends and the answers back."
 	// shutdownReserve is kept of the grace period for what comes after the requests are done.
 	shutdownReserve = 300 * time.Millisecond
 
