--- a/internal/bench/gateway/scale.go
+++ b/internal/bench/gateway/scale.go
@@ -444,7 +444,8 @@
 		}
 	}
 	r.Figure = fmt.Sprintf(
-		"seed %d: %v: the busiest control-plane node takes %.1f%% of a core, %.0f MB (%.0f at the most), %.0f KB/s in and %.0f "+
+		"seed %d: %v: the busiest control-plane node takes %.1f%% of a core, %.0f MB (%.0f at the most), %.0f KB/s in "+
+			"and %.0f "+
 			"out; a change is in force after %.2f s, a drain known after %.2f s",
 		w.Seed,
 		last.size,
