--- a/internal/controlplane/consensus/model_test.go
+++ b/internal/controlplane/consensus/model_test.go
@@ -5,8 +5,10 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"os"
 	"runtime"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -730,6 +732,33 @@
 	}
 }
 
+// The scope that CI cuts, as far as REGISTER_MODEL says, in states: for runs by hand, whose figures stand in
+// docs/measured/core/.
+func TestModelWholeScope(t *testing.T) {
+	most, err := strconv.Atoi(os.Getenv("REGISTER_MODEL"))
+	if err != nil {
+		most = 3000
+	}
+	for _, s := range []scope{
+		{
+			name:   "3 voters, 1 learner, 1 order, 1 crash, 1 change of voters, disks that answer at once",
+			voters: 3, learner: true, orders: oneOrder, crashes: 1, only: -1, joins: true, instant: true,
+		},
+		{
+			name:   "3 voters, 1 learner, 2 orders, 1 crash, 1 change of voters, disks that answer at once",
+			voters: 3, learner: true, orders: oneThenTwo, crashes: 1, only: -1, joins: true, instant: true,
+		},
+	} {
+		m := &model{scope: s}
+		m.most = most
+		m.explore(runtime.GOMAXPROCS(0))
+		t.Logf("%s: %d states, %d steps, cut %t", m.name, len(m.visited), m.steps, m.cut)
+		if m.fault != "" {
+			t.Errorf("%s: %s", m.name, m.fault)
+		}
+	}
+}
+
 // The model sees what it is there for.
 func TestModelSeesPlantedFlaws(t *testing.T) {
 	t.Parallel()
