--- a/internal/bench/controlplane/core.go
+++ b/internal/bench/controlplane/core.go
@@ -321,8 +321,8 @@
 		o.name,
 		o.Seed,
 		fmt.Sprintf(
-			"real control-plane nodes on loopback, %d plays at once, %.0f s in all; seconds: until an order is taken after each "+
-				"trouble; other work ran on the machine",
+			"real control-plane nodes on loopback, %d plays at once, %.0f s in all; seconds: until an order is taken after "+
+				"each trouble; other work ran on the machine",
 			o.parallel,
 			took.Seconds(),
 		),
--- a/internal/bench/controlplane/freezes.go
+++ b/internal/bench/controlplane/freezes.go
@@ -251,8 +251,8 @@
 	})
 }
 
-// readSleeper reads from the one that woke, at once and for a while: nothing old is read there, whoever asks (the ledger
-// checks each).
+// readSleeper reads from the one that woke, at once and for a while: nothing old is read there, whoever asks (the
+// ledger checks each).
 func (k *sleep) readSleeper() (err error) {
 	serves := false
 	for thawed := time.Now(); time.Since(thawed) < 3*time.Second && err == nil; err = k.r.wait(30 * time.Millisecond) {
--- a/internal/controlplane/consensus/foundingmodel_test.go
+++ b/internal/controlplane/consensus/foundingmodel_test.go
@@ -490,8 +490,8 @@
 	}
 }
 
-// The founding model sees what it is there for. The scopes are small enough to be visited whole, so that it does not hang
-// on the order of the search whether a flaw is met.
+// The founding model sees what it is there for. The scopes are small enough to be visited whole, so that it does not
+// hang on the order of the search whether a flaw is met.
 func TestFoundingModelSeesPlantedFlaws(t *testing.T) {
 	t.Parallel()
 	three := foundingScope{machines: 3, faults: 1, ballots: 2}
--- a/internal/simulation/rulestime.go
+++ b/internal/simulation/rulestime.go
@@ -14,8 +14,8 @@
 	maxWidelyTried = 3
 )
 
-// handedOn: BUDGET. A backend is handed more time than the client has left, or on a later attempt more than on the first;
-// the operators' rule allows a fifth of the requests to be so, here none is.
+// handedOn: BUDGET. A backend is handed more time than the client has left, or on a later attempt more than on the
+// first; the operators' rule allows a fifth of the requests to be so, here none is.
 func (l *Ledger) handedOn(out *breaches) {
 	for _, t := range l.Tries {
 		if t.Budget == 0 {
