proxy: count attempts by result and error responses by reason

Change: elmfold_attempts_total{result} and elmfold_error_responses_total{reason}, by the kinds of apierror; values that are 0 are not shown. internal/gateway/metrics has a counter with one label. Measured: TestTextExposition; no effect on decisions.

--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -18,6 +18,9 @@
 	// overdueRequests and lateAttempts count violations of the invariants in disconnect.go.
 	overdueRequests *metrics.Counter
 	lateAttempts    *metrics.Counter
+	// attempts and errorResponses count attempts and the proxy's own error responses, by apierror.Kind.
+	attempts       *metrics.CounterVec
+	errorResponses *metrics.CounterVec
 }
 
 func (p *Proxy) newMetrics() *proxyMetrics {
@@ -32,6 +35,13 @@
 		"Invariant, 0: idempotent requests still forwarded 500 ms after their client was seen to leave.")
 	m.lateAttempts = r.NewCounter("elmfold_late_attempts_total",
 		"Invariant, 0: attempts begun over 100 ms after their client was seen to leave.")
+	var kinds []string
+	for _, kind := range apierror.Kinds() {
+		kinds = append(kinds, kind.String())
+	}
+	m.attempts = r.NewCounterVec("elmfold_attempts_total", "Attempts that ended, by their result.", "result", kinds)
+	m.errorResponses = r.NewCounterVec("elmfold_error_responses_total",
+		"Requests that the proxy answered with an error of its own, by the reason.", "reason", kinds)
 	r.NewGauge("elmfold_client_connections", "Connections of clients.", p.clientConns.Load)
 	r.NewGauge("elmfold_attempts_in_flight", "Attempts that hold a place at an endpoint.", p.attemptsInFlight)
 	r.NewGauge("elmfold_read_ahead_bytes", "Bytes of clients that are held before anybody wants them.",
@@ -44,6 +54,7 @@
 
 // countAttempt counts an attempt by the kind of its result.
 func (m *proxyMetrics) countAttempt(kind apierror.Kind) {
+	m.attempts.With(int(kind)).Inc()
 	if kind == apierror.ClientDisconnected || kind == apierror.AttemptCancelled {
 		m.attemptsCancelled.Inc()
 	}
--- a/internal/proxy/respond.go
+++ b/internal/proxy/respond.go
@@ -122,6 +122,7 @@
 
 // respondError sends the response that the table of error kinds prescribes. A retryAfter above 0 overrides the table's.
 func (p *Proxy) respondError(q *clientRequest, kind apierror.Kind, retryAfter time.Duration) {
+	p.metrics.errorResponses.With(int(kind)).Inc()
 	policy := kind.Policy()
 	if retryAfter <= 0 {
 		retryAfter = policy.RetryAfter
