--- a/internal/simulation/backend.go
+++ b/internal/simulation/backend.go
@@ -47,6 +47,7 @@
 	target        string
 	rand          *rand.Rand
 	begun         time.Duration
+	keys          *keyHolder // nil: its service is not divided by key
 }
 
 // Backend starts one. Cold: it is slow for the service's coldS, and must not be sent much.
@@ -58,6 +59,9 @@
 	b := &Backend{w: w, host: w.Net.Host(ip), ID: fmt.Sprintf("i-%s-%d", ip, n), Service: service, Zone: zone,
 		Address: ip + ":8080", Slots: slots, Queue: 2 * slots, Work: work, Size: 600, state: "ready",
 		rand: w.Rand("backend", uint64(n)), begun: w.Now()}
+	if w.isSharded(service) {
+		b.keys = &keyHolder{running: map[uint16]int{}, drift: b.rand.Float64() * maxDrift}
+	}
 	if cold {
 		span, _ := slowStartOf(service)
 		w.StartSlow(b, span)
--- a/internal/simulation/backendanswer.go
+++ b/internal/simulation/backendanswer.go
@@ -27,6 +27,8 @@
 	fields  map[string]string // of the answer
 	budget  time.Duration
 	act     Act
+	key     uint16 // of a service that is divided by key
+	hold    *Hold  // under which it runs; nil: its service is not
 }
 
 // answer serves one request; false: the connection ends.
@@ -36,10 +38,16 @@
 		return b.answerHealth(c)
 	}
 	x := b.newExchange(c, r, id, body)
+	if b.keys != nil && (r.URL.Path == grantPath || r.URL.Path == releasePath) {
+		return b.answerKeys(x, body)
+	}
 	if isOver, stays := x.refuse(); isOver {
 		return stays
 	}
 	defer b.free()
+	if x.hold != nil {
+		defer b.endKey(x.key)
+	}
 	if over, _ := endOf(c).ended(); over { // dropped before it ran
 		x.note(Shed)
 		return false
@@ -55,7 +63,10 @@
 		return false
 	}
 	status := http.StatusOK
-	if work > x.budget {
+	switch {
+	case x.hold != nil && b.w.Now() >= b.holdEnd(x.hold):
+		status = http.StatusInternalServerError
+	case work > x.budget:
 		status = http.StatusGatewayTimeout
 	}
 	return x.say(status)
@@ -113,20 +124,41 @@
 		b.w.Ledger.Reply(x.arrival.ID, Reply{Backend: b.ID})
 		endOf(x.conn).abort()
 		return true, false
+	case b.keys != nil && !b.holds(x.request):
+		return true, x.refuseKey()
 	case !b.take(x.budget):
 		x.note(Shed)
 		x.fields["X-Elmfold-Not-Executed"] = "1"
 		return true, say(x.conn, http.StatusServiceUnavailable, "", x.fields, nil)
 	}
+	if b.keys != nil {
+		x.key, _ = requestKey(x.request)
+		held := false
+		if x.hold, held = b.beginKey(x.key); !held { // the hold ended while the request waited
+			b.free()
+			return true, x.refuseKey()
+		}
+	}
 	return false, false
 }
 
+// refuseKey answers a request on a key that the backend does not hold.
+func (x *exchange) refuseKey() bool {
+	x.note(Misdirected)
+	x.fields["X-Elmfold-Not-Executed"] = "1"
+	x.fields["X-Elmfold-Instance-Id"] = x.backend.ID
+	return say(x.conn, http.StatusMisdirectedRequest, "", x.fields, nil)
+}
+
 // work is how long the request is worked at.
 func (x *exchange) work() time.Duration {
 	work := x.backend.Work
 	if x.backend.warmupLeft() > 0 {
 		work *= 2
 	}
+	if x.hold != nil && x.backend.w.Now() < x.hold.coldUntil {
+		work *= coldKeyFactor
+	}
 	if x.act == Slow || strings.HasSuffix(x.request.RequestURI, longSuffix) {
 		work += time.Second + time.Duration(sum([]byte(x.arrival.ID))%2000)*time.Millisecond
 	}
--- a/internal/simulation/client.go
+++ b/internal/simulation/client.go
@@ -32,6 +32,8 @@
 	Probe    bool          // it shows which configuration is in force, and need not be served
 	// Departing is the part of the requests whose client leaves before the answer. They are none of Ledger.Requests.
 	Departing float64
+	Keyed     bool   // its requests bear a key
+	key       uint16 // of one request
 }
 
 // body is the body of its requests.
@@ -115,6 +117,9 @@
 	if f.Tries == 0 {
 		f.Tries = 4
 	}
+	if f.Keyed { // load across keys is uneven, and the busy ones are close together
+		f.key = uint16(maxKey * r.Float64() * r.Float64())
+	}
 	if f.Body > 0 && r.IntN(20) == 0 {
 		f.Body = 200 << 10 // more than a carrier holds
 	}
@@ -203,6 +208,9 @@
 func (f Flow) head(id, target string, body int, left time.Duration) []byte {
 	out := fmt.Appendf(nil, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Elmfold-Attempt-Id: %s\r\nX-Elmfold-Time-Budget-Ms: %d\r\n",
 		f.Method, target, f.Host, id, left.Milliseconds())
+	if f.Keyed {
+		out = fmt.Appendf(out, "X-Elmfold-Shard-Key: %d\r\n", f.key)
+	}
 	if body > 0 {
 		out = fmt.Appendf(out, "Content-Length: %d\r\n", body)
 	}
--- a/internal/simulation/days.go
+++ b/internal/simulation/days.go
@@ -25,6 +25,32 @@
 		Deadline: 5 * time.Second, Timeout: 6 * time.Second},
 }
 
+// Accounts is a kind whose service is divided by key; it is there on days with Shape.Sharded.
+var Accounts = Flow{Name: "account", Host: "c.example", Prefix: "/account/", Service: "accounts", Safe: true, Rate: 40,
+	Deadline: 4 * time.Second, Timeout: 5 * time.Second, Keyed: true}
+
+// flows are the kinds of a deployment.
+func (w *World) flows() []Flow {
+	if w.shape.Sharded {
+		return append(slices.Clone(Flows), Accounts)
+	}
+	return slices.Clone(Flows)
+}
+
+func (w *World) isSharded(service string) bool { return w.shape.Sharded && service == Accounts.Service }
+
+// config is NewConfig for the deployment.
+func (w *World) config(version uint32) *Config {
+	c := NewConfig(version)
+	if w.shape.Sharded {
+		f := Accounts
+		c.Services, c.Sharded = append(c.Services, f.Service), []string{f.Service}
+		c.Routes = append(c.Routes, Route{Host: f.Host, Prefix: f.Prefix, Safe: f.Safe, Services: []string{f.Service},
+			TimeoutS: f.Timeout.Seconds(), MaxTries: 2})
+	}
+	return c
+}
+
 // departingShare is the part of the requests of a drawn day whose clients leave before their answer.
 const departingShare = 0.05
 
@@ -46,7 +72,7 @@
 	w.Start()
 	w.Populate()
 	time.Sleep(4 * time.Second)
-	w.Replace(NewConfig(1), true, nil, 5*time.Second)
+	w.Replace(w.config(1), true, nil, 5*time.Second)
 	time.Sleep(3 * time.Second)
 	return w
 }
@@ -57,7 +83,7 @@
 	if each == 0 {
 		each = 2
 	}
-	for i, f := range Flows {
+	for i, f := range w.flows() {
 		for z, zone := range w.shape.Zones {
 			for n := range each {
 				w.Backend(f.Service, zone, fmt.Sprintf("10.%d.1.%d", z, 10*(i+1)+n), 4, workOf(f.Service), false)
@@ -75,7 +101,7 @@
 }
 
 func workOf(service string) time.Duration {
-	return map[string]time.Duration{"pages": 60, "orders": 100, "views": 140, "fresh": 20}[service] * time.Millisecond
+	return map[string]time.Duration{"pages": 60, "orders": 100, "views": 140, "fresh": 20, "accounts": 80}[service] * time.Millisecond
 }
 
 // draw is the faults of one day.
@@ -125,7 +151,7 @@
 		m.clock.Store(int64(time.Duration(seed>>i%3-1) * time.Duration(seed%3600) * time.Second))
 	}
 	time.Sleep(2 * time.Second)
-	w.Replace(NewConfig(1), true, nil, 40*time.Second)
+	w.Replace(w.config(1), true, nil, 40*time.Second)
 	time.Sleep(7 * time.Second)
 	return w, log
 }
@@ -140,8 +166,8 @@
 	aimed := d.aimed(2*int(w.seed), 2)
 	extra := Flow{Name: "extra", Host: "a.example", Prefix: "/extra-", Service: "pages", Safe: true, Rate: 8,
 		Deadline: 2 * time.Second, Timeout: 4 * time.Second, Probe: true}
-	flows := append(slices.Clone(Flows), extra)
-	for i := range Flows {
+	flows := append(w.flows(), extra)
+	for i := range len(flows) - 1 {
 		flows[i].Departing = departingShare
 	}
 	w.Go(func() { w.LoadUntil(stop, flows...) })
@@ -388,7 +414,7 @@
 	defer d.mu.Unlock()
 	d.version += uint32(1 + r.IntN(3))
 	d.sent = append(d.sent, d.version)
-	c := NewConfig(d.version)
+	c := d.w.config(d.version)
 	for _, v := range d.sent { // what such a request meets tells whether a version is in force that is at least that
 		c.Routes = append(c.Routes, Route{Host: "a.example", Prefix: mark(v), Safe: true, Services: []string{"pages"},
 			TimeoutS: 4, MaxTries: 2})
--- a/internal/simulation/ledger.go
+++ b/internal/simulation/ledger.go
@@ -35,6 +35,8 @@
 	Faults       int // machineFaults
 	Terms        []Term
 	Requests     []Request // of clients, with their further tries
+	Holds        []*Hold
+	KeyRuns      []KeyRun
 	Closing      time.Duration
 }
 
@@ -47,10 +49,15 @@
 
 // Served counts the requests that were sent in a span, and those of them that ended in a success within a time.
 func (l *Ledger) Served(from, to, within time.Duration) (asked, served int) {
+	return l.ServedOf("", from, to, within)
+}
+
+// ServedOf is Served for one flow; "": for all.
+func (l *Ledger) ServedOf(flow string, from, to, within time.Duration) (asked, served int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, r := range l.Requests {
-		if r.At >= from && r.At < to {
+		if r.At >= from && r.At < to && (flow == "" || r.Flow == flow) {
 			if asked++; r.Served && r.End-r.At <= within {
 				served++
 			}
@@ -372,9 +379,10 @@
 	Version  uint32
 	Routes   []Route
 	Services []string
-	Header   float64 // headerTimeoutS; 0: 3
-	Idle     float64 // idleTimeoutS; 0: 15
-	Spoilt   string  // replaces the body: what an invalid one says
+	Sharded  []string // of Services: those that are divided by key
+	Header   float64  // headerTimeoutS; 0: 3
+	Idle     float64  // idleTimeoutS; 0: 15
+	Spoilt   string   // replaces the body: what an invalid one says
 }
 
 // Route is one of them.
--- a/internal/simulation/net.go
+++ b/internal/simulation/net.go
@@ -28,16 +28,17 @@
 	delay      func(from, to string) time.Duration // one way, by the machines' ip
 	ports      map[string]*listener                // by "ip:port"
 	ends       map[*end]bool
-	partitions map[[2]string]int // from, to: how many hold it
-	dark       map[string]bool   // without power
-	still      map[string]int    // frozen, by so many
+	partitions map[[2]string]int       // from, to: how many hold it
+	dark       map[string]bool         // without power
+	still      map[string]int          // frozen, by so many
+	healed     map[[2]string]time.Time // when a way, or a machine ("ip", ""), was last opened again
 	port       int
 }
 
 // NewNet makes a Net without machines.
 func NewNet(delay func(from, to string) time.Duration) *Net {
 	return &Net{delay: delay, ports: map[string]*listener{}, ends: map[*end]bool{}, partitions: map[[2]string]int{},
-		dark: map[string]bool{}, still: map[string]int{}, port: 20000}
+		dark: map[string]bool{}, still: map[string]int{}, healed: map[[2]string]time.Time{}, port: 20000}
 }
 
 // Host is one process on a machine: what it listens on and what it has connected ends with it.
@@ -61,10 +62,23 @@
 			n.partitions[way]--
 		} else {
 			delete(n.partitions, way)
+			n.healed[way] = time.Now()
 		}
 	})
 }
 
+// healedSince says whether a way, or the machine at either end of it, was opened again within a span.
+func (n *Net) healedSince(from, to string, span time.Duration) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, what := range [][2]string{{from, to}, {to, from}, {from, ""}, {to, ""}} {
+		if at, was := n.healed[what]; was && time.Since(at) <= span {
+			return true
+		}
+	}
+	return false
+}
+
 // Freeze is as Dark, but counted apart from a loss of power.
 func (n *Net) Freeze(ip string, frozen bool) {
 	n.change(func() {
@@ -72,6 +86,7 @@
 			n.still[ip]++
 		} else {
 			n.still[ip]--
+			n.healed[[2]string{ip, ""}] = time.Now()
 		}
 	})
 }
@@ -88,6 +103,8 @@
 	n.change(func() {
 		if delete(n.dark, ip); dark {
 			n.dark[ip] = true
+		} else {
+			n.healed[[2]string{ip, ""}] = time.Now()
 		}
 	})
 }
--- a/internal/simulation/operator.go
+++ b/internal/simulation/operator.go
@@ -43,8 +43,12 @@
 	}
 	for _, s := range c.Services {
 		span, rate := slowStartOf(s)
-		pools = append(pools, m{"name": s, "healthPath": "/health", "maxConns": 120, "protocol": "h1", "tlsMode": false,
-			"coldS": span.Seconds(), "coldRateS": rate})
+		pool := m{"name": s, "healthPath": "/health", "maxConns": 120, "protocol": "h1", "tlsMode": false,
+			"coldS": span.Seconds(), "coldRateS": rate}
+		if slices.Contains(c.Sharded, s) {
+			pool["sharded"], pool["warmupS"], pool["granted"] = true, keyWarmup.Seconds(), "call"
+		}
+		pools = append(pools, pool)
 	}
 	text, err := json.Marshal(m{"generation": fmt.Sprintf("%08x", c.Version), "sockets": sockets, "pools": pools,
 		"limits": m{"maxHeaderBytes": 16384, "maxBodyBytes": 64 << 20, "headerTimeoutS": header, "idleTimeoutS": idle}})
--- a/internal/simulation/rules.go
+++ b/internal/simulation/rules.go
@@ -44,6 +44,7 @@
 	l.dark(&out)
 	l.back(&out)
 	l.departures(&out)
+	l.owners(&out)
 	out = l.excuse(out)
 	slices.SortStableFunc(out, func(a, b Broken) int {
 		return cmp.Or(cmp.Compare(a.Rule, b.Rule), cmp.Compare(a.At, b.At))
--- a/internal/simulation/rules_test.go
+++ b/internal/simulation/rules_test.go
@@ -60,6 +60,14 @@
 		{"UNASKED", func(s sheet) { s.Unknown = []Arrival{{ID: "x", Outcome: Misdirected}} },
 			func(s sheet) { s.Unknown = []Arrival{{ID: "x", Outcome: Ran}} }},
 		{"UNASKED", func(s sheet) { s.try(5, true) }, func(s sheet) { s.try(5, true).Arrivals[0].Target = "/page/./1" }},
+		{"OWNER", func(s sheet) { // one after the other, beside each other, and by a grant from just after a heal
+			s.Holds = []*Hold{{Backend: "b1", First: 0, Last: 9, Fence: 1, From: sec(1), To: sec(4)},
+				{Backend: "b2", First: 0, Last: 9, Fence: 2, From: sec(4), To: sec(9)},
+				{Backend: "b3", First: 10, Last: 19, Fence: 3, From: sec(4), To: sec(9)},
+				{Backend: "b4", First: 10, Last: 19, Fence: 2, From: sec(5), To: sec(6), Excused: true}}
+		}, func(s sheet) {
+			s.Holds = append(s.Holds, &Hold{Backend: "b4", First: 19, Last: 30, Fence: 4, From: sec(8.9), To: sec(12)})
+		}},
 		{"MIXED", func(s sheet) { x := s.try(5, true); x.Sum, x.Complete = 6, false },
 			func(s sheet) { s.try(5, true).Sum = 6 }},
 		{"MIXED", func(s sheet) { s.try(5, true) }, func(s sheet) { s.try(5, true).Seal = "st0" }},
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -44,9 +44,10 @@
 	Zones    []string
 	Cores    int // spread over the zones in turn
 	Proxies  int
-	Spare    int // carriers that start later
-	Backends int // of each service in each zone; 0: two
-	Faults   int // machineFaults
+	Spare    int  // carriers that start later
+	Backends int  // of each service in each zone; 0: two
+	Faults   int  // machineFaults
+	Sharded  bool // a service that is divided by key is there too
 	Log      hclog.Logger
 }
 
