sharding: one assigner grants the keys of sharded services, fenced and by a lease

Cause: no process granted keys. Endpoints of such a service begin with none and answer 421; the proxies took that for misdirection, ejected them, and the rate limit then fell on what no limit could help. Change: internal/controlplane/sharding, a state machine without I/O: the holder of a lease (a register) assigns key ranges by a table (another register, committed before any call that rests on it); a range goes to another endpoint only after the former holder answered a release, or its hold has certainly expired. shardcalls sends grants and releases, and checks the lease right before each write. Proxies get the table, send a request to its key's holder, wait a bounded time while a range is moved, and say when to come back (kinds NoHolder, KeyNotHeld).

--- a/internal/controlplane/endpoints.go
+++ b/internal/controlplane/endpoints.go
@@ -30,7 +30,7 @@
 	if len(u.Endpoints) > 0 {
 		if changes := s.registry.ApplyRemote(s.now(), u.Endpoints); len(changes) > 0 {
 			s.batchForProxies(changes)
-			s.steering.invalidate()
+			s.endpointsChanged()
 		}
 	}
 	if u.EndpointsSynced {
@@ -38,6 +38,12 @@
 	}
 }
 
+// endpointsChanged passes a change of endpoints on to what is computed from them.
+func (s *Server) endpointsChanged() {
+	s.steering.invalidate()
+	s.sharding.invalidate()
+}
+
 // broadcastEndpoints sends endpoint changes to proxies and peers.
 func (s *Server) broadcastEndpoints(changes []rpc.Endpoint) {
 	if len(changes) == 0 {
@@ -45,7 +51,7 @@
 	}
 	s.batchForProxies(changes)
 	s.broadcastToPeers(&rpc.Message{EndpointUpdate: rpc.EndpointUpdate{Endpoints: changes}})
-	s.steering.invalidate()
+	s.endpointsChanged()
 }
 
 // broadcastUntilDurable sends changes of draining or gone endpoints to proxies and peers at once. It reports success on
@@ -60,7 +66,7 @@
 		Acknowledgement: rpc.Acknowledgement{WantAck: s.lastAckID},
 		EndpointUpdate:  update,
 	})
-	s.steering.invalidate()
+	s.endpointsChanged()
 	pending := &pendingAck{
 		acks:     map[string]bool{s.self.Name: true},
 		deadline: s.now() + ackTimeout,
--- a/internal/controlplane/main.go
+++ b/internal/controlplane/main.go
@@ -12,6 +12,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/jonboulle/clockwork"
 
+	"elmfold/internal/controlplane/sharding"
 	"elmfold/internal/controlplane/storage"
 	"elmfold/internal/gateway/bootconfig"
 	"elmfold/internal/gateway/cli"
@@ -65,6 +66,7 @@
 		Log:          log,
 		Clock:        clockwork.NewRealClock(),
 		Dial:         cli.Dial,
+		DialEndpoint: cli.DialWithin(sharding.DeliveryTimeout),
 		Listener:     peers,
 		TimeOfDay:    time.Now,
 	})
--- a/internal/controlplane/metrics.go
+++ b/internal/controlplane/metrics.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"sync/atomic"
 
+	"elmfold/internal/controlplane/sharding"
 	"elmfold/internal/gateway/metrics"
 )
 
@@ -13,6 +14,23 @@
 	registry        metrics.Registry
 	callsInProgress atomic.Int64
 	callDisconnects *metrics.Counter // clients that disconnected before the response
+	shards          shardMetrics
+}
+
+// shardMetrics are the metrics of the assigner. The owner of the server sets them.
+type shardMetrics struct {
+	active, ranges, unserved, moves atomic.Int64
+	calls                           *metrics.CounterVec // by sharding.CallResult
+}
+
+func (m *shardMetrics) set(c sharding.Counts) {
+	m.active.Store(0)
+	if c.Active {
+		m.active.Store(1)
+	}
+	m.ranges.Store(int64(c.Ranges))
+	m.unserved.Store(int64(c.Unserved))
+	m.moves.Store(int64(c.Moves))
 }
 
 func newMetrics() *serverMetrics {
@@ -24,6 +42,18 @@
 	return m
 }
 
+// declareSharding declares the metrics of the assigner of shard keys. They are 0 on the other nodes.
+func (m *serverMetrics) declareSharding() {
+	m.registry.NewGauge("elmfold_shard_assigner", "1 if this node assigns shard keys.", m.shards.active.Load)
+	m.registry.NewGauge("elmfold_shard_ranges", "Ranges of shard keys.", m.shards.ranges.Load)
+	m.registry.NewGauge("elmfold_shard_ranges_unserved", "Ranges of shard keys that no endpoint holds.",
+		m.shards.unserved.Load)
+	m.registry.NewGauge("elmfold_shard_moves", "Ranges that were given another holder since the start.",
+		m.shards.moves.Load)
+	m.shards.calls = m.registry.NewCounterVec("elmfold_shard_calls_total", "Grants and releases, by their result.",
+		"result", []string{"unanswered", "not sent", "accepted", "outdated", "refused"})
+}
+
 // Metrics serves the metrics of the server over HTTP.
 func (s *Server) Metrics() http.Handler { return &s.metrics.registry }
 
--- a/internal/controlplane/operatorcalls.go
+++ b/internal/controlplane/operatorcalls.go
@@ -146,6 +146,7 @@
 		status <- cli.Status{
 			Status:    s.replica.Status(s.now()),
 			Evacuated: slices.Sorted(maps.Keys(s.evacuatedZones())),
+			Shards:    s.sharding.status(),
 		}
 		done <- nil
 	})
--- a/internal/controlplane/proxies.go
+++ b/internal/controlplane/proxies.go
@@ -32,6 +32,7 @@
 	m.Hello, m.KnownPeers = s.hello(), s.knownNodes()
 	m.Endpoints, m.EndpointsSynced = s.registry.Local(s.now()), s.endpointsSynced
 	m.Proxies = s.registry.Proxies()
+	m.ShardUpdate = s.sharding.all()
 	conn.Send(m)
 }
 
@@ -49,6 +50,9 @@
 		m.Epoch = &e
 	}
 	for _, name := range s.replica.RegisterNames() {
+		if isShardRegister(name) {
+			continue
+		}
 		accepted, _ := s.replica.Accepted(name)
 		m.StoredVersions[name] = accepted.Version
 		r, committed := s.replica.CommittedValue(name)
@@ -69,6 +73,7 @@
 	p.lastRenewal = m.RenewLease
 	s.registry.RenewLease(s.now(), rpc.ProxyInfo{Name: p.node.Name, Zone: p.node.Zone})
 	s.steering.onReport(p, &m.LoadReport)
+	s.sharding.onKeyUsage(m.KeyUsage)
 }
 
 func (s *Server) sendRegister(conn *rpc.Conn, name string) {
--- a/internal/controlplane/replica.go
+++ b/internal/controlplane/replica.go
@@ -5,6 +5,7 @@
 	"strings"
 
 	"elmfold/internal/controlplane/consensus"
+	"elmfold/internal/controlplane/sharding"
 	"elmfold/internal/gateway/logfield"
 	"elmfold/internal/gateway/routeconfig"
 	"elmfold/internal/gateway/rpc"
@@ -34,6 +35,9 @@
 	case consensus.EpochEntered:
 		s.onEpochEntered(a.Epoch)
 	case consensus.RequestDone:
+		if s.sharding.onRequestDone(a) {
+			return
+		}
 		if done := s.requests[a.RequestID]; done != nil {
 			delete(s.requests, a.RequestID)
 			done <- a
@@ -112,6 +116,12 @@
 // onCommitted announces a committed value to proxies. The configuration is announced by its version only, and proxies
 // fetch it from the nearest node that has it; values of other registers are small and included.
 func (s *Server) onCommitted(r rpc.Register) {
+	if isShardRegister(r.Name) {
+		if r.Name == sharding.LeaseRegister {
+			s.sharding.assigner.Observe(s.now(), r)
+		}
+		return
+	}
 	s.log.Info("value committed", logfield.Register, r.Name, logfield.Version, r.Version.Number)
 	update := rpc.RegisterUpdate{CommittedVersions: map[string]rpc.Version{r.Name: r.Version}}
 	if r.Name == configRegister {
@@ -121,9 +131,10 @@
 			return
 		}
 		s.steering.configure(config)
+		s.sharding.configure(config)
 	} else {
 		update.CommittedValues = []rpc.Register{r}
-		s.steering.invalidate()
+		s.endpointsChanged()
 	}
 	s.broadcastToProxies(&rpc.Message{RegisterUpdate: update})
 }
--- a/internal/controlplane/server.go
+++ b/internal/controlplane/server.go
@@ -17,6 +17,7 @@
 //	endpointcalls.go calls of endpoints
 //	metrics.go       metrics of the process
 //	steering.go      routing tables for the proxies that this node steers
+//	shards.go        assignment of shard keys to endpoints
 package controlplane
 
 import (
@@ -31,6 +32,7 @@
 
 	"elmfold/internal/controlplane/consensus"
 	"elmfold/internal/controlplane/registry"
+	"elmfold/internal/controlplane/sharding"
 	"elmfold/internal/gateway/bootconfig"
 	"elmfold/internal/gateway/logfield"
 	"elmfold/internal/gateway/rpc"
@@ -78,6 +80,9 @@
 	Log          hclog.Logger
 	Clock        clockwork.Clock
 	Dial         func(address string) (net.Conn, error)
+	// DialEndpoint connects to an endpoint of a sharded service. Data that is not acknowledged within
+	// sharding.DeliveryTimeout must not be delivered later. nil: Dial.
+	DialEndpoint func(address string) (net.Conn, error)
 	Listener     net.Listener     // for connections of peers and proxies
 	TimeOfDay    func() time.Time // wall-clock time, for the timestamps of evacuations
 }
@@ -101,6 +106,7 @@
 	replica          *consensus.Replica
 	registry         *registry.Registry
 	steering         *steerer
+	sharding         *sharder
 	peers            map[string]*peer                        // by name
 	acceptedPeers    session.Sessions                        // connections dialled by peers
 	acceptedProxies  session.Sessions                        // connections dialled by proxies
@@ -170,6 +176,12 @@
 	})
 	s.endpointsSynced = isFirstStart
 	s.steering = newSteerer(s)
+	dialEndpoint := o.DialEndpoint
+	if dialEndpoint == nil {
+		dialEndpoint = o.Dial
+	}
+	s.sharding = newSharder(s, dialEndpoint)
+	s.metrics.declareSharding()
 	return s
 }
 
@@ -210,6 +222,7 @@
 		case <-ticker.Chan():
 			s.tick()
 		case <-s.queue.Stopped():
+			s.sharding.calls.CloseIdle(true)
 			return
 		}
 	}
@@ -222,6 +235,7 @@
 // gives up the vote. It returns once the handover is complete, or after the timeout. New requests are rejected from its
 // start.
 func (s *Server) Shutdown(timeout time.Duration) {
+	s.queue.Do(func() { s.sharding.step(sharding.Shutdown{}) }) // its proposal comes before the shutdown of the replica
 	s.queue.Do(func() {
 		if !s.shuttingDown {
 			s.shuttingDown = true
@@ -253,6 +267,7 @@
 	}
 	s.flushEndpoints()
 	s.steering.step(now)
+	s.sharding.step()
 	s.expireAcks(now)
 	s.updateEndpointsSynced(now)
 }
@@ -282,7 +297,7 @@
 func (s *Server) expireRegistry(now time.Duration) {
 	if changes := s.registry.ExpireHeartbeats(now); len(changes) > 0 {
 		s.broadcastToProxies(&rpc.Message{EndpointUpdate: rpc.EndpointUpdate{Endpoints: changes}})
-		s.steering.invalidate()
+		s.endpointsChanged()
 	}
 	if removed, added := s.registry.LeaseChanges(now); len(removed)+len(added) > 0 {
 		s.broadcastToProxies(&rpc.Message{ProxyChanges: rpc.ProxyChanges{ProxiesRemoved: removed, ProxiesAdded: added}})
--- /dev/null
+++ b/internal/controlplane/shardcalls/client.go
@@ -0,0 +1,172 @@
+// Package shardcalls sends the assigner's calls to endpoints: grants and releases of key ranges, over HTTP/1.1.
+//
+// Calls are written by hand because of when they may be written: right before each write the client checks that
+// neither the assigner's lease nor the time of the call has ended, also if the process was suspended in between. A call
+// that is not answered in time has its connection reset, which discards what the network has not delivered.
+package shardcalls
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"elmfold/internal/controlplane/sharding"
+)
+
+const (
+	headerHandoff        = "X-Elmfold-Handoff"
+	headerTargetInstance = "X-Elmfold-Target-Instance"
+	// idleTimeout is how long an unused connection is kept. Renewals use it more often.
+	idleTimeout     = 3 * time.Second
+	maxResponseBody = 64 << 10
+)
+
+// paths of the calls, by kind.
+var paths = map[sharding.CallKind]string{sharding.Grant: "/v1/grant", sharding.Release: "/v1/release"}
+
+// callBody is the body of a grant or a release.
+type callBody struct {
+	First   uint16  `json:"source"`
+	Last    uint16  `json:"targetVersion"`
+	Fence   uint64  `json:"fence"`
+	HoldS   float64 `json:"holdS,omitempty"`   // only in a grant: seconds from its arrival
+	Handoff string  `json:"handoff,omitempty"` // only in a grant: of the former holder
+}
+
+// Client sends calls. It is safe for concurrent use.
+type Client struct {
+	Clock clockwork.Clock
+	Dial  func(address string) (net.Conn, error)
+	// MayWrite reports whether the assigner's lease allows a write now.
+	MayWrite func() bool
+
+	mu   sync.Mutex
+	idle map[string]*idleConn // by address
+}
+
+// idleConn is an open connection without a call.
+type idleConn struct {
+	net.Conn
+	reader *bufio.Reader
+	since  time.Time
+}
+
+// Do sends a call that was requested at a time and returns its result, and the handoff in the response to a release.
+func (c *Client) Do(call sharding.Call, requestedAt time.Time) (result sharding.CallResult, handoff string) {
+	deadline := requestedAt.Add(call.Timeout)
+	conn := c.takeIdle(call.Address)
+	if conn == nil {
+		netConn, err := c.Dial(call.Address)
+		if err != nil {
+			return sharding.NotSent, ""
+		}
+		conn = &idleConn{Conn: netConn, reader: bufio.NewReader(netConn)}
+	}
+	resetOnClose(conn.Conn)
+	_ = conn.SetDeadline(deadline) // fails only on a closed connection
+	request := encode(call)
+	if !c.MayWrite() || !c.Clock.Now().Before(deadline) {
+		_ = conn.Close()
+		return sharding.NotSent, ""
+	}
+	if n, err := conn.Write(request); err != nil {
+		_ = conn.Close()
+		if n == 0 {
+			return sharding.NotSent, ""
+		}
+		return sharding.Unanswered, ""
+	}
+	return c.receive(call.Address, conn)
+}
+
+// resetOnClose makes Close discard data that was not delivered yet.
+func resetOnClose(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // without it, TCP_USER_TIMEOUT bounds the delivery
+	}
+}
+
+// encode returns the request of a call.
+func encode(call sharding.Call) []byte {
+	body, err := json.Marshal(callBody{call.First, call.Last, call.Fence, call.Hold.Seconds(), call.Handoff})
+	if err != nil {
+		panic(fmt.Sprintf("shardcalls: %v", err)) // impossible: the type is plain data
+	}
+	head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n",
+		paths[call.Kind], call.Address, len(body))
+	if call.Kind == sharding.Grant {
+		// A release may be answered by another instance: the former holder has then ended, and the instance may have taken
+		// one of its grants.
+		head += headerTargetInstance + ": " + call.EndpointID + "\r\n"
+	}
+	return append([]byte(head+"\r\n"), body...)
+}
+
+// receive reads the response.
+func (c *Client) receive(address string, conn *idleConn) (sharding.CallResult, string) {
+	response, err := http.ReadResponse(conn.reader, nil)
+	if err != nil {
+		_ = conn.Close()
+		return sharding.Unanswered, ""
+	}
+	_, err = io.Copy(io.Discard, io.LimitReader(response.Body, maxResponseBody))
+	if err != nil || response.Close || conn.reader.Buffered() > 0 {
+		_ = conn.Close()
+	} else {
+		c.putIdle(address, conn)
+	}
+	switch {
+	case response.StatusCode == http.StatusOK:
+		return sharding.Accepted, response.Header.Get(headerHandoff)
+	case response.StatusCode == http.StatusConflict:
+		return sharding.Outdated, ""
+	case response.StatusCode >= http.StatusInternalServerError: // the range may be granted all the same
+		return sharding.Unanswered, ""
+	}
+	return sharding.Refused, ""
+}
+
+func (c *Client) takeIdle(address string) *idleConn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	conn := c.idle[address]
+	delete(c.idle, address)
+	if conn != nil && c.Clock.Now().Sub(conn.since) > idleTimeout {
+		_ = conn.Close()
+		return nil
+	}
+	return conn
+}
+
+// putIdle keeps a connection for later calls, and closes the one that it replaces.
+func (c *Client) putIdle(address string, conn *idleConn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.idle == nil {
+		c.idle = map[string]*idleConn{}
+	}
+	if replaced := c.idle[address]; replaced != nil {
+		_ = replaced.Close()
+	}
+	conn.since = c.Clock.Now()
+	c.idle[address] = conn
+}
+
+// CloseIdle closes the connections that were unused for idleTimeout, or all unused ones.
+func (c *Client) CloseIdle(all bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address, conn := range c.idle {
+		if all || c.Clock.Now().Sub(conn.since) > idleTimeout {
+			_ = conn.Close()
+			delete(c.idle, address)
+		}
+	}
+}
--- a/internal/gateway/apierror/apierror.go
+++ b/internal/gateway/apierror/apierror.go
@@ -32,6 +32,8 @@
 	ConnectFailed      // the connection to the endpoint could not be established
 	RejectedByEndpoint // the endpoint reported that it did not execute the request
 	Misdirected        // 421: the address now belongs to another endpoint
+	NoHolder           // no endpoint holds the request's shard key
+	KeyNotHeld         // 421: the endpoint does not hold the request's shard key
 	ClientDisconnected // the client disconnected before the proxy sent anything to an endpoint
 
 	// Errors of a request that an endpoint may have executed.
@@ -110,6 +112,17 @@
 		Retryable:  true,
 		RetryAfter: 50 * time.Millisecond,
 	},
+	NoHolder: {
+		Name:       "no holder of the key",
+		Status:     http.StatusServiceUnavailable,
+		RetryAfter: 200 * time.Millisecond,
+	},
+	KeyNotHeld: {
+		Name:       "key not held",
+		Status:     http.StatusServiceUnavailable,
+		Retryable:  true,
+		RetryAfter: 100 * time.Millisecond,
+	},
 	// The next two are sent because a client that has closed only its sending side can still read.
 	ClientDisconnected: {Name: "client gone", Status: http.StatusServiceUnavailable},
 	AttemptCancelled:   {Name: "broken off by the client", Status: http.StatusBadGateway, MayHaveExecuted: true},
--- a/internal/gateway/bootconfig/bootconfig.go
+++ b/internal/gateway/bootconfig/bootconfig.go
@@ -82,6 +82,8 @@
 	SlowStartSlack  float64 `json:"coldSlack"`    // requests/s allowed in addition to SlowStartExcess; default 5
 	Evacuate        Seconds `json:"evacuateS"`    // maximum time until an evacuated zone receives no requests; default 5
 	Recovery        Seconds `json:"recoveryS"`    // maximum time from the last fault to full service; default 15
+	// MaxHold is the longest time for which an endpoint of a sharded service accepts a grant of keys; 0: unlimited.
+	MaxHold Seconds `json:"holdMaxS,omitempty"`
 }
 
 // Default returns the default settings.
--- a/internal/gateway/cli/network.go
+++ b/internal/gateway/cli/network.go
@@ -17,7 +17,14 @@
 )
 
 // Dial connects to another node over TCP.
-func Dial(address string) (net.Conn, error) {
+func Dial(address string) (net.Conn, error) { return dial(address, unacknowledgedTimeout) }
+
+// DialWithin is Dial for a connection on which data that stays unacknowledged for a time is never delivered.
+func DialWithin(timeout time.Duration) func(address string) (net.Conn, error) {
+	return func(address string) (net.Conn, error) { return dial(address, timeout) }
+}
+
+func dial(address string, unacknowledgedTimeout time.Duration) (net.Conn, error) {
 	dialer := net.Dialer{
 		Timeout:   dialTimeout,
 		KeepAlive: -1, // disabled: the protocol has its own heartbeats
--- a/internal/gateway/cli/status.go
+++ b/internal/gateway/cli/status.go
@@ -11,13 +11,15 @@
 	"time"
 
 	"elmfold/internal/controlplane/consensus"
+	"elmfold/internal/controlplane/sharding"
 	"elmfold/internal/gateway/bootconfig"
 )
 
 // Status is the response of a control-plane node to the call core.status.
 type Status struct {
 	consensus.Status
-	Evacuated []string `json:"evacuated"` // zones that this node knows to be evacuated
+	Evacuated []string         `json:"evacuated"`        // zones that this node knows to be evacuated
+	Shards    *sharding.Status `json:"shards,omitempty"` // only where a service is sharded
 }
 
 const (
--- a/internal/gateway/logfield/logfield.go
+++ b/internal/gateway/logfield/logfield.go
@@ -4,6 +4,7 @@
 
 // Field names.
 const (
+	Active          = "active"   // this node is the assigner
 	EvacuationBegin = "begin"    // true if an evacuation begins, false if it finishes
 	Changing        = "changing" // a change of voters is in progress
 	Complete        = "complete" // the disk has lost no record as far as known
@@ -24,6 +25,7 @@
 	Register        = "register"    // name of a register
 	Service         = "service"     // name of a service
 	SyncedFrom      = "synced_from" // number of voters whose state was read
+	Term            = "term"        // of the assigner
 	Torn            = "torn"        // the file on the disk ended in an incomplete entry
 	Version         = "version"     // version of a configuration or of a register's value
 	Zone            = "zone"        // name of a zone
--- a/internal/gateway/routeconfig/config.go
+++ b/internal/gateway/routeconfig/config.go
@@ -11,8 +11,11 @@
 	Version  uint32 // called generation in the document; a higher version replaces a lower one
 	Limits   Limits
 	Services map[string]*Service // by name
-	Body     []byte              // the document as received
-	Digest   uint64              // xxh3 hash of Body
+	// Sharded has the names of the services whose endpoints serve only requests with keys that they were granted; see
+	// package sharding.
+	Sharded map[string]bool
+	Body    []byte // the document as received
+	Digest  uint64 // xxh3 hash of Body
 
 	routes []*Route
 	hosts  map[string]*hostRoutes // by lower-case name
--- a/internal/gateway/routeconfig/parse.go
+++ b/internal/gateway/routeconfig/parse.go
@@ -44,6 +44,7 @@
 		Version:  version,
 		Limits:   compileLimits(doc.GetLimits()),
 		Services: make(map[string]*Service, len(doc.GetPools())),
+		Sharded:  map[string]bool{},
 		Body:     body,
 		Digest:   xxh3.Hash(body),
 		hosts:    make(map[string]*hostRoutes, len(doc.GetSockets())),
@@ -92,6 +93,9 @@
 			SlowStart:     seconds(p.GetColdS(), 0),
 			SlowStartRate: positiveOr(p.GetColdRateS(), 0),
 		}
+		if p.GetSharded() {
+			c.Sharded[p.GetName()] = true
+		}
 	}
 	return nil
 }
--- a/internal/gateway/rpc/message.go
+++ b/internal/gateway/rpc/message.go
@@ -25,6 +25,7 @@
 	LoadReport
 	RoutingTables []RoutingTable `cbor:"22,keyasint,omitempty"`
 	ProxyChanges
+	ShardUpdate
 }
 
 // Hello identifies the sender at the start of a connection.
--- a/internal/gateway/rpc/message_test.go
+++ b/internal/gateway/rpc/message_test.go
@@ -55,6 +55,10 @@
 		v.SetInt(-1 - r.Int64N(1<<40))
 	case reflect.Uint64:
 		v.SetUint(1 | r.Uint64())
+	case reflect.Uint16:
+		v.SetUint(1 + r.Uint64N(1<<16-1))
+	case reflect.Uint32:
+		v.SetUint(1 + r.Uint64N(1<<32-1))
 	case reflect.Uint8:
 		v.SetUint(1 + r.Uint64N(2))
 	default:
--- a/internal/proxy/balancer/balancer.go
+++ b/internal/proxy/balancer/balancer.go
@@ -11,6 +11,7 @@
 //	outlier.go      results of attempts, ejection of failing endpoints, suspects and their health checks
 //	slowstart.go    which proxy sends to an endpoint in slow start, and at which rate
 //	retrybudget.go  retry decisions and the retry budget
+//	shards.go       endpoints of sharded services: the holders of keys
 //	report.go       load and attempt counts for the control plane
 package balancer
 
@@ -86,6 +87,9 @@
 	latency       time.Duration // moving average, over responses without queueing and responses that lower it
 	limiter       rateLimiter
 	retries       retryBudget
+	sharded       bool       // only the holder of a request's key may get the request
+	shards        shardTable // empty: unknown
+	keySample     keySample
 
 	// Counts since the last report.
 
--- a/internal/proxy/balancer/outlier.go
+++ b/internal/proxy/balancer/outlier.go
@@ -44,6 +44,9 @@
 func (b *Balancer) RecordResult(now time.Duration, selected Selection, r Result) {
 	e := selected.endpoint
 	e.inFlight--
+	if r.Kind == apierror.KeyNotHeld { // it says nothing about the endpoint's load
+		return
+	}
 	e.attempts++
 	e.recordReportedState(now, &r)
 	if r.Unresponsive {
--- a/internal/proxy/balancer/selection.go
+++ b/internal/proxy/balancer/selection.go
@@ -51,6 +51,7 @@
 	Tried        []string      // IDs of endpoints that previous attempts used
 	Draws        [2]float64    // uniform random numbers in [0,1)
 	Priority     int           // priority of the request's route; 0 is the highest, lower ones are shed first
+	Key          uint16        // shard key, if the service is sharded
 }
 
 // Selection is the endpoint for an attempt.
@@ -58,7 +59,9 @@
 	ID, Address string
 	// MaxConns limits the connections of this proxy to the endpoint, idle ones included.
 	MaxConns int
-	endpoint *endpoint
+	// AvailableAt is when a key without a holder is granted at the latest, if the kind is NoHolder; 0: soon.
+	AvailableAt time.Duration
+	endpoint    *endpoint
 }
 
 // Pick selects an endpoint for a request. The kind is None, or the reason why no endpoint can be selected. The caller
@@ -68,6 +71,9 @@
 	if s == nil || len(s.endpoints) == 0 {
 		return Selection{}, apierror.NoEndpoint
 	}
+	if s.sharded {
+		return b.pickHolder(now, s, &r)
+	}
 	p := picker{balancer: b, service: s, now: now, request: &r, maxConns: b.maxConns(s)}
 	best := p.pickByWeight()
 	if best == nil || best.load(now) >= spilloverLoad {
--- a/internal/proxy/configuration.go
+++ b/internal/proxy/configuration.go
@@ -47,6 +47,7 @@
 	p.withBalancer(func(b *balancer.Balancer) {
 		for _, s := range next.Services {
 			b.ConfigureService(s.Name, s.MaxConns, s.SlowStartRate, s.SlowStart)
+			b.ConfigureShards(s.Name, next.Sharded[s.Name])
 		}
 	})
 	// A newly started proxy may learn that a zone has recovered before it knows the slow-start duration of its services.
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -25,6 +25,12 @@
 	connectFailures int      // attempts for which no connection came up
 	mayHaveExecuted bool     // an endpoint may have executed the request
 
+	// Requests of sharded services; see shards.go.
+
+	holderWaitEnd     time.Duration   // until when the request may wait for a holder of its key; 0: it has not waited
+	holderAvailableAt time.Duration   // when the key is granted at the latest; 0: unknown
+	shardsChanged     <-chan struct{} // closed when the shard table by which the last endpoint was selected has changed
+
 	// Client disconnects; see disconnect.go.
 
 	done           atomic.Bool  // forwarding has ended
@@ -67,6 +73,7 @@
 		Deadline:      q.deadline,
 		// An endpoint may already execute a non-idempotent request, and the client cannot safely send it again.
 		FinishOnceSent: !q.route.Idempotent,
+		Sharded:        q.sharded,
 	}
 	if q.body.stream != nil {
 		call.Stream = q.body.stream
@@ -104,7 +111,10 @@
 		return false
 	}
 	f.recordFailure()
-	return f.connectFailures < maxConnectFailures && p.allowRetry(f)
+	if f.connectFailures >= maxConnectFailures || !p.allowRetry(f) {
+		return false
+	}
+	return f.kind != apierror.KeyNotHeld || p.awaitChange(f, maxTableWait, f.shardsChanged)
 }
 
 func (p *Proxy) pickEndpoint(f *forwardedRequest) (selected balancer.Selection, kind apierror.Kind) {
@@ -114,9 +124,17 @@
 		Tried:        f.tried,
 		Draws:        [2]float64{rand.Float64(), rand.Float64()},
 		Priority:     f.route.Priority,
+		Key:          f.shardKey,
+	}
+	for {
+		if f.sharded {
+			f.shardsChanged = p.shardsChanged.next()
+		}
+		p.withBalancer(func(b *balancer.Balancer) { selected, kind = b.Pick(p.now(), request) })
+		if kind != apierror.NoHolder || !p.awaitHolder(f, selected.AvailableAt, f.shardsChanged) {
+			return selected, kind
+		}
 	}
-	p.withBalancer(func(b *balancer.Balancer) { selected, kind = b.Pick(p.now(), request) })
-	return selected, kind
 }
 
 // recordNoEndpoint records why no endpoint may be tried, unless the failure of an earlier attempt is more specific.
@@ -212,6 +230,8 @@
 		p.respondError(f.clientRequest, apierror.EndpointFailed, 0)
 	case f.mayHaveExecuted && !f.kind.Policy().MayHaveExecuted: // an earlier endpoint may have executed it
 		p.respondError(f.clientRequest, apierror.ConnectionBroken, 0)
+	case f.kind == apierror.NoHolder:
+		p.respondError(f.clientRequest, f.kind, p.holderRetryAfter(f))
 	case f.kind == apierror.EndpointsSaturated:
 		p.respondError(f.clientRequest, f.kind, balancer.RetryDelay(f.route.LatencyTarget, rand.Float64()))
 	default:
--- a/internal/proxy/handler.go
+++ b/internal/proxy/handler.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -29,6 +30,8 @@
 	config    *routeconfig.Config // the configuration in use; nil: none is known
 	route     *routeconfig.Route
 	service   string
+	sharded   bool   // the service is sharded
+	shardKey  uint16 // if sharded
 	target    string // the request-target from the path on
 	deadline  time.Time
 	body      requestBody
@@ -51,6 +54,10 @@
 		return
 	}
 	q.service = p.splits.service(q.config, q.route)
+	if kind := q.parseShardKey(); kind != apierror.None {
+		p.respondError(q, kind, 0)
+		return
+	}
 	if kind, retryAfter := p.admit(q); kind != apierror.None {
 		p.respondError(q, kind, retryAfter)
 		return
@@ -63,7 +70,12 @@
 }
 
 func (p *Proxy) admit(q *clientRequest) (kind apierror.Kind, retryAfter time.Duration) {
-	p.withBalancer(func(b *balancer.Balancer) { kind, retryAfter = b.Admit(p.now(), q.service) })
+	p.withBalancer(func(b *balancer.Balancer) {
+		if q.sharded {
+			b.CountKey(q.service, q.shardKey, rand.Float64())
+		}
+		kind, retryAfter = b.Admit(p.now(), q.service)
+	})
 	return kind, retryAfter
 }
 
--- a/internal/proxy/leases.go
+++ b/internal/proxy/leases.go
@@ -23,6 +23,9 @@
 	if withReport && n.info.Name == p.routingNode {
 		m.LoadReport = p.loadReport()
 	}
+	if withReport && n.info.Name == p.shardNode {
+		m.KeyUsage = p.keyUsage()
+	}
 	n.conn.Send(m)
 }
 
--- a/internal/proxy/messages.go
+++ b/internal/proxy/messages.go
@@ -52,6 +52,7 @@
 		p.onEndpoint(now, name, e)
 	}
 	p.onProxies(n, m)
+	p.onShards(now, n, &m.ShardUpdate)
 	if !p.onTables(now, n, m) {
 		return
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -44,6 +44,7 @@
 //	forward.go       attempts and retries
 //	respond.go       responses to clients
 //	healthchecks.go  health checks of suspect endpoints
+//	shards.go        sharded services: holders of keys
 package proxy
 
 import (
@@ -113,6 +114,7 @@
 	maxClientConns int64
 	// readAheadBytes is the number of bytes buffered for all client connections.
 	readAheadBytes atomic.Int64
+	shardsChanged  changeSignal // when the shard table changes
 
 	balancerMu sync.Mutex
 	balancer   *balancer.Balancer
@@ -130,6 +132,8 @@
 	fetchedAt      time.Duration             // when wantedVersion was last requested; negative: not yet
 	lastRenewal    uint64
 	leasesReleased bool
+	shardTerm      uint64        // of the assigner whose shard table is applied
+	shardNode      string        // name of that assigner
 	routingNode    string        // the node whose routing tables are applied; "": none yet
 	firstMessageAt time.Duration // when the first message of any node came; negative: none has
 }
--- a/internal/proxy/upstream/attempt.go
+++ b/internal/proxy/upstream/attempt.go
@@ -36,6 +36,7 @@
 	HeaderServerLoad     = "X-Elmfold-Server-Load"
 	HeaderWarmup         = "X-Elmfold-Cold-Ms"
 	HeaderInstanceID     = "X-Elmfold-Instance-Id"
+	HeaderShardKey       = "X-Elmfold-Shard-Key"
 )
 
 // Call is one request to one endpoint. It is not modified.
@@ -57,6 +58,8 @@
 	// MaxConns limits the connections to Address, this one included. If there are more, an idle one is closed after the
 	// response. 0 means no limit.
 	MaxConns int
+	// Sharded means that the endpoint executes the request only while it holds the key in HeaderShardKey.
+	Sharded bool
 	// FinishOnceSent lets the attempt continue after its context is cancelled, from the time when the whole request is
 	// sent until the response body is streamed, because the endpoint may be executing the request.
 	FinishOnceSent bool
@@ -125,10 +128,10 @@
 // attempt at once, also while the response body is streamed; Call.FinishOnceSent makes an exception.
 //
 // The endpoint has not executed the request if the kind is ConnectFailed, EndpointsSaturated (the endpoint closed the
-// connection before a byte was written), RejectedByEndpoint, Misdirected, ClientDisconnected, DeadlineExceeded or
-// Malformed (the call is invalid). It may have executed it if the kind is ConnectionBroken, InvalidResponse,
-// MismatchedResponse, TruncatedResponse, ResponseTimeout or AttemptCancelled. RejectedByEndpoint and Misdirected come
-// with the Response, whose body is empty if it did not arrive completely.
+// connection before a byte was written), RejectedByEndpoint, Misdirected, KeyNotHeld, ClientDisconnected,
+// DeadlineExceeded or Malformed (the call is invalid). It may have executed it if the kind is ConnectionBroken,
+// InvalidResponse, MismatchedResponse, TruncatedResponse, ResponseTimeout or AttemptCancelled. RejectedByEndpoint,
+// KeyNotHeld and Misdirected come with the Response, whose body is empty if it did not arrive completely.
 func (p *Pool) Do(ctx context.Context, c *Call) (*Response, error) {
 	if err := validateCall(c); err != nil {
 		return nil, apierror.New(apierror.Malformed, c.Address, err)
@@ -266,6 +269,14 @@
 	return r, nil
 }
 
+// isKeyNotHeld reports whether the endpoint itself, and no other instance at its address, has rejected the request
+// because it does not hold the request's shard key.
+func (a *attempt) isKeyNotHeld(resp *http.Response) bool {
+	instance := resp.Header.Get(HeaderInstanceID)
+	return a.call.Sharded && resp.StatusCode == http.StatusMisdirectedRequest && len(resp.Header[HeaderNotExecuted]) > 0 &&
+		(instance == "" || instance == a.call.EndpointID)
+}
+
 // rejectionBodyTimeout limits the wait for the body of a rejection.
 const rejectionBodyTimeout = 50 * time.Millisecond
 
@@ -273,7 +284,10 @@
 // The body is read only if it arrives quickly, so that it does not delay a retry.
 func (a *attempt) acceptRejection(resp *http.Response) (*Response, error) {
 	kind := apierror.RejectedByEndpoint
-	if resp.StatusCode == http.StatusMisdirectedRequest {
+	switch {
+	case a.isKeyNotHeld(resp):
+		kind = apierror.KeyNotHeld
+	case resp.StatusCode == http.StatusMisdirectedRequest:
 		kind = apierror.Misdirected
 	}
 	r, rejection := a.newResponse(resp), apierror.New(kind, a.call.Address, nil)
--- a/internal/simulation/days.go
+++ b/internal/simulation/days.go
@@ -101,7 +101,8 @@
 }
 
 func workOf(service string) time.Duration {
-	return map[string]time.Duration{"pages": 60, "orders": 100, "views": 140, "fresh": 20, "accounts": 80}[service] * time.Millisecond
+	ms := map[string]time.Duration{"pages": 60, "orders": 100, "views": 140, "fresh": 20, "accounts": 80}
+	return ms[service] * time.Millisecond
 }
 
 // draw is the faults of one day.
--- a/internal/simulation/keys.go
+++ b/internal/simulation/keys.go
@@ -140,7 +140,8 @@
 		cold = now + keyWarmup
 	}
 	k.end(b.w, first, last, now)
-	h := &Hold{Backend: b.ID, First: first, Last: last, Fence: c.Fence, From: now, To: until, Excused: excused, coldUntil: cold}
+	h := &Hold{Backend: b.ID, First: first, Last: last, Fence: c.Fence, From: now, To: until, Excused: excused,
+		coldUntil: cold}
 	k.holds = append(k.holds, h)
 	b.w.Ledger.do(func() { b.w.Ledger.Holds = append(b.w.Ledger.Holds, h) })
 	return true
