--- a/internal/controlplane/metrics.go
+++ b/internal/controlplane/metrics.go
@@ -51,7 +51,7 @@
 	m.registry.NewGauge("elmfold_shard_moves", "Ranges that were given another holder since the start.",
 		m.shards.moves.Load)
 	m.shards.calls = m.registry.NewCounterVec("elmfold_shard_calls_total", "Grants and releases, by their result.",
-		"result", []string{"unanswered", "not sent", "accepted", "outdated", "refused"})
+		"result", []string{"unanswered", "not sent", "accepted", "outdated", "refused", "other instance"})
 }
 
 // Metrics serves the metrics of the server over HTTP.
--- a/internal/controlplane/shardcalls/client.go
+++ b/internal/controlplane/shardcalls/client.go
@@ -22,6 +22,7 @@
 
 const (
 	headerHandoff        = "X-Elmfold-Handoff"
+	headerInstanceID     = "X-Elmfold-Instance-Id"
 	headerTargetInstance = "X-Elmfold-Target-Instance"
 	// idleTimeout is how long an unused connection is kept. Renewals use it more often.
 	idleTimeout     = 3 * time.Second
@@ -88,7 +89,7 @@
 		}
 		return sharding.Unanswered, ""
 	}
-	return c.receive(call.Address, conn)
+	return c.receive(call, conn)
 }
 
 // resetOnClose makes Close discard data that was not delivered yet.
@@ -112,18 +113,13 @@
 	if err != nil {
 		panic(fmt.Sprintf("shardcalls: %v", err)) // impossible: the type is plain data
 	}
-	head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n",
-		path, call.Address, len(body))
-	if call.Kind == sharding.Grant {
-		// A release may be answered by another instance: the former holder has then ended, and the instance may have taken
-		// one of its grants.
-		head += headerTargetInstance + ": " + call.EndpointID + "\r\n"
-	}
-	return append([]byte(head+"\r\n"), body...)
+	head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nContent-Type: application/json\r\n%s: %s\r\n"+
+		"Content-Length: %d\r\n\r\n", path, call.Address, headerTargetInstance, call.EndpointID, len(body))
+	return append([]byte(head), body...)
 }
 
 // receive reads the response.
-func (c *Client) receive(address string, conn *idleConn) (sharding.CallResult, string) {
+func (c *Client) receive(call sharding.Call, conn *idleConn) (sharding.CallResult, string) {
 	response, err := http.ReadResponse(conn.reader, nil)
 	if err != nil {
 		_ = conn.Close()
@@ -133,9 +129,12 @@
 	if err != nil || response.Close || conn.reader.Buffered() > 0 {
 		_ = conn.Close()
 	} else {
-		c.putIdle(address, conn)
+		c.putIdle(call.Address, conn)
 	}
+	instance := response.Header.Get(headerInstanceID)
 	switch {
+	case instance != "" && instance != call.EndpointID:
+		return sharding.OtherInstance, ""
 	case response.StatusCode == http.StatusOK:
 		return sharding.Accepted, response.Header.Get(headerHandoff)
 	case response.StatusCode == http.StatusConflict:
--- a/internal/controlplane/sharding/assigner.go
+++ b/internal/controlplane/sharding/assigner.go
@@ -157,11 +157,12 @@
 
 // Results of calls.
 const (
-	Unanswered CallResult = iota // the endpoint may have received the call, or may still receive it
-	NotSent                      // no byte was written
-	Accepted                     // 200
-	Outdated                     // 409: the endpoint has seen a higher fence
-	Refused                      // any other status: the endpoint does not hold the range by this call
+	Unanswered    CallResult = iota // the endpoint may have received the call, or may still receive it
+	NotSent                         // no byte was written
+	Accepted                        // 200
+	Outdated                        // 409: the endpoint has seen a higher fence
+	Refused                         // any other status: the endpoint does not hold the range by this call
+	OtherInstance                   // another instance answered: the endpoint has ended, and its address was given away
 )
 
 // Assigner is the state machine of one node. It is not safe for concurrent use. Times are durations since the process
--- a/internal/controlplane/sharding/holds.go
+++ b/internal/controlplane/sharding/holds.go
@@ -254,8 +254,8 @@
 		return
 	}
 	e.probing = e.probing && c.Kind != Probe
-	isRefusal := c.Kind == Grant && result == Refused // another instance may have the address
-	if result == Unanswered || result == NotSent || isRefusal {
+	isRefusal := c.Kind == Grant && result == Refused
+	if result == Unanswered || result == NotSent || result == OtherInstance || isRefusal {
 		e.failures++
 		e.probeAt = a.now + probeInterval
 		return
@@ -306,7 +306,7 @@
 			r.bounds.unanswered = max(r.bounds.unanswered, inProgress)
 		}
 		r.grantAt = a.now + callRetry
-	case NotSent, Refused:
+	case NotSent, Refused, OtherInstance:
 		r.grantAt = a.now + callRetry
 	}
 }
@@ -321,7 +321,8 @@
 			continue
 		}
 		f.calling = false
-		if e.Result != Accepted && !a.options.bugs.releasesByTimeout {
+		hasReleased := e.Result == Accepted || e.Result == OtherInstance
+		if !hasReleased && !a.options.bugs.releasesByTimeout {
 			f.failures++
 			f.releaseAt = a.now + callRetry
 			continue
--- a/internal/controlplane/sharding/model_test.go
+++ b/internal/controlplane/sharding/model_test.go
@@ -370,8 +370,8 @@
 	if c.Kind == Probe {
 		return Accepted
 	}
-	if c.Kind == Grant && c.EndpointID != e.id {
-		return Refused
+	if c.EndpointID != e.id {
+		return OtherInstance
 	}
 	highest := uint64(0)
 	for _, f := range e.fences {
--- a/internal/simulation/backendanswer.go
+++ b/internal/simulation/backendanswer.go
@@ -38,7 +38,7 @@
 		return b.answerHealth(c)
 	}
 	x := b.newExchange(c, r, id, body)
-	if b.keys != nil && (r.URL.Path == grantPath || r.URL.Path == releasePath) {
+	if r.URL.Path == grantPath || r.URL.Path == releasePath {
 		return b.answerKeys(x, body)
 	}
 	if isOver, stays := x.refuse(); isOver {
@@ -117,8 +117,7 @@
 	to := x.request.Header.Get("X-Elmfold-Target-Instance")
 	switch {
 	case to != "" && to != b.ID:
-		x.note(Misdirected)
-		return true, say(x.conn, http.StatusMisdirectedRequest, "", x.fields, nil)
+		return true, x.refuseInstance()
 	case x.act == Lost:
 		x.note(Shed)
 		b.w.Ledger.Reply(x.arrival.ID, Reply{Backend: b.ID})
@@ -142,6 +141,13 @@
 	return false, false
 }
 
+// refuseInstance answers a request to another instance.
+func (x *exchange) refuseInstance() bool {
+	x.note(Misdirected)
+	x.fields["X-Elmfold-Instance-Id"] = x.backend.ID
+	return say(x.conn, http.StatusMisdirectedRequest, "", x.fields, nil)
+}
+
 // refuseKey answers a request on a key that the backend does not hold.
 func (x *exchange) refuseKey() bool {
 	x.note(Misdirected)
@@ -173,7 +179,8 @@
 		size = flowingBytes
 	}
 	page := []byte(strings.Repeat(id+" ", size/(len(id)+1)+1))
-	seal := fmt.Sprintf("%s.%d.%x", b.ID, len(page), sum([]byte(id+b.ID)))
+	// Each attempt has a seal of its own: one request may come to a backend twice.
+	seal := fmt.Sprintf("%s.%d.%d.%x", b.ID, len(page), x.arrival.At, sum([]byte(id+b.ID)))
 	b.w.Ledger.Reply(id, Reply{Backend: b.ID, Status: status, Seal: seal, Sum: sum(page),
 		Complete: x.act <= Afterword || x.act == Slow})
 	x.fields["X-Elmfold-Server-Load"] = b.load()
--- a/internal/simulation/keys.go
+++ b/internal/simulation/keys.go
@@ -99,6 +99,12 @@
 
 // answerKeys answers a grant or a release.
 func (b *Backend) answerKeys(x *exchange, body []byte) bool {
+	if to := x.request.Header.Get("X-Elmfold-Target-Instance"); to != "" && to != b.ID {
+		return x.refuseInstance()
+	}
+	if b.keys == nil {
+		return say(x.conn, http.StatusBadRequest, "", x.fields, nil)
+	}
 	var c keyCall
 	if err := json.Unmarshal(body, &c); err != nil || c.Source == nil || c.TargetVersion == nil ||
 		*c.Source > *c.TargetVersion || c.Fence == 0 {
@@ -239,6 +245,17 @@
 	return uint16(n), err == nil
 }
 
+// endHolds ends what a backend holds, as its process ends.
+func (l *Ledger) endHolds(backend string, at time.Duration) {
+	l.do(func() {
+		for _, h := range l.Holds {
+			if h.Backend == backend {
+				h.To = min(h.To, at)
+			}
+		}
+	})
+}
+
 // owners: OWNER. Two backends that are up hold the same keys at the same time. Stricter than the operators' rule: it is
 // broken also where no request began on them.
 func (l *Ledger) owners(out *breaches) {
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -187,6 +187,7 @@
 
 func (w *World) gone(b *Backend) {
 	w.ends(b)
+	w.Ledger.endHolds(b.ID, w.Now())
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	delete(w.backends, b.ID)
