--- a/internal/controlplane/sharding/planner.go
+++ b/internal/controlplane/sharding/planner.go
@@ -154,7 +154,12 @@
 		end := (MaxKey + 1) * before / capacity
 		if end > first {
 			r := Range{uint16(first), uint16(end - 1)}
-			p.parts = append(p.parts, part{Assignment: Assignment{Range: r, Holder: t.ID, Fence: p.draft.nextFence()}})
+			p.parts = append(p.parts, part{Assignment: Assignment{
+				Range:  r,
+				Holder: t.ID,
+				Fence:  p.draft.nextFence(),
+				Reason: ReasonFirst,
+			}})
 		}
 		first = end
 	}
@@ -214,20 +219,31 @@
 		}
 		a.fenceJump = min(max(2*a.fenceJump, fenceJumpStart), maxFenceJump)
 		p.draft.LastFence += a.fenceJump
-		x.Fence = p.draft.nextFence()
+		x.Fence, x.Reason = p.draft.nextFence(), ReasonFence
 		p.changed = true
 	}
 }
 
-// isOrphan reports whether a range needs another holder.
-func (p *plan) isOrphan(r *rangeState) bool {
+// orphanReason returns why a range needs another holder; empty if it does not.
+func (p *plan) orphanReason(r *rangeState) Reason {
 	now := p.assigner.now
 	e := p.assigner.endpoints[r.Holder]
-	if e == nil { // a newly started node does not know all endpoints yet
-		return now > max(r.acceptedAt, r.movedAt)+unreachableTimeout
-	}
-	isSilent := e.failures >= minUnreachableFailures && now > max(e.answeredAt, r.movedAt)+unreachableTimeout
-	return !e.IsUsable || isSilent
+	lastSign := max(r.acceptedAt, r.movedAt)
+	if e != nil {
+		lastSign = max(e.answeredAt, r.movedAt)
+	}
+	isOverdue := now > lastSign+unreachableTimeout
+	switch {
+	case e == nil && isOverdue: // until then, a newly started node may not know the endpoint yet
+		return ReasonSilent
+	case e == nil:
+		return ""
+	case !e.IsUsable:
+		return ReasonLeaving
+	case isOverdue && e.failures >= minUnreachableFailures:
+		return ReasonSilent
+	}
+	return ""
 }
 
 // reassignOrphans assigns the ranges that need another holder. A range of some load is divided.
@@ -235,13 +251,14 @@
 	parts := p.parts
 	p.parts = nil
 	for _, x := range parts {
-		if x.state == nil || !p.isOrphan(x.state) {
+		reason := p.orphanReason(x.state)
+		if reason == "" {
 			p.parts = append(p.parts, x)
 			continue
 		}
 		for _, piece := range p.divideOrphan(x) {
 			if t := p.leastLoaded(piece.Holder); t != nil {
-				p.assign(&piece, t)
+				p.assign(&piece, t, reason)
 			}
 			p.parts = append(p.parts, piece)
 		}
@@ -284,7 +301,7 @@
 }
 
 // assign gives a range to a target.
-func (p *plan) assign(x *part, t *target) {
+func (p *plan) assign(x *part, t *target, reason Reason) {
 	if from := p.byID[x.Holder]; from != nil {
 		from.cost -= x.cost
 		from.ranges--
@@ -294,7 +311,7 @@
 	if x.Holder != "" && !slices.Contains(x.Previous, x.Holder) {
 		x.Previous = append(slices.Clone(x.Previous), x.Holder)
 	}
-	x.Holder = t.ID
+	x.Holder, x.Reason = t.ID, reason
 	if !p.assigner.options.bugs.keepsFence {
 		x.Fence = p.draft.nextFence()
 	}
@@ -385,11 +402,12 @@
 	i := p.heaviestPart(from)
 	x := p.parts[i]
 	wanted := min((from.cost-to.cost)/2, max(from.cost-p.mean*float64(max(from.Capacity, 1)), from.cost/4))
+	reason := ReasonLoad
 	if to.ranges == 0 {
-		wanted = (from.cost - to.cost) / 2
+		wanted, reason = (from.cost-to.cost)/2, ReasonNew
 	}
 	if x.cost <= wanted && from.ranges > 1 {
-		p.assign(&p.parts[i], to)
+		p.assign(&p.parts[i], to, reason)
 		return true
 	}
 	head, tail, ok := p.split(x, x.cost-wanted)
@@ -397,11 +415,11 @@
 		if from.ranges < 2 {
 			return false
 		}
-		p.assign(&p.parts[i], to)
+		p.assign(&p.parts[i], to, reason)
 		return true
 	}
 	p.parts[i] = head
-	p.assign(&tail, to)
+	p.assign(&tail, to, reason)
 	p.parts = slices.Insert(p.parts, i+1, tail)
 	return true
 }
@@ -415,7 +433,8 @@
 	for _, x := range p.parts[1:] {
 		last := &merged[len(merged)-1]
 		if isMergeable(last) && isMergeable(&x) && last.Holder == x.Holder {
-			last.Last, last.cost, last.Fence = x.Last, last.cost+x.cost, p.draft.nextFence()
+			last.Last, last.cost = x.Last, last.cost+x.cost
+			last.Fence, last.Reason = p.draft.nextFence(), ReasonMerge
 			p.changed = true
 			continue
 		}
--- a/internal/controlplane/sharding/status.go
+++ b/internal/controlplane/sharding/status.go
@@ -25,6 +25,7 @@
 	Last      uint16         `json:"last"`
 	Holder    string         `json:"holder"`
 	Fence     uint64         `json:"fence"`
+	Reason    Reason         `json:"reason"` // of the holder, or of the move that is under way
 	Served    bool           `json:"served"`
 	Load      float64        `json:"load"`               // requests/s
 	WaitsFor  []FormerStatus `json:"waitsFor,omitempty"` // what must end before Holder is granted the range
@@ -60,6 +61,7 @@
 		Last:      r.Last,
 		Holder:    r.Holder,
 		Fence:     r.Fence,
+		Reason:    r.Reason,
 		Served:    r.isServed(),
 		Load:      s.load.sum(r.Range) / loadTimeConstant.Seconds(),
 		Conflicts: r.conflicts,
--- a/internal/controlplane/sharding/table.go
+++ b/internal/controlplane/sharding/table.go
@@ -33,8 +33,23 @@
 	Fence  uint64 `cbor:"4,keyasint"` // of the grants to Holder, and of the releases at Previous
 	// Previous are the IDs of endpoints that may still hold the range by grants with lower fences.
 	Previous []string `cbor:"5,keyasint,omitempty"`
+	Reason   Reason   `cbor:"6,keyasint,omitempty"`
 }
 
+// Reason says why a range has its present holder or fence, for operators. Its values are stored and must not change.
+type Reason string
+
+// Reasons of an assignment.
+const (
+	ReasonFirst   Reason = "first"   // no endpoint had the range before
+	ReasonLeaving Reason = "leaving" // the holder before is draining or gone, or its zone is evacuated
+	ReasonSilent  Reason = "silent"  // the holder before did not answer
+	ReasonNew     Reason = "new"     // the holder had no range
+	ReasonLoad    Reason = "load"    // the holder before had too much load
+	ReasonFence   Reason = "fence"   // the holder knew a higher fence
+	ReasonMerge   Reason = "merge"   // the range was united with its neighbour
+)
+
 // ServiceTable has the assignments of a service. They are sorted and cover each key exactly once.
 type ServiceTable struct {
 	Service     string       `cbor:"1,keyasint"`
--- a/internal/gateway/cli/status.go
+++ b/internal/gateway/cli/status.go
@@ -25,7 +25,7 @@
 const (
 	statusPath     = "/v1/rpc?call=core.status"
 	statusTimeout  = 2 * time.Second
-	maxStatusBytes = 1 << 20
+	maxStatusBytes = 8 << 20
 )
 
 // unreachableError is returned if no node gave a valid response.
--- a/internal/gateway/cli/statustable.go
+++ b/internal/gateway/cli/statustable.go
@@ -26,6 +26,8 @@
 	_ = w.Flush() // cannot fail: it writes to memory
 	printRegisters(w, s)
 	_ = w.Flush()
+	printShards(w, s.Shards)
+	_ = w.Flush()
 	_, err := out.Write(b.Bytes())
 	return err
 }
--- a/internal/proxy/balancer/shards.go
+++ b/internal/proxy/balancer/shards.go
@@ -12,6 +12,9 @@
 // no other endpoint can take them.
 const minShardConns = 2
 
+// unknownHoldersWait is the time after which a table may be there if this proxy has received none.
+const unknownHoldersWait = time.Second
+
 // ShardRange is an inclusive range of shard keys.
 type ShardRange struct {
 	First, Last uint16
@@ -74,6 +77,9 @@
 // pickHolder selects the endpoint that holds the key of a request. The kind is None, NoHolder if no endpoint holds the
 // key, or EndpointsSaturated if its holder takes no more requests now.
 func (b *Balancer) pickHolder(now time.Duration, s *service, r *Request) (Selection, apierror.Kind) {
+	if len(s.shards) == 0 {
+		return Selection{AvailableAt: now + unknownHoldersWait}, apierror.NoHolder
+	}
 	found := s.shards.find(r.Key)
 	e := b.endpoints[found.Holder]
 	if found.Holder == "" || e == nil || !e.Usable {
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -263,6 +263,7 @@
 	version uint32
 	limits  string
 	routes  []string
+	sharded string // the service that is divided by key; empty: none
 }
 
 func (c testConfig) register() rpc.Register {
@@ -271,7 +272,11 @@
 		f := strings.Fields(r)
 		rules = append(rules, fmt.Sprintf(`{"name":"r-%d","routeKind":%q,"targetS":1,"predicate":{"pathPrefix":%q},`+
 			`"effect":{"service":%q,"timeoutS":5,"maxTries":3}}`, i, f[0], f[1], f[2]))
-		if pool := fmt.Sprintf(`{"name":%q,"maxConns":100,"coldS":0,"coldRateS":4}`, f[2]); !slices.Contains(pools, pool) {
+		pool := fmt.Sprintf(`{"name":%q,"maxConns":100,"coldS":0,"coldRateS":4}`, f[2])
+		if f[2] == c.sharded {
+			pool = strings.Replace(pool, "}", `,"sharded":true}`, 1)
+		}
+		if !slices.Contains(pools, pool) {
 			pools = append(pools, pool)
 		}
 	}
