--- a/internal/bench/soak/clients.go
+++ b/internal/bench/soak/clients.go
@@ -24,6 +24,20 @@
 	largeBody       = 1 << 20
 )
 
+// Routes, each to a service of its own.
+const (
+	safeRoute  = iota // requests that may be repeated
+	onceRoute         // requests that may run once only
+	keyedRoute        // the same, to a service that is divided by key
+)
+
+func routeOf(safe bool) int {
+	if safe {
+		return safeRoute
+	}
+	return onceRoute
+}
+
 // departure is how a client leaves.
 type departure int
 
@@ -53,20 +67,28 @@
 			w.work.Go(func() { w.depart(p, own, safe) })
 		} else {
 			work := time.Duration(r.IntN(60)) * time.Millisecond
-			w.work.Go(func() { w.stay(p, w.ledger.newRequest(own, p.Name, safe), work) })
+			route := routeOf(safe)
+			if own.IntN(3) == 0 {
+				route = keyedRoute
+			}
+			w.work.Go(func() { w.stay(p, w.ledger.newRequest(own, p.Name, route), work) })
 		}
 	}
 }
 
 // head is a request up to its body. The last part of its path says how long it is worked at.
 func (q *request) head(work time.Duration, body int) string {
-	route, method := 1, http.MethodPost
+	method, key := http.MethodPost, ""
 	if q.safe {
-		route, method = 0, http.MethodPut
+		method = http.MethodPut
+	}
+	if q.route == keyedRoute {
+		key = fmt.Sprintf("X-Elmfold-Shard-Key: %d\r\n", q.key)
 	}
-	host, prefix := gateway.RouteOf(route)
-	return fmt.Sprintf("%s %s%d HTTP/1.1\r\nHost: %s\r\nX-Elmfold-Attempt-Id: %s\r\nX-Elmfold-Time-Budget-Ms: %d\r\n"+
-		"Content-Length: %d\r\n\r\n", method, prefix, work.Milliseconds(), host, q.id, clientTimeout.Milliseconds(), body)
+	host, prefix := gateway.RouteOf(q.route)
+	return fmt.Sprintf("%s %s%d HTTP/1.1\r\nHost: %s\r\nX-Elmfold-Attempt-Id: %s\r\nX-Elmfold-Time-Budget-Ms: %d\r\n%s"+
+		"Content-Length: %d\r\n\r\n", method, prefix, work.Milliseconds(), host, q.id, clientTimeout.Milliseconds(), key,
+		body)
 }
 
 // stay sends a request, waits for its answer and returns its status; 0: none came.
@@ -107,7 +129,7 @@
 		work = onceWork
 	}
 	stay := time.Duration(r.Int64N(int64(maxStay)))
-	all := []*request{w.ledger.newRequest(r, p.Name, safe)}
+	all := []*request{w.ledger.newRequest(r, p.Name, routeOf(safe))}
 	first := all[0]
 	write := func(text string) { _, _ = io.WriteString(conn, text) } // a proxy that has ended first is no matter here
 	switch how {
@@ -118,7 +140,7 @@
 	case behindRequest:
 		write(first.head(work, 0))
 		time.Sleep(segmentPause)
-		all = append(all, w.ledger.newRequest(r, p.Name, safe))
+		all = append(all, w.ledger.newRequest(r, p.Name, routeOf(safe)))
 		write(all[1].head(work, 0))
 	case behindHalf:
 		write(first.head(work, 0))
@@ -147,7 +169,7 @@
 			return
 		}
 		p := w.deployment.Carriers[i%len(w.deployment.Carriers)]
-		q := w.ledger.newRequest(r, p.Name, i%2 == 0)
+		q := w.ledger.newRequest(r, p.Name, i%services)
 		if status := w.stay(p, q, time.Millisecond); status != http.StatusOK {
 			w.ledger.violated("RECOVER: %s by %s gets %d after all faults", q.id, p.Name, status)
 		}
--- a/internal/bench/soak/ledger.go
+++ b/internal/bench/soak/ledger.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 )
@@ -17,6 +18,8 @@
 // request is one of a client.
 type request struct {
 	id, proxy          string
+	route              int
+	key                uint16 // on keyedRoute
 	safe               bool
 	sentAt, departedAt time.Time // departedAt zero: the client stayed
 	status             int       // of the answer; 0: none came
@@ -50,14 +53,29 @@
 	f()
 }
 
-func (l *ledger) newRequest(r *rand.Rand, proxy string, safe bool) *request {
-	q := &request{id: fmt.Sprintf("%016x", r.Uint64()), proxy: proxy, safe: safe, sentAt: time.Now()}
+func (l *ledger) newRequest(r *rand.Rand, proxy string, route int) *request {
+	q := &request{id: fmt.Sprintf("%016x", r.Uint64()), proxy: proxy, route: route, key: uint16(r.Uint32()),
+		safe: route == safeRoute, sentAt: time.Now()}
 	l.do(func() { l.requests[q.id] = q })
 	return q
 }
 
 // beginFault notes the beginning of a fault; the function ends it. What it harmed is held to nothing for a while
 // after that.
+// thawSlack is the time after the end of a fault on the way to a backend in which grants that arrive there do not
+// count: the way hands on what it kept back.
+const thawSlack = 300 * time.Millisecond
+
+// hasJustHealed reports whether a fault on the way to a backend lasts, or has ended within thawSlack.
+func (l *ledger) hasJustHealed(backend string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	return slices.ContainsFunc(l.faults, func(s span) bool {
+		return s.subject == backend && now.Before(s.to.Add(thawSlack-recoverySlack))
+	})
+}
+
 func (l *ledger) beginFault(subject string, slack time.Duration) (end func()) {
 	return l.begin(span{subject: subject, from: time.Now()}, slack)
 }
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -28,7 +28,7 @@
 const (
 	controllers = 3
 	proxies     = 3
-	services    = 2 // of idempotent requests; of requests that may run once only
+	services    = 3 // of idempotent requests; of requests that may run once only; the same, divided by key
 	backends    = 3 // of each service
 	slots       = 32
 	heartbeat   = 0.5 // seconds
@@ -37,7 +37,7 @@
 	startTimeout  = 20 * time.Second
 	sampleEvery   = 500 * time.Millisecond
 	recoveryTime  = 3 * time.Second // from the last fault to the last look
-	finalRequests = 40
+	finalRequests = 42
 	maxRuns       = 200
 )
 
@@ -98,14 +98,14 @@
 
 // outcome is what came of one seed.
 type outcome struct {
-	requests, departed, runs, severed, faults, overlapping int
-	violations                                             []string
+	requests, departed, runs, severed, grants, faults, overlapping int
+	violations                                                     []string
 }
 
 func (o outcome) String() string {
 	text := fmt.Sprintf(
-		"%d requests, %d clients left, %d runs, %d cut; %d faults, %d begun beside another; %d violations",
-		o.requests, o.departed, o.runs, o.severed, o.faults, o.overlapping, len(o.violations))
+		"%d requests, %d clients left, %d runs, %d cut; %d grants of keys; %d faults, %d begun beside another; %d violations",
+		o.requests, o.departed, o.runs, o.severed, o.grants, o.faults, o.overlapping, len(o.violations))
 	const shown = 12
 	for i, v := range o.violations {
 		if i == shown {
@@ -126,6 +126,7 @@
 	handlings  *handlings
 	operator   *gateway.Operator
 	version    uint32
+	keys       *gateway.Keys // of the service that is divided by key
 	work       sync.WaitGroup
 }
 
@@ -167,12 +168,15 @@
 	}
 	w.finalRequests(ctx)
 	w.checkAtRest(ctx, idle)
-	return w.ledger.check(), nil
+	result = w.ledger.check()
+	result.grants = w.keys.Grants()
+	return result, nil
 }
 
 // start brings up the programs, the backends behind their links, and the first configuration.
 func start(ctx context.Context, seed uint64, dir, programs string) (w *world, err error) {
 	w = &world{seed: seed, ledger: newLedger(), handlings: &handlings{}, version: 1}
+	w.keys = gateway.NewKeys(w.ledger.violated, w.ledger.hasJustHealed)
 	w.deployment, err = gateway.Start(gateway.Plan{
 		Programs:    programs,
 		Dir:         dir,
@@ -209,9 +213,9 @@
 	return w, w.untilServed(starting)
 }
 
-// configuration has one route of idempotent requests and one of those that may run once only.
+// configuration has a route of each service.
 func (w *world) configuration() []byte {
-	shape := gateway.Shape{Services: services, Routes: services, Safe: true, UnsafeFrom: 1}
+	shape := gateway.Shape{Services: services, Routes: services, Safe: true, UnsafeFrom: 1, Sharded: 1}
 	return gateway.Configuration(w.version, shape, 0)
 }
 
@@ -222,9 +226,13 @@
 		return err
 	}
 	w.ways = append(w.ways, way{id, l})
-	b, err := gateway.StartBackend(gateway.BackendOptions{ID: id, Service: gateway.ServiceName(i % services),
+	o := gateway.BackendOptions{ID: id, Service: gateway.ServiceName(i % services),
 		Zone: zones[i/services%len(zones)], Listen: address, Advertise: l.Addr(), Slots: slots, Heartbeat: heartbeat,
-		Controls: w.deployment.Controls(), Observer: w.ledger, Handle: w.handlings.draw})
+		Controls: w.deployment.Controls(), Observer: w.ledger, Handle: w.handlings.draw}
+	if i%services == keyedRoute {
+		o.Keys = w.keys
+	}
+	b, err := gateway.StartBackend(o)
 	if err != nil {
 		return err
 	}
@@ -236,8 +244,8 @@
 func (w *world) untilServed(ctx context.Context) error {
 	r := rand.New(rand.NewPCG(w.seed, 0))
 	for _, p := range w.deployment.Carriers {
-		for _, safe := range []bool{true, false} {
-			for w.stay(p, w.ledger.newRequest(r, p.Name, safe), 0) != 200 {
+		for route := range services {
+			for w.stay(p, w.ledger.newRequest(r, p.Name, route), 0) != 200 {
 				select {
 				case <-ctx.Done():
 					return fmt.Errorf("%s serves nothing: %w", p.Name, ctx.Err())
--- a/internal/controlplane/shardcalls/client_test.go
+++ b/internal/controlplane/shardcalls/client_test.go
@@ -101,7 +101,8 @@
 		probe.Kind = sharding.Probe
 		for _, call := range []sharding.Call{grant, release, probe} {
 			result, handoff := c.Do(call, time.Now())
-			fmt.Fprintf(&out, "%d %v: kind %d, result %d, handoff %q\n", answer.status, answer.fields, call.Kind, result, handoff)
+			fmt.Fprintf(&out, "%d %v: kind %d, result %d, handoff %q\n", answer.status, answer.fields, call.Kind, result,
+				handoff)
 		}
 	}
 	out.WriteString(e.received.String())
--- a/internal/controlplane/sharding/holds.go
+++ b/internal/controlplane/sharding/holds.go
@@ -263,8 +263,8 @@
 	e.failures, e.answeredAt = 0, a.now
 }
 
-// probe calls the endpoints that did not answer and have no ranges. Moving a range there to find out whether they answer
-// again would leave the range without a holder.
+// probe calls the endpoints that did not answer and have no ranges. Moving a range there to find out whether they
+// answer again would leave the range without a holder.
 func (a *Assigner) probe() {
 	holders := map[string]bool{}
 	for _, s := range a.services {
--- a/internal/controlplane/sharding/model_test.go
+++ b/internal/controlplane/sharding/model_test.go
@@ -10,8 +10,8 @@
 	"elmfold/internal/controlplane/consensus"
 )
 
-// The model plays assigners, their registers, the network and the endpoints in virtual time. It checks at each grant that
-// no other endpoint that is up holds one of its keys.
+// The model plays assigners, their registers, the network and the endpoints in virtual time. It checks at each grant
+// that no other endpoint that is up holds one of its keys.
 
 const (
 	modelDelay = 2 * time.Millisecond // of a message, one way
--- a/internal/fakes/gateway/backend.go
+++ b/internal/fakes/gateway/backend.go
@@ -25,6 +25,7 @@
 	Observer          Observer      // is told of each run; nil: nobody
 	// Handle draws what becomes of a request; nil: it is worked at for Work and answered.
 	Handle func(r *http.Request) Handling
+	Keys   *Keys // what the backends of its service hold; nil: the service is not divided by key
 }
 
 // Handling is what becomes of a request at a Backend.
@@ -106,6 +107,10 @@
 		h.Set("X-Elmfold-Server-Load", b.load())
 		return
 	}
+	if b.options.Keys != nil && (r.URL.Path == grantPath || r.URL.Path == releasePath) {
+		b.options.Keys.serve(b.ID, w, r)
+		return
+	}
 	turn := func(status int) {
 		h.Set("X-Elmfold-Not-Executed", "1")
 		w.WriteHeader(status)
@@ -120,6 +125,14 @@
 		turn(http.StatusMisdirectedRequest)
 		return
 	}
+	if b.options.Keys != nil {
+		end, held := b.options.Keys.begin(b.ID, r)
+		if !held {
+			turn(http.StatusMisdirectedRequest)
+			return
+		}
+		defer end()
+	}
 	n := b.running.Add(1)
 	defer b.running.Add(-1)
 	if int(n) > b.options.Slots {
--- a/internal/fakes/gateway/operator.go
+++ b/internal/fakes/gateway/operator.go
@@ -16,6 +16,7 @@
 	Target           float64 // s
 	Safe             bool
 	UnsafeFrom       int // routes from this number on may be executed once only, with Safe; 0: none
+	Sharded          int // so many of the services, the last ones, are divided by key
 }
 
 const routesOfHost = 8
@@ -54,8 +55,12 @@
 		sockets = append(sockets, object{"authority": host, "ruleset": rules})
 	}
 	for i := range s.Services {
-		pools = append(pools, object{"name": ServiceName(i), "healthPath": "/health", "maxConns": 2000, "protocol": "h1",
-			"tlsMode": false, "coldS": 3.0, "coldRateS": 1000.0})
+		pool := object{"name": ServiceName(i), "healthPath": "/health", "maxConns": 2000, "protocol": "h1",
+			"tlsMode": false, "coldS": 3.0, "coldRateS": 1000.0}
+		if i >= s.Services-s.Sharded {
+			pool["sharded"], pool["warmupS"], pool["granted"] = true, 1.0, "call"
+		}
+		pools = append(pools, pool)
 	}
 	text, err := json.Marshal(object{"generation": fmt.Sprintf("%08x", version),
 		"limits":  object{"maxHeaderBytes": 16384, "maxBodyBytes": 64 << 20, "headerTimeoutS": 3, "idleTimeoutS": 15},
--- a/internal/proxy/shards_test.go
+++ b/internal/proxy/shards_test.go
@@ -14,11 +14,11 @@
 	"elmfold/internal/gateway/rpc"
 )
 
-// shardTable is a message with ranges of a service's keys.
-func shardTable(term uint64, service string, full bool, ranges ...rpc.ShardRange) *rpc.Message {
+// shardTable is a message with ranges of the keys of service alpha.
+func shardTable(term uint64, full bool, ranges ...rpc.ShardRange) *rpc.Message {
 	return &rpc.Message{ShardUpdate: rpc.ShardUpdate{
 		ShardTerm:   term,
-		ShardTables: []rpc.ShardTable{{Service: service, Full: full, Ranges: ranges}},
+		ShardTables: []rpc.ShardTable{{Service: "alpha", Full: full, Ranges: ranges}},
 	}}
 }
 
@@ -31,9 +31,9 @@
 
 const shardKeyField = " HTTP/1.1 | X-Elmfold-Shard-Key: "
 
-// Requests on keys go to the holder of their key, and only there. One whose key is being moved waits for a bounded time;
-// one whose key was rejected is sent once more after a newer table. Guards against a retry storm on 421, and against
-// endpoints that are ejected because they do not hold a key.
+// Requests on keys go to the holder of their key, and only there. One whose key is being moved waits for a bounded
+// time; one whose key was rejected is sent once more after a newer table. Guards against a retry storm on 421, and
+// against endpoints that are ejected because they do not hold a key.
 func TestKeyNotHeld(t *testing.T) {
 	var out string
 	synctest.Test(t, func(t *testing.T) {
@@ -57,7 +57,7 @@
 		s.request("GET /alpha/ HTTP/1.1")
 		get("/alpha/", "65536")
 		s.section("each key has its holder")
-		node.send(shardTable(1, "alpha", true, rpc.ShardRange{Last: 99, Holder: north.ID},
+		node.send(shardTable(1, true, rpc.ShardRange{Last: 99, Holder: north.ID},
 			rpc.ShardRange{First: 100, Last: 65535, Holder: south.ID}))
 		get("/alpha/", "99")
 		get("/alpha/", "100")
@@ -67,28 +67,28 @@
 		get("/alpha/", "5")
 		s.section("... a newer table comes: one more attempt, at the new holder, also where it may run once only")
 		time.AfterFunc(50*time.Millisecond, func() {
-			node.send(shardTable(1, "alpha", false, rpc.ShardRange{First: 0, Last: 9, Holder: south.ID}))
+			node.send(shardTable(1, false, rpc.ShardRange{First: 0, Last: 9, Holder: south.ID}))
 		})
 		s.request("POST /alpha!/" + shardKeyField + "5 | Content-Length: 0")
 		s.section("the endpoint that rejected it is not ejected")
 		rejects.Store(false)
 		get("/alpha/", "10")
 		s.section("a range is being moved: the request waits")
-		node.send(shardTable(1, "alpha", false, rpc.ShardRange{First: 10, Last: 20}))
+		node.send(shardTable(1, false, rpc.ShardRange{First: 10, Last: 20}))
 		time.AfterFunc(250*time.Millisecond, func() {
-			node.send(shardTable(1, "alpha", false, rpc.ShardRange{First: 10, Last: 20, Holder: south.ID}))
+			node.send(shardTable(1, false, rpc.ShardRange{First: 10, Last: 20, Holder: south.ID}))
 		})
 		get("/alpha/", "20")
 		s.section("its former holder does not answer: 503 at once, with the time until its hold has expired")
-		node.send(shardTable(1, "alpha", false, rpc.ShardRange{First: 30, Last: 30, AvailableIn: 2500}))
+		node.send(shardTable(1, false, rpc.ShardRange{First: 30, Last: 30, AvailableIn: 2500}))
 		began := time.Now()
 		get("/alpha/", "30")
 		if took := time.Since(began); took > 50*time.Millisecond {
 			t.Errorf("answered after %v", took)
 		}
 		s.section("a former assigner is not believed, a new one is")
-		node.send(shardTable(3, "alpha", true, rpc.ShardRange{Last: 65535, Holder: south.ID}))
-		node.send(shardTable(2, "alpha", true, rpc.ShardRange{Last: 65535, Holder: north.ID}))
+		node.send(shardTable(3, true, rpc.ShardRange{Last: 65535, Holder: south.ID}))
+		node.send(shardTable(2, true, rpc.ShardRange{Last: 65535, Holder: north.ID}))
 		get("/alpha/", "0")
 		out = s.stop()
 		s.checkInvariants(t)
