proxy: registers that a proxy does not know do not keep it from being ready

Cause: by reading: a proxy compared each register that a node stores, but for zones', with the version of its configuration. A node of the version before, beside newer ones, reports shards/lease, whose version is a counter; the proxy would wait 3 s. Change: only the configuration and zones count.

--- a/internal/proxy/readiness.go
+++ b/internal/proxy/readiness.go
@@ -54,14 +54,15 @@
 	}
 }
 
-// isBehind reports whether a node stores a newer register version, possibly committed, than the proxy has applied.
+// isBehind reports whether a node stores a newer register version, possibly committed, than the proxy has applied. Other
+// registers, which a node of another version may report, do not concern proxies.
 func (p *Proxy) isBehind(n *node) bool {
 	for name, stored := range n.stored {
-		applied := p.configVersion
-		if zone, isZone := strings.CutPrefix(name, zoneRegisterPrefix); isZone {
-			applied = p.evacuations[zone].Version
-		}
-		if applied.Less(stored) {
+		zone, isZone := strings.CutPrefix(name, zoneRegisterPrefix)
+		switch {
+		case name == configRegister && p.configVersion.Less(stored):
+			return true
+		case isZone && p.evacuations[zone].Version.Less(stored):
 			return true
 		}
 	}
