upstream: a cancellation beside the last write does not break off a whole request

What callers could see: a request that may run once only is broken off although its endpoint has begun it, where its client leaves in the moment between the last byte's write and its return. Cause: that the request was sent was noted after the write had returned; a cancellation before that closed the connection. Change: writes and cancellations are ordered by a mutex. A cancellation ends a write that is in progress by its deadline, and the write's result tells whether the endpoint has the whole request: then the attempt goes on. Evidence: TestCancelAsTheLastByteIsWritten, plain and streamed, fails before and passes.

--- a/internal/proxy/upstream/attempt.go
+++ b/internal/proxy/upstream/attempt.go
@@ -20,6 +20,7 @@
 	"net"
 	"net/http"
 	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -102,7 +103,7 @@
 	stopCancelWatch func() bool // stops calling cancel when ctx is cancelled; nil if ctx is never cancelled
 	call            *Call
 	conn            *persistConn
-	requestSent     atomic.Bool   // the whole request is written
+	writes          requestWrites
 	streaming       atomic.Bool   // the response body is streamed to the caller
 	cancelled       atomic.Bool   // cancel closed the connection
 	sender          *bodySender   // nil if Do wrote the whole request
@@ -166,7 +167,8 @@
 	}
 	buf := getBuffer()
 	*buf = appendRequest((*buf)[:0], c, left)
-	written, err := pc.Write(*buf)
+	hasRest := c.Stream != nil && c.StreamLen != 0
+	written, err := a.write(*buf, !hasRest)
 	putBuffer(buf)
 	if err != nil {
 		a.desynchronized = true
@@ -178,24 +180,71 @@
 		// response can still be read.
 		return a, nil
 	}
-	if c.Stream != nil && c.StreamLen != 0 {
-		a.sender = startBodySender(pc.Conn, c.Stream, c.StreamLen, a.markRequestSent)
-	} else {
-		a.markRequestSent()
+	if hasRest {
+		a.sender = startBodySender(a, c.Stream, c.StreamLen)
 	}
 	return a, nil
 }
 
-// cancel closes the connection after ctx is cancelled, unless FinishOnceSent applies.
+// requestWrites is the progress of writing a request. Its mutex orders cancel and the writes: the endpoint may have the
+// whole request before the last write returns.
+type requestWrites struct {
+	mu        sync.Mutex
+	writing   bool // a write is in progress
+	sent      bool // the whole request is written
+	cancelled bool // ctx was cancelled before that
+}
+
+// write writes a part of the request. isLast tells that it is the last one.
+func (a *attempt) write(b []byte, isLast bool) (int, error) {
+	if !a.writes.begin() {
+		return 0, context.Canceled
+	}
+	n, err := a.conn.Write(b)
+	if a.writes.end(err == nil && isLast) {
+		a.closeCancelled()
+	}
+	return n, err
+}
+
+// begin begins a write; false: the attempt is cancelled.
+func (w *requestWrites) begin() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.writing = !w.cancelled
+	return w.writing
+}
+
+// end ends a write. It reports whether the attempt was cancelled meanwhile and the endpoint lacks a part of the request.
+func (w *requestWrites) end(sent bool) (isCancelled bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.writing, w.sent = false, sent
+	return w.cancelled && !w.sent
+}
+
+// cancel closes the connection after ctx is cancelled, unless FinishOnceSent applies. A write in progress ends first:
+// its result tells whether the endpoint has the whole request.
 func (a *attempt) cancel() {
-	if a.call.FinishOnceSent && a.requestSent.Load() && !a.streaming.Load() {
+	mayFinish := a.call.FinishOnceSent && !a.streaming.Load()
+	a.writes.mu.Lock()
+	defer a.writes.mu.Unlock()
+	if mayFinish && a.writes.sent {
 		return
 	}
-	a.cancelled.Store(true)
-	_ = a.conn.Close() // unblocks reads and writes
+	a.writes.cancelled = true
+	if mayFinish && a.writes.writing {
+		_ = a.conn.SetWriteDeadline(time.Unix(1, 0)) // fails only on a closed connection
+		return
+	}
+	a.closeCancelled()
 }
 
-func (a *attempt) markRequestSent() { a.requestSent.Store(true) }
+// closeCancelled closes the connection of a cancelled attempt, which unblocks reads and writes.
+func (a *attempt) closeCancelled() {
+	a.cancelled.Store(true)
+	_ = a.conn.Close()
+}
 
 // markStreaming records that the response body is streamed from now on, which ends the effect of FinishOnceSent.
 func (a *attempt) markStreaming() {
--- a/internal/proxy/upstream/attempt_test.go
+++ b/internal/proxy/upstream/attempt_test.go
@@ -687,3 +687,59 @@
 	time.Sleep(s.delay)
 	return copy(b, "x"), nil
 }
+
+// cancellingConn cancels a context once a write has passed on its bytes, before the write returns.
+type cancellingConn struct {
+	net.Conn
+	cancel context.CancelFunc
+}
+
+func (c cancellingConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.cancel()
+	time.Sleep(time.Millisecond) // what the cancellation starts runs first
+	return n, err
+}
+
+// Guards against a request that may run once only and is broken off although the endpoint has the whole of it: its
+// client disconnects between the last byte's write and its return.
+func TestCancelAsTheLastByteIsWritten(t *testing.T) {
+	for _, isStreamed := range []bool{false, true} {
+		t.Run(fmt.Sprint("streamed ", isStreamed), func(t *testing.T) { testCancelAsTheLastByteIsWritten(t, isStreamed) })
+	}
+}
+
+func testCancelAsTheLastByteIsWritten(t *testing.T, isStreamed bool) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newTestPool(Options{}, func(s *endpointConn) {
+			if s.readRequest() == "" {
+				return
+			}
+			time.Sleep(time.Second)
+			s.send(okResponse)
+			time.Sleep(time.Second)
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		dial, writes := p.options.Dial, 1
+		call := newTestCall("me")
+		if call.FinishOnceSent = true; isStreamed {
+			call.Method, call.Stream, call.StreamLen = "POST", strings.NewReader("x"), 1
+			writes = 2
+		}
+		p.options.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+			conn, err := dial(ctx, address)
+			return cancellingConn{conn, func() {
+				if writes--; writes == 0 {
+					cancel()
+				}
+			}}, err
+		}
+		resp, err := p.Do(ctx, call)
+		if err != nil {
+			t.Errorf("streamed %t: %v", isStreamed, err)
+		}
+		resp.Close()
+		p.CloseIdle("b:1")
+		time.Sleep(time.Minute)
+	})
+}
--- a/internal/proxy/upstream/sender.go
+++ b/internal/proxy/upstream/sender.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"net"
 )
 
 const (
@@ -16,16 +15,16 @@
 // read the whole body. A nil bodySender is done.
 type bodySender struct {
 	done      chan struct{} // closed when the sender stops; the errors are set before
-	onSent    func()        // called after the whole body is written
-	streamErr error         // error of reading the stream
-	writeErr  error         // error of writing to the connection
+	attempt   *attempt
+	streamErr error // error of reading the stream
+	writeErr  error // error of writing to the connection
 }
 
 // startBodySender starts to write a stream of the given length. A negative length means that it is unknown, and the
 // body is sent in chunks.
-func startBodySender(to net.Conn, stream io.Reader, length int64, onSent func()) *bodySender {
-	s := &bodySender{done: make(chan struct{}), onSent: onSent}
-	go s.run(to, stream, length)
+func startBodySender(a *attempt, stream io.Reader, length int64) *bodySender {
+	s := &bodySender{done: make(chan struct{}), attempt: a}
+	go s.run(stream, length)
 	return s
 }
 
@@ -57,29 +56,27 @@
 
 // run writes the stream. If the stream fails, it closes the connection, so that the endpoint detects the truncated
 // body. If a write fails, it leaves the connection open, because the endpoint's response may still be readable.
-func (s *bodySender) run(to net.Conn, stream io.Reader, length int64) {
+func (s *bodySender) run(stream io.Reader, length int64) {
+	conn := s.attempt.conn.Conn // the attempt may give it away once done is closed
 	if length < 0 {
-		s.copyChunked(to, stream)
+		s.copyChunked(stream)
 	} else {
-		s.copyBytes(to, stream, length)
-	}
-	if s.streamErr == nil && s.writeErr == nil {
-		s.onSent()
+		s.copyBytes(stream, length)
 	}
 	close(s.done)
 	if s.streamErr != nil {
-		_ = to.Close() // fails only if the connection is closed already
+		_ = conn.Close() // fails only if the connection is closed already
 	}
 }
 
 // copyBytes copies length bytes without io.Copy, which would try to use splice.
-func (s *bodySender) copyBytes(to net.Conn, stream io.Reader, left int64) {
+func (s *bodySender) copyBytes(stream io.Reader, left int64) {
 	buf := make([]byte, senderBufferBytes)
 	for left > 0 && s.writeErr == nil {
 		n, err := stream.Read(buf[:min(int64(len(buf)), left)])
 		if n > 0 {
 			left -= int64(n)
-			_, s.writeErr = to.Write(buf[:n])
+			_, s.writeErr = s.attempt.write(buf[:n], left == 0)
 		}
 		if err == io.EOF && left > 0 {
 			err = io.ErrUnexpectedEOF
@@ -91,17 +88,17 @@
 	}
 }
 
-func (s *bodySender) copyChunked(to net.Conn, stream io.Reader) {
+func (s *bodySender) copyChunked(stream io.Reader) {
 	buf := make([]byte, senderBufferBytes)
 	for s.writeErr == nil {
 		n, err := stream.Read(buf[chunkPrefixBytes : len(buf)-chunkSuffixBytes])
 		if n > 0 {
-			_, s.writeErr = to.Write(frameChunk(buf, n))
+			_, s.writeErr = s.attempt.write(frameChunk(buf, n), false)
 		}
 		switch {
 		case err == io.EOF:
 			if s.writeErr == nil {
-				_, s.writeErr = io.WriteString(to, lastChunk)
+				_, s.writeErr = s.attempt.write([]byte(lastChunk), true)
 			}
 			return
 		case err != nil:
