--- a/internal/simulation/departures.go
+++ b/internal/simulation/departures.go
@@ -87,9 +87,11 @@
 					(a.At - t.DepartedAt).Seconds())
 			case a.Outcome == Ran && t.Safe && (a.End == 0 || a.End > limit):
 				out.add("GONE", limit, "%s is still worked on at %s, sent by %s", t.ID, a.Backend, t.Proxy)
-			case a.Outcome == Ran && !t.Safe && a.Severed && a.End > t.DepartedAt &&
+			// Not one that is ended at the end of its own time, as it would be for a client that stays.
+			case a.Outcome == Ran && !t.Safe && a.Severed && a.End > t.DepartedAt && a.End < t.At+t.Timeout &&
 				l.untroubled(t.Proxy, t.At-l.Bounds.Contact.Duration(), a.End): // no process ended with it
-				out.add("GONE", a.End, "%s may run once only, and was broken off at %s as its client left", t.ID, a.Backend)
+				out.add("GONE", a.End, "%s may run once only, and was broken off at %s as its client left: sent %v, arrived %v, "+
+					"left %v, its time ends %v", t.ID, a.Backend, t.At, a.At, t.DepartedAt, t.At+t.Timeout)
 			}
 		}
 	}
--- a/internal/simulation/rules_test.go
+++ b/internal/simulation/rules_test.go
@@ -259,6 +259,13 @@
 				x := s.try(7, false)
 				x.DepartedAt, x.Arrivals[0].End, x.Arrivals[0].Severed = sec(7.1), sec(7.11), true
 			}},
+		{"GONE", func(s sheet) { // once only, and ended with its time of 4 s
+			x := s.try(5, false)
+			x.DepartedAt, x.Arrivals[0].End, x.Arrivals[0].Severed = sec(5.1), sec(9), true
+		}, func(s sheet) {
+			x := s.try(7, false)
+			x.DepartedAt, x.Arrivals[0].End, x.Arrivals[0].Severed = sec(7.1), sec(10.999), true
+		}},
 		{"BUDGET", func(s sheet) { // time handed on
 			x := s.try(5, true)
 			x.Budget, x.Arrivals[0].Budget = sec(4), sec(4)
