routeconfig: settings that are not supported are logged, and shown by check

Change: of a pool another protocol than h1, tlsMode, and keys that are granted in another way than by call are logged as a warning by each node that commits the configuration, and printed by check.

--- a/internal/controlplane/replica.go
+++ b/internal/controlplane/replica.go
@@ -130,6 +130,9 @@
 			s.log.Error("committed configuration cannot be parsed", logfield.Error, err)
 			return
 		}
+		for _, setting := range config.Unsupported {
+			s.log.Warn("a setting of the configuration is not supported", logfield.Setting, setting)
+		}
 		s.steering.configure(config)
 		s.sharding.configure(config)
 	} else {
--- a/internal/gateway/cli/check.go
+++ b/internal/gateway/cli/check.go
@@ -48,6 +48,10 @@
 	if err != nil {
 		return "", err
 	}
-	return fmt.Sprintf("configuration %s, %d routes, %d services", routeconfig.FormatVersion(config.Version),
-		len(config.Routes()), len(config.Services)), nil
+	summary := fmt.Sprintf("configuration %s, %d routes, %d services", routeconfig.FormatVersion(config.Version),
+		len(config.Routes()), len(config.Services))
+	for _, setting := range config.Unsupported {
+		summary += "\n  warning: " + setting
+	}
+	return summary, nil
 }
--- a/internal/gateway/logfield/logfield.go
+++ b/internal/gateway/logfield/logfield.go
@@ -24,6 +24,7 @@
 	Records         = "records"     // number of records on the disk
 	Register        = "register"    // name of a register
 	Service         = "service"     // name of a service
+	Setting         = "setting"     // of a configuration, with its key
 	SyncedFrom      = "synced_from" // number of voters whose state was read
 	Term            = "term"        // of the assigner
 	Torn            = "torn"        // the file on the disk ended in an incomplete entry
--- a/internal/gateway/routeconfig/config.go
+++ b/internal/gateway/routeconfig/config.go
@@ -14,8 +14,10 @@
 	// Sharded has the names of the services whose endpoints serve only requests with keys that they were granted; see
 	// package sharding.
 	Sharded map[string]bool
-	Body    []byte // the document as received
-	Digest  uint64 // xxh3 hash of Body
+	// Unsupported describes settings of services that the gateway knows of and does not apply, each with its key.
+	Unsupported []string
+	Body        []byte // the document as received
+	Digest      uint64 // xxh3 hash of Body
 
 	routes []*Route
 	hosts  map[string]*hostRoutes // by lower-case name
--- a/internal/gateway/routeconfig/config_test.go
+++ b/internal/gateway/routeconfig/config_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 
@@ -175,3 +176,25 @@
 		}
 	}
 }
+
+// Guards against settings that are taken without a word and not applied. Their configuration is valid all the same.
+func TestUnsupportedSettings(t *testing.T) {
+	c, err := Parse([]byte(`{"generation":"00000001","pools":[
+		{"name":"a","protocol":"h1","tlsMode":false,"sharded":true,"granted":"call"},
+		{"name":"b","protocol":"h2","tlsMode":true,"granted":"heartbeat"},
+		{"name":"c","sharded":true,"granted":"heartbeat"}]}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := []string{
+		`pools[1].protocol of "b": "h2" is not supported, "h1" applies`,
+		`pools[1].tlsMode of "b": true is not supported, false applies`,
+		`pools[2].granted of "c": "heartbeat" is not supported, "call" applies`,
+	}
+	if !slices.Equal(c.Unsupported, want) {
+		t.Errorf("got %q", c.Unsupported)
+	}
+	if !c.Sharded["a"] || c.Sharded["b"] || !c.Sharded["c"] {
+		t.Errorf("sharded: %v", c.Sharded)
+	}
+}
--- a/internal/gateway/routeconfig/parse.go
+++ b/internal/gateway/routeconfig/parse.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"strconv"
 	"strings"
 	"time"
 
@@ -19,6 +20,8 @@
 	maxTargetOverTimeout = 60 * time.Second // a latency target this far above the timeout is invalid
 	maxDurationSeconds   = 365 * 24 * 3600  // prevents an overflow of time.Duration
 	idempotentRouteKind  = "safe"           // value of routeKind
+	supportedProtocol    = "h1"             // value of protocol
+	supportedGrants      = "call"           // value of granted
 	defaultHeaderBytes   = 16384
 	defaultBodyBytes     = 64 << 20
 	defaultHeaderTimeout = 3 * time.Second
@@ -96,10 +99,29 @@
 		if p.GetSharded() {
 			c.Sharded[p.GetName()] = true
 		}
+		c.noteUnsupported(fmt.Sprintf("pools[%d]", i), p)
 	}
 	return nil
 }
 
+// noteUnsupported notes the settings of a service that are not applied. They are no errors: an error would block the
+// operator's whole change.
+func (c *Config) noteUnsupported(key string, p *Document_Pool) {
+	note := func(name, value, applied string) {
+		text := fmt.Sprintf("%s.%s of %q: %s is not supported, %s applies", key, name, p.GetName(), value, applied)
+		c.Unsupported = append(c.Unsupported, text)
+	}
+	if protocol := p.GetProtocol(); protocol != "" && protocol != supportedProtocol {
+		note("protocol", strconv.Quote(protocol), strconv.Quote(supportedProtocol))
+	}
+	if p.GetTlsMode() {
+		note("tlsMode", "true", "false")
+	}
+	if granted := p.GetGranted(); p.GetSharded() && granted != "" && granted != supportedGrants {
+		note("granted", strconv.Quote(granted), strconv.Quote(supportedGrants))
+	}
+}
+
 func (c *Config) compileHosts(sockets []*Document_Socket) error {
 	for i, s := range sockets {
 		name := toLower(stripPort(s.GetAuthority()))
--- a/internal/proxy/readiness.go
+++ b/internal/proxy/readiness.go
@@ -54,8 +54,8 @@
 	}
 }
 
-// isBehind reports whether a node stores a newer register version, possibly committed, than the proxy has applied. Other
-// registers, which a node of another version may report, do not concern proxies.
+// isBehind reports whether a node stores a newer register version, possibly committed, than the proxy has applied.
+// Other registers, which a node of another version may report, do not concern proxies.
 func (p *Proxy) isBehind(n *node) bool {
 	for name, stored := range n.stored {
 		zone, isZone := strings.CutPrefix(name, zoneRegisterPrefix)
--- a/internal/proxy/upstream/attempt.go
+++ b/internal/proxy/upstream/attempt.go
@@ -215,7 +215,8 @@
 	return w.writing
 }
 
-// end ends a write. It reports whether the attempt was cancelled meanwhile and the endpoint lacks a part of the request.
+// end ends a write. It reports whether the attempt was cancelled meanwhile and the endpoint lacks a part of the
+// request.
 func (w *requestWrites) end(sent bool) (isCancelled bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
