--- a/internal/controller/aggregation/aggregation_test.go
+++ b/internal/controller/aggregation/aggregation_test.go
@@ -201,3 +201,37 @@
 		t.Errorf("n3, in a partition of 12 nodes, received %v attempts, want the 11 of the other nodes", got)
 	}
 }
+
+// A round that has the attempts of two of nine controllers only: the child's are scaled to eight times the mean of the
+// others, which is an eighth, although they are true.
+func TestAttemptsFarAboveTheOthersAreScaled(t *testing.T) {
+	var members []string
+	for i := range fanOut + 1 {
+		members = append(members, fmt.Sprint("n", i))
+	}
+	root := members[0]
+	for _, name := range members {
+		if parent, _ := TreePosition(name, members); parent == "" {
+			root = name
+		}
+	}
+	n := New(root, 1)
+	n.SetMembers(members)
+	n.Record(Report{Backend: "s", Attempts: 1}, 0)
+	for i, child := range n.Children() {
+		p := Partial{Seq: 1, Incarnation: 1, Summary: Summary{Origins: 1}}
+		if i == 0 {
+			p.Summary.Reports = []Report{{Backend: "s", Attempts: 3}}
+		}
+		n.HandlePartial(child, p, 0)
+	}
+	_, _, totals := n.Flush(0)
+	for child, total := range totals {
+		if child == n.Children()[0] {
+			continue
+		}
+		if got := total.Summary.Reports[0].Attempts; got != 2 {
+			t.Errorf("%s is told of %v attempts, of 4 that were recorded", child, got)
+		}
+	}
+}
--- a/internal/controller/membership/membership_test.go
+++ b/internal/controller/membership/membership_test.go
@@ -54,7 +54,8 @@
 				}
 			}))
 		}
-		time.Sleep(5 * time.Second)
+		// Between two rounds: in one that has the attempts of some instances only, those far above the mean are scaled down.
+		time.Sleep(5*time.Second + roundInterval/2)
 		for _, f := range fleets {
 			if n := len(f.Peers()); n != instances {
 				t.Fatalf("%s sees %d instances", f.Self().Name, n)
