--- a/internal/simulation/keys_test.go
+++ b/internal/simulation/keys_test.go
@@ -111,11 +111,13 @@
 					join()
 				}
 				time.Sleep(6 * time.Second)
-				for _, h := range w.Ledger.Holds {
-					if h.From < from && h.To > from && h.To < w.Now() && !h.Ended {
-						t.Errorf("%s held %d to %d until %v only", h.Backend, h.First, h.Last, h.To)
+				w.Ledger.do(func() {
+					for _, h := range w.Ledger.Holds {
+						if h.From < from && h.To > from && h.To < w.Now() && !h.Ended {
+							t.Errorf("%s held %d to %d until %v only", h.Backend, h.First, h.Last, h.To)
+						}
 					}
-				}
+				})
 				asked, served := w.Ledger.ServedOf(Accounts.Name, from, w.Now(), time.Second)
 				if asked < 400 || served*100 < asked*97 {
 					t.Errorf("of %d requests on keys %d were served within a second", asked, served)
@@ -128,6 +130,8 @@
 
 // heldAgain is how long after the loss of a backend the last of its keys was granted to another.
 func (l *Ledger) heldAgain(lost string, at time.Duration) (last time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	for key := 0; key <= maxKey; key += 64 {
 		contains := func(h *Hold) bool { return int(h.First) <= key && key <= int(h.Last) }
 		wasLost := slices.ContainsFunc(l.Holds, func(h *Hold) bool {
