--- a/review/standin/standin.go
+++ b/review/standin/standin.go
@@ -104,14 +104,23 @@
 
 // Get sends a client's request to a front, on a connection of its own, and returns the status; 0: no answer.
 func Get(front, host, path, attempt string, budget time.Duration) int {
+	return GetKey(front, host, path, attempt, -1, budget)
+}
+
+// GetKey is Get with a shard key, unless it is negative.
+func GetKey(front, host, path, attempt string, key int, budget time.Duration) int {
 	conn, err := net.DialTimeout("tcp4", front, time.Second)
 	if err != nil {
 		return 0
 	}
 	defer func() { _ = conn.Close() }()
 	_ = conn.SetDeadline(time.Now().Add(budget))
-	text := fmt.Sprintf("GET %s HTTP/1.1\r\nHost: %s\r\nX-Elmfold-Attempt-Id: %s\r\nX-Elmfold-Time-Budget-Ms: %d\r\n\r\n",
+	text := fmt.Sprintf("GET %s HTTP/1.1\r\nHost: %s\r\nX-Elmfold-Attempt-Id: %s\r\nX-Elmfold-Time-Budget-Ms: %d\r\n",
 		path, host, attempt, budget.Milliseconds())
+	if key >= 0 {
+		text += fmt.Sprintf("X-Elmfold-Shard-Key: %d\r\n", key)
+	}
+	text += "\r\n"
 	if _, err := io.WriteString(conn, text); err != nil {
 		return 0
 	}
