controlplane: log and count connections refused as those of an earlier incarnation

Change: a warning for each refused incarnation, an info line for each accepted connection of a peer, and elmfold_connections_refused_total.

--- a/internal/controlplane/connections.go
+++ b/internal/controlplane/connections.go
@@ -1,6 +1,7 @@
 package controlplane
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -111,7 +112,9 @@
 	name := from.Node.Name
 	if from.IsProxy {
 		if m.Hello != nil {
-			s.acceptedProxies.Register(m.Hello, conn)
+			if _, ok := s.acceptedProxies.Register(m.Hello, conn); !ok {
+				s.onConnectionRefused(&from)
+			}
 		}
 		if s.acceptedProxies.IsCurrent(name, conn) {
 			s.onProxyMessage(from, conn, m)
@@ -120,6 +123,7 @@
 	}
 	if m.Hello != nil {
 		if _, ok := s.acceptedPeers.Register(m.Hello, conn); !ok {
+			s.onConnectionRefused(&from)
 			return
 		}
 		s.onPeerAccepted(from, conn)
@@ -129,9 +133,26 @@
 	}
 }
 
+// onConnectionRefused counts a connection that was refused because a later incarnation of its sender is known. A refused
+// peer dials again and again, so each incarnation is logged only once.
+func (s *Server) onConnectionRefused(from *rpc.Hello) {
+	s.metrics.connectionsRefused.Inc()
+	name := from.Node.Name
+	if s.lastRefused[name] == from.Incarnation {
+		return
+	}
+	s.lastRefused[name] = from.Incarnation
+	s.log.Warn("connection of an earlier incarnation refused", logfield.Peer, name,
+		logfield.Incarnation, formatIncarnation(from.Incarnation))
+}
+
+func formatIncarnation(incarnation uint64) string { return fmt.Sprintf("%016x", incarnation) }
+
 // onPeerAccepted responds to the Hello of a peer. If this node has no connection to the peer, it dials at once instead
 // of waiting for the next retry, which speeds up the start of a whole cluster.
 func (s *Server) onPeerAccepted(from rpc.Hello, conn *rpc.Conn) {
+	s.log.Info("peer connection accepted", logfield.Peer, from.Node.Name,
+		logfield.Incarnation, formatIncarnation(from.Incarnation))
 	s.connectNodes(from.Node)
 	if p := s.peers[from.Node.Name]; p == nil || p.conn == nil {
 		s.dialer.RetryNow(from.Node.Address)
--- a/internal/controlplane/metrics.go
+++ b/internal/controlplane/metrics.go
@@ -14,7 +14,9 @@
 	registry        metrics.Registry
 	callsInProgress atomic.Int64
 	callDisconnects *metrics.Counter // clients that disconnected before the response
-	shards          shardMetrics
+	// connectionsRefused counts connections of peers and proxies of which a later incarnation is known.
+	connectionsRefused *metrics.Counter
+	shards             shardMetrics
 }
 
 // shardMetrics are the metrics of the assigner. The owner of the server sets them.
@@ -38,6 +40,8 @@
 	m.registry.DeclareProcess()
 	m.callDisconnects = m.registry.NewCounter("elmfold_call_disconnects_total",
 		"Calls whose caller left before the answer.")
+	m.connectionsRefused = m.registry.NewCounter("elmfold_connections_refused_total",
+		"Connections of peers and proxies that were refused because a later incarnation is known.")
 	m.registry.NewGauge("elmfold_calls_in_progress", "Calls that are not answered yet.", m.callsInProgress.Load)
 	return m
 }
--- a/internal/controlplane/server.go
+++ b/internal/controlplane/server.go
@@ -110,6 +110,7 @@
 	acceptedPeers    session.Sessions                        // connections dialled by peers
 	acceptedProxies  session.Sessions                        // connections dialled by proxies
 	proxies          map[*rpc.Conn]*proxyConn                // by current connection
+	lastRefused      map[string]uint64                       // by peer or proxy: the incarnation that was refused last
 	requests         map[uint64]chan<- consensus.RequestDone // by request id
 	lastRequestID    uint64
 	pendingAcks      map[uint64]*pendingAck // by ack id
@@ -143,6 +144,7 @@
 		acceptedPeers:   session.Sessions{PreferNewest: true},
 		acceptedProxies: session.Sessions{PreferNewest: true},
 		proxies:         map[*rpc.Conn]*proxyConn{},
+		lastRefused:     map[string]uint64{},
 		requests:        map[uint64]chan<- consensus.RequestDone{},
 		pendingAcks:     map[uint64]*pendingAck{},
 		self: rpc.Node{
--- a/internal/gateway/logfield/logfield.go
+++ b/internal/gateway/logfield/logfield.go
@@ -15,6 +15,7 @@
 	Error           = "err"
 	FoundingID      = "founding_id" // cluster ID
 	Fresh           = "fresh"       // the disk was empty
+	Incarnation     = "incarnation" // of the process at the other end of a connection, in hexadecimal
 	LostData        = "lost_data"   // the disk has lost records that had been synced
 	Needed          = "needed"      // number of Disks needed to decide the first epoch
 	Node            = "node"        // name of a control-plane node
