--- a/internal/controlplane/connections.go
+++ b/internal/controlplane/connections.go
@@ -9,6 +9,7 @@
 	"elmfold/internal/controlplane/consensus"
 	"elmfold/internal/gateway/logfield"
 	"elmfold/internal/gateway/rpc"
+	"elmfold/internal/gateway/session"
 )
 
 // acceptRetryInterval is the pause after an Accept error, such as too many open files.
@@ -21,7 +22,7 @@
 	synced bool      // the first message of the peer has arrived, which contains its endpoint table
 }
 
-// proxyConn is the current connection of a proxy.
+// proxyConn is an open connection of a proxy.
 type proxyConn struct {
 	node        rpc.Node
 	conn        *rpc.Conn
@@ -82,59 +83,99 @@
 	}
 }
 
+// acceptedConn is a connection that a peer or a proxy dialled. Only the owner uses the fields below hello.
+type acceptedConn struct {
+	conn  *rpc.Conn
+	hello rpc.Hello // of the sender
+
+	handshake session.Handshake // 0 until this node has answered hello
+	completed bool              // the sender has answered this node's Hello
+}
+
 // serveConnection passes the messages of an accepted connection to the owner until the connection ends.
 func (s *Server) serveConnection(conn *rpc.Conn) {
-	var hello *rpc.Hello
+	var accepted *acceptedConn
 	for {
 		m, err := conn.Receive(connTimeout)
 		if err != nil {
 			break
 		}
-		if m.Hello != nil {
-			hello = m.Hello
+		isFirst := accepted == nil
+		if hasHello := m.Hello != nil; hasHello != isFirst { // protocol error
+			break
 		}
-		if hello == nil {
-			break // the first message must contain Hello
+		if isFirst {
+			accepted = &acceptedConn{conn: conn, hello: *m.Hello}
+			s.queue.Do(func() { s.onHello(accepted) })
+			continue
 		}
-		from := *hello
-		s.queue.Do(func() { s.onAcceptedMessage(from, conn, m) })
+		s.queue.Do(func() { s.onAcceptedMessage(accepted, m) })
 	}
 	conn.Close()
-	if hello != nil {
-		from := *hello
-		s.queue.Do(func() { s.onAcceptedClosed(from, conn) })
+	if accepted != nil {
+		s.queue.Do(func() { s.onAcceptedClosed(accepted) })
 	}
 }
 
-// onAcceptedMessage handles a message if its connection is the current one of the sender. Messages on an older
-// connection are dropped: one that is read late, after this process was suspended, must not renew a lease.
-func (s *Server) onAcceptedMessage(from rpc.Hello, conn *rpc.Conn, m *rpc.Message) {
-	name := from.Node.Name
-	if from.IsProxy {
-		if m.Hello != nil {
-			if _, ok := s.acceptedProxies.Register(m.Hello, conn); !ok {
-				s.onConnectionRefused(&from)
-			}
-		}
-		if s.acceptedProxies.IsCurrent(name, conn) {
-			s.onProxyMessage(from, conn, m)
-		}
+func (s *Server) acceptedSessions(a *acceptedConn) *session.Sessions {
+	if a.hello.IsProxy {
+		return &s.acceptedProxies
+	}
+	return &s.acceptedPeers
+}
+
+// onHello answers the first message of an accepted connection. The connection becomes the current one of the sender
+// only with the sender's next message: the Hello may be that of a process that has ended since, while this process was
+// suspended.
+func (s *Server) onHello(a *acceptedConn) {
+	if s.acceptedSessions(a).IsPast(&a.hello) {
+		a.conn.Close()
+		s.onConnectionRefused(&a.hello)
 		return
 	}
-	if m.Hello != nil {
-		if _, ok := s.acceptedPeers.Register(m.Hello, conn); !ok {
-			s.onConnectionRefused(&from)
-			return
-		}
-		s.onPeerAccepted(from, conn)
+	a.handshake = s.acceptedSessions(a).StartHandshake()
+	if a.hello.IsProxy {
+		s.onProxyHello(a)
+	} else {
+		s.onPeerHello(a)
 	}
-	if s.acceptedPeers.IsCurrent(name, conn) {
-		s.onPeerMessage(name, conn, m)
+}
+
+// onAcceptedMessage handles a message after the Hello if its connection is the current one of the sender. Messages on
+// an older connection are dropped: one that is read late, after this process was suspended, must not renew a lease.
+func (s *Server) onAcceptedMessage(a *acceptedConn, m *rpc.Message) {
+	if a.handshake == 0 {
+		return // refused
+	}
+	if !a.completed {
+		a.completed = true
+		s.onHandshakeCompleted(a)
+	}
+	if !s.acceptedSessions(a).IsCurrent(a.hello.Node.Name, a.conn) {
+		return
+	}
+	if a.hello.IsProxy {
+		s.onProxyMessage(a.conn, m)
+	} else {
+		s.onPeerMessage(a.hello.Node.Name, a.conn, m)
 	}
 }
 
-// onConnectionRefused counts a connection that was refused because a later incarnation of its sender is known. A refused
-// peer dials again and again, so each incarnation is logged only once.
+// onHandshakeCompleted makes an accepted connection the current one of the sender, unless a later one is known.
+func (s *Server) onHandshakeCompleted(a *acceptedConn) {
+	_, ok := s.acceptedSessions(a).Register(&a.hello, a.handshake, a.conn)
+	switch {
+	case !ok && s.acceptedSessions(a).IsPast(&a.hello):
+		s.onConnectionRefused(&a.hello)
+	case ok && !a.hello.IsProxy:
+		s.log.Info("peer connection accepted", logfield.Peer, a.hello.Node.Name,
+			logfield.Incarnation, formatIncarnation(a.hello.Incarnation))
+		s.step(peerIdentity(&a.hello))
+	}
+}
+
+// onConnectionRefused counts a connection that was refused because a later incarnation of its sender is known. The
+// sender dials again and again, so each incarnation is logged only once.
 func (s *Server) onConnectionRefused(from *rpc.Hello) {
 	s.metrics.connectionsRefused.Inc()
 	name := from.Node.Name
@@ -148,16 +189,15 @@
 
 func formatIncarnation(incarnation uint64) string { return fmt.Sprintf("%016x", incarnation) }
 
-// onPeerAccepted responds to the Hello of a peer. If this node has no connection to the peer, it dials at once instead
-// of waiting for the next retry, which speeds up the start of a whole cluster.
-func (s *Server) onPeerAccepted(from rpc.Hello, conn *rpc.Conn) {
-	s.log.Info("peer connection accepted", logfield.Peer, from.Node.Name,
-		logfield.Incarnation, formatIncarnation(from.Incarnation))
-	s.connectNodes(from.Node)
-	if p := s.peers[from.Node.Name]; p == nil || p.conn == nil {
-		s.dialer.RetryNow(from.Node.Address)
+// onPeerHello answers the Hello of a peer. If this node has no connection to the peer, it dials at once instead of
+// waiting for the next retry, which speeds up the start of a whole cluster.
+func (s *Server) onPeerHello(a *acceptedConn) {
+	node := a.hello.Node
+	s.connectNodes(node)
+	if p := s.peers[node.Name]; p == nil || p.conn == nil {
+		s.dialer.RetryNow(node.Address)
 	}
-	conn.Send(&rpc.Message{
+	a.conn.Send(&rpc.Message{
 		Hello:      s.hello(),
 		KnownPeers: s.knownNodes(),
 		EndpointUpdate: rpc.EndpointUpdate{
@@ -165,17 +205,12 @@
 			EndpointsSynced: s.endpointsSynced,
 		},
 	})
-	s.step(peerIdentity(&from))
 }
 
-func (s *Server) onAcceptedClosed(from rpc.Hello, conn *rpc.Conn) {
-	if from.IsProxy {
-		s.acceptedProxies.Unregister(from.Node.Name, conn)
-	} else {
-		s.acceptedPeers.Unregister(from.Node.Name, conn)
-	}
-	if p := s.proxies[conn]; p != nil {
-		delete(s.proxies, conn)
+func (s *Server) onAcceptedClosed(a *acceptedConn) {
+	s.acceptedSessions(a).Unregister(a.hello.Node.Name, a.conn)
+	if p := s.proxies[a.conn]; p != nil {
+		delete(s.proxies, a.conn)
 		s.steering.stopSteering(p)
 	}
 }
--- a/internal/controlplane/proxies.go
+++ b/internal/controlplane/proxies.go
@@ -4,17 +4,15 @@
 	"elmfold/internal/gateway/rpc"
 )
 
+// onProxyHello answers the Hello of a proxy with the complete state that it needs. From then on it is sent each change.
+func (s *Server) onProxyHello(a *acceptedConn) {
+	s.proxies[a.conn] = &proxyConn{node: a.hello.Node, conn: a.conn}
+	s.sendInitialState(a.conn)
+}
+
 // onProxyMessage handles a message of a proxy on its current connection.
-func (s *Server) onProxyMessage(from rpc.Hello, conn *rpc.Conn, m *rpc.Message) {
+func (s *Server) onProxyMessage(conn *rpc.Conn, m *rpc.Message) {
 	p := s.proxies[conn]
-	if p == nil {
-		if m.Hello == nil {
-			return
-		}
-		p = &proxyConn{node: from.Node, conn: conn}
-		s.proxies[conn] = p
-		s.sendInitialState(conn)
-	}
 	if m.RenewLease > 0 {
 		s.onLeaseRenewal(p, m)
 	}
--- a/internal/controlplane/server.go
+++ b/internal/controlplane/server.go
@@ -109,7 +109,7 @@
 	peers            map[string]*peer                        // by name
 	acceptedPeers    session.Sessions                        // connections dialled by peers
 	acceptedProxies  session.Sessions                        // connections dialled by proxies
-	proxies          map[*rpc.Conn]*proxyConn                // by current connection
+	proxies          map[*rpc.Conn]*proxyConn                // by open connection
 	lastRefused      map[string]uint64                       // by peer or proxy: the incarnation that was refused last
 	requests         map[uint64]chan<- consensus.RequestDone // by request id
 	lastRequestID    uint64
--- a/internal/gateway/session/dialer.go
+++ b/internal/gateway/session/dialer.go
@@ -131,6 +131,7 @@
 
 // serve handles a connection until it ends.
 func (d *Dialer) serve(conn *rpc.Conn) connOutcome {
+	handshake := d.sessions.StartHandshake()
 	conn.Send(d.Hello())
 	var peer *rpc.Hello
 	var isDuplicate atomic.Bool
@@ -153,7 +154,7 @@
 				return connectedToSelf
 			}
 		}
-		d.Queue.Do(func() { d.handle(peer.Node.Name, conn, m, &isDuplicate) })
+		d.Queue.Do(func() { d.handle(peer.Node.Name, handshake, conn, m, &isDuplicate) })
 	}
 	conn.Close()
 	if peer != nil {
@@ -171,9 +172,11 @@
 
 // handle processes a message on the owner's goroutine. It sets isDuplicate if Sessions refuses the
 // connection.
-func (d *Dialer) handle(name string, conn *rpc.Conn, m *rpc.Message, isDuplicate *atomic.Bool) {
+func (d *Dialer) handle(
+	name string, handshake Handshake, conn *rpc.Conn, m *rpc.Message, isDuplicate *atomic.Bool,
+) {
 	if m.Hello != nil {
-		replaced, ok := d.sessions.Register(m.Hello, conn)
+		replaced, ok := d.sessions.Register(m.Hello, handshake, conn)
 		isDuplicate.Store(!ok)
 		if replaced != nil {
 			d.OnDisconnect(name, replaced)
--- a/internal/gateway/session/doc.go
+++ b/internal/gateway/session/doc.go
@@ -2,8 +2,8 @@
 //
 //   - A CommandQueue passes functions to the owner, which runs them one at a time. State that only these functions
 //     access needs no lock.
-//   - Sessions selects the current connection of each peer by the incarnation in the peer's Hello. Late messages from a
-//     replaced connection or an earlier incarnation are not handled.
+//   - Sessions selects the current connection of each peer by the incarnation in the peer's Hello and by the order of
+//     the handshakes. Late messages from a replaced connection or an earlier incarnation are not handled.
 //   - A Dialer keeps a connection to each of a set of addresses and passes the messages of current connections to the
 //     owner.
 package session
--- a/internal/gateway/session/session_test.go
+++ b/internal/gateway/session/session_test.go
@@ -311,7 +311,7 @@
 		register := func(i int, incarnation uint64, wantOK bool, wantReplaced *rpc.Conn) {
 			t.Helper()
 			conn := conns[i]
-			replaced, ok := sessions.Register(hello("edge-0", incarnation).Hello, conn)
+			replaced, ok := sessions.Register(hello("edge-0", incarnation).Hello, session.Handshake(i+1), conn)
 			if ok != wantOK || replaced != wantReplaced || isOpen(conn) != ok || replaced != nil && isOpen(replaced) ||
 				sessions.IsCurrent("edge-0", conn) != ok {
 				t.Errorf("connection %d of incarnation %d: registered %v, replaced %v", i, incarnation, ok, replaced)
@@ -338,6 +338,62 @@
 	})
 }
 
+// Guards against refusing the running process of a peer for good because the connection of an earlier, dead process was
+// read after its own: the process with the later handshake is current, in whichever order the two are registered.
+func TestOrderOfHandshakes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const dead, running = 1, 2
+		newConn := func() *rpc.Conn {
+			local, remote := net.Pipe()
+			conn := rpc.NewConn(local)
+			t.Cleanup(conn.Close)
+			t.Cleanup(func() { _ = remote.Close() })
+			return conn
+		}
+		for _, preferNewest := range []bool{false, true} {
+			sessions := session.Sessions{PreferNewest: preferNewest}
+			ofDead, ofRunning := sessions.StartHandshake(), sessions.StartHandshake()
+			current := newConn()
+			if _, ok := sessions.Register(hello("core-1", running).Hello, ofRunning, current); !ok {
+				t.Fatal("the first connection is refused")
+			}
+			if _, ok := sessions.Register(hello("core-1", dead).Hello, ofDead, newConn()); ok {
+				t.Error("the connection of a process that ended before the current one started is registered")
+			}
+			if !sessions.IsCurrent("core-1", current) {
+				t.Error("the running process has lost its connection")
+			}
+			if !sessions.IsPast(hello("core-1", dead).Hello) || sessions.IsPast(hello("core-1", running).Hello) {
+				t.Error("the running process is taken for the earlier one")
+			}
+			sessions.Unregister("core-1", current)
+			again := newConn()
+			if _, ok := sessions.Register(hello("core-1", running).Hello, sessions.StartHandshake(), again); !ok {
+				t.Error("a new connection of the running process is refused")
+			}
+			if _, ok := sessions.Register(hello("core-1", dead).Hello, sessions.StartHandshake(), newConn()); ok {
+				t.Error("an earlier process replaces a later one")
+			}
+		}
+	})
+}
+
+// With PreferNewest, a connection whose handshake began earlier does not replace one of the same incarnation.
+func TestOlderHandshakeOfSameIncarnation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sessions := session.Sessions{PreferNewest: true}
+		local, remote := net.Pipe()
+		older, newer := rpc.NewConn(local), rpc.NewConn(remote)
+		defer older.Close()
+		defer newer.Close()
+		first, second := sessions.StartHandshake(), sessions.StartHandshake()
+		sessions.Register(hello("edge-0", 1).Hello, second, newer)
+		if _, ok := sessions.Register(hello("edge-0", 1).Hello, first, older); ok || !sessions.IsCurrent("edge-0", newer) {
+			t.Error("an abandoned connection has replaced the newer one")
+		}
+	})
+}
+
 // Guards against a dial to a machine that was down, which blocks until its timeout, delaying the connection once the
 // machine is back.
 func TestRetryNow(t *testing.T) {
