registry: a report of another node ends no other endpoint at its address

A node could tell its proxies, and with the next connection its peers, that a running endpoint is gone.

Of two endpoints that had one address one after the other, the one whose report came last ended the other, though reports of two nodes come in any order, after a suspension or a cut.

Change: only a heartbeat that a node receives itself ends the endpoint that had the address before. That node reports both, the new endpoint and the end of the earlier one, so the others need not infer it.

Test: TestLateReportOfPreviousEndpointAtAddress.

--- a/internal/controlplane/registry/endpoints.go
+++ b/internal/controlplane/registry/endpoints.go
@@ -67,13 +67,15 @@
 	return []rpc.Endpoint{e.snapshot(now, false)}
 }
 
-// ApplyRemote applies reports of another node. It returns the resulting changes, to be sent to proxies.
+// ApplyRemote applies reports of another node. It returns the resulting changes, to be sent to proxies. A report ends
+// no other endpoint at the same address: reports of several nodes arrive in any order, so the reported endpoint may be
+// the earlier one. The node that received the heartbeat of the later one reports the end of the earlier one too.
 func (r *Registry) ApplyRemote(now time.Duration, reports []rpc.Endpoint) (changes []rpc.Endpoint) {
 	for _, reported := range reports {
 		if r.apply(now, reported) {
 			e := r.entries[reported.ID]
 			changes = append(changes, e.snapshot(now, e.live))
-			changes = append(changes, r.evictPrevious(now, e)...)
+			r.claimVacantAddress(e)
 		}
 	}
 	return changes
@@ -143,26 +145,34 @@
 	return changed
 }
 
+// addressHolder returns the endpoint at an address, or nil if there is none or it is gone.
+func (r *Registry) addressHolder(address string) *Entry {
+	holder := r.entries[r.byAddress[address]]
+	if holder == nil || holder.Address != address || holder.State == rpc.Gone {
+		return nil
+	}
+	return holder
+}
+
+// claimVacantAddress records e at its address unless another endpoint holds it.
+func (r *Registry) claimVacantAddress(e *Entry) {
+	if e.State != rpc.Gone && e.Address != "" && r.addressHolder(e.Address) == nil {
+		r.byAddress[e.Address] = e.ID
+	}
+}
+
 // evictPrevious marks the endpoint that had the address of e before as gone: its process ended without deregistering,
 // or its deregistration has not arrived yet. It returns the resulting changes.
 func (r *Registry) evictPrevious(now time.Duration, e *Entry) []rpc.Endpoint {
 	if e.State == rpc.Gone || e.Address == "" {
 		return nil
 	}
-	previousID := r.byAddress[e.Address]
-	previous := r.entries[previousID]
-	if previousID == e.ID || previous == nil || previous.Address != e.Address {
-		r.byAddress[e.Address] = e.ID
-		return nil
-	}
-	if previous.live && !e.live {
-		return nil // this node receives the heartbeats of previous, so e may be the older endpoint
-	}
+	previous := r.addressHolder(e.Address)
 	r.byAddress[e.Address] = e.ID
-	if previous.State == rpc.Gone {
+	if previous == nil || previous.ID == e.ID {
 		return nil
 	}
-	return r.Deregister(now, previousID, previous.Seq)
+	return r.Deregister(now, previous.ID, previous.Seq)
 }
 
 // snapshot returns the entry in the form that is sent to proxies and nodes.
--- a/internal/controlplane/registry/registry_test.go
+++ b/internal/controlplane/registry/registry_test.go
@@ -118,6 +118,25 @@
 	}
 }
 
+// The reports of two other nodes may arrive in any order. Guards against the late report of an earlier endpoint at an
+// address that marks the running one, which no heartbeat revives, as gone.
+func TestLateReportOfPreviousEndpointAtAddress(t *testing.T) {
+	table := New(heartbeatInterval)
+	table.ApplyRemote(second, []rpc.Endpoint{endpointReport("i-new", 1, rpc.Ready)})
+	changes := table.ApplyRemote(2*second, []rpc.Endpoint{endpointReport("i-old", 1, rpc.Ready)})
+	if state := table.Get("i-new").State; state != rpc.Ready {
+		t.Errorf("the running endpoint is in state %d, and its address is lost to others: %+v", state, changes)
+	}
+	changes = table.ApplyRemote(3*second, []rpc.Endpoint{endpointReport("i-old", 1, rpc.Gone)})
+	if len(changes) != 1 || table.Get("i-old").State != rpc.Gone {
+		t.Errorf("the end of the earlier endpoint, which the node that found it reports, is not applied: %+v", changes)
+	}
+	_, outdated := table.Heartbeat(4*second, endpointReport("i-new", 3, rpc.Ready))
+	if outdated {
+		t.Error("the heartbeat of the running endpoint is ignored")
+	}
+}
+
 // Guards against a registry that removes an endpoint known only from another node too early, whatever its own uptime.
 func TestRemoteEndpointIsKept(t *testing.T) {
 	for _, now := range []time.Duration{10 * second, 1000 * second} {
