controlplane: a heartbeat that waited during a suspension ends no other endpoint

A node that wakes could end a running endpoint for 90 s, on all nodes, because the first heartbeat of an earlier endpoint at its address waited in a socket.

A heartbeat of an endpoint that no node knew yet ended whichever endpoint had the address, without regard to when it was sent.

Change: up to 0.5 s after a suspension, and before the tick that detects it, a heartbeat whose address another endpoint holds is answered 503 and not applied; an endpoint that runs sends it to another node at once. Requests of operators use the same test, so that one that waited is refused also if it is read before the late tick.

--- a/internal/controlplane/calls.go
+++ b/internal/controlplane/calls.go
@@ -119,6 +119,11 @@
 	return apierror.New(apierror.Unavailable, "", errors.New("there is no contact with a majority of the voters"))
 }
 
+// suspendedError is the response to a call that may have been sent long ago, because this process was suspended.
+func suspendedError() error {
+	return apierror.New(apierror.Unavailable, "", errors.New("this process was suspended until just now"))
+}
+
 // withoutGoTypes replaces the names of Go types in an error of the JSON decoder by target, which describes the decoded
 // value.
 func withoutGoTypes(err error, target string) error {
--- a/internal/controlplane/endpointcalls.go
+++ b/internal/controlplane/endpointcalls.go
@@ -54,6 +54,12 @@
 	done := make(chan error, 1)
 	target := make(chan string, 1) // the address to which the endpoint sends its next heartbeats
 	s.queue.Do(func() {
+		if s.inputMayBeOutdated() && s.registry.IsAddressTaken(endpoint) {
+			// A late heartbeat of an endpoint that has ended must not evict the one that has its address now. An endpoint
+			// that runs turns to another node.
+			done <- suspendedError()
+			return
+		}
 		changes, _ := s.registry.Heartbeat(s.now(), endpoint)
 		if endpoint.State == rpc.Draining {
 			// Repeated reports are sent too: the endpoint may be retrying one that too few peers have acknowledged.
--- a/internal/controlplane/operatorcalls.go
+++ b/internal/controlplane/operatorcalls.go
@@ -116,8 +116,8 @@
 		return apierror.New(apierror.ShuttingDown, "", nil)
 	case !s.hasQuorumNow():
 		return noQuorumError()
-	case s.now() < s.staleInputEnd:
-		return apierror.New(apierror.Unavailable, "", errors.New("this process was suspended until just now"))
+	case s.inputMayBeOutdated():
+		return suspendedError()
 	case waited > maxQueueDelay || r.Context().Err() != nil:
 		// The client may have retried at another node by now. Committing the order late could undo newer ones.
 		return apierror.New(apierror.Unavailable, "", errors.New("the request was queued for too long"))
--- a/internal/controlplane/registry/endpoints.go
+++ b/internal/controlplane/registry/endpoints.go
@@ -145,6 +145,12 @@
 	return changed
 }
 
+// IsAddressTaken reports whether another endpoint that is not gone has the address of a reported one.
+func (r *Registry) IsAddressTaken(reported rpc.Endpoint) bool {
+	holder := r.addressHolder(reported.Address)
+	return holder != nil && holder.ID != reported.ID
+}
+
 // addressHolder returns the endpoint at an address, or nil if there is none or it is gone.
 func (r *Registry) addressHolder(address string) *Entry {
 	holder := r.entries[r.byAddress[address]]
@@ -162,7 +168,8 @@
 }
 
 // evictPrevious marks the endpoint that had the address of e before as gone: its process ended without deregistering,
-// or its deregistration has not arrived yet. It returns the resulting changes.
+// or its deregistration has not arrived yet. It returns the resulting changes. It must be called only on a heartbeat of
+// e that was read soon after it was sent.
 func (r *Registry) evictPrevious(now time.Duration, e *Entry) []rpc.Endpoint {
 	if e.State == rpc.Gone || e.Address == "" {
 		return nil
--- a/internal/controlplane/server.go
+++ b/internal/controlplane/server.go
@@ -47,7 +47,8 @@
 	connTimeout       = 3 * time.Second
 	keepAliveInterval = time.Second
 	// suspensionThreshold is the time between two ticks from which on the process counts as suspended. Input that was
-	// buffered meanwhile may be outdated, so the node accepts no requests of operators for staleInputDuration.
+	// buffered meanwhile may be outdated, so for staleInputDuration the node accepts no requests of operators, and no
+	// heartbeat that would end another endpoint.
 	suspensionThreshold = time.Second
 	staleInputDuration  = 500 * time.Millisecond
 	// bootstrapLogInterval is the time between two log lines while the cluster is not bootstrapped yet.
@@ -275,13 +276,24 @@
 
 // detectSuspension detects from a late tick that the process was suspended, and starts the staleInputDuration.
 func (s *Server) detectSuspension(now time.Duration) {
-	if s.lastTick > 0 && now-s.lastTick > suspensionThreshold {
+	if s.isTickOverdue(now) {
 		s.staleInputEnd = now + staleInputDuration
 		s.log.Warn("process was suspended", logfield.Duration, now-s.lastTick)
 	}
 	s.lastTick = now
 }
 
+func (s *Server) isTickOverdue(now time.Duration) bool {
+	return s.lastTick > 0 && now-s.lastTick > suspensionThreshold
+}
+
+// inputMayBeOutdated reports whether input may have been buffered during a suspension of this process, also if the
+// owner has not reached the late tick yet.
+func (s *Server) inputMayBeOutdated() bool {
+	now := s.now()
+	return now < s.staleInputEnd || s.isTickOverdue(now)
+}
+
 // logBootstrapProgress periodically logs how many disks are known and needed to bootstrap the cluster.
 func (s *Server) logBootstrapProgress(now time.Duration) {
 	if now < s.lastBootstrapLog+bootstrapLogInterval {
--- a/internal/controlplane/server_test.go
+++ b/internal/controlplane/server_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -28,6 +29,18 @@
 	host           *simulation.Host
 	disk           *simulation.Disk
 	server         *controlplane.Server
+	suspension     atomic.Int64 // how long the next write to the disk suspends the process, a time.Duration
+}
+
+// suspendingDisk suspends the process of a node at a write, if the test asks for it.
+type suspendingDisk struct {
+	controlplane.Disk
+	node *node
+}
+
+func (d suspendingDisk) PutAsync(name string, value []byte, done func(error)) {
+	time.Sleep(time.Duration(d.node.suspension.Swap(0)))
+	d.Disk.PutAsync(name, value, done)
 }
 
 // cluster is a set of control-plane nodes on one network, with the transcript of a test.
@@ -98,7 +111,7 @@
 	disk, complete, fresh := n.disk.Open(n.host)
 	n.server = controlplane.New(controlplane.Options{
 		Settings:     &settings,
-		Disk:         disk,
+		Disk:         suspendingDisk{disk, n},
 		DiskComplete: complete,
 		DiskFresh:    fresh,
 		Log:          hclog.New(&hclog.LoggerOptions{Output: &c.logs, Level: hclog.Warn}),
