controlplane: the tests of late heartbeats give the same verdict every time

Cause: TestLateHeartbeatAfterSuspension and TestNewEndpointAfterSuspension failed in about half of 100 runs. Traced by times of each message, two causes, both in the test: its proxy sent its first renewal a second after the node's Hello, so that the node gave the connection up after a suspension at that moment (connTimeout); and it did not wait until it was connected, so that a change could come before its first message, which leaves out endpoints that other nodes report. Change: the proxy renews at once, as proxies do, and is connected before the first heartbeat. The checks are the same.

--- a/internal/controlplane/endpointcalls_test.go
+++ b/internal/controlplane/endpointcalls_test.go
@@ -1,6 +1,7 @@
 package controlplane_test
 
 import (
+	"context"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -28,27 +29,37 @@
 	states := &endpointStates{byID: map[string]rpc.EndpointState{}}
 	conn := dialNode(t, c.net.Host("10.0.0.200"), n)
 	conn.Send(&rpc.Message{Hello: &rpc.Hello{Node: rpc.Node{Name: "edge-0"}, Incarnation: 1, IsProxy: true}})
+	ctx, stopRenewals := context.WithCancel(t.Context())
 	go func() {
 		defer conn.Close()
-		for number := uint64(1); ; {
+		defer stopRenewals()
+		for {
 			m, err := conn.Receive(0)
 			if err != nil {
 				return
 			}
+			if m.Hello != nil {
+				go renewEachSecond(ctx, conn)
+			}
 			states.mu.Lock()
 			for _, e := range m.Endpoints {
 				states.byID[e.ID] = e.State
 			}
 			states.mu.Unlock()
-			if m.Hello != nil || m.LeaseRenewed == number {
-				number++
-				time.AfterFunc(time.Second, func() { conn.Send(&rpc.Message{Lease: rpc.Lease{RenewLease: number}}) })
-			}
 		}
 	}()
+	time.Sleep(5 * time.Millisecond) // until the node has answered; it reports later changes
 	return states
 }
 
+// renewEachSecond renews the lease of a proxy, at once and then each second.
+func renewEachSecond(ctx context.Context, conn *rpc.Conn) {
+	for number := uint64(1); ctx.Err() == nil; number++ {
+		conn.Send(&rpc.Message{Lease: rpc.Lease{RenewLease: number}})
+		time.Sleep(time.Second)
+	}
+}
+
 // A process that was suspended reads what waited meanwhile in any order. Guards against the late heartbeat of an
 // endpoint that has ended, which marks the running endpoint at its address as gone, on all nodes and for good.
 func TestLateHeartbeatAfterSuspension(t *testing.T) {
