--- a/internal/controlplane/server.go
+++ b/internal/controlplane/server.go
@@ -224,7 +224,6 @@
 		case <-ticker.Chan():
 			s.tick()
 		case <-s.queue.Stopped():
-			s.sharding.calls.CloseIdle(true)
 			return
 		}
 	}
--- a/internal/controlplane/shardcalls/client.go
+++ b/internal/controlplane/shardcalls/client.go
@@ -3,16 +3,21 @@
 // Calls are written by hand because of when they may be written: right before each write the client checks that
 // neither the assigner's lease nor the time of the call has ended, also if the process was suspended in between. A call
 // that is not answered in time has its connection reset, which discards what the network has not delivered.
+//
+// Each call has a connection of its own. Nothing in an answer says which call it answers, and an endpoint may answer
+// twice or late. On a connection that had carried an earlier call, such an answer could be taken for that of a release,
+// and free a range that its holder still has. To check for unread data before the write is not enough, because the
+// answer may arrive after the write.
 package shardcalls
 
 import (
 	"bufio"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -24,9 +29,8 @@
 	headerHandoff        = "X-Elmfold-Handoff"
 	headerInstanceID     = "X-Elmfold-Instance-Id"
 	headerTargetInstance = "X-Elmfold-Target-Instance"
-	// idleTimeout is how long an unused connection is kept. Renewals use it more often.
-	idleTimeout     = 3 * time.Second
-	maxResponseBody = 64 << 10
+	maxResponseBody      = 64 << 10
+	maxInterimResponses  = 4
 )
 
 // Paths of the calls.
@@ -52,44 +56,29 @@
 	MayWrite func() bool
 	// HealthPath returns the path of a service's health check.
 	HealthPath func(service string) string
-
-	mu   sync.Mutex
-	idle map[string]*idleConn // by address
-}
-
-// idleConn is an open connection without a call.
-type idleConn struct {
-	net.Conn
-	reader *bufio.Reader
-	since  time.Time
 }
 
 // Do sends a call that was requested at a time and returns its result, and the handoff in the response to a release.
 func (c *Client) Do(call sharding.Call, requestedAt time.Time) (result sharding.CallResult, handoff string) {
 	deadline := requestedAt.Add(call.Timeout)
-	conn := c.takeIdle(call.Address)
-	if conn == nil {
-		netConn, err := c.Dial(call.Address)
-		if err != nil {
-			return sharding.NotSent, ""
-		}
-		conn = &idleConn{Conn: netConn, reader: bufio.NewReader(netConn)}
+	conn, err := c.Dial(call.Address)
+	if err != nil {
+		return sharding.NotSent, ""
 	}
-	resetOnClose(conn.Conn)
+	resetOnClose(conn)
+	defer func() { _ = conn.Close() }()
 	_ = conn.SetDeadline(deadline) // fails only on a closed connection
 	request := c.encode(call)
 	if !c.MayWrite() || !c.Clock.Now().Before(deadline) {
-		_ = conn.Close()
 		return sharding.NotSent, ""
 	}
 	if n, err := conn.Write(request); err != nil {
-		_ = conn.Close()
 		if n == 0 {
 			return sharding.NotSent, ""
 		}
 		return sharding.Unanswered, ""
 	}
-	return c.receive(call, conn)
+	return receive(call, conn)
 }
 
 // resetOnClose makes Close discard data that was not delivered yet.
@@ -119,18 +108,11 @@
 }
 
 // receive reads the response.
-func (c *Client) receive(call sharding.Call, conn *idleConn) (sharding.CallResult, string) {
-	response, err := http.ReadResponse(conn.reader, nil)
+func receive(call sharding.Call, conn net.Conn) (result sharding.CallResult, handoff string) {
+	response, err := readResponse(conn)
 	if err != nil {
-		_ = conn.Close()
 		return sharding.Unanswered, ""
 	}
-	_, err = io.Copy(io.Discard, io.LimitReader(response.Body, maxResponseBody))
-	if err != nil || response.Close || conn.reader.Buffered() > 0 {
-		_ = conn.Close()
-	} else {
-		c.putIdle(call.Address, conn)
-	}
 	instance := response.Header.Get(headerInstanceID)
 	switch {
 	case instance != "" && instance != call.EndpointID:
@@ -145,40 +127,18 @@
 	return sharding.Refused, ""
 }
 
-func (c *Client) takeIdle(address string) *idleConn {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	conn := c.idle[address]
-	delete(c.idle, address)
-	if conn != nil && c.Clock.Now().Sub(conn.since) > idleTimeout {
-		_ = conn.Close()
-		return nil
-	}
-	return conn
-}
-
-// putIdle keeps a connection for later calls, and closes the one that it replaces.
-func (c *Client) putIdle(address string, conn *idleConn) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.idle == nil {
-		c.idle = map[string]*idleConn{}
-	}
-	if replaced := c.idle[address]; replaced != nil {
-		_ = replaced.Close()
-	}
-	conn.since = c.Clock.Now()
-	c.idle[address] = conn
-}
-
-// CloseIdle closes the connections that were unused for idleTimeout, or all unused ones.
-func (c *Client) CloseIdle(all bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for address, conn := range c.idle {
-		if all || c.Clock.Now().Sub(conn.since) > idleTimeout {
-			_ = conn.Close()
-			delete(c.idle, address)
+// readResponse reads the final response with its whole body. Interim responses (1xx) are skipped.
+func readResponse(conn net.Conn) (*http.Response, error) {
+	reader := bufio.NewReader(conn)
+	for range maxInterimResponses {
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			return nil, err
+		}
+		if response.StatusCode >= http.StatusOK {
+			_, err = io.Copy(io.Discard, io.LimitReader(response.Body, maxResponseBody))
+			return response, err
 		}
 	}
+	return nil, errors.New("too many interim responses")
 }
--- a/internal/controlplane/shardcalls/client_test.go
+++ b/internal/controlplane/shardcalls/client_test.go
@@ -1,6 +1,7 @@
 package shardcalls
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -78,11 +79,13 @@
 		Timeout: 10 * time.Second}
 }
 
-// What is sent is as the endpoints' protocol has it, on one connection, and each answer has its result.
+// What is sent is as the endpoints' protocol has it, each call on a connection of its own, and each answer has its
+// result.
 func TestCalls(t *testing.T) {
 	e := startEndpoint(t)
 	c := newClient(true)
 	var out strings.Builder
+	calls := 0
 	for _, answer := range []struct {
 		status int
 		fields map[string]string
@@ -101,16 +104,18 @@
 		probe.Kind = sharding.Probe
 		for _, call := range []sharding.Call{grant, release, probe} {
 			result, handoff := c.Do(call, time.Now())
+			calls++
 			fmt.Fprintf(&out, "%d %v: kind %d, result %d, handoff %q\n", answer.status, answer.fields, call.Kind, result,
 				handoff)
 		}
 	}
 	out.WriteString(e.received.String())
 	autogold.Equal(t, out.String())
-	if e.conns != 1 {
-		t.Errorf("%d connections", e.conns)
-	}
-	c.CloseIdle(true)
+	e.do(func() {
+		if e.conns != calls {
+			t.Errorf("%d connections for %d calls", e.conns, calls)
+		}
+	})
 }
 
 // Guards against a grant that arrives although its sender may not act any more: the lease or the time of the call ended
@@ -152,8 +157,79 @@
 	if result, _ := c.Do(call, time.Now()); result != sharding.NotSent {
 		t.Errorf("result %d where nobody listens", result)
 	}
-	c.CloseIdle(true)
-	if len(c.idle) > 0 {
-		t.Error("connections are kept")
+}
+
+// startSecondAnswerer answers each connection's first call, sends that answer again, and answers nothing after it.
+func startSecondAnswerer(t *testing.T, firstAnswer, secondAnswer string) (address string, secondSent <-chan struct{}) {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	sent := make(chan struct{}, 16)
+	serve := func(conn net.Conn) {
+		defer func() { _ = conn.Close() }()
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, firstAnswer)
+		time.Sleep(20 * time.Millisecond)
+		_, _ = io.WriteString(conn, secondAnswer) // fails if the client has closed the connection
+		sent <- struct{}{}
+		_, _ = io.Copy(io.Discard, conn)
+	}
+	go func() {
+		first := true
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			if !first { // nothing on later connections is answered
+				t.Cleanup(func() { _ = conn.Close() })
+				continue
+			}
+			first = false
+			go serve(conn)
+		}
+	}()
+	return listener.Addr().String(), sent
+}
+
+// Guards against an answer that is taken for that of a later call: a second answer to a grant freed a range that its
+// holder still had, and a late answer of an earlier instance counted as the end of the one that followed it.
+func TestAnswerOfEarlierCall(t *testing.T) {
+	const accepted = "HTTP/1.1 200 OK\r\nX-Elmfold-Handoff: 77aa\r\nContent-Length: 0\r\n\r\n"
+	const otherInstance = "HTTP/1.1 421 Misdirected Request\r\nX-Elmfold-Instance-Id: i-0\r\nContent-Length: 0\r\n\r\n"
+	for name, second := range map[string]string{"second answer": accepted, "other instance": otherInstance} {
+		for _, kind := range []sharding.CallKind{sharding.Release, sharding.Grant, sharding.Probe} {
+			t.Run(fmt.Sprintf("%s, kind %d", name, kind), func(t *testing.T) {
+				address, secondSent := startSecondAnswerer(t, accepted, second)
+				c := newClient(true)
+				call := grantCall(&fakeEndpoint{address: address})
+				if result, _ := c.Do(call, time.Now()); result != sharding.Accepted {
+					t.Fatalf("result %d of the first call", result)
+				}
+				<-secondSent
+				time.Sleep(10 * time.Millisecond) // until the second answer has arrived
+				call.Kind, call.Timeout = kind, 100*time.Millisecond
+				if result, handoff := c.Do(call, time.Now()); result != sharding.Unanswered || handoff != "" {
+					t.Errorf("result %d, handoff %q of a call that was not answered", result, handoff)
+				}
+			})
+		}
+	}
+}
+
+// Guards against an interim response that is taken for the answer of a call.
+func TestInterimResponse(t *testing.T) {
+	const answer = "HTTP/1.1 103 Early Hints\r\n\r\n" +
+		"HTTP/1.1 200 OK\r\nX-Elmfold-Handoff: 77aa\r\nContent-Length: 0\r\n\r\n"
+	address, _ := startSecondAnswerer(t, answer, "")
+	call := grantCall(&fakeEndpoint{address: address})
+	call.Kind = sharding.Release
+	if result, handoff := newClient(true).Do(call, time.Now()); result != sharding.Accepted || handoff != "77aa" {
+		t.Errorf("result %d, handoff %q", result, handoff)
 	}
 }
--- a/internal/controlplane/sharding/assigner.go
+++ b/internal/controlplane/sharding/assigner.go
@@ -81,6 +81,7 @@
 	forgetsFormerHolders bool // a range may be granted while a former holder has it
 	unfencedTable        bool // an earlier term can change the table
 	acquiresEarly        bool // a lease can be taken over before its use has ended
+	reusesConnections    bool // a second answer to a call is taken for that of the next call
 }
 
 // Endpoint is an endpoint of a sharded service.
--- a/internal/controlplane/sharding/model_test.go
+++ b/internal/controlplane/sharding/model_test.go
@@ -76,6 +76,13 @@
 	// freezeAt, if set, freezes the node for a span just after its next action of a kind: "grant" or "table".
 	freezeAt   string
 	freezeSpan time.Duration
+	unread     map[string]*modelAnswer // by address: what is unread on a connection that is kept
+}
+
+// modelAnswer is an answer of an endpoint.
+type modelAnswer struct {
+	result  CallResult
+	handoff string
 }
 
 // modelEndpoint is one address, and the life of an endpoint that has it.
@@ -156,6 +163,7 @@
 func (n *modelNode) start() {
 	n.incarnation++
 	n.startedAt, n.down, n.leaseUntil = n.world.now, false, 0
+	n.unread = map[string]*modelAnswer{}
 	n.assigner = New(Options{
 		Node:        n.name,
 		StoreID:     "disk of " + n.name,
@@ -307,7 +315,7 @@
 		n.freezeAfter("grant")
 	}
 	requestedAt := w.now
-	answered := false
+	answered, misled := false, false
 	answer := func(d time.Duration, result CallResult, handoff string) {
 		n.later(d, func() {
 			if !answered {
@@ -324,12 +332,16 @@
 			return
 		}
 		e := w.endpointAt(c.Address)
+		if early := n.unread[c.Address]; early != nil { // taken for the answer to this call
+			n.unread[c.Address], misled = nil, true
+			answer(0, early.result, early.handoff)
+		}
 		delay := modelDelay
 		switch {
 		case e.down, w.suffers("unreachable", n, e):
 			answer(modelDelay, NotSent, "")
 			return
-		case w.suffers("cut", n, e):
+		case w.suffers("cut", n, e), w.suffers("cut and drain", n, e):
 			return
 		case w.suffers("late", n, e):
 			delay = max(requestedAt+latestDelivery-time.Millisecond-w.now, modelDelay)
@@ -346,11 +358,21 @@
 			}
 			if !w.suffers("answers lost", n, e) && !w.suffers("late", n, e) {
 				answer(took, result, "token")
+				if misled || w.suffers("second answer", n, e) {
+					n.keepUnread(c.Address, took, &modelAnswer{result, "token"})
+				}
 			}
 		})
 	})
 }
 
+// keepUnread leaves an answer on the connection to an endpoint, if the node uses the connection for its next call.
+func (n *modelNode) keepUnread(address string, after time.Duration, a *modelAnswer) {
+	if n.world.bugs.reusesConnections {
+		n.later(after+modelDelay, func() { n.unread[address] = a })
+	}
+}
+
 // Endpoints.
 
 func (w *modelWorld) endpointAt(address string) *modelEndpoint {
@@ -469,6 +491,8 @@
 	{"unreachable", 12 * time.Second},
 	{"freeze after grant", 5 * time.Second},
 	{"freeze after table", 5 * time.Second},
+	{"second answer", time.Second},
+	{"cut and drain", 3 * time.Second},
 }
 
 // plan schedules a fault of a kind at a time. It concerns the node that acts then, and an endpoint.
@@ -519,7 +543,7 @@
 		w.after(span, func() { e.newLife(); relist() })
 	case "dark":
 		e.down = true
-	case "drain":
+	case "drain", "cut and drain":
 		e.usable = false
 		relist()
 	}
--- a/internal/controlplane/sharding/safety_test.go
+++ b/internal/controlplane/sharding/safety_test.go
@@ -127,6 +127,7 @@
 		{"forgetsFormerHolders", injectedBugs{forgetsFormerHolders: true}, "freeze", "cut"},
 		{"unfencedTable", injectedBugs{unfencedTable: true}, "cut", "freeze after table"},
 		{"acquiresEarly", injectedBugs{acquiresEarly: true}, "freeze", "freeze"},
+		{"reusesConnections", injectedBugs{reusesConnections: true}, "second answer", "cut and drain"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			played, caught := 0, ""
--- a/internal/controlplane/shards.go
+++ b/internal/controlplane/shards.go
@@ -22,8 +22,8 @@
 	publishDelay = 5 * time.Millisecond
 	// leaseReleaseTimeout is how long a shutdown waits until the lease of the assigner is given up.
 	leaseReleaseTimeout = 400 * time.Millisecond
-	// idleCallsCheckInterval is the time between two checks for unused connections to endpoints.
-	idleCallsCheckInterval = time.Second
+	// shardMetricsInterval is the time between two updates of the assigner's metrics.
+	shardMetricsInterval = time.Second
 )
 
 // isShardRegister reports whether a register belongs to package sharding. Proxies are not told of these.
@@ -46,7 +46,7 @@
 	stepScheduled    bool
 	publishScheduled bool
 	deadline         time.Duration // of the running timer; 0: none runs
-	closedIdleAt     time.Duration
+	metricsSetAt     time.Duration
 	hasStopped       bool
 }
 
@@ -129,10 +129,9 @@
 	}
 	h.schedulePublish()
 	h.scheduleDeadline()
-	if now >= h.closedIdleAt+idleCallsCheckInterval {
-		h.closedIdleAt = now
+	if now >= h.metricsSetAt+shardMetricsInterval {
+		h.metricsSetAt = now
 		h.server.metrics.shards.set(h.assigner.Counts())
-		h.calls.CloseIdle(false)
 	}
 }
 
