--- a/internal/controlplane/consensus/evacuations.go
+++ b/internal/controlplane/consensus/evacuations.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/binary"
+	"math"
 	"slices"
 	"strconv"
 	"time"
@@ -11,8 +12,8 @@
 // Evacuations
 //
 // The register of a zone holds the number of open evacuations and the kind of the last request: "2b" after a second
-// begin, "1f" after one of two finishes. After a colon follow the ids of the last requests. These values are stored and
-// sent to proxies.
+// begin, "1f" after one of two finishes. After a colon follow the ids of the last requests, and after a request that
+// followed one of the other kind the time between the two. These values are stored and sent to proxies.
 //
 // Evacuations are counted because two operators may evacuate a zone at overlapping times. The finish of one must not
 // end the evacuation of the other.
@@ -22,12 +23,18 @@
 // consequence, two operators that begin within the window count as one, and the first finish ends both evacuations. Two
 // finishes within the window also count as one, and the zone stays evacuated until another finish. docs/control.md
 // explains why this is accepted.
+//
+// A copy of a request that the network held up may arrive after a request of the other kind, and must not undo that
+// one. So a request is refused as a PossibleDuplicate if the last request is of the other kind and the retry window of
+// the last one of its own kind is not over. It cannot be told from a request in earnest, whose client sends it again.
 
 const (
 	lastBegan        = 'b'
 	lastFinished     = 'f'
 	maxRememberedIDs = 8
 	idBytes          = 8
+	gapBytes         = 4 // shorter than an id: versions that do not know of gaps ignore it
+	unknownGap       = time.Duration(-1)
 )
 
 // evacuations is the decoded value of a zone's register.
@@ -35,18 +42,23 @@
 	open int
 	last byte     // lastBegan or lastFinished
 	ids  []uint64 // of the last requests, oldest first
+	// gap is the time from the last request of the other kind to the last request, or unknownGap.
+	gap time.Duration
 }
 
 func parseEvacuations(value []byte) evacuations {
 	state, ids, _ := bytes.Cut(value, []byte(":"))
 	if len(state) < 2 {
-		return evacuations{last: lastFinished}
+		return evacuations{last: lastFinished, gap: unknownGap}
 	}
-	e := evacuations{last: state[len(state)-1]}
+	e := evacuations{last: state[len(state)-1], gap: unknownGap}
 	e.open, _ = strconv.Atoi(string(state[:len(state)-1])) // 0 if malformed
 	for ; len(ids) >= idBytes; ids = ids[idBytes:] {
 		e.ids = append(e.ids, binary.BigEndian.Uint64(ids))
 	}
+	if len(ids) == gapBytes {
+		e.gap = time.Duration(binary.BigEndian.Uint32(ids)) * time.Millisecond
+	}
 	return e
 }
 
@@ -55,19 +67,35 @@
 	for _, id := range e.ids[max(len(e.ids)-maxRememberedIDs, 0):] {
 		value = binary.BigEndian.AppendUint64(value, id)
 	}
+	if gapMS := e.gap.Milliseconds(); e.gap != unknownGap && gapMS <= math.MaxUint32 {
+		value = binary.BigEndian.AppendUint32(value, uint32(gapMS))
+	}
 	return value
 }
 
-// apply returns the state after a request.
-func (e evacuations) apply(begin bool, id uint64) evacuations {
-	next := evacuations{open: max(e.open-1, 0), last: lastFinished}
+// apply returns the state after a request, which follows the last one by age. isFirst tells that there is no last one.
+func (e evacuations) apply(begin bool, id uint64, age time.Duration, isFirst bool) evacuations {
+	next := evacuations{open: max(e.open-1, 0), last: lastFinished, gap: unknownGap}
 	if begin {
 		next.open, next.last = e.open+1, lastBegan
 	}
 	next.ids = append(slices.Clone(e.ids), id)
+	switch {
+	case isFirst:
+	case next.last != e.last:
+		next.gap = age
+	case e.gap != unknownGap:
+		next.gap = e.gap + age
+	}
 	return next
 }
 
+// mayBeCopy reports whether a request may be a copy of an earlier one that a request of the other kind has followed.
+// age is that of the last request.
+func (e evacuations) mayBeCopy(kind byte, age, retryWindow time.Duration) bool {
+	return kind != e.last && e.gap != unknownGap && e.gap+age < retryWindow
+}
+
 // IsEvacuated reports whether the value of a zone's register says that the zone is evacuated.
 func IsEvacuated(value []byte) bool { return parseEvacuations(value).open > 0 }
 
@@ -80,8 +108,9 @@
 // Evacuate returns the change that begins or finishes an evacuation.
 //
 // id identifies the request, so that it is applied once even if another node has already finished its ballot. A request
-// of the same kind within retryWindow is a retry. timeOfDay, in ms since 1970, becomes the version. It also gives the
-// age of the last request if no node knows that age exactly.
+// of the same kind within retryWindow is a retry; with a request of the other kind in between it is a
+// PossibleDuplicate. timeOfDay, in ms since 1970, becomes the version. It also gives the age of the last request if no
+// node knows that age exactly.
 func Evacuate(begin bool, id uint64, retryWindow time.Duration, timeOfDay uint64) ChangeFunc {
 	return func(committed Register, age Age) (Register, Outcome) {
 		current := parseEvacuations(committed.Value)
@@ -89,10 +118,14 @@
 			byClock := time.Duration(int64(timeOfDay)-int64(committed.Version.Number)) * time.Millisecond
 			age.Duration = max(age.Duration, byClock)
 		}
-		next := current.apply(begin, id)
-		isRetry := committed.Version != (Version{}) && current.last == next.last && age.Duration < retryWindow
-		if isRetry || slices.Contains(current.ids, id) {
+		isFirst := committed.Version == (Version{})
+		next := current.apply(begin, id, age.Duration, isFirst)
+		isRetry := !isFirst && current.last == next.last && age.Duration < retryWindow
+		switch {
+		case isRetry || slices.Contains(current.ids, id):
 			return committed, Committed
+		case current.mayBeCopy(next.last, age.Duration, retryWindow):
+			return committed, PossibleDuplicate
 		}
 		return Register{
 			Name:    committed.Name,
--- a/internal/controlplane/consensus/evacuations_test.go
+++ b/internal/controlplane/consensus/evacuations_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -91,6 +92,73 @@
 	autogold.Equal(t, b.String())
 }
 
+// Guards against a late copy of an order that undoes a later, acknowledged one of the opposite kind: it is refused for
+// as long as it may be a copy. The same order in earnest has effect after that.
+func TestLateCopyOfOrder(t *testing.T) {
+	const window = 5 * time.Second
+	for _, firstBegins := range []bool{true, false} {
+		for _, more := range []int{1, 2} { // orders of the opposite kind in between
+			zone := &zoneRegister{Register: Register{Name: "zone/a"}, ageKnown: true}
+			at, id := uint64(startTime), uint64(0)
+			order := func(begin bool) Outcome {
+				id++
+				age := Age{Duration: time.Duration(at-zone.changedAt) * ms, Exact: zone.ageKnown}
+				next, outcome := Evacuate(begin, id, window, at)(zone.Register, age)
+				if next.Version != zone.Version {
+					zone.Register, zone.changedAt = next, at
+				}
+				return outcome
+			}
+			if !firstBegins { // an earlier evacuation to finish
+				order(true)
+				at += 20_000
+			}
+			order(firstBegins)
+			firstAt := at
+			for range more {
+				at += 1_500
+				if outcome := order(!firstBegins); outcome != Committed && more == 1 {
+					t.Errorf("the opposite order has outcome %d", outcome)
+				}
+			}
+			isEvacuated := IsEvacuated(zone.Value)
+			at = firstAt + 4_900
+			if outcome := order(firstBegins); outcome != PossibleDuplicate || IsEvacuated(zone.Value) != isEvacuated {
+				t.Errorf("begins %v, %d between: a late copy has outcome %d, evacuated %v", firstBegins, more, outcome,
+					IsEvacuated(zone.Value))
+			}
+			at = firstAt + 5_100
+			if outcome := order(firstBegins); outcome != Committed || IsEvacuated(zone.Value) != firstBegins {
+				t.Errorf("begins %v, %d between: an order in earnest has outcome %d, evacuated %v", firstBegins, more,
+					outcome, IsEvacuated(zone.Value))
+			}
+		}
+	}
+}
+
+// The value of a zone as d330930 reads it: a count, the last kind, and ids of 8 bytes; a shorter rest is ignored.
+// Guards against a gap between requests that nodes of that version take for an id, and against one that is lost.
+func TestEncodedGap(t *testing.T) {
+	for _, gap := range []time.Duration{unknownGap, 0, 1234 * ms, 1 << 40 * ms} {
+		e := evacuations{open: 2, last: lastBegan, ids: []uint64{7, 0x3a3a3a3a3a3a3a3a}, gap: gap}
+		value := e.encode()
+		state, rest, _ := strings.Cut(string(value), ":")
+		ids := rest[:len(rest)/8*8]
+		if state != "2b" || ids != "\x00\x00\x00\x00\x00\x00\x00\x07::::::::" {
+			t.Errorf("gap %v: a node of the former version reads %q and %q", gap, state, ids)
+		}
+		if gap > math.MaxUint32*ms {
+			gap = unknownGap
+		}
+		if decoded := parseEvacuations(value); decoded.gap != gap || !slices.Equal(decoded.ids, e.ids) {
+			t.Errorf("gap %v is read as %+v", gap, decoded)
+		}
+	}
+	if e := parseEvacuations([]byte("1b:\x00\x00\x00\x00\x00\x00\x00\x07")); e.gap != unknownGap {
+		t.Errorf("a value of the former version has the gap %v", e.gap)
+	}
+}
+
 // Compares three ways to handle two operators that evacuate one zone and retry their requests. A flag ends an
 // evacuation while the other operator still needs it. Counting every request, retries included, leaves the zone
 // evacuated forever. Evacuate does neither, unless two requests of different operators come within the retry window.
--- a/internal/controlplane/consensus/events.go
+++ b/internal/controlplane/consensus/events.go
@@ -130,10 +130,11 @@
 
 // Outcomes of a request.
 const (
-	Indeterminate Outcome = iota // the change may be committed, now or later
-	Committed                    // the value that the ChangeFunc returned is committed
-	Conflict                     // another value is committed with the same version
-	Aborted                      // the change is not committed and never will be
+	Indeterminate     Outcome = iota // the change may be committed, now or later
+	Committed                        // the value that the ChangeFunc returned is committed
+	Conflict                         // another value is committed with the same version
+	Aborted                          // the change is not committed and never will be
+	PossibleDuplicate                // as Aborted, because the request may be a late copy of an earlier one
 )
 
 // Age is how long a value has been committed, measured with monotonic clocks.
--- a/internal/controlplane/operatorcalls.go
+++ b/internal/controlplane/operatorcalls.go
@@ -72,7 +72,11 @@
 	committed, err := s.request(r, receivedAt, func(id uint64) consensus.Event {
 		return consensus.Propose{RequestID: id, Register: zoneRegisterPrefix + zone, Change: change}
 	})
-	if err == nil && !consensus.HasAppliedEvacuation(committed.Value, orderID) {
+	switch {
+	case errors.Is(err, errPossibleDuplicate):
+		s.log.Warn("evacuation order refused: it may be a late copy of an earlier one", logfield.Zone, zone,
+			logfield.EvacuationBegin, begin)
+	case err == nil && !consensus.HasAppliedEvacuation(committed.Value, orderID):
 		// Calls do not identify the operator, so an equal order of another operator looks like a retry.
 		s.log.Warn("evacuation order treated as a retry of the previous one", logfield.Zone, zone,
 			logfield.EvacuationBegin, begin)
@@ -125,6 +129,9 @@
 	return nil
 }
 
+// errPossibleDuplicate is the cause of the error of a request that may be a late copy of an earlier one.
+var errPossibleDuplicate = errors.New("this may be a late copy of an order before the last one; send it again")
+
 func outcomeError(outcome consensus.Outcome) error {
 	switch outcome {
 	case consensus.Committed:
@@ -133,6 +140,8 @@
 		return apierror.New(apierror.VersionConflict, "generation", nil)
 	case consensus.Aborted:
 		return apierror.New(apierror.Unavailable, "", nil)
+	case consensus.PossibleDuplicate:
+		return apierror.New(apierror.Unavailable, "", errPossibleDuplicate)
 	case consensus.Indeterminate:
 	}
 	return apierror.New(apierror.OutcomeUnknown, "", nil)
