soak: second answers to calls about keys, and evacuations of whose orders one comes late

Cause: the soak had neither disruption, and judged no evacuation. Change: a fault by which endpoints send answers to grants and releases twice (OWNER is judged as before), and in runs of 15 s or more two evacuations of a zone, the first copy of the order between them held up with its bytes kept. EVAC is judged as the rule has it: evacuateS after the acknowledgement, by proxies that nothing befell for contactS; nothing befalls the controllers meanwhile.

--- a/internal/bench/soak/faults.go
+++ b/internal/bench/soak/faults.go
@@ -21,6 +21,7 @@
 	recoverySlack      = time.Second
 	graceTime          = 6 * time.Second
 	lostAnswerShare    = 0.3
+	secondAnswerShare  = 0.3
 	callTimeout        = 5 * time.Second
 )
 
@@ -28,6 +29,20 @@
 type handlings struct {
 	mu     sync.Mutex
 	losing int // faults that lose answers
+	twice  int // faults that have calls about keys answered twice
+}
+
+func (f *handlings) answerTwice(by int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.twice += by
+}
+
+// drawTwice draws whether an answer to a call about keys is sent twice.
+func (f *handlings) drawTwice(string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.twice > 0 && rand.Float64() < secondAnswerShare
 }
 
 func (f *handlings) lose(by int) {
@@ -66,6 +81,9 @@
 			}
 		}
 	})
+	if span >= evacuationsSpan {
+		beside.Go(w.evacuate)
+	}
 	w.drawFaults(ctx)
 	beside.Wait()
 	w.work.Wait()
@@ -123,7 +141,7 @@
 	// The first proxy is left alone but for what befalls backends and controllers, so that some of all clients that
 	// leave are always held against the invariants.
 	proxies := newTurns(w.deployment.Carriers, len(w.deployment.Carriers)-1)
-	controllers := newTurns(w.deployment.Controllers, 1)
+	controllers := w.controllerTurns
 	kill := func(p *gateway.Process, span time.Duration) {
 		defer w.ledger.beginFault(p.Name, recoverySlack)()
 		p.Kill()
@@ -155,6 +173,7 @@
 		{"the way to a backend is cut", w.cut},
 		{"connections to a backend are reset", w.reset},
 		{"answers are lost", w.loseAnswers},
+		{"calls about keys are answered twice", w.answerTwice},
 		{"the configuration changes", w.replaceConfiguration},
 	}
 }
@@ -185,6 +204,13 @@
 	time.Sleep(span)
 }
 
+func (w *world) answerTwice(_ *rand.Rand, span time.Duration) {
+	defer w.ledger.beginFault("calls", 0)()
+	w.handlings.answerTwice(1)
+	defer w.handlings.answerTwice(-1)
+	time.Sleep(span)
+}
+
 // replaceConfiguration is planned work: it harms nothing. One operator at a time gives orders.
 func (w *world) replaceConfiguration(*rand.Rand, time.Duration) {
 	w.ledger.mu.Lock()
--- a/internal/bench/soak/invariants.go
+++ b/internal/bench/soak/invariants.go
@@ -18,6 +18,9 @@
 	// goroutineSlack is how many more goroutines a proxy at rest may have than before the first request: connections
 	// to endpoints and their checks.
 	goroutineSlack = 40
+	// evacuationTime and contactTime are the bounds evacuateS and contactS of the settings.
+	evacuationTime = 5 * time.Second
+	contactTime    = 3 * time.Second
 )
 
 // Figures of a proxy that count violations.
@@ -49,6 +52,7 @@
 			}
 			o.violations = append(o.violations, l.checkAnswer(q)...)
 			o.violations = append(o.violations, l.checkDeparture(q)...)
+			o.violations = append(o.violations, l.checkEvacuations(q)...)
 		}
 	})
 	sort.Strings(o.violations)
@@ -99,6 +103,20 @@
 	return violations
 }
 
+// checkEvacuations holds for a proxy that nothing has befallen for contactTime. Nothing befalls control-plane nodes
+// during an evacuation.
+func (l *ledger) checkEvacuations(q *request) (violations []string) {
+	for _, r := range q.runs {
+		for _, e := range l.evacuations {
+			isWithin := l.zones[r.backend] == e.zone && r.begunAt.After(e.from) && r.begunAt.Before(e.to)
+			if isWithin && l.worst(q.proxy, r.begunAt.Add(-contactTime), r.begunAt) == unharmed {
+				violations = append(violations, "EVAC: "+q.id+" reached "+r.backend+" in the evacuated zone "+e.zone)
+			}
+		}
+	}
+	return violations
+}
+
 // harm is how bad what befell a subject was.
 type harm int
 
--- a/internal/bench/soak/ledger.go
+++ b/internal/bench/soak/ledger.go
@@ -41,11 +41,19 @@
 	faults      []span
 	now         int // faults that last
 	overlapping int
-	others      []string // violations that were seen as they were
-	unknown     int      // runs of ids that no client sent
+	others      []string          // violations that were seen as they were
+	unknown     int               // runs of ids that no client sent
+	zones       map[string]string // of backends, by id
+	evacuations []evacuation
 }
 
-func newLedger() *ledger { return &ledger{requests: map[string]*request{}} }
+// evacuation is a time in which no request may begin in a zone, by machines in touch.
+type evacuation struct {
+	zone     string
+	from, to time.Time
+}
+
+func newLedger() *ledger { return &ledger{requests: map[string]*request{}, zones: map[string]string{}} }
 
 func (l *ledger) do(f func()) {
 	l.mu.Lock()
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -1,11 +1,12 @@
 // Package soak plays the gateway's real programs on loopback for a while, under random faults that overlap, with
 // clients of whom many leave before their answer, and holds what clients and backends saw against invariants.
 //
-//	soak.go      the command and one run
+//	soak.go        the command and one run
 //	faults.go      what is done to processes, connections and backends
-//	clients.go   requests, and how clients leave
-//	ledger.go    what was seen
-//	invariants.gothe invariants
+//	evacuations.go two evacuations of a zone, of whose orders one comes late
+//	clients.go     requests, and how clients leave
+//	ledger.go      what was seen
+//	invariants.go  the invariants
 package soak
 
 import (
@@ -127,7 +128,9 @@
 	operator   *gateway.Operator
 	version    uint32
 	keys       *gateway.Keys // of the service that is divided by key
-	work       sync.WaitGroup
+	// controllerTurns are the controllers that faults may befall.
+	controllerTurns *turns
+	work            sync.WaitGroup
 }
 
 // way is the network between proxies and a backend.
@@ -177,6 +180,7 @@
 func start(ctx context.Context, seed uint64, dir, programs string) (w *world, err error) {
 	w = &world{seed: seed, ledger: newLedger(), handlings: &handlings{}, version: 1}
 	w.keys = gateway.NewKeys(w.ledger.violated, w.ledger.hasJustHealed)
+	w.keys.AnswersTwice = w.handlings.drawTwice
 	w.deployment, err = gateway.Start(gateway.Plan{
 		Programs:    programs,
 		Dir:         dir,
@@ -196,6 +200,7 @@
 			w.stop()
 		}
 	}()
+	w.controllerTurns = newTurns(w.deployment.Controllers, 1)
 	for i := range services * backends {
 		if err := w.startBackend(i); err != nil {
 			return nil, err
@@ -226,6 +231,7 @@
 		return err
 	}
 	w.ways = append(w.ways, way{id, l})
+	w.ledger.zones[id] = zones[i/services%len(zones)]
 	o := gateway.BackendOptions{ID: id, Service: gateway.ServiceName(i % services),
 		Zone: zones[i/services%len(zones)], Listen: address, Advertise: l.Addr(), Slots: slots, Heartbeat: heartbeat,
 		Controls: w.deployment.Controls(), Observer: w.ledger, Handle: w.handlings.draw}
--- a/internal/fakes/gateway/backend.go
+++ b/internal/fakes/gateway/backend.go
@@ -65,8 +65,8 @@
 	if o.Advertise == "" {
 		o.Advertise = b.Address
 	}
-	b.server = &http.Server{Handler: b}
-	go func() { _ = b.server.Serve(l) }()
+	b.server = &http.Server{Handler: b, ConnContext: withConn}
+	go func() { _ = b.server.Serve(repeatingListener{l}) }()
 	b.heartbeats = startHeartbeats(
 		Incarnation{ID: o.ID, Service: o.Service, Zone: o.Zone, Address: o.Advertise, Capacity: o.Slots},
 		o.Heartbeat,
--- a/internal/fakes/gateway/keys.go
+++ b/internal/fakes/gateway/keys.go
@@ -19,6 +19,8 @@
 	Violated func(format string, values ...any)
 	// IsExcused reports whether a grant that arrives at a backend now does not count: the way there has just healed.
 	IsExcused func(backend string) bool
+	// AnswersTwice reports whether an answer of a backend to a call is sent a second time; nil: none is.
+	AnswersTwice func(backend string) bool
 
 	mu      sync.Mutex
 	holders map[string]*keyHolder // by backend
@@ -80,6 +82,9 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if k.AnswersTwice != nil && k.AnswersTwice(backend) {
+		repeatAnswer(r)
+	}
 	if r.URL.Path == releasePath {
 		k.release(backend, &o)
 		for k.isWorking(backend, &o) && r.Context().Err() == nil {
