consensus: an evacuation order on a younger connection than the last is taken at once

Cause: the registers alone cannot tell such an order from a late copy of the earlier one.

Change: the connection can. An order was sent after its connection came to be, so one on a connection younger than the last order is no copy of anything before it. The server keeps when each connection of a call was accepted; an order that may be older is refused as before, and its connection is closed, so that the client's next try comes on a new one.

Test: TestLateCopyOfFinish (late copies on a kept connection and on one of unknown age, the same order on a new one), TestLateCopyOfOrder.

--- a/internal/controlplane/calls.go
+++ b/internal/controlplane/calls.go
@@ -74,6 +74,9 @@
 		apiErr = apierror.New(apierror.InvalidArgument, "", err)
 	}
 	policy := apiErr.Kind.Policy()
+	if errors.Is(err, errPossibleDuplicate) {
+		w.Header().Set("Connection", "close") // a retry on a new connection was sent later
+	}
 	if policy.RetryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.FormatFloat(policy.RetryAfter.Seconds(), 'f', 3, 64))
 	}
--- a/internal/controlplane/connections_test.go
+++ b/internal/controlplane/connections_test.go
@@ -37,10 +37,16 @@
 	return rpc.NewConn(netConn)
 }
 
+// postCall makes a call on a connection of unknown age.
 func postCall(n *node, call, body string) *httptest.ResponseRecorder {
+	return postCallOn(context.Background(), n, call, body)
+}
+
+// postCallOn makes a call on a connection with a context of ConnContext.
+func postCallOn(conn context.Context, n *node, call, body string) *httptest.ResponseRecorder {
 	w := httptest.NewRecorder()
-	r := httptest.NewRequest("POST", "http://"+n.ip+":8544/v1/rpc?call="+call, strings.NewReader(body))
-	n.server.Handler().ServeHTTP(w, r)
+	url := "http://" + n.ip + ":8544/v1/rpc?call=" + call
+	n.server.Handler().ServeHTTP(w, httptest.NewRequestWithContext(conn, "POST", url, strings.NewReader(body)))
 	return w
 }
 
--- a/internal/controlplane/consensus/evacuations.go
+++ b/internal/controlplane/consensus/evacuations.go
@@ -25,8 +25,9 @@
 // explains why this is accepted.
 //
 // A copy of a request that the network held up may arrive after a request of the other kind, and must not undo that
-// one. So a request is refused as a PossibleDuplicate if the last request is of the other kind and the retry window of
-// the last one of its own kind is not over. It cannot be told from a request in earnest, whose client sends it again.
+// one. So a request is refused as a PossibleDuplicate if the last request is of the other kind, the retry window of the
+// last one of its own kind is not over, and it may have been sent before the last request was committed. The client of
+// a request in earnest sends it again, on a new connection, which shows that it was sent later.
 
 const (
 	lastBegan        = 'b'
@@ -91,9 +92,9 @@
 }
 
 // mayBeCopy reports whether a request may be a copy of an earlier one that a request of the other kind has followed.
-// age is that of the last request.
-func (e evacuations) mayBeCopy(kind byte, age, retryWindow time.Duration) bool {
-	return kind != e.last && e.gap != unknownGap && e.gap+age < retryWindow
+// age is that of the last request, and sentWithin an upper bound of the time since the request was sent.
+func (e evacuations) mayBeCopy(kind byte, age, retryWindow, sentWithin time.Duration) bool {
+	return kind != e.last && e.gap != unknownGap && e.gap+age < retryWindow && age < sentWithin
 }
 
 // IsEvacuated reports whether the value of a zone's register says that the zone is evacuated.
@@ -109,9 +110,12 @@
 //
 // id identifies the request, so that it is applied once even if another node has already finished its ballot. A request
 // of the same kind within retryWindow is a retry; with a request of the other kind in between it is a
-// PossibleDuplicate. timeOfDay, in ms since 1970, becomes the version. It also gives the age of the last request if no
-// node knows that age exactly.
-func Evacuate(begin bool, id uint64, retryWindow time.Duration, timeOfDay uint64) ChangeFunc {
+// PossibleDuplicate, unless it was sent later than that. timeOfDay, in ms since 1970, becomes the version. It also
+// gives the age of the last request if no node knows that age exactly. sentWithin returns an upper bound of the time
+// since the request was sent.
+func Evacuate(
+	begin bool, id uint64, retryWindow time.Duration, timeOfDay uint64, sentWithin func() time.Duration,
+) ChangeFunc {
 	return func(committed Register, age Age) (Register, Outcome) {
 		current := parseEvacuations(committed.Value)
 		if !age.Exact {
@@ -124,7 +128,7 @@
 		switch {
 		case isRetry || slices.Contains(current.ids, id):
 			return committed, Committed
-		case current.mayBeCopy(next.last, age.Duration, retryWindow):
+		case current.mayBeCopy(next.last, age.Duration, retryWindow, sentWithin()):
 			return committed, PossibleDuplicate
 		}
 		return Register{
--- a/internal/controlplane/consensus/evacuations_test.go
+++ b/internal/controlplane/consensus/evacuations_test.go
@@ -21,6 +21,9 @@
 	lastID    uint64
 }
 
+// sentLongAgo is the bound of a request on a connection that is as old as any other request.
+func sentLongAgo() time.Duration { return time.Hour }
+
 func (zone *zoneRegister) request(now uint64, clockSkew int64, begin bool) {
 	zone.lastID++
 	zone.requestWithID(now, clockSkew, begin, zone.lastID)
@@ -28,7 +31,7 @@
 
 func (zone *zoneRegister) requestWithID(now uint64, clockSkew int64, begin bool, id uint64) {
 	age := Age{time.Duration(now-zone.changedAt) * ms, zone.ageKnown}
-	next, _ := Evacuate(begin, id, 5*time.Second, uint64(int64(now)+clockSkew))(zone.Register, age)
+	next, _ := Evacuate(begin, id, 5*time.Second, uint64(int64(now)+clockSkew), sentLongAgo)(zone.Register, age)
 	if next.Version != zone.Version {
 		zone.Register, zone.changedAt, zone.ageKnown = next, now, true
 	}
@@ -103,7 +106,7 @@
 			order := func(begin bool) Outcome {
 				id++
 				age := Age{Duration: time.Duration(at-zone.changedAt) * ms, Exact: zone.ageKnown}
-				next, outcome := Evacuate(begin, id, window, at)(zone.Register, age)
+				next, outcome := Evacuate(begin, id, window, at, sentLongAgo)(zone.Register, age)
 				if next.Version != zone.Version {
 					zone.Register, zone.changedAt = next, at
 				}
@@ -123,6 +126,11 @@
 			}
 			isEvacuated := IsEvacuated(zone.Value)
 			at = firstAt + 4_900
+			sent := Evacuate(firstBegins, 99, window, at, func() time.Duration { return 3 * time.Second })
+			age := Age{Duration: time.Duration(at-zone.changedAt) * ms, Exact: true} // over 3 s
+			if _, outcome := sent(zone.Register, age); outcome != Committed {
+				t.Errorf("an order that was sent after the one in between has outcome %d", outcome)
+			}
 			if outcome := order(firstBegins); outcome != PossibleDuplicate || IsEvacuated(zone.Value) != isEvacuated {
 				t.Errorf("begins %v, %d between: a late copy has outcome %d, evacuated %v", firstBegins, more, outcome,
 					IsEvacuated(zone.Value))
--- a/internal/controlplane/consensus/history_test.go
+++ b/internal/controlplane/consensus/history_test.go
@@ -75,7 +75,7 @@
 		op.event = Propose{op.requestID, op.register, apply}
 	case evacuationOperation:
 		timeOfDay := uint64(int64(sim.now/ms) + startTime + int64(m.clockSkew/ms))
-		op.event = Propose{op.requestID, op.register, Evacuate(op.begin, op.id, retryWindow, timeOfDay)}
+		op.event = Propose{op.requestID, op.register, Evacuate(op.begin, op.id, retryWindow, timeOfDay, sentLongAgo)}
 	}
 	recorded := &op
 	sim.pending[op.requestID] = recorded
--- a/internal/controlplane/evacuation_test.go
+++ b/internal/controlplane/evacuation_test.go
@@ -1,6 +1,7 @@
 package controlplane_test
 
 import (
+	"context"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -39,7 +40,7 @@
 }
 
 // Guards against a copy of an order that the network held up, and that undoes a later, acknowledged order when it
-// arrives. An order in earnest that looks the same is taken once the time for copies is over.
+// arrives; and against an order in earnest that is refused although its connection shows that it was sent later.
 func TestLateCopyOfFinish(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := startCluster(3, 1)
@@ -49,27 +50,41 @@
 		isEvacuated := func() bool {
 			return strings.Contains(postCall(c.nodes[2], "core.status", "").Body.String(), `"evacuated":["south"]`)
 		}
-		order := func(node int, call string, want int, wantEvacuated bool, what string) {
+		newConn := func(node int) context.Context { return c.nodes[node].server.ConnContext(t.Context(), nil) }
+		order := func(conn context.Context, node int, call string, want int, wantEvacuated bool, what string) {
 			t.Helper()
-			if w := postCall(c.nodes[node], call, ""); w.Code != want {
-				t.Errorf("%s is answered %d %s", what, w.Code, w.Body)
+			w := postCallOn(conn, c.nodes[node], call, "")
+			if closes := w.Header().Get("Connection") == "close"; w.Code != want || closes != (want == 503) {
+				t.Errorf("%s is answered %d %s, closes the connection: %v", what, w.Code, w.Body, closes)
 			}
 			time.Sleep(100 * time.Millisecond)
 			if isEvacuated() != wantEvacuated {
 				t.Errorf("after %s: evacuated %v", what, isEvacuated())
 			}
 		}
-		order(0, begin, 200, true, "the first begin")
+		kept := newConn(0)
+		order(kept, 0, begin, 200, true, "the first begin")
 		time.Sleep(8 * time.Second)
-		order(1, finish, 200, false, "the finish") // the client gave up the copy that it had sent to node 0
+		order(newConn(1), 1, finish, 200, false, "the finish") // the client gave up the copy that it had sent to node 0
 		time.Sleep(2 * time.Second)
-		order(1, begin, 200, true, "the second begin")
+		order(newConn(1), 1, begin, 200, true, "the second begin")
 		time.Sleep(500 * time.Millisecond)
-		order(0, finish, 503, true, "the late copy of the finish")
-		if got := c.logs.count("may be a late copy"); got != 1 {
-			t.Errorf("%d lines on a late copy", got)
+		order(kept, 0, finish, 503, true, "the late copy of the finish")
+		order(context.Background(), 0, finish, 503, true, "a late copy on a connection of unknown age")
+		if got := c.logs.count("may be a late copy"); got != 2 {
+			t.Errorf("%d lines on late copies", got)
 		}
-		time.Sleep(3 * time.Second)
-		order(0, finish, 200, false, "a finish in earnest")
+		order(newConn(0), 0, finish, 200, false, "a finish in earnest")
+
+		time.Sleep(8 * time.Second)
+		order(newConn(0), 0, begin, 200, true, "a begin")
+		time.Sleep(time.Second)
+		order(newConn(0), 0, finish, 200, false, "a finish")
+		order(newConn(0), 0, begin, 503, false, "a begin whose connection may be older than the finish")
+		time.Sleep(500 * time.Millisecond)
+		order(newConn(0), 0, begin, 200, true, "the same order, sent again")
+		order(kept, 0, finish, 503, true, "the next order on a connection that was kept")
+		time.Sleep(6 * time.Second)
+		order(kept, 0, finish, 200, false, "the same order after the time for copies")
 	})
 }
--- a/internal/controlplane/main.go
+++ b/internal/controlplane/main.go
@@ -70,7 +70,7 @@
 		Listener:     peers,
 		TimeOfDay:    time.Now,
 	})
-	callServer := newCallServer(s.Handler())
+	callServer := newCallServer(s)
 	go serveCalls(log, callServer, calls)
 	cli.ServeMetrics(log, settings, options, s.Metrics())
 	cli.HandleSignals(log, s.Reload, func() { // called once per signal; a second call waits for the same handover
@@ -101,9 +101,10 @@
 	}
 }
 
-func newCallServer(handler http.Handler) *http.Server {
+func newCallServer(s *Server) *http.Server {
 	return &http.Server{
-		Handler:           handler,
+		Handler:           s.Handler(),
+		ConnContext:       s.ConnContext,
 		ReadHeaderTimeout: callHeaderTimeout,
 		ReadTimeout:       callReadTimeout,
 		IdleTimeout:       callIdleTimeout,
--- a/internal/controlplane/operatorcalls.go
+++ b/internal/controlplane/operatorcalls.go
@@ -68,7 +68,7 @@
 	timeOfDay := uint64(s.options.TimeOfDay().UnixMilli())
 	retryWindow := s.options.Settings.Bounds.Ack.Duration() + retryArrivalSlack
 	orderID := rand.Uint64()
-	change := consensus.Evacuate(begin, orderID, retryWindow, timeOfDay)
+	change := consensus.Evacuate(begin, orderID, retryWindow, timeOfDay, func() time.Duration { return s.sentWithin(r) })
 	committed, err := s.request(r, receivedAt, func(id uint64) consensus.Event {
 		return consensus.Propose{RequestID: id, Register: zoneRegisterPrefix + zone, Change: change}
 	})
--- a/internal/controlplane/server.go
+++ b/internal/controlplane/server.go
@@ -13,6 +13,7 @@
 //	proxies.go       messages to and from proxies
 //	endpoints.go     distribution and acknowledgement of endpoint reports
 //	calls.go         HTTP calls: dispatch and responses
+//	callage.go       the age of calls, by their connections
 //	operatorcalls.go calls of operators
 //	endpointcalls.go calls of endpoints
 //	metrics.go       metrics of the process
--- a/internal/simulation/machines.go
+++ b/internal/simulation/machines.go
@@ -119,7 +119,9 @@
 		disk, known, fresh := m.Disk.Open(h)
 		s := controlplane.New(controlplane.Options{Settings: set, Disk: disk, DiskComplete: known, DiskFresh: fresh, Log: log,
 			Clock: clockwork.NewRealClock(), Dial: dial, Listener: must(h.Listen(set.OwnPeerAddress())), TimeOfDay: m.timeOfDay})
-		calls := quiet(&http.Server{Handler: s.Handler(), ReadTimeout: 20 * time.Second})
+		calls := quiet(&http.Server{
+			Handler: s.Handler(), ConnContext: s.ConnContext, ReadTimeout: 20 * time.Second,
+		})
 		listen := must(h.Listen(m.control()))
 		go func() { _ = calls.Serve(listen) }()
 		go s.Run()
