controlplane: a test of orders that waited during a suspension

Cause: the rule that a node which was suspended takes no orders for a while had no test. Change: TestOrderAfterSuspension.

--- a/internal/controlplane/evacuation_test.go
+++ b/internal/controlplane/evacuation_test.go
@@ -88,3 +88,24 @@
 		order(kept, 0, finish, 200, false, "the same order after the time for copies")
 	})
 }
+
+// Guards against an order that waited while the node was suspended, and that is applied as if it had just been sent:
+// its client has turned to another node meanwhile, and other orders may have followed.
+func TestOrderAfterSuspension(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := startCluster(3, 1)
+		defer c.stop()
+		suspended, other := c.nodes[0], c.nodes[1]
+		time.Sleep(5 * time.Second)
+		suspended.suspension.Store(int64(1050 * time.Millisecond)) // shorter than quorum contact lasts
+		go postCall(other, "config.replace", configJSON("00000001", ""))
+		time.Sleep(300 * time.Millisecond) // the order waits for less than maxQueueDelay
+		if w := postCall(suspended, "evacuation.begin&of=south", ""); w.Code != 503 {
+			t.Errorf("an order that waited during a suspension is answered %d %s", w.Code, w.Body)
+		}
+		time.Sleep(time.Second)
+		if w := postCall(suspended, "evacuation.begin&of=south", ""); w.Code != 200 {
+			t.Errorf("an order a second after the suspension is answered %d %s", w.Code, w.Body)
+		}
+	})
+}
