Control plane: refuse a late copy of an evacuation order however long it was held up

Cause: an order of the other kind than the last one counted as a possible copy for ackS + 0.5 s only. That bounds when a copy is sent, not how long a cut then holds it up; a finish that came 6.1 s after it was first applied was taken as new.

Change: the time is gone. Such an order must have been sent after the last one, by its connection: after the connection was accepted, and after the answer to the call before on it (RFC 9112, 9.3.2). Else 503, not applied, connection closed, as before. The age of the last order is the one that the node knows itself, where that is higher. Logs say how old an applied order may be (sent_within).

Tests changed: TestLateCopyOfOrder said that an order on an old connection is in earnest after the time for copies, which is the fault; it now refuses it up to 50 minutes late and takes one that was sent later.

--- a/internal/bench/soak/evacuations.go
+++ b/internal/bench/soak/evacuations.go
@@ -55,9 +55,10 @@
 	time.Sleep(operatorPatience)
 	isBegun := order(client, begin, others...)
 	acknowledgedAt := time.Now()
-	time.Sleep(operatorPatience)
+	delay := w.copyDelay()
+	time.Sleep(delay)
 	endHold()
-	time.Sleep(evacuationTime + judgedTime - operatorPatience)
+	time.Sleep(evacuationTime + judgedTime - delay)
 	judged := evacuation{zone: zone, from: acknowledgedAt.Add(evacuationTime), to: time.Now()}
 	if isFinished && isBegun {
 		w.ledger.do(func() { w.ledger.evacuations = append(w.ledger.evacuations, judged) })
@@ -67,6 +68,15 @@
 	}
 }
 
+// copyDelay returns how long after the second evacuation began the held order arrives: at once, or, with an even seed,
+// later than any retry of the order could be sent.
+func (w *world) copyDelay() time.Duration {
+	if w.seed%2 == 0 {
+		return evacuationTime
+	}
+	return operatorPatience
+}
+
 // order gives an order to controllers, one after the other, until one acknowledges it.
 func order(client *http.Client, call string, controls ...string) bool {
 	for _, control := range controls {
--- a/internal/controlplane/calls.go
+++ b/internal/controlplane/calls.go
@@ -23,6 +23,7 @@
 	mux.Post(callsPath, func(w http.ResponseWriter, r *http.Request) {
 		defer s.metrics.trackCall(r)()
 		body, err := s.dispatch(r)
+		s.beforeResponse(r)
 		if err != nil {
 			writeError(w, err)
 			return
--- a/internal/controlplane/consensus/boundedstate_test.go
+++ b/internal/controlplane/consensus/boundedstate_test.go
@@ -136,7 +136,7 @@
 			version++
 			i := k % 3
 			if k%5 == 4 {
-				change := Evacuate(k%4 < 2, version, ms, 1_700_000_000_000+version*1000, sentLongAgo)
+				change := Evacuate(k%4 < 2, version, ms, 1_700_000_000_000+version*1000, sentNow)
 				cluster.step(i, Propose{version, fmt.Sprint("zone/", k%2), change})
 			} else {
 				body := fmt.Appendf(nil, "configuration %08d", version)
--- a/internal/controlplane/consensus/evacuations.go
+++ b/internal/controlplane/consensus/evacuations.go
@@ -25,9 +25,10 @@
 // explains why this is accepted.
 //
 // A copy of a request that the network held up may arrive after a request of the other kind, and must not undo that
-// one. So a request is refused as a PossibleDuplicate if the last request is of the other kind, the retry window of the
-// last one of its own kind is not over, and it may have been sent before the last request was committed. The client of
-// a request in earnest sends it again, on a new connection, which shows that it was sent later.
+// one. How long it was held up is not bounded: only an upper bound of the time since it was sent tells it from a new
+// request. So a request is refused as a PossibleDuplicate if the last request is of the other kind and it may have been
+// sent before that one was committed. The client of a request in earnest sends it again, on a new connection, which
+// shows that it was sent later.
 
 const (
 	lastBegan        = 'b'
@@ -43,7 +44,8 @@
 	open int
 	last byte     // lastBegan or lastFinished
 	ids  []uint64 // of the last requests, oldest first
-	// gap is the time from the last request of the other kind to the last request, or unknownGap.
+	// gap is the time from the last request of the other kind to the last request, or unknownGap if there was none. Nodes
+	// of earlier versions use its length.
 	gap time.Duration
 }
 
@@ -93,8 +95,9 @@
 
 // mayBeCopy reports whether a request may be a copy of an earlier one that a request of the other kind has followed.
 // age is that of the last request, and sentWithin an upper bound of the time since the request was sent.
-func (e evacuations) mayBeCopy(kind byte, age, retryWindow, sentWithin time.Duration) bool {
-	return kind != e.last && e.gap != unknownGap && e.gap+age < retryWindow && age < sentWithin
+func (e evacuations) mayBeCopy(kind byte, age, sentWithin time.Duration) bool {
+	isFirstOfKind := e.gap == unknownGap
+	return kind != e.last && !isFirstOfKind && age < sentWithin
 }
 
 // IsEvacuated reports whether the value of a zone's register says that the zone is evacuated.
@@ -109,10 +112,10 @@
 // Evacuate returns the change that begins or finishes an evacuation.
 //
 // id identifies the request, so that it is applied once even if another node has already finished its ballot. A request
-// of the same kind within retryWindow is a retry; with a request of the other kind in between it is a
-// PossibleDuplicate, unless it was sent later than that. timeOfDay, in ms since 1970, becomes the version. It also
-// gives the age of the last request if no node knows that age exactly. sentWithin returns an upper bound of the time
-// since the request was sent.
+// of the same kind as the last one, within retryWindow of it, is a retry. One of the other kind is a PossibleDuplicate
+// if it may have been sent before the last one. timeOfDay, in ms since 1970, becomes the version. It also gives the age
+// of the last request if no node knows that age exactly. sentWithin returns an upper bound of the time since the
+// request was sent.
 func Evacuate(
 	begin bool, id uint64, retryWindow time.Duration, timeOfDay uint64, sentWithin func() time.Duration,
 ) ChangeFunc {
@@ -128,7 +131,7 @@
 		switch {
 		case isRetry || slices.Contains(current.ids, id):
 			return committed, Committed
-		case current.mayBeCopy(next.last, age.Duration, retryWindow, sentWithin()):
+		case current.mayBeCopy(next.last, age.Duration, sentWithin()):
 			return committed, PossibleDuplicate
 		}
 		return Register{
--- a/internal/controlplane/consensus/evacuations_test.go
+++ b/internal/controlplane/consensus/evacuations_test.go
@@ -21,8 +21,10 @@
 	lastID    uint64
 }
 
-// sentLongAgo is the bound of a request on a connection that is as old as any other request.
+// sentLongAgo is the bound of a request on a connection that is as old as any other request, and sentNow that of a
+// request on a connection that has just come up.
 func sentLongAgo() time.Duration { return time.Hour }
+func sentNow() time.Duration     { return 0 }
 
 func (zone *zoneRegister) request(now uint64, clockSkew int64, begin bool) {
 	zone.lastID++
@@ -31,7 +33,7 @@
 
 func (zone *zoneRegister) requestWithID(now uint64, clockSkew int64, begin bool, id uint64) {
 	age := Age{time.Duration(now-zone.changedAt) * ms, zone.ageKnown}
-	next, _ := Evacuate(begin, id, 5*time.Second, uint64(int64(now)+clockSkew), sentLongAgo)(zone.Register, age)
+	next, _ := Evacuate(begin, id, 5*time.Second, uint64(int64(now)+clockSkew), sentNow)(zone.Register, age)
 	if next.Version != zone.Version {
 		zone.Register, zone.changedAt, zone.ageKnown = next, now, true
 	}
@@ -95,23 +97,25 @@
 	autogold.Equal(t, b.String())
 }
 
-// Guards against a late copy of an order that undoes a later, acknowledged one of the opposite kind: it is refused for
-// as long as it may be a copy. The same order in earnest has effect after that.
+// Guards against a late copy of an order that undoes a later, acknowledged one of the opposite kind (EVAC): it is
+// refused however late it is. The same order in earnest has effect if it was sent after the one in between.
 func TestLateCopyOfOrder(t *testing.T) {
 	const window = 5 * time.Second
 	for _, firstBegins := range []bool{true, false} {
 		for _, more := range []int{1, 2} { // orders of the opposite kind in between
 			zone := &zoneRegister{Register: Register{Name: "zone/a"}, ageKnown: true}
 			at, id := uint64(startTime), uint64(0)
-			order := func(begin bool) Outcome {
+			orderSent := func(begin bool, within time.Duration) Outcome {
 				id++
 				age := Age{Duration: time.Duration(at-zone.changedAt) * ms, Exact: zone.ageKnown}
-				next, outcome := Evacuate(begin, id, window, at, sentLongAgo)(zone.Register, age)
+				change := Evacuate(begin, id, window, at, func() time.Duration { return within })
+				next, outcome := change(zone.Register, age)
 				if next.Version != zone.Version {
 					zone.Register, zone.changedAt = next, at
 				}
 				return outcome
 			}
+			order := func(begin bool) Outcome { return orderSent(begin, sentLongAgo()) }
 			if !firstBegins { // an earlier evacuation to finish
 				order(true)
 				at += 20_000
@@ -120,25 +124,22 @@
 			firstAt := at
 			for range more {
 				at += 1_500
-				if outcome := order(!firstBegins); outcome != Committed && more == 1 {
+				if outcome := orderSent(!firstBegins, 0); outcome != Committed {
 					t.Errorf("the opposite order has outcome %d", outcome)
 				}
 			}
 			isEvacuated := IsEvacuated(zone.Value)
-			at = firstAt + 4_900
-			sent := Evacuate(firstBegins, 99, window, at, func() time.Duration { return 3 * time.Second })
-			age := Age{Duration: time.Duration(at-zone.changedAt) * ms, Exact: true} // over 3 s
-			if _, outcome := sent(zone.Register, age); outcome != Committed {
-				t.Errorf("an order that was sent after the one in between has outcome %d", outcome)
-			}
-			if outcome := order(firstBegins); outcome != PossibleDuplicate || IsEvacuated(zone.Value) != isEvacuated {
-				t.Errorf("begins %v, %d between: a late copy has outcome %d, evacuated %v", firstBegins, more, outcome,
-					IsEvacuated(zone.Value))
-			}
-			at = firstAt + 5_100
-			if outcome := order(firstBegins); outcome != Committed || IsEvacuated(zone.Value) != firstBegins {
-				t.Errorf("begins %v, %d between: an order in earnest has outcome %d, evacuated %v", firstBegins, more,
-					outcome, IsEvacuated(zone.Value))
+			for _, late := range []uint64{4_900, 5_100, 20_000, 3_000_000} { // ms; the last is just under sentLongAgo
+				at = firstAt + late
+				sinceLast := time.Duration(at-zone.changedAt) * ms
+				sent := Evacuate(firstBegins, 99, window, at, func() time.Duration { return sinceLast - 100*ms })
+				if _, outcome := sent(zone.Register, Age{Duration: sinceLast, Exact: true}); outcome != Committed {
+					t.Errorf("an order that was sent after the one in between has outcome %d", outcome)
+				}
+				if outcome := order(firstBegins); outcome != PossibleDuplicate || IsEvacuated(zone.Value) != isEvacuated {
+					t.Errorf("begins %v, %d between: a copy that is %d ms late has outcome %d, evacuated %v", firstBegins, more,
+						late, outcome, IsEvacuated(zone.Value))
+				}
 			}
 		}
 	}
--- a/internal/controlplane/consensus/history_test.go
+++ b/internal/controlplane/consensus/history_test.go
@@ -14,6 +14,9 @@
 	evacuationOperation = 'e'
 )
 
+// knownAges are the upper bounds of the time since an evacuation request was sent, of which each request has one.
+var knownAges = []time.Duration{0, 100 * ms, time.Second, 5 * time.Second, time.Hour}
+
 // operation is a client's request with its response.
 type operation struct {
 	requestID            uint64
@@ -25,6 +28,7 @@
 	begin                bool
 	id                   uint64
 	calledAt, returnedAt time.Duration // returnedAt is forever before the response
+	sentAfter            time.Duration // what the node knows of when the client sent the request: not earlier
 	outcome              Outcome
 	result               Register
 	event                Event
@@ -75,7 +79,9 @@
 		op.event = Propose{op.requestID, op.register, apply}
 	case evacuationOperation:
 		timeOfDay := uint64(int64(sim.now/ms) + startTime + int64(m.clockSkew/ms))
-		op.event = Propose{op.requestID, op.register, Evacuate(op.begin, op.id, retryWindow, timeOfDay, sentLongAgo)}
+		op.sentAfter = sim.now - knownAges[op.id%uint64(len(knownAges))]
+		sentWithin := func() time.Duration { return sim.now - op.sentAfter }
+		op.event = Propose{op.requestID, op.register, Evacuate(op.begin, op.id, retryWindow, timeOfDay, sentWithin)}
 	}
 	recorded := &op
 	sim.pending[op.requestID] = recorded
@@ -359,7 +365,7 @@
 }
 
 // checkEvacuationSteps checks that each request between two values of a zone that were observed in succession was
-// applied once, and that retries were not applied.
+// applied once, and that neither retries nor possible late copies were applied.
 func (sim *simulation) checkEvacuationSteps(name string, from, to *observedState) {
 	old, current := parseEvacuations(from.value.Value), parseEvacuations(to.value.Value)
 	wantOpen, oldIDs, currentIDs := old.open, old.ids, current.ids
@@ -404,9 +410,25 @@
 			sim.failf("%s: a retry is applied: %v, %v", name, previous, op)
 			return
 		}
+		if previous != nil && sim.isPossibleCopy(op, previous, currentIDs) && !sim.clocksSkewed {
+			sim.failf("%s: a request that may be a late copy is applied: %v, %v", name, previous, op)
+			return
+		}
 		previous = op
 	}
 	if current.open != wantOpen {
 		sim.failf("%s: %d evacuations are open in %q, not %d", name, current.open, to.value.Value, wantOpen)
 	}
 }
+
+// isPossibleCopy reports whether a request that was applied after previous may have been sent before that one, and may
+// be a copy of a request before that one, among those with the given ids.
+func (sim *simulation) isPossibleCopy(op, previous *operation, ids []uint64) bool {
+	if op.begin == previous.begin || op.sentAfter >= previous.calledAt {
+		return false
+	}
+	before := ids[:slices.Index(ids, previous.id)+1]
+	return slices.ContainsFunc(sim.history, func(earlier *operation) bool {
+		return earlier.begin == op.begin && slices.Contains(before, earlier.id)
+	})
+}
--- a/internal/controlplane/consensus/proposer.go
+++ b/internal/controlplane/consensus/proposer.go
@@ -123,11 +123,7 @@
 	if reg.proposal.Value != nil {
 		found = *reg.proposal.Value
 	}
-	age := reg.age
-	if !age.Exact && reg.acceptor.Value.Version == found.Version {
-		age.Duration = r.now - reg.receivedAt
-	}
-	next, nextAge := reg.applyBatch(found, age)
+	next, nextAge := reg.applyBatch(found, r.valueAge(reg, found))
 	switch {
 	case next.Version == Version{}: // no value exists, and none is proposed
 		r.closeBallot(reg, next)
@@ -152,6 +148,22 @@
 	}
 }
 
+// valueAge returns the age of the value that a quorum has promised. What the acceptors report lacks the time in which
+// their promises arrived, so the age that this node knows itself is often higher.
+func (r *Replica) valueAge(reg *register, value Register) Age {
+	age := reg.age
+	if reg.acceptor.Value.Version != value.Version {
+		return age
+	}
+	switch {
+	case reg.chosenAt != unknownTime:
+		age = Age{Duration: max(age.Duration, r.now-reg.chosenAt), Exact: true}
+	case !age.Exact:
+		age.Duration = r.now - reg.receivedAt
+	}
+	return age
+}
+
 // applyBatch applies the requests in order, and returns the last value and its age.
 func (reg *register) applyBatch(found Register, age Age) (Register, Age) {
 	next := found
--- a/internal/controlplane/consensus/simulationchecks_test.go
+++ b/internal/controlplane/consensus/simulationchecks_test.go
@@ -224,30 +224,27 @@
 // maxAgeError is how much too low the known age of a request may be, as it lacks the time that messages with it took.
 const maxAgeError = 300 * ms
 
-// mayBeCopy reports whether a request was refused rightly: it looks like a late copy of an earlier one of its kind,
-// which was applied within the retry window, and which a request of the other kind has followed. What is known of the
-// age of the earlier one lacks the time in which the requests after it were decided. If a process has started since,
-// the age is not known exactly.
+// mayBeCopy reports whether a request was refused rightly: when it was decided, the last request was of the other kind
+// and followed one of the same kind, and this one may have been sent before the last one was applied. If a process has
+// started since, the age of the last one is not known exactly.
 func (sim *simulation) mayBeCopy(op *operation) bool {
 	if op.outcome != PossibleDuplicate {
 		return false
 	}
-	isFollowed := false // by a request of the other kind
-	maxError := maxAgeError
-	applied := parseEvacuations(op.result.Value).ids
-	for _, id := range slices.Backward(applied) {
+	current := parseEvacuations(op.result.Value) // also of requests of the same ballot that were applied later
+	isFirstOfKind := current.gap == unknownGap
+	for _, id := range current.ids {
 		i := slices.IndexFunc(sim.history, func(other *operation) bool { return other.id == id })
-		earlier := sim.history[i]
-		appliedBefore := min(earlier.returnedAt, sim.now)
-		isInWindow := op.calledAt < appliedBefore+retryWindow+maxError || sim.hasStartedSince(earlier.calledAt)
-		if isFollowed && earlier.begin == op.begin && isInWindow {
-			return true
-		}
-		isFollowed = isFollowed || earlier.begin != op.begin
-		if earlier.outcome == Indeterminate {
+		last := sim.history[i]
+		appliedBefore := min(last.returnedAt, sim.now)
+		if last.outcome == Indeterminate {
 			appliedBefore = sim.now
 		}
-		maxError += appliedBefore - earlier.calledAt
+		isPossible := op.sentAfter < appliedBefore+maxAgeError || sim.hasStartedSince(last.calledAt)
+		if last.begin != op.begin && !isFirstOfKind && isPossible {
+			return true
+		}
+		isFirstOfKind = isFirstOfKind && last.begin != op.begin
 	}
 	return false
 }
--- a/internal/controlplane/operatorcalls.go
+++ b/internal/controlplane/operatorcalls.go
@@ -68,18 +68,22 @@
 	timeOfDay := uint64(s.options.TimeOfDay().UnixMilli())
 	retryWindow := s.options.Settings.Bounds.Ack.Duration() + retryArrivalSlack
 	orderID := rand.Uint64()
-	change := consensus.Evacuate(begin, orderID, retryWindow, timeOfDay, func() time.Duration { return s.sentWithin(r) })
+	lowerBound := sentAfter(r)
+	sentWithin := func() time.Duration { return s.options.Clock.Now().Sub(lowerBound) }
+	change := consensus.Evacuate(begin, orderID, retryWindow, timeOfDay, sentWithin)
 	committed, err := s.request(r, receivedAt, func(id uint64) consensus.Event {
 		return consensus.Propose{RequestID: id, Register: zoneRegisterPrefix + zone, Change: change}
 	})
+	log := s.log.With(logfield.Zone, zone, logfield.EvacuationBegin, begin, logfield.SentWithin, sentWithin())
 	switch {
 	case errors.Is(err, errPossibleDuplicate):
-		s.log.Warn("evacuation order refused: it may be a late copy of an earlier one", logfield.Zone, zone,
-			logfield.EvacuationBegin, begin)
-	case err == nil && !consensus.HasAppliedEvacuation(committed.Value, orderID):
+		log.Warn("evacuation order refused: it may be a late copy of an earlier one")
+	case err != nil:
+	case consensus.HasAppliedEvacuation(committed.Value, orderID):
+		log.Info("evacuation order applied")
+	default:
 		// Calls do not identify the operator, so an equal order of another operator looks like a retry.
-		s.log.Warn("evacuation order treated as a retry of the previous one", logfield.Zone, zone,
-			logfield.EvacuationBegin, begin)
+		log.Warn("evacuation order treated as a retry of the previous one")
 	}
 	return emptyBody(), err
 }
--- a/internal/gateway/logfield/logfield.go
+++ b/internal/gateway/logfield/logfield.go
@@ -24,6 +24,7 @@
 	Record          = "record"      // name of a record on the disk
 	Records         = "records"     // number of records on the disk
 	Register        = "register"    // name of a register
+	SentWithin      = "sent_within" // upper bound of the time since a call was sent
 	Service         = "service"     // name of a service
 	Setting         = "setting"     // of a configuration, with its key
 	SyncedFrom      = "synced_from" // number of voters whose state was read
