Control plane: keep departures of endpoints on disk before they are acknowledged

Cause: draining and deregistered endpoints were acknowledged once a majority had them in memory. A kill of all processes leaves the disks only.

Change: each node writes the departures that it knows to its disk, reads them at its start, and acknowledges to its peers after the sync. An endpoint is answered 200 once as many disks have its departure as a loss of f leaves one of; which disks does not matter, so one that is full or hangs holds nothing up. Failed writes and departures learned from peers are written within a second. The records are numbered slots that are used again, so the disk is bounded by the departures of 90 s.

--- a/internal/compat/disk_test.go
+++ b/internal/compat/disk_test.go
@@ -119,7 +119,7 @@
 	}
 }
 
-// Records and their directory have the names that d330930 reads.
+// Records and their directory have the names that d330930 reads, and that of departures, which it does not know.
 func TestRecordNamesStay(t *testing.T) {
 	dir := t.TempDir()
 	synctest.Test(t, func(t *testing.T) {
@@ -131,6 +131,7 @@
 		time.Sleep(3 * time.Second)
 		nodes[0].wantOK("config.replace", "", configuration(t, 7))
 		nodes[0].wantOK("evacuation.begin", "west", "")
+		nodes[0].wantOK("instances.deregister", "i-1", "")
 		time.Sleep(time.Second)
 		for _, n := range nodes {
 			n.stop()
@@ -142,7 +143,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		for _, name := range []string{"disk", "epoch", "complete", "b/epoch", "b/charter", "b/zone/west"} {
+		for _, name := range []string{"disk", "epoch", "complete", "b/epoch", "b/charter", "b/zone/west", "endpoint/0"} {
 			// In an entry, the name follows its length.
 			if !strings.Contains(string(text), string([]byte{byte(len(name)), 0})+name) {
 				t.Errorf("the disk of the node in zone %s has no record %q", zone, name)
--- a/internal/controlplane/connections.go
+++ b/internal/controlplane/connections.go
@@ -224,7 +224,9 @@
 	s.connectNodes(m.KnownPeers...)
 	s.onEndpointUpdate(&m.EndpointUpdate)
 	if m.WantAck > 0 {
-		conn.Send(&rpc.Message{Acknowledgement: rpc.Acknowledgement{Ack: m.WantAck}})
+		s.storeDepartures(m.Endpoints, func() {
+			conn.Send(&rpc.Message{Acknowledgement: rpc.Acknowledgement{Ack: m.WantAck}})
+		})
 	}
 	if m.Ack > 0 {
 		s.onAck(name, m.Ack)
--- a/internal/controlplane/endpoints.go
+++ b/internal/controlplane/endpoints.go
@@ -3,7 +3,9 @@
 import (
 	"time"
 
+	"elmfold/internal/controlplane/departures"
 	"elmfold/internal/gateway/apierror"
+	"elmfold/internal/gateway/logfield"
 	"elmfold/internal/gateway/rpc"
 )
 
@@ -17,7 +19,7 @@
 	minBatchDelay = 10 * time.Millisecond
 )
 
-// pendingAck is a report that an endpoint is draining or gone, and that too few nodes have acknowledged.
+// pendingAck is a report that an endpoint is draining or gone, and that too few nodes have on their disks.
 type pendingAck struct {
 	acks     map[string]bool // names of nodes
 	deadline time.Duration
@@ -55,8 +57,8 @@
 }
 
 // broadcastUntilDurable sends changes of draining or gone endpoints to proxies and peers at once. It reports success on
-// done when enough nodes have the changes: a starting proxy reads from a majority of the voters, so it learns of them
-// even if this node has failed.
+// done when enough nodes have the changes on their disks: a starting proxy reads from a majority of the voters, so it
+// learns of them even if this node has failed, or all processes have been killed.
 func (s *Server) broadcastUntilDurable(changes []rpc.Endpoint, done chan<- error) {
 	s.lastAckID++
 	update := rpc.EndpointUpdate{Endpoints: changes}
@@ -67,19 +69,35 @@
 		EndpointUpdate:  update,
 	})
 	s.endpointsChanged()
-	pending := &pendingAck{
-		acks:     map[string]bool{s.self.Name: true},
-		deadline: s.now() + ackTimeout,
-		done:     done,
-	}
-	switch {
-	case !s.hasQuorumNow():
+	id := s.lastAckID
+	if s.hasQuorumNow() {
+		s.pendingAcks[id] = &pendingAck{acks: map[string]bool{}, deadline: s.now() + ackTimeout, done: done}
+	} else {
 		done <- noQuorumError()
-	case s.isDurable(pending):
-		done <- nil
-	default:
-		s.pendingAcks[s.lastAckID] = pending
 	}
+	s.storeDepartures(changes, func() { s.onAck(s.self.Name, id) })
+}
+
+// storeDepartures calls done once those of the endpoints that are draining or gone are on the disk. If a write fails,
+// done is not called.
+func (s *Server) storeDepartures(endpoints []rpc.Endpoint, done func()) {
+	s.departures.StoreAll(endpoints, func(err error) {
+		if err != nil {
+			s.log.Error("writing the departure of an endpoint failed", logfield.Error, err)
+			return
+		}
+		done()
+	})
+}
+
+// loadDepartures restores the endpoints that were draining or gone when the previous process ended.
+func (s *Server) loadDepartures(records map[string][]byte) {
+	log, departed, err := departures.Load(s.options.Disk, s.queue.Post, records)
+	if err != nil {
+		s.log.Error("a stored departure of an endpoint cannot be read; it is left out", logfield.Error, err)
+	}
+	s.departures = log
+	s.registry.ApplyRemote(s.now(), departed)
 }
 
 func (s *Server) onAck(from string, id uint64) {
@@ -94,8 +112,8 @@
 	}
 }
 
-// isDurable reports whether enough voters have acknowledged a report: any majority includes one of them, even after as
-// many machines have failed as the fault budget allows.
+// isDurable reports whether enough voters have a report on their disks: any majority includes one of them, even after
+// as many machines have failed as the fault budget allows.
 func (s *Server) isDurable(p *pendingAck) bool {
 	return s.replica.Epoch().IsDurable(s.options.Settings.FaultBudget.Machines, func(v rpc.Voter) bool {
 		return p.acks[v.Name]
--- a/internal/controlplane/registry/endpoints.go
+++ b/internal/controlplane/registry/endpoints.go
@@ -224,6 +224,18 @@
 	return r.snapshots(now, func(e *Entry) bool { return e.live || e.State != rpc.Ready })
 }
 
+// Departed returns the endpoints that are draining or gone, sorted by id.
+func (r *Registry) Departed() []rpc.Endpoint {
+	var departed []rpc.Endpoint
+	for _, e := range r.entries {
+		if e.State != rpc.Ready {
+			departed = append(departed, e.Endpoint)
+		}
+	}
+	slices.SortFunc(departed, func(a, b rpc.Endpoint) int { return cmp.Compare(a.ID, b.ID) })
+	return departed
+}
+
 func (r *Registry) snapshots(now time.Duration, include func(*Entry) bool) []rpc.Endpoint {
 	var all []rpc.Endpoint
 	for _, id := range slices.Sorted(maps.Keys(r.entries)) {
--- a/internal/controlplane/registry/registry.go
+++ b/internal/controlplane/registry/registry.go
@@ -1,6 +1,7 @@
 // Package registry is the table of endpoints and of proxy leases that one control-plane node keeps. It is soft state:
-// after a restart it is rebuilt from heartbeats, lease renewals and the reports of the other nodes. The package does no
-// I/O and reads no clock; times are durations since the process started.
+// after a restart it is rebuilt from heartbeats, lease renewals, the reports of the other nodes, and the departures on
+// the disk (package departures). The package does no I/O and reads no clock; times are durations since the process
+// started.
 //
 // An endpoint is identified by an id that it generates at each start. The report with the greatest Seq takes
 // precedence. The state of an endpoint only advances: ready, draining, gone. A node considers an endpoint live while it
--- a/internal/controlplane/server.go
+++ b/internal/controlplane/server.go
@@ -11,7 +11,7 @@
 //	replica.go       actions and deadlines of the consensus replica
 //	connections.go   connections of peers and proxies, and their messages
 //	proxies.go       messages to and from proxies
-//	endpoints.go     distribution and acknowledgement of endpoint reports
+//	endpoints.go     distribution, storage and acknowledgement of endpoint reports
 //	calls.go         HTTP calls: dispatch and responses
 //	callage.go       the age of calls, by their connections
 //	operatorcalls.go calls of operators
@@ -23,6 +23,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"strings"
@@ -32,6 +33,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"elmfold/internal/controlplane/consensus"
+	"elmfold/internal/controlplane/departures"
 	"elmfold/internal/controlplane/registry"
 	"elmfold/internal/gateway/bootconfig"
 	"elmfold/internal/gateway/logfield"
@@ -106,6 +108,7 @@
 	dialer           *session.Dialer
 	replica          *consensus.Replica
 	registry         *registry.Registry
+	departures       *departures.Log
 	steering         *steerer
 	sharding         *sharder
 	peers            map[string]*peer                        // by name
@@ -168,7 +171,9 @@
 		OnDisconnect:  s.onPeerDisconnect,
 	}
 	isFirstStart := o.Settings.Bootstrap && o.DiskFresh
-	state := s.loadState(isFirstStart)
+	records := o.Disk.All()
+	s.loadDepartures(records)
+	state := s.loadState(records, isFirstStart)
 	s.storeID, s.mayHaveLostState = state.StoreID, state.MayHaveLostState
 	s.replica = consensus.New(consensus.Options{
 		Self:        s.self,
@@ -190,8 +195,9 @@
 
 // loadState loads the replica state from the disk. If a record cannot be decoded, the node starts with a new store id,
 // and catches up from its peers.
-func (s *Server) loadState(isFirstStart bool) consensus.DurableState {
-	records := s.options.Disk.All()
+func (s *Server) loadState(records map[string][]byte, isFirstStart bool) consensus.DurableState {
+	records = maps.Clone(records)
+	maps.DeleteFunc(records, func(name string, _ []byte) bool { return strings.HasPrefix(name, departures.RecordPrefix) })
 	newStoreID := fmt.Sprintf("%016x", rand.Uint64())
 	state, err := consensus.LoadState(s.self.Name, records, s.options.DiskComplete, isFirstStart, newStoreID)
 	if err != nil {
@@ -266,6 +272,7 @@
 		s.lastKeepAlive = now
 		s.broadcastToPeers(&rpc.Message{Lease: rpc.Lease{RenewLease: 1}})
 		s.expireRegistry(now)
+		s.departures.Sweep(s.registry.Departed())
 	}
 	s.flushEndpoints()
 	s.steering.step(now)
