Control plane: a late copy of the last evacuation order does not count as a second one

An order in earnest is taken on a new connection.

Evidence: TestCopyOfLastOrderHeldUpForLong failed in both cases before.

--- a/internal/controlplane/consensus/evacuations.go
+++ b/internal/controlplane/consensus/evacuations.go
@@ -24,11 +24,11 @@
 // finishes within the window also count as one, and the zone stays evacuated until another finish. docs/control.md
 // explains why this is accepted.
 //
-// A copy of a request that the network held up may arrive after a request of the other kind, and must not undo that
-// one. How long it was held up is not bounded: only an upper bound of the time since it was sent tells it from a new
-// request. So a request is refused as a PossibleDuplicate if the last request is of the other kind and it may have been
-// sent before that one was committed. The client of a request in earnest sends it again, on a new connection, which
-// shows that it was sent later.
+// A copy of a request that the network held up may arrive after other requests or after the retry window, and must
+// neither undo a request nor count as a second one. How long it was held up is not bounded: only an upper bound of the
+// time since it was sent tells it from a new request. So a request is refused as a PossibleDuplicate if it may have
+// been sent before the last request was committed or, if both are of one kind, within the retry window after that. The
+// client of a request in earnest sends it again, on a new connection, which shows that it was sent later.
 
 const (
 	lastBegan        = 'b'
@@ -93,11 +93,15 @@
 	return next
 }
 
-// mayBeCopy reports whether a request may be a copy of an earlier one that a request of the other kind has followed.
-// age is that of the last request, and sentWithin an upper bound of the time since the request was sent.
-func (e evacuations) mayBeCopy(kind byte, age, sentWithin time.Duration) bool {
+// mayBeCopy reports whether a request may be a copy of an earlier one: it may have been sent before the last request
+// was committed, or, if both are of one kind, within retryWindow after it. age is that of the last request, and
+// sentWithin an upper bound of the time since the request was sent.
+func (e evacuations) mayBeCopy(kind byte, age, retryWindow, sentWithin time.Duration) bool {
+	if kind == e.last {
+		return age-sentWithin < retryWindow
+	}
 	isFirstOfKind := e.gap == unknownGap
-	return kind != e.last && !isFirstOfKind && age < sentWithin
+	return !isFirstOfKind && age < sentWithin
 }
 
 // IsEvacuated reports whether the value of a zone's register says that the zone is evacuated.
@@ -112,10 +116,10 @@
 // Evacuate returns the change that begins or finishes an evacuation.
 //
 // id identifies the request, so that it is applied once even if another node has already finished its ballot. A request
-// of the same kind as the last one, within retryWindow of it, is a retry. One of the other kind is a PossibleDuplicate
-// if it may have been sent before the last one. timeOfDay, in ms since 1970, becomes the version. It also gives the age
-// of the last request if no node knows that age exactly. sentWithin returns an upper bound of the time since the
-// request was sent.
+// of the same kind as the last one, within retryWindow of it, is a retry. A later one that may have been sent within
+// retryWindow is a PossibleDuplicate, and so is one of the other kind that may have been sent before the last one.
+// timeOfDay, in ms since 1970, becomes the version. It also gives the age of the last request if no node knows that age
+// exactly. sentWithin returns an upper bound of the time since the request was sent.
 func Evacuate(
 	begin bool, id uint64, retryWindow time.Duration, timeOfDay uint64, sentWithin func() time.Duration,
 ) ChangeFunc {
@@ -131,7 +135,7 @@
 		switch {
 		case isRetry || slices.Contains(current.ids, id):
 			return committed, Committed
-		case current.mayBeCopy(next.last, age.Duration, sentWithin()):
+		case !isFirst && current.mayBeCopy(next.last, age.Duration, retryWindow, sentWithin()):
 			return committed, PossibleDuplicate
 		}
 		return Register{
--- a/internal/controlplane/lateorders_test.go
+++ b/internal/controlplane/lateorders_test.go
@@ -92,3 +92,39 @@
 		}
 	})
 }
+
+// Guards against a copy of an order that the network held up for longer than the time for retries, and that counts as
+// a second one of its kind: a late finish ends the evacuation of another operator (EVAC), and a late begin leaves the
+// zone evacuated after its finish.
+func TestCopyOfLastOrderHeldUpForLong(t *testing.T) {
+	for _, call := range []string{finishSouth, beginSouth} {
+		t.Run(call, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := startCluster(3, 1)
+				defer c.stop()
+				one, two := c.nodes[0], c.nodes[1]
+				time.Sleep(4 * time.Second)
+				mustOrder(t, two, beginSouth)
+				if call == finishSouth {
+					time.Sleep(8 * time.Second)
+					mustOrder(t, two, beginSouth) // of another operator
+					time.Sleep(8 * time.Second)
+				}
+				kept := one.newConn(t.Context())
+				postCallOn(kept, one, "config.read", "") // the connection is in use
+				time.Sleep(time.Second)
+				mustOrder(t, two, call) // the copy to node 1 is sent after a second of silence
+				time.Sleep(6100 * time.Millisecond)
+				w := postCallOn(kept, one, call, "")
+				time.Sleep(100 * time.Millisecond)
+				if call == beginSouth {
+					mustOrder(t, two, finishSouth)
+				}
+				if isEvacuated := two.isEvacuated("south"); isEvacuated != (call == finishSouth) {
+					t.Errorf("a copy of the last order, 6.1 s late, is answered %d %s and counts: evacuated %v", w.Code, w.Body,
+						isEvacuated)
+				}
+			})
+		})
+	}
+}
