--- a/internal/controlplane/lateorders_test.go
+++ b/internal/controlplane/lateorders_test.go
@@ -32,6 +32,17 @@
 	return strings.Contains(postCall(n, "core.status", "").Body.String(), fmt.Sprintf(`"evacuated":[%q]`, zone))
 }
 
+// orderTwice sends an order to a node on a connection that is in use, where the network holds it up, and after a second
+// of silence to another node, which acknowledges it. It returns the connection, on which the first copy is to arrive.
+func orderTwice(t *testing.T, heldUpTo, acknowledgedBy *node, call string) context.Context {
+	t.Helper()
+	kept := heldUpTo.newConn(t.Context())
+	postCallOn(kept, heldUpTo, "config.read", "")
+	time.Sleep(time.Second)
+	mustOrder(t, acknowledgedBy, call)
+	return kept
+}
+
 // Guards against a copy of an order that the network held up for longer than the time for retries, and that undoes a
 // later, acknowledged order of the other kind when it arrives (EVAC).
 func TestCopyOfOrderHeldUpForLong(t *testing.T) {
@@ -53,10 +64,7 @@
 						mustOrder(t, two, finishSouth)
 						time.Sleep(8 * time.Second)
 					}
-					kept := one.newConn(t.Context())
-					postCallOn(kept, one, "config.read", "") // the connection is in use
-					time.Sleep(time.Second)
-					mustOrder(t, two, call) // the copy to node 1 is sent after a second of silence
+					kept := orderTwice(t, one, two, call)
 					time.Sleep(2500 * time.Millisecond)
 					mustOrder(t, three, opposite)
 					time.Sleep(holdUp - 2500*time.Millisecond)
@@ -110,10 +118,7 @@
 					mustOrder(t, two, beginSouth) // of another operator
 					time.Sleep(8 * time.Second)
 				}
-				kept := one.newConn(t.Context())
-				postCallOn(kept, one, "config.read", "") // the connection is in use
-				time.Sleep(time.Second)
-				mustOrder(t, two, call) // the copy to node 1 is sent after a second of silence
+				kept := orderTwice(t, one, two, call)
 				time.Sleep(6100 * time.Millisecond)
 				w := postCallOn(kept, one, call, "")
 				time.Sleep(100 * time.Millisecond)
