Control plane: an order is not taken for a retry by a clock that is known to be wrong

Cause: after a restart of all nodes nobody knows the age of the last order but by the time of day. The node's clock lagged by half an hour, so that the second begin counted as a retry within ackS + 0.5 s, although 4.8 s had passed since the restart alone.

Change: where the age by the time of day is over a second below the time that is known to have passed, neither a retry nor a new order can be told; the order gets 503 until the time since the restart says that it is no retry. An operator that waits for a lost answer may get 503 in that time in place of 200.

--- a/internal/controlplane/consensus/evacuations.go
+++ b/internal/controlplane/consensus/evacuations.go
@@ -37,6 +37,9 @@
 	idBytes          = 8
 	gapBytes         = 4 // shorter than an id: versions that do not know of gaps ignore it
 	unknownGap       = time.Duration(-1)
+	// clockTolerance is how much lower an age by the time of day may be than one by a monotonic clock: the time of day is
+	// that of the call, which may wait before it is decided.
+	clockTolerance = time.Second
 )
 
 // evacuations is the decoded value of a zone's register.
@@ -119,21 +122,28 @@
 // of the same kind as the last one, within retryWindow of it, is a retry. A later one that may have been sent within
 // retryWindow is a PossibleDuplicate, and so is one of the other kind that may have been sent before the last one.
 // timeOfDay, in ms since 1970, becomes the version. It also gives the age of the last request if no node knows that age
-// exactly. sentWithin returns an upper bound of the time since the request was sent.
+// exactly; if it contradicts the lower bound that is known, a request that may be a retry is a PossibleDuplicate too.
+// sentWithin returns an upper bound of the time since the request was sent.
 func Evacuate(
 	begin bool, id uint64, retryWindow time.Duration, timeOfDay uint64, sentWithin func() time.Duration,
 ) ChangeFunc {
 	return func(committed Register, age Age) (Register, Outcome) {
 		current := parseEvacuations(committed.Value)
+		isAgeUnknown := false
 		if !age.Exact {
 			byClock := time.Duration(int64(timeOfDay)-int64(committed.Version.Number)) * time.Millisecond
+			isAgeUnknown = byClock+clockTolerance < age.Duration // the clocks differ by more than that
 			age.Duration = max(age.Duration, byClock)
 		}
 		isFirst := committed.Version == (Version{})
 		next := current.apply(begin, id, age.Duration, isFirst)
 		isRetry := !isFirst && current.last == next.last && age.Duration < retryWindow
 		switch {
-		case isRetry || slices.Contains(current.ids, id):
+		case slices.Contains(current.ids, id):
+			return committed, Committed
+		case isRetry && isAgeUnknown:
+			return committed, PossibleDuplicate
+		case isRetry:
 			return committed, Committed
 		case !isFirst && current.mayBeCopy(next.last, age.Duration, retryWindow, sentWithin()):
 			return committed, PossibleDuplicate
--- a/internal/controlplane/consensus/evacuations_test.go
+++ b/internal/controlplane/consensus/evacuations_test.go
@@ -145,6 +145,34 @@
 	}
 }
 
+// After a restart of all nodes, only clocks and the time since the restart tell how old the last request is. Guards
+// against the begin of a second operator that is taken for a retry by a clock that is wrong: the first finish would then
+// end its evacuation too (EVAC).
+func TestRetryByWrongClock(t *testing.T) {
+	const window = 5500 * ms
+	for _, c := range []struct {
+		name        string
+		sinceLoaded time.Duration // a lower bound of the age
+		byClock     int64         // ms
+		outcome     Outcome
+		open        int
+	}{
+		{"a clock that is right, a retry", 3 * time.Second, 4_000, Committed, 1},
+		{"a clock that is right, a second request", 3 * time.Second, 6_500, Committed, 2},
+		{"a clock that lags by the time in which a request is decided", 3 * time.Second, 2_500, Committed, 1},
+		{"a clock that lags by half an hour", 4800 * ms, -1_800_000, PossibleDuplicate, 1},
+		{"a clock that lags by two seconds", 4800 * ms, 2_900, PossibleDuplicate, 1},
+		{"the same, later than any retry", 5500 * ms, 3_600, Committed, 2},
+	} {
+		first, _ := Evacuate(true, 1, window, startTime, sentNow)(Register{Name: "zone/a"}, Age{})
+		second := Evacuate(true, 2, window, uint64(startTime+c.byClock), sentNow)
+		next, outcome := second(first, Age{Duration: c.sinceLoaded})
+		if open := parseEvacuations(next.Value).open; outcome != c.outcome || open != c.open {
+			t.Errorf("%s: outcome %d, %d evacuations open", c.name, outcome, open)
+		}
+	}
+}
+
 // The value of a zone as d330930 reads it: a count, the last kind, and ids of 8 bytes; a shorter rest is ignored.
 // Guards against a gap between requests that nodes of that version take for an id, and against one that is lost.
 func TestEncodedGap(t *testing.T) {
