--- a/internal/controlplane/consensus/evacuations_test.go
+++ b/internal/controlplane/consensus/evacuations_test.go
@@ -146,8 +146,8 @@
 }
 
 // After a restart of all nodes, only clocks and the time since the restart tell how old the last request is. Guards
-// against the begin of a second operator that is taken for a retry by a clock that is wrong: the first finish would then
-// end its evacuation too (EVAC).
+// against the begin of a second operator that is taken for a retry by a clock that is wrong: the first finish would
+// then end its evacuation too (EVAC).
 func TestRetryByWrongClock(t *testing.T) {
 	const window = 5500 * ms
 	for _, c := range []struct {
