Control plane: a departure that is forgotten leaves the disk too

Callers saw (by test): an endpoint that was deregistered by mistake, was forgotten as gone after 90 s and is used again, is gone once more on all nodes and for another 90 s after a restart.

Cause: freed the slot of a forgotten departure and left its record, which the next start reads.

Change: the record is emptied when its slot is given up; an empty record is a free slot.

Evidence: TestForgottenDepartureIsNotRestored fails without the change and passes with it.

--- a/internal/controlplane/departedendpoints_test.go
+++ b/internal/controlplane/departedendpoints_test.go
@@ -109,3 +109,30 @@
 		}
 	})
 }
+
+// Guards against an endpoint that was deregistered by mistake, is used again since, and is gone once more, on all
+// nodes, after a restart of a node that has kept the record of its departure.
+func TestForgottenDepartureIsNotRestored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := startCluster(3, 1)
+		defer c.stop()
+		time.Sleep(5 * time.Second)
+		seq := 0
+		heartbeats := func(span time.Duration) {
+			for end := time.Now().Add(span); time.Now().Before(end); time.Sleep(1500 * time.Millisecond) {
+				seq++
+				postCall(c.nodes[1], "instances.heartbeat&of=i-1", heartbeatJSON("alpha", "10.0.1.1:8080", "ready", seq, 0))
+			}
+		}
+		heartbeats(3 * time.Second)
+		postCall(c.nodes[0], "instances.deregister&of=i-1", "")
+		heartbeats(100 * time.Second) // until it is forgotten
+		c.killAll(700 * time.Millisecond)
+		time.Sleep(2200 * time.Millisecond)
+		states := watchEndpoints(t, c, c.nodes[2])
+		heartbeats(3 * time.Second)
+		if state, known := states.get("i-1"); !known || state != rpc.Ready {
+			t.Errorf("proxies are told state %d of the running endpoint, known: %v", state, known)
+		}
+	})
+}
--- a/internal/controlplane/departures/departures.go
+++ b/internal/controlplane/departures/departures.go
@@ -3,8 +3,8 @@
 // must not depend on that: after a restart of all nodes, a late heartbeat of the endpoint would make it ready again.
 //
 // Each departure has a record of its own, in a numbered slot. The slot of a departure that the registry has forgotten
-// is used again, so the number of records is the greatest number of departures at one time. A record in a free slot is
-// harmless: ids are never used again, and the registry forgets it after a restart as it did before.
+// is used again, so the number of records is the greatest number of departures at one time. The record of a free slot
+// is empty: an endpoint that was taken for gone, and is used again since, must not be gone again after a restart.
 package departures
 
 import (
@@ -85,6 +85,9 @@
 			continue
 		}
 		l.size = max(l.size, number+1)
+		if len(value) == 0 {
+			continue
+		}
 		var r record
 		if decodeErr := cbor.Unmarshal(value, &r); decodeErr != nil || r.ID == "" {
 			err = &RecordError{name, decodeErr}
@@ -117,6 +120,8 @@
 	return number, hasPrefix && err == nil && number >= 0
 }
 
+func recordName(number int) string { return RecordPrefix + strconv.Itoa(number) }
+
 // Store calls done once the state of a departed endpoint, or a later one, is on the disk, or once a write has failed.
 // It may call done before it returns.
 func (l *Log) Store(endpoint rpc.Endpoint, done func(error)) {
@@ -170,6 +175,7 @@
 		if !known[id] && s.writing == rpc.Ready {
 			delete(l.slots, id)
 			l.free = append(l.free, s.number)
+			l.disk.PutAsync(recordName(s.number), nil, func(error) {}) // a later write to the slot follows it
 		}
 	}
 	slices.Sort(l.free)
@@ -192,7 +198,7 @@
 	if err != nil {
 		panic(fmt.Sprintf("departures: encode record: %v", err)) // unreachable: the record is plain data
 	}
-	l.disk.PutAsync(RecordPrefix+strconv.Itoa(s.number), value, func(err error) {
+	l.disk.PutAsync(recordName(s.number), value, func(err error) {
 		l.post(func() { l.onWritten(s, err) })
 	})
 }
